--- /dev/null
+++ b/Makefile
@@ -0,0 +1,56 @@
+# The entry to everything. `make run` runs the main job, `make test` every check.
+SHELL := /bin/bash
+MODULES := api cli daemon standin
+PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
+TOOLS := $(CURDIR)/.tools
+LINT_VERSION := v2.15.0
+LINT := $(TOOLS)/golangci-lint
+# The race detector runs where tests share memory between processes' parts.
+RACE := ./daemon/... ./cli/internal/fleet/... ./standin/...
+
+FUZZTIME := 20s
+# Package and target of each fuzz test.
+FUZZ :=
+
+.PHONY: run test check build format lint vet unit race fuzz generate clean
+
+run: ## run a whole small fleet on stand-ins until Ctrl-C
+	go run ./cli/cmd/wheelcleat dev
+
+test: check unit race ## every check: formatter, linter, vet, tests, race detector
+
+build: ## build both binaries into bin/
+	go build -o bin/ ./daemon/cmd/wheelcleatd ./cli/cmd/wheelcleat
+
+check: lint vet
+
+$(LINT):
+	GOBIN=$(TOOLS) GOFLAGS=-buildvcs=false go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+
+lint: $(LINT) ## formatter (goimports, gofumpt) and linter, no changes made
+	$(LINT) config verify
+	$(LINT) fmt --diff $(MODULES)
+	$(LINT) run $(PACKAGES)
+
+format: $(LINT) ## rewrite files in the project's format
+	$(LINT) fmt $(MODULES)
+
+vet:
+	go vet $(PACKAGES)
+
+unit:
+	go test -count=1 $(PACKAGES)
+
+race:
+	go test -count=1 -race $(RACE)
+
+fuzz: ## run each fuzz target for FUZZTIME; not part of `make test`
+	for target in $(FUZZ); do go test $${target%%:*} -run NONE -fuzz $${target##*:} -fuzztime $(FUZZTIME) || exit 1; done
+
+generate: ## for maintainers: needs protoc and the plugins named in docs/OPERATIONS.md
+	cd daemon/internal/connection/wire && protoc --go_out=. --twirp_out=. \
+		--go_opt=module=github.com/wheelcleat/wheelcleat/daemon/internal/connection/wire \
+		--twirp_opt=module=github.com/wheelcleat/wheelcleat/daemon/internal/connection/wire wire.proto
+
+clean:
+	rm -rf bin
--- /dev/null
+++ b/cli/internal/command/command.go
@@ -0,0 +1,122 @@
+// Package command holds the commands of wheelcleat, one file each.
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/wheelcleat/wheelcleat/api"
+	"github.com/wheelcleat/wheelcleat/api/client"
+	"github.com/wheelcleat/wheelcleat/daemon/settings"
+)
+
+// Exit codes of wheelcleat.
+const (
+	ExitFailed = 1
+	// ExitUsage: the command line or a file is faulty; nothing was sent.
+	ExitUsage = 2
+	// ExitChanges: diff found differences.
+	ExitChanges = 3
+)
+
+// errUsage marks a faulty command line.
+var errUsage = errors.New("usage")
+
+// errChanges tells that diff found differences.
+var errChanges = errors.New("differences found")
+
+// ExitCode returns the exit code for a command's error.
+func ExitCode(err error) int {
+	var faulty *settings.FileError
+	switch {
+	case err == nil:
+		return 0
+	case errors.Is(err, errChanges):
+		return ExitChanges
+	case errors.As(err, &faulty), errors.Is(err, errUsage):
+		return ExitUsage
+	default:
+		return ExitFailed
+	}
+}
+
+// New returns the whole command line.
+func New() *cli.Command {
+	return &cli.Command{
+		Name:  "wheelcleat",
+		Usage: "declare, follow and try out model distribution and routing",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "entry", Usage: "operators' address of an entry, `URL`; repeat for more", Sources: cli.EnvVars("WHEELCLEAT_ENTRY"), Value: []string{"http://127.0.0.1:7001"}},
+			&cli.StringFlag{Name: "key", Usage: "operator's bearer `KEY`", Sources: cli.EnvVars("WHEELCLEAT_KEY")},
+		},
+		Commands: []*cli.Command{
+			applyCommand(), diffCommand(), getCommand(), deleteCommand(), watchCommand(), rolloutCommand(),
+			settingsCommand(), devCommand(),
+		},
+		// The caller prints the error and chooses the exit code.
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+	}
+}
+
+// operator returns a client for the entries that the command line names.
+func operator(command *cli.Command) *client.Client {
+	return &client.Client{Entries: command.StringSlice("entry"), Key: command.String("key")}
+}
+
+func outputFlag() cli.Flag {
+	return &cli.StringFlag{Name: "output", Aliases: []string{"o"}, Value: "table", Usage: "`FORM` of the output: table or json", Validator: func(form string) error {
+		if form != "table" && form != "json" {
+			return fmt.Errorf("%w: -o %q: use table or json", errUsage, form)
+		}
+		return nil
+	}}
+}
+
+func wantsJSON(command *cli.Command) bool { return command.String("output") == "json" }
+
+func writeJSON(w io.Writer, value any) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
+
+// table writes aligned columns.
+func table(w io.Writer, write func(*tabwriter.Writer)) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	write(t)
+	return t.Flush()
+}
+
+// onTerminal reports whether w is a terminal.
+func onTerminal(w io.Writer) bool {
+	file, ok := w.(*os.File)
+	if !ok {
+		return false
+	}
+	info, err := file.Stat()
+	return err == nil && info.Mode()&os.ModeCharDevice != 0
+}
+
+// oneArgument returns the only argument of a command.
+func oneArgument(command *cli.Command, what string) (string, error) {
+	if command.Args().Len() != 1 {
+		return "", fmt.Errorf("%w: name one %s", errUsage, what)
+	}
+	return command.Args().First(), nil
+}
+
+// kindArgument reads a kind such as "models".
+func kindArgument(text string) (api.Kind, error) {
+	kind, err := api.KindOf(text)
+	if err != nil {
+		return "", fmt.Errorf("%w: %w", errUsage, err)
+	}
+	return kind, nil
+}
--- /dev/null
+++ b/cli/internal/command/watch.go
@@ -0,0 +1,206 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/wheelcleat/wheelcleat/api"
+	"github.com/wheelcleat/wheelcleat/api/client"
+)
+
+func watchCommand() *cli.Command {
+	return &cli.Command{
+		Name: "watch", Usage: "print every change of a resource as it comes into force",
+		Flags: []cli.Flag{
+			outputFlag(),
+			&cli.UintFlag{Name: "after", Usage: "start after this `REVISION`; the default is now"},
+		},
+		Action: watch,
+	}
+}
+
+// watchRetry is the pause before a broken watch is resumed.
+const watchRetry = 500 * time.Millisecond
+
+func watch(ctx context.Context, command *cli.Command) error {
+	from := operator(command)
+	after := uint64(command.Uint("after"))
+	if !command.IsSet("after") {
+		list, err := from.List(ctx, api.KindService)
+		if err != nil {
+			return err
+		}
+		after = list.Revision
+	}
+	out := command.Root().Writer
+	for {
+		err := from.Watch(ctx, after, func(event api.Event) error {
+			after = max(after, event.Revision)
+			if wantsJSON(command) {
+				return json.NewEncoder(out).Encode(event)
+			}
+			if event.Type != api.EventBookmark {
+				_, _ = fmt.Fprintf(out, "%d %s %s/%s %s\n", event.Revision, event.Type, event.Resource.Kind.Plural(), event.Resource.Name, eventSummary(event))
+			}
+			return nil
+		})
+		var problem *api.Problem
+		if ctx.Err() != nil || errors.As(err, &problem) {
+			return err
+		}
+		select {
+		case <-time.After(watchRetry):
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func eventSummary(event api.Event) string {
+	if event.Type != api.EventPut {
+		return ""
+	}
+	return summary(event.Resource)
+}
+
+func rolloutCommand() *cli.Command {
+	return &cli.Command{
+		Name: "rollout", Usage: "follow how a service's declared version comes into service",
+		Commands: []*cli.Command{{
+			Name: "status", Usage: "show how far each data hall is", ArgsUsage: "SERVICE",
+			Flags: []cli.Flag{
+				outputFlag(),
+				&cli.BoolFlag{Name: "wait", Usage: "until every hall is done; fail when one halts"},
+				&cli.DurationFlag{Name: "timeout", Value: 10 * time.Minute, Usage: "give up waiting after this `TIME`"},
+			},
+			Action: rolloutStatus,
+		}},
+	}
+}
+
+// statusEvery is the interval in which a waiting rollout status asks again.
+const statusEvery = 200 * time.Millisecond
+
+func rolloutStatus(ctx context.Context, command *cli.Command) error {
+	service, err := oneArgument(command, "service")
+	if err != nil {
+		return err
+	}
+	if !command.Bool("wait") {
+		status, err := operator(command).Rollout(ctx, service)
+		if err != nil {
+			return err
+		}
+		return showStatus(command, status)
+	}
+	ctx, cancel := context.WithTimeout(ctx, command.Duration("timeout"))
+	defer cancel()
+	status, err := WaitRollout(ctx, operator(command), service, newProgress(command))
+	if err != nil {
+		return err
+	}
+	return showStatus(command, status)
+}
+
+func showStatus(command *cli.Command, status *api.RolloutStatus) error {
+	if wantsJSON(command) {
+		return writeJSON(command.Root().Writer, status)
+	}
+	for _, line := range StatusLines(status) {
+		_, _ = fmt.Fprintln(command.Root().Writer, line)
+	}
+	return nil
+}
+
+// StatusLines returns a rollout's status for reading.
+func StatusLines(status *api.RolloutStatus) []string {
+	state := "in progress"
+	if status.Done {
+		state = "done"
+	}
+	lines := []string{fmt.Sprintf("service %s, version %s: %s", status.Service, status.Version, state)}
+	for _, hall := range status.Halls {
+		line := fmt.Sprintf("  hall %s: %d of %d ready, %d on another version, wave %d of %d", hall.Hall, hall.Ready, hall.Wanted, hall.Old, hall.OpenWave, hall.Waves)
+		if hall.ChunksWanted > 0 && hall.ChunksHeld < hall.ChunksWanted {
+			line += fmt.Sprintf(", %d%% fetched", 100*hall.ChunksHeld/hall.ChunksWanted)
+		}
+		if hall.Halted != "" {
+			line += ", halted: " + hall.Halted
+		}
+		if hall.SecondsSinceSeen > 5 {
+			line += fmt.Sprintf(", last seen %.0f s ago", hall.SecondsSinceSeen)
+		}
+		lines = append(lines, line)
+	}
+	return lines
+}
+
+// WaitRollout asks until a rollout is done and shows its progress. A halted
+// hall is an error.
+func WaitRollout(ctx context.Context, from *client.Client, service string, show func(*api.RolloutStatus)) (*api.RolloutStatus, error) {
+	ticker := time.NewTicker(statusEvery)
+	defer ticker.Stop()
+	for {
+		status, err := from.Rollout(ctx, service)
+		if err == nil {
+			show(status)
+			if status.Done {
+				return status, nil
+			}
+			for _, hall := range status.Halls {
+				if hall.Halted != "" {
+					return status, fmt.Errorf("the rollout of %s halted in %s: %s; declare the earlier version to roll back, or a new one", service, hall.Hall, hall.Halted)
+				}
+			}
+		}
+		var problem *api.Problem
+		if errors.As(err, &problem) && problem.Code == api.CodeNotFound {
+			return nil, err
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return status, fmt.Errorf("the rollout of %s is not done: %w", service, ctx.Err())
+		}
+	}
+}
+
+const barWidth = 30
+
+// newProgress shows a bar on a terminal, and elsewhere a line at each change.
+func newProgress(command *cli.Command) func(*api.RolloutStatus) {
+	out := command.Root().ErrWriter
+	terminal := onTerminal(out)
+	last := ""
+	return func(status *api.RolloutStatus) {
+		ready, wanted := 0, 0
+		for _, hall := range status.Halls {
+			ready += hall.Ready
+			wanted += hall.Wanted
+		}
+		line := fmt.Sprintf("%s %s: %d of %d hosts ready", status.Service, status.Version, ready, wanted)
+		if line == last {
+			return
+		}
+		last = line
+		if !terminal {
+			_, _ = fmt.Fprintln(out, line)
+			return
+		}
+		done := 0
+		if wanted > 0 {
+			done = barWidth * ready / wanted
+		}
+		bar := strings.Repeat("#", min(done, barWidth)) + strings.Repeat("-", barWidth-min(done, barWidth))
+		_, _ = fmt.Fprintf(out, "\r[%s] %s", bar, line)
+		if status.Done {
+			_, _ = fmt.Fprintln(out)
+		}
+	}
+}
--- /dev/null
+++ b/daemon/agent/agent.go
@@ -0,0 +1,314 @@
+// Package agent assembles the process that stands beside one upstream.
+//
+// An agent fetches and shares weights, orders its engine, and is the last hop
+// of every request to its host.
+package agent
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/follow"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/report"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/upstream"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/wire"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/process/hosts"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/process/platform"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/process/server"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/process/telemetry"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/gate"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/version/activate"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/version/fetch"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/version/install"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/version/share"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/version/source"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/version/stage"
+	"github.com/wheelcleat/wheelcleat/daemon/settings"
+)
+
+const (
+	// lameDuck is how long a leaving agent still refuses with an answer,
+	// while its entries learn that it leaves.
+	lameDuck = time.Second
+	// linkBurst is the burst of a paced link in bytes.
+	linkBurst = 64 << 10
+)
+
+// Options vary an agent for tests and benches. The zero value is a production
+// agent.
+type Options struct {
+	// LogOutput takes the log lines; nil means standard error.
+	LogOutput io.Writer
+	// Policy is the way chunks are found; empty means the swarm.
+	Policy string
+	// Uploads bounds the uploads at a time; 0 means the default.
+	Uploads int
+	// Upload and Download pace the link; nil takes the settings' rates. A
+	// bench with a half-duplex link gives both the same limiter.
+	Upload, Download *rate.Limiter
+	// OnFetched counts received bytes by kind ("peer", "hall", "origin").
+	OnFetched func(kind string, bytes int64, useful bool)
+	// LameDuck varies the time in which a leaving agent still answers; 0
+	// takes the default.
+	LameDuck time.Duration
+}
+
+// Process is one agent.
+type Process struct {
+	settings  settings.Agent
+	options   Options
+	telemetry *telemetry.Telemetry
+
+	gate      *gate.Gate
+	stage     *stage.Stage
+	installer *install.Installer // nil beside a plain service
+	hosts     *hosts.Follower
+	follower  *follow.Follower
+	reporter  *report.Reporter
+	transport *http.Transport
+	peers     *http.Transport
+	server    *server.Server
+
+	stopOnce sync.Once
+	done     chan struct{}
+}
+
+// New prepares an agent; Start runs it.
+func New(s settings.Agent, options Options) (*Process, error) {
+	s.SetDefaults()
+	t, err := telemetry.New(telemetry.Options{Role: string(s.Role), Name: s.Name, Hall: s.Hall, Level: s.Log.Level, Output: options.LogOutput})
+	if err != nil {
+		return nil, fmt.Errorf("agent %s: %w", s.Name, err)
+	}
+	p := &Process{
+		settings: s, options: options, telemetry: t,
+		gate: &gate.Gate{}, stage: &stage.Stage{MaxBytes: s.Weights.StagingBytes},
+		transport: upstream.NewTransport(), peers: newPeerTransport(),
+		done: make(chan struct{}),
+	}
+	return p, nil
+}
+
+// newPeerTransport makes the connections for chunks and control.
+func newPeerTransport() *http.Transport {
+	dialer := &net.Dialer{Timeout: time.Second, KeepAlive: 15 * time.Second}
+	return &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second,
+		DisableCompression: true, ReadBufferSize: 32 << 10, WriteBufferSize: 32 << 10,
+	}
+}
+
+// Start opens the port and begins to follow, fetch and serve.
+func (p *Process) Start() error {
+	mux := http.NewServeMux()
+	if err := p.listen(mux); err != nil {
+		return err
+	}
+	client := &http.Client{Transport: p.peers}
+	p.hosts = &hosts.Follower{List: platform.NewHostList(p.settings.Platform.HostList, client), Hall: p.settings.Hall}
+	entries := func() []platform.Host { return p.hosts.Select(platform.RoleEntry, "") }
+	p.reporter = &report.Reporter{
+		Host: p.settings.Name, Entries: entries, Client: client,
+		Incarnation: uint64(time.Now().UnixNano()), Member: p.member,
+	}
+	p.handler(mux)
+	if p.settings.Upstream.Kind == settings.UpstreamEngine {
+		p.addEngine(mux, client, entries)
+	} else {
+		p.gate.Open(gate.Serving{Services: p.settings.Upstream.Services})
+	}
+	p.hosts.OnChange = func([]platform.Host) { p.noteListed(); p.reporter.Changed() }
+	p.hosts.Start()
+	p.reporter.Start()
+	if p.installer != nil {
+		p.installer.Start()
+		p.follower.Start()
+	}
+	p.telemetry.SetReady()
+	return nil
+}
+
+// listen opens the port. Requests wait until the mux is complete, because its
+// routes are added before any process knows the address.
+func (p *Process) listen(mux *http.ServeMux) error {
+	opened, err := server.Listen(server.Options{Name: "peers", Address: p.settings.Listen.Peers, Handler: mux})
+	if err != nil {
+		return fmt.Errorf("agent %s: %w", p.settings.Name, err)
+	}
+	p.server = opened
+	return nil
+}
+
+// handler adds the request path and the pages.
+func (p *Process) handler(mux *http.ServeMux) {
+	p.telemetry.Pages(mux)
+	requests := &gate.Handler{
+		Gate: p.gate, Name: p.settings.Name, Upstream: p.settings.Upstream.Address,
+		Transport: p.transport, Telemetry: p.telemetry,
+	}
+	requests.Register(mux)
+}
+
+// addEngine adds what only an agent beside an engine does.
+func (p *Process) addEngine(mux *http.ServeMux, client *http.Client, entries func() []platform.Host) {
+	upload := p.limiter(p.options.Upload, p.settings.Weights.UploadBytesPerSecond)
+	sent := p.telemetry.Scope.Counter("weights_sent_bytes")
+	sharing := &share.Server{Stage: p.stage, Slots: p.options.Uploads, Upload: upload, OnBytes: func(n int64) { sent.Inc(n) }}
+	sharing.Register(mux)
+	checksFence := p.settings.Upstream.ChecksFence
+	fence := &activate.Fence{Engine: activate.NewEngine(p.settings.Upstream.Address, &http.Client{Transport: p.transport})}
+	if !checksFence {
+		fence.Hold = p.settings.Upstream.OrderHold.Std()
+		fence.NotBefore = time.Now().Add(fence.Hold)
+	}
+	p.installer = &install.Installer{
+		Stage: p.stage, Fetcher: p.fetcher(client), Fence: fence, Gate: p.gate, Telemetry: p.telemetry,
+		Weights: ownAddress(p.server.Address), OnChange: p.reporter.Changed,
+	}
+	p.follower = &follow.Follower{
+		Host: p.settings.Name, Hall: p.settings.Hall, Entries: entries, Client: client,
+		OnOrder: func(order *wire.Order, _ uint64) { p.installer.Order(order) },
+	}
+}
+
+// ownAddress is where a program on the same host reaches a listening port.
+func ownAddress(bound netip.AddrPort) netip.AddrPort {
+	if bound.Addr().IsUnspecified() {
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), bound.Port())
+	}
+	return bound
+}
+
+func (p *Process) limiter(given *rate.Limiter, perSecond int64) *rate.Limiter {
+	if given != nil || perSecond == 0 {
+		return given
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), linkBurst)
+}
+
+func (p *Process) fetcher(client *http.Client) *fetch.Fetcher {
+	link := &source.Link{Client: client, Download: p.limiter(p.options.Download, p.settings.Weights.DownloadBytesPerSecond)}
+	var sources []*source.Source
+	if p.settings.Weights.Store.IsValid() {
+		sources = append(sources, source.NewSource("store", p.settings.Weights.Store, link))
+	}
+	sources = append(sources, source.NewSource("origin", p.settings.Weights.Origin, link))
+	return &fetch.Fetcher{
+		Self: p.settings.Name, Hall: p.settings.Hall, Stage: p.stage, Link: link, Sources: sources,
+		Have: func(ctx context.Context, peer netip.AddrPort, request *wire.HaveRequest) (*wire.HaveResponse, error) {
+			return wire.NewPeerProtobufClient("http://"+peer.String(), client).Have(ctx, request)
+		},
+		Telemetry: p.telemetry, Policy: fetch.Policy(p.options.Policy), PeerWait: p.settings.Weights.PeerWait.Std(),
+		OnBytes: p.countFetched(),
+	}
+}
+
+func (p *Process) countFetched() func(fetch.Kind, int64, bool) {
+	return func(kind fetch.Kind, bytes int64, useful bool) {
+		p.telemetry.Scope.Tagged(map[string]string{"from": string(kind)}).Counter("weights_fetched_bytes").Inc(bytes)
+		if p.options.OnFetched != nil {
+			p.options.OnFetched(string(kind), bytes, useful)
+		}
+	}
+}
+
+// noteListed leaves when the platform's list says that the host leaves.
+func (p *Process) noteListed() {
+	all, _ := p.hosts.Hosts()
+	for _, host := range all {
+		if host.Name == p.settings.Name && host.State == platform.StateLeaving && !p.gate.Leaving() {
+			p.gate.Leave()
+			p.telemetry.Decide(telemetry.Decision{Step: "leave", Choice: "refuse new requests", Reason: "the host list says that the host leaves"})
+		}
+	}
+}
+
+// member returns what the agent says of itself.
+func (p *Process) member() *wire.Member {
+	m := &wire.Member{Name: p.settings.Name, Hall: p.settings.Hall, Address: p.Address().String(), Leaving: p.gate.Leaving()}
+	if p.installer == nil {
+		m.PlainServices = p.settings.Upstream.Services
+		return m
+	}
+	status := p.installer.Status()
+	m.ReadyService, m.ReadyManifest = status.ReadyService, status.ReadyManifest
+	m.FetchManifest = status.FetchManifest
+	m.ChunksHeld, m.ChunksTotal = uint32(status.ChunksHeld), uint32(status.ChunksTotal) //nolint:gosec // bounded by a manifest
+	m.FailedManifest, m.Failure = status.FailedManifest, status.Failure
+	return m
+}
+
+// Address is where the agent listens.
+func (p *Process) Address() netip.AddrPort { return p.server.Address }
+
+// InFlight returns the number of requests at the upstream.
+func (p *Process) InFlight() int { return p.gate.InFlight() }
+
+// Done is closed when the agent has ended.
+func (p *Process) Done() <-chan struct{} { return p.done }
+
+// Stop drains: it refuses new requests, tells its entries, finishes what is in
+// flight and ends. The error says what had to be cut when the context ended.
+func (p *Process) Stop(ctx context.Context) error {
+	var err error
+	p.stopOnce.Do(func() {
+		err = p.drain(ctx)
+		p.close()
+	})
+	return err
+}
+
+func (p *Process) drain(ctx context.Context) error {
+	p.telemetry.SetNotReady("stopping")
+	p.gate.Leave()
+	p.telemetry.Decide(telemetry.Decision{Step: "leave", Choice: "drain", Reason: "the process was told to stop", Details: map[string]any{"inFlight": p.gate.InFlight()}})
+	p.reporter.Send(ctx)
+	drained := p.gate.Drain(ctx)
+	wait := p.options.LameDuck
+	if wait == 0 {
+		wait = lameDuck
+	}
+	timer := time.NewTimer(wait)
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	timer.Stop()
+	p.server.Closing()
+	if err := p.server.Shutdown(ctx); err != nil && drained == nil {
+		return err
+	}
+	return drained
+}
+
+// Kill ends the agent at once, as a host that dies.
+func (p *Process) Kill() {
+	p.stopOnce.Do(func() {
+		p.server.Kill()
+		p.close()
+	})
+}
+
+// close ends all parts but the server.
+func (p *Process) close() {
+	if p.follower != nil {
+		p.follower.Stop()
+	}
+	if p.installer != nil {
+		p.installer.Stop()
+	}
+	p.reporter.Stop()
+	p.hosts.Stop()
+	p.transport.CloseIdleConnections()
+	p.peers.CloseIdleConnections()
+	p.telemetry.Close()
+	close(p.done)
+}
--- /dev/null
+++ b/daemon/internal/process/kvwatch/kvwatch.go
@@ -0,0 +1,129 @@
+// Package kvwatch keeps an entry's table in step with the key-value service by
+// one waiting watch.
+//
+// Every entry's watch wakes at every change, so a burst of writes would cost
+// entries × writes calls. After a wake the next watch is therefore armed only
+// after a short wait, in which further changes gather: an entry makes at most
+// 1/Rearm calls a second, whatever the rate of writes. At 400 entries and 500
+// ms that is 800 of the 2,000 reads a second that the service takes.
+package kvwatch
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"gopkg.in/tomb.v2"
+
+	"github.com/wheelcleat/wheelcleat/daemon/internal/process/platform"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/process/tables"
+)
+
+// Defaults of a Watcher.
+const (
+	DefaultWait    = 30 * time.Second
+	DefaultRearm   = 500 * time.Millisecond
+	DefaultMaxWait = 2 * time.Second
+)
+
+// Watcher follows the service. Set the fields before Start.
+type Watcher struct {
+	KV    *platform.KV
+	Table *tables.Table
+	// Wait, Rearm and MaxWait vary the defaults; 0 takes them.
+	Wait, Rearm, MaxWait time.Duration
+	// OnState is told when the service comes into reach (nil) or goes out of
+	// it; nil means nobody is told.
+	OnState func(err error)
+
+	tomb tomb.Tomb
+}
+
+// Start begins to follow.
+func (w *Watcher) Start() { w.tomb.Go(w.run) }
+
+// Stop ends the watch and waits for it.
+func (w *Watcher) Stop() {
+	w.tomb.Kill(nil)
+	_ = w.tomb.Wait()
+}
+
+// Done is closed when the watcher has ended.
+func (w *Watcher) Done() <-chan struct{} { return w.tomb.Dead() }
+
+func orDefault(value, fallback time.Duration) time.Duration {
+	if value == 0 {
+		return fallback
+	}
+	return value
+}
+
+func (w *Watcher) run() error {
+	ctx := w.tomb.Context(nil) //nolint:staticcheck // tomb takes nil for "no parent"
+	waits := backoff.NewExponentialBackOff()
+	waits.InitialInterval = 50 * time.Millisecond
+	waits.MaxInterval = orDefault(w.MaxWait, DefaultMaxWait)
+	listed := false
+	for w.tomb.Alive() {
+		var err error
+		if listed {
+			err = w.watch(ctx)
+			listed = !errors.Is(err, platform.ErrCompacted)
+		} else {
+			err = w.list(ctx)
+			listed = err == nil
+		}
+		if !w.tomb.Alive() {
+			break
+		}
+		w.tell(err)
+		if err != nil && !errors.Is(err, platform.ErrCompacted) {
+			w.pause(waits.NextBackOff())
+			continue
+		}
+		waits.Reset()
+	}
+	return nil
+}
+
+func (w *Watcher) tell(err error) {
+	if errors.Is(err, platform.ErrCompacted) {
+		err = nil // the service answers
+	}
+	if w.OnState != nil {
+		w.OnState(err)
+	}
+}
+
+func (w *Watcher) list(ctx context.Context) error {
+	listing, err := w.KV.List(ctx, tables.Prefix)
+	if err != nil {
+		return err
+	}
+	w.Table.Replace(listing.Items, listing.Revision)
+	return nil
+}
+
+func (w *Watcher) watch(ctx context.Context) error {
+	changes, err := w.KV.Watch(ctx, tables.Prefix, w.Table.View().Revision, orDefault(w.Wait, DefaultWait))
+	if err != nil {
+		return err
+	}
+	w.Table.Apply(changes.Events, changes.Revision)
+	if len(changes.Events) > 0 {
+		rearm := orDefault(w.Rearm, DefaultRearm)
+		w.pause(rearm/2 + rand.N(rearm))
+	}
+	return nil
+}
+
+func (w *Watcher) pause(wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-w.tomb.Dying():
+	}
+}
--- /dev/null
+++ b/daemon/internal/process/server/server.go
@@ -0,0 +1,89 @@
+// Package server runs the HTTP servers of a process, and ends them without
+// cutting requests.
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+)
+
+const headerTimeout = 10 * time.Second
+
+// Server is one listening port.
+type Server struct {
+	// Address is where the server listens.
+	Address netip.AddrPort
+
+	http     *http.Server
+	listener net.Listener
+	// closing makes answers end their connections.
+	closing atomic.Bool
+	done    chan struct{}
+}
+
+// Options describe a server.
+type Options struct {
+	Name           string
+	Address        netip.AddrPort
+	Handler        http.Handler
+	MaxHeaderBytes int
+}
+
+// Listen opens the port and serves.
+func Listen(options Options) (*Server, error) {
+	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(options.Address))
+	if err != nil {
+		return nil, fmt.Errorf("listen for %s on %s: %w", options.Name, options.Address, err)
+	}
+	bound, ok := listener.Addr().(*net.TCPAddr)
+	if !ok {
+		return nil, fmt.Errorf("listen for %s on %s: not a TCP address", options.Name, options.Address)
+	}
+	s := &Server{Address: bound.AddrPort(), listener: listener, done: make(chan struct{})}
+	s.http = &http.Server{Handler: s.ending(options.Handler), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: options.MaxHeaderBytes}
+	go func() {
+		defer close(s.done)
+		_ = s.http.Serve(listener)
+	}()
+	return s, nil
+}
+
+// ending has answers close their connections once the server is closing, so
+// that callers come back elsewhere.
+func (s *Server) ending(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.closing.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
+// Closing makes every further answer end its connection.
+func (s *Server) Closing() { s.closing.Store(true) }
+
+// Shutdown takes no new connections and waits for requests in flight.
+func (s *Server) Shutdown(ctx context.Context) error {
+	err := s.http.Shutdown(ctx)
+	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+		_ = s.http.Close()
+		return fmt.Errorf("shut down %s: %w", s.Address, err)
+	}
+	<-s.done
+	return nil
+}
+
+// Kill cuts every connection, as a host that dies.
+func (s *Server) Kill() {
+	_ = s.http.Close()
+	<-s.done
+}
+
+// Done is closed when the server has ended.
+func (s *Server) Done() <-chan struct{} { return s.done }
--- /dev/null
+++ b/daemon/internal/request/intake/intake.go
@@ -0,0 +1,362 @@
+// Package intake takes callers' requests at an entry and sees each through to
+// one final answer.
+//
+// A request is tried at another host only when the first one truly did not run
+// it: the agent refused it, or no connection could be made. Each try elsewhere
+// draws on a budget that is a share of the service's recent requests, so that
+// retries cannot multiply an overload.
+package intake
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"github.com/uptrace/bunrouter"
+
+	"github.com/wheelcleat/wheelcleat/api"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/process/members"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/process/tables"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/process/telemetry"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/account"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/gate"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/outcome"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/relay"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/route"
+)
+
+const (
+	// defaultTimeout is the deadline of a request where nobody names one.
+	defaultTimeout = 60 * time.Second
+	// maxTimeout bounds what a caller may ask for.
+	maxTimeout = time.Hour
+	// maxTries bounds the hosts that one request is tried at.
+	maxTries = 4
+	// replayBytes is the size up to which a repeatable body is kept for a
+	// second try. Larger ones, and all that may run only once, are held at the
+	// caller until the agent has admitted the request.
+	replayBytes = 64 << 10
+	// noUpstreamRetry is the time after which a caller may come back when no
+	// host serves the service.
+	noUpstreamRetry = time.Second
+)
+
+// pathPrefix is where callers reach services.
+const pathPrefix = "/v1/services/"
+
+// Handler is the entry's end of a request's path.
+type Handler struct {
+	Table     *tables.Table
+	Members   *members.Table
+	Router    *route.Router
+	Accounts  *account.Limiter
+	Budgets   *Budgets
+	Transport *http.Transport
+	Telemetry *telemetry.Telemetry
+	// MaxBodyBytes bounds a request's body.
+	MaxBodyBytes int64
+
+	metrics handlerMetrics
+}
+
+// handlerMetrics are the handler's counters.
+type handlerMetrics struct {
+	requests tally.Counter
+	retries  tally.Counter
+	outcomes map[api.Outcome]tally.Counter
+	cut      tally.Counter
+	seconds  tally.Timer
+}
+
+// methods are the methods that callers may use.
+var methods = []string{
+	http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut,
+	http.MethodPatch, http.MethodDelete, http.MethodOptions,
+}
+
+// Register adds the handler to a router.
+func (h *Handler) Register(router *bunrouter.Router) {
+	scope := h.Telemetry.Scope
+	h.metrics = handlerMetrics{
+		requests: scope.Counter("requests"), retries: scope.Counter("retries"),
+		cut: scope.Counter("answers_cut"), seconds: scope.Timer("request_seconds"),
+		outcomes: map[api.Outcome]tally.Counter{},
+	}
+	for _, o := range []api.Outcome{api.OutcomeDone, api.OutcomeNotRun, api.OutcomeUnknown} {
+		h.metrics.outcomes[o] = scope.Tagged(map[string]string{"outcome": string(o)}).Counter("answers")
+	}
+	for _, method := range methods {
+		router.Handle(method, pathPrefix+":service/*path", h.serve)
+	}
+}
+
+// passage is one request on its way through the entry.
+type passage struct {
+	handler *Handler
+	w       http.ResponseWriter
+	r       *http.Request
+	id      string
+	service *api.Resource
+	account *api.Resource
+	// once is set for a request that runs at most once.
+	once bool
+	// body is the kept body of a repeatable request, nil where none is kept.
+	body []byte
+	// tried names the hosts that refused the request.
+	tried []string
+}
+
+func (h *Handler) serve(w http.ResponseWriter, r bunrouter.Request) error {
+	started := time.Now()
+	h.metrics.requests.Inc(1)
+	defer func() { h.metrics.seconds.Record(time.Since(started)) }()
+	p := &passage{handler: h, w: w, r: r.Request}
+	if refusal := p.admit(r.Param("service"), started); refusal != nil {
+		p.refuse(refusal)
+	}
+	return nil
+}
+
+// refuse gives the final answer of a request that has none from an upstream.
+func (p *passage) refuse(refusal *outcome.Refusal) {
+	p.handler.metrics.outcomes[refusal.Outcome].Inc(1)
+	p.decide("", string(refusal.Outcome), refusal.Error(), 0)
+	refusal.Write(p.w)
+}
+
+// decide logs one decision on the request.
+func (p *passage) decide(host, choice, reason string, candidates int) {
+	details := map[string]any{"request": p.id, "host": host, "candidates": candidates, "tried": p.tried}
+	if p.service != nil {
+		details["service"] = p.service.Name
+	}
+	if p.account != nil {
+		details["account"] = p.account.Name
+	}
+	p.handler.Telemetry.Decide(telemetry.Decision{
+		Step: "route", Choice: choice, Reason: reason, Revision: p.handler.Table.View().Revision, Details: details,
+	})
+}
+
+// admit checks the request and sees it through. A refusal it returns is the
+// final answer, still to be written.
+func (p *passage) admit(service string, now time.Time) *outcome.Refusal {
+	view := p.handler.Table.View()
+	p.id = p.r.Header.Get(api.HeaderRequestID)
+	if p.id == "" {
+		p.id = newRequestID()
+	}
+	p.w.Header().Set(api.HeaderRequestID, p.id)
+	client, refusal := account.Find(view, p.r)
+	if refusal != nil {
+		return refusal
+	}
+	p.account = client
+	if p.service = view.Services[service]; p.service == nil {
+		return outcome.NotRun(http.StatusNotFound, outcome.ReasonNoService, fmt.Sprintf("service %q is not declared", service))
+	}
+	p.once = p.service.Service.NotRepeatable || strings.EqualFold(p.r.Header.Get(api.HeaderRepeatable), "no")
+	timeout, refusal := p.timeout()
+	if refusal != nil {
+		return refusal
+	}
+	if p.r.ContentLength > p.handler.MaxBodyBytes {
+		return outcome.NotRun(http.StatusRequestEntityTooLarge, outcome.ReasonTooLarge, fmt.Sprintf("the body may take %d bytes", p.handler.MaxBodyBytes))
+	}
+	leave, refusal := p.handler.Accounts.Enter(client, now)
+	if refusal != nil {
+		return refusal
+	}
+	defer leave()
+	ctx, cancel := context.WithTimeout(p.r.Context(), timeout)
+	defer cancel()
+	return p.run(ctx)
+}
+
+func newRequestID() string {
+	var id [12]byte
+	_, _ = rand.Read(id[:])
+	return hex.EncodeToString(id[:])
+}
+
+// timeout returns the request's time: the caller's, else the service's.
+func (p *passage) timeout() (time.Duration, *outcome.Refusal) {
+	if text := p.r.Header.Get(api.HeaderTimeout); text != "" {
+		asked, err := time.ParseDuration(text)
+		if err != nil || asked <= 0 {
+			return 0, outcome.NotRun(http.StatusBadRequest, outcome.ReasonMalformed, fmt.Sprintf("%s: %q is not a duration such as \"1.2s\"", api.HeaderTimeout, text))
+		}
+		return min(asked, maxTimeout), nil
+	}
+	if declared := p.service.Service.Limits.Timeout.Std(); declared > 0 {
+		return declared, nil
+	}
+	return defaultTimeout, nil
+}
+
+// run tries hosts until one has the request.
+func (p *passage) run(ctx context.Context) *outcome.Refusal {
+	p.r.Body = http.MaxBytesReader(p.w, p.r.Body, p.handler.MaxBodyBytes)
+	if refusal := p.keepBody(); refusal != nil {
+		return refusal
+	}
+	budget := p.handler.Budgets.For(p.service)
+	budget.Request()
+	var last *outcome.Refusal
+	for try := range maxTries {
+		if try > 0 {
+			if !budget.Retry() {
+				p.decide("", "no-retry", "the service's retry budget is used up", 0)
+				return last
+			}
+			p.handler.metrics.retries.Inc(1)
+		}
+		choice, ok := p.handler.Router.Choose(route.Query{Service: p.service, Members: p.handler.Members.View(), Tried: p.tried})
+		if !ok {
+			return p.noUpstream(last)
+		}
+		p.decide(choice.Host, "try", choice.Reason, choice.Candidates)
+		refusal, final := p.try(ctx, choice)
+		if final {
+			return refusal
+		}
+		last = refusal
+		p.tried = append(p.tried, choice.Host)
+	}
+	return last
+}
+
+// noUpstream is the answer when no host is left to try: that of the last host
+// that refused, or that there was none.
+func (p *passage) noUpstream(last *outcome.Refusal) *outcome.Refusal {
+	if last != nil {
+		return last
+	}
+	return outcome.NotRun(http.StatusServiceUnavailable, outcome.ReasonNoUpstream,
+		fmt.Sprintf("no host serves %q now", p.service.Name)).Retry(noUpstreamRetry)
+}
+
+// keepBody reads a small repeatable body, so that it can be sent again.
+func (p *passage) keepBody() *outcome.Refusal {
+	if p.once || p.r.ContentLength <= 0 || p.r.ContentLength > replayBytes {
+		return nil
+	}
+	body, err := io.ReadAll(p.r.Body)
+	if err != nil || int64(len(body)) != p.r.ContentLength {
+		return outcome.NotRun(http.StatusBadRequest, outcome.ReasonMalformed, "the body was cut off")
+	}
+	p.body = body
+	return nil
+}
+
+// hop describes the way to a chosen host.
+func (p *passage) hop(ctx context.Context, choice route.Choice) *relay.Hop {
+	path := strings.TrimPrefix(p.r.URL.RequestURI(), pathPrefix)
+	if slash := strings.IndexByte(path, '/'); slash >= 0 {
+		path = path[slash:]
+	}
+	header := http.Header{}
+	header.Set(gate.HeaderService, p.service.Name)
+	header.Set(gate.HeaderManifest, choice.Manifest)
+	header.Set(api.HeaderRequestID, p.id)
+	if deadline, ok := ctx.Deadline(); ok {
+		header.Set(api.HeaderTimeout, time.Until(deadline).Round(time.Millisecond).String())
+	}
+	header["Authorization"] = nil // the account's key ends at the entry
+	hop := &relay.Hop{
+		Transport: p.handler.Transport, Peer: choice.Address, Path: gate.PathPrefix + path,
+		Header: header, ExpectContinue: p.body == nil,
+	}
+	if p.body != nil {
+		hop.Body = bytes.NewReader(p.body)
+	}
+	return hop
+}
+
+// try sends the request to one host. It reports true when the request has its
+// final answer: written already, or the refusal returned.
+func (p *passage) try(ctx context.Context, choice route.Choice) (*outcome.Refusal, bool) {
+	router := p.handler.Router
+	response, err := relay.Send(ctx, p.r, p.hop(ctx, choice))
+	if err != nil {
+		return p.sendFailed(ctx, choice, err)
+	}
+	if inFlight, err := strconv.Atoi(response.Header.Get(gate.HeaderInFlight)); err == nil {
+		router.Report(choice.Host, inFlight)
+	}
+	response.Header.Del(gate.HeaderInFlight)
+	switch api.Outcome(response.Header.Get(api.HeaderOutcome)) {
+	case api.OutcomeNotRun:
+		_ = response.Body.Close()
+		router.Done(choice.Host, route.ResultRefused)
+		return refusalOf(response, choice), false
+	case api.OutcomeDone:
+		p.stream(response, choice, route.ResultAnswered)
+	default:
+		p.stream(response, choice, route.ResultFailed)
+	}
+	return nil, true
+}
+
+func (p *passage) sendFailed(ctx context.Context, choice route.Choice, err error) (*outcome.Refusal, bool) {
+	callerGone := p.r.Context().Err() != nil
+	result := route.ResultFailed
+	if callerGone {
+		result = route.ResultCallerGone
+	}
+	p.handler.Router.Done(choice.Host, result)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return outcome.Unknown(http.StatusRequestEntityTooLarge, outcome.ReasonTooLarge, fmt.Sprintf("the body may take %d bytes", tooLarge.Limit)), true
+	}
+	refusal := gate.Refuse(err, ctx.Err())
+	final := refusal.Outcome != api.OutcomeNotRun || ctx.Err() != nil
+	return refusal, final
+}
+
+// refusalOf turns an agent's refusal into one of this entry, should it become
+// the final answer.
+func refusalOf(response *http.Response, choice route.Choice) *outcome.Refusal {
+	reason := outcome.Reason(response.Header.Get(outcome.HeaderReason))
+	refusal := outcome.NotRun(http.StatusServiceUnavailable, reason, fmt.Sprintf("host %s refused it (%s)", choice.Host, reason))
+	if seconds, err := strconv.Atoi(response.Header.Get("Retry-After")); err == nil {
+		return refusal.Retry(time.Duration(seconds) * time.Second)
+	}
+	return refusal.Retry(noUpstreamRetry)
+}
+
+// stream writes an answer as it comes. An answer that breaks off ends the
+// caller's connection, so that nobody takes the part for the whole.
+func (p *passage) stream(response *http.Response, choice route.Choice, result route.Result) {
+	_ = http.NewResponseController(p.w).EnableFullDuplex()
+	p.w.Header().Del(api.HeaderRequestID) // the answer carries it
+	response.Header.Set(api.HeaderRequestID, p.id)
+	relay.CopyHead(p.w, response)
+	err := relay.Copy(p.w, response)
+	switch {
+	case err == nil:
+	case relay.IsCallerGone(err) || p.r.Context().Err() != nil:
+		result = route.ResultCallerGone
+	default:
+		result = route.ResultFailed
+	}
+	p.handler.Router.Done(choice.Host, result)
+	if err != nil {
+		p.handler.metrics.cut.Inc(1)
+		p.decide(choice.Host, "cut", err.Error(), choice.Candidates)
+		panic(http.ErrAbortHandler)
+	}
+	o := api.Outcome(response.Header.Get(api.HeaderOutcome))
+	if counter := p.handler.metrics.outcomes[o]; counter != nil {
+		counter.Inc(1)
+	}
+}
--- /dev/null
+++ b/daemon/internal/version/fetch/schedule.go
@@ -0,0 +1,300 @@
+package fetch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/wheelcleat/wheelcleat/api/manifest"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/process/telemetry"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/version/source"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/version/stage"
+)
+
+type digest = manifest.Digest
+
+// lastResort times the peer wait is the quiet time after which any host goes
+// to the origin for any chunk, whatever became of the gateways.
+const lastResort = 6
+
+// schedule starts every transfer that is due.
+func (r *run) schedule(ctx context.Context) {
+	now := time.Now()
+	switch r.fetcher.Policy {
+	case PolicyOriginOnly:
+		r.scheduleAnyOrigin(ctx, now)
+	case PolicyNaive:
+		r.schedulePeers(ctx, now)
+		r.scheduleUnseen(ctx, now)
+	case PolicyTree:
+		r.schedulePeers(ctx, now)
+		if len(r.peers) == 0 || r.quiet(now) > lastResort*r.patience() {
+			r.scheduleAnyOrigin(ctx, now)
+		}
+	default:
+		r.scheduleDuties(ctx, now)
+		r.schedulePeers(ctx, now)
+		r.hedge(ctx, now)
+		if r.quiet(now) > lastResort*r.patience() {
+			r.scheduleAnyOrigin(ctx, now)
+		}
+	}
+}
+
+// patience is how long nothing new may show up before the next rank stands in: a
+// few times the usual gap between two new chunks, so that a slow origin does
+// not look like a dead one.
+func (r *run) patience() time.Duration {
+	return max(orDefault(r.fetcher.PeerWait, DefaultPeerWait), 4*r.usualGap)
+}
+
+// quiet is the time since a new chunk was last seen near.
+func (r *run) quiet(now time.Time) time.Duration { return now.Sub(r.newest) }
+
+// scheduleDuties starts transfers of the chunks that this host must bring in.
+func (r *run) scheduleDuties(ctx context.Context, now time.Time) {
+	quiet := r.quiet(now)
+	for i := range r.duties {
+		d := &r.duties[i]
+		chunk := &r.chunks[d.chunk]
+		if chunk.held || chunk.holders > 0 || chunk.transfers > 0 {
+			continue
+		}
+		ahead := r.aliveBefore(d, now)
+		if time.Duration(ahead)*r.patience() > quiet {
+			continue
+		}
+		if len(d.hops) > 0 {
+			if r.slots[FromHall] < orDefault(r.fetcher.HallSlots, DefaultHallSlots) {
+				r.start(ctx, transfer{chunk: d.chunk, kind: FromHall, hops: d.hops}, now)
+			}
+			continue
+		}
+		if r.originFree(now) {
+			r.start(ctx, transfer{chunk: d.chunk, kind: FromOrigin}, now)
+		}
+	}
+}
+
+// aliveBefore counts the gateways that rank before this host for a chunk and
+// are not known to be down.
+func (r *run) aliveBefore(d *duty, now time.Time) int {
+	alive := 0
+	for _, name := range d.before {
+		peer := r.peers[name]
+		if peer == nil || peer.downSince.IsZero() || now.Sub(peer.downSince) < downAfter {
+			alive++
+		}
+	}
+	return alive
+}
+
+func (r *run) originFree(now time.Time) bool {
+	return r.slots[FromOrigin] < orDefault(r.fetcher.OriginSlots, DefaultOriginSlots) && !now.Before(r.originPausedUntil)
+}
+
+// scheduleAnyOrigin fetches missing chunks from the origin, whoever is primary.
+func (r *run) scheduleAnyOrigin(ctx context.Context, now time.Time) {
+	r.scheduleOrigin(ctx, now, func(*chunkState) bool { return true })
+}
+
+// scheduleUnseen fetches chunks that no neighbour has from the origin.
+func (r *run) scheduleUnseen(ctx context.Context, now time.Time) {
+	r.scheduleOrigin(ctx, now, func(c *chunkState) bool { return c.holders == 0 })
+}
+
+func (r *run) scheduleOrigin(ctx context.Context, now time.Time, due func(*chunkState) bool) {
+	start := rand.IntN(max(len(r.chunks), 1))
+	for i := range r.chunks {
+		if !r.originFree(now) {
+			return
+		}
+		index := (start + i) % len(r.chunks)
+		chunk := &r.chunks[index]
+		if !chunk.held && chunk.transfers == 0 && due(chunk) {
+			r.start(ctx, transfer{chunk: index, kind: FromOrigin}, now)
+		}
+	}
+}
+
+// schedulePeers fills the free slots with chunks of neighbours, rarest first.
+func (r *run) schedulePeers(ctx context.Context, now time.Time) {
+	for r.slots[FromPeer] < orDefault(r.fetcher.PeerSlots, DefaultPeerSlots) {
+		index, peer := r.pick(now)
+		if peer == nil {
+			return
+		}
+		peer.transfers++
+		r.start(ctx, transfer{chunk: index, kind: FromPeer, hops: []Peer{peer.Peer}}, now)
+	}
+}
+
+// pick returns a chunk that is not under way and a usable neighbour that has
+// it: the rarest chunk (a random one for the naive policy), a random neighbour.
+func (r *run) pick(now time.Time) (int, *peerState) {
+	best, bestHolders := -1, 0
+	var bestPeer *peerState
+	start := rand.IntN(len(r.chunks))
+	for i := range r.chunks {
+		index := (start + i) % len(r.chunks)
+		chunk := &r.chunks[index]
+		if chunk.held || chunk.transfers > 0 || chunk.holders == 0 {
+			continue
+		}
+		if best >= 0 && chunk.holders >= bestHolders {
+			continue
+		}
+		if peer := r.holder(index, "", now); peer != nil {
+			best, bestHolders, bestPeer = index, chunk.holders, peer
+			if r.fetcher.Policy == PolicyNaive || bestHolders == 1 {
+				break
+			}
+		}
+	}
+	return best, bestPeer
+}
+
+// holder returns a random usable neighbour that has a chunk, other than one.
+func (r *run) holder(index int, other string, now time.Time) *peerState {
+	var found *peerState
+	count := 0
+	for name, peer := range r.peers {
+		if name == other || !peer.has[index] || !peer.usable(now) {
+			continue
+		}
+		count++
+		if rand.IntN(count) == 0 {
+			found = peer
+		}
+	}
+	return found
+}
+
+// hedge asks a second neighbour for a chunk whose transfer takes far longer
+// than usual. Each chunk has at most two transfers, so duplicate bytes stay
+// bounded at the end of a fetch, when every chunk is under way.
+func (r *run) hedge(ctx context.Context, now time.Time) {
+	late := max(hedgeFactor*r.usual, hedgeFloor)
+	for index := range r.chunks {
+		if r.slots[FromPeer] >= orDefault(r.fetcher.PeerSlots, DefaultPeerSlots) {
+			return
+		}
+		chunk := &r.chunks[index]
+		if chunk.held || chunk.transfers != 1 || now.Sub(chunk.since) < late || chunk.holders == 0 {
+			continue
+		}
+		if peer := r.holder(index, "", now); peer != nil {
+			peer.transfers++
+			r.start(ctx, transfer{chunk: index, kind: FromPeer, hops: []Peer{peer.Peer}}, now)
+		}
+	}
+}
+
+// transfer is one chunk on its way.
+type transfer struct {
+	chunk int
+	kind  Kind
+	// hops are the agents to ask, in order; none for the origin.
+	hops []Peer
+}
+
+// start begins a transfer in a goroutine of its own.
+func (r *run) start(ctx context.Context, t transfer, now time.Time) {
+	chunk := &r.chunks[t.chunk]
+	if chunk.transfers == 0 {
+		chunk.since, chunk.from = now, t.kind
+	}
+	chunk.transfers++
+	r.slots[t.kind]++
+	go func() {
+		done := r.fetcher.transfer(ctx, r.version, t)
+		done.started = now
+		r.events <- event{transfer: done}
+	}()
+}
+
+// transfer brings one chunk into the stage.
+func (f *Fetcher) transfer(ctx context.Context, version *stage.Version, t transfer) *transferDone {
+	done := &transferDone{chunk: t.chunk, kind: t.kind}
+	var data []byte
+	var err error
+	switch t.kind {
+	case FromPeer:
+		done.peer = t.hops[0].Name
+		done.source = t.hops[0].Address.String()
+		data, err = f.Link.FetchChunk(ctx, chunkRequest(version, t.chunk, t.hops[0], 0))
+	case FromHall:
+		data, err = f.fromHalls(ctx, version, t, done)
+	case FromOrigin:
+		data, err = f.fromSources(ctx, version, t.chunk, done)
+	}
+	done.bytes = int64(len(data))
+	if err == nil {
+		err = f.Stage.Put(version, t.chunk, data)
+		done.corrupt = errors.Is(err, stage.ErrCorrupt)
+	}
+	done.err = err
+	return done
+}
+
+func chunkRequest(version *stage.Version, index int, peer Peer, wait time.Duration) source.ChunkRequest {
+	_, length := version.Manifest.ChunkRange(index)
+	return source.ChunkRequest{Peer: peer.Address, Digest: version.Manifest.Chunks[index], Length: length, Wait: wait}
+}
+
+// fromHalls asks the primaries of other halls and, when none of them can give
+// the chunk, the origin.
+func (f *Fetcher) fromHalls(ctx context.Context, version *stage.Version, t transfer, done *transferDone) ([]byte, error) {
+	for _, hop := range t.hops {
+		done.source = hop.Address.String()
+		data, err := f.Link.FetchChunk(ctx, chunkRequest(version, t.chunk, hop, orDefault(f.PeerWait, DefaultPeerWait)))
+		if err == nil && manifest.Sum(data) == version.Manifest.Chunks[t.chunk] {
+			return data, nil
+		}
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+		reason := "its chunk was corrupt"
+		if err != nil {
+			reason = err.Error()
+		}
+		f.Telemetry.Decide(telemetry.Decision{
+			Step: "fetch", Choice: "pass over " + hop.Name, Reason: reason,
+			Details: map[string]any{"version": version.ID.Short(), "chunk": t.chunk},
+		})
+	}
+	return f.fromSources(ctx, version, t.chunk, done)
+}
+
+// fromSources asks the store and then the origin.
+func (f *Fetcher) fromSources(ctx context.Context, version *stage.Version, index int, done *transferDone) ([]byte, error) {
+	offset, length := version.Manifest.ChunkRange(index)
+	err := errors.New("no store or origin is configured")
+	for _, from := range f.Sources {
+		done.source = from.Name + " " + from.Peer.String()
+		var data []byte
+		data, err = from.FetchRange(ctx, version.ID, offset, length)
+		if err == nil && manifest.Sum(data) != version.Manifest.Chunks[index] {
+			err = fmt.Errorf("chunk %d from %s: %w", index, done.source, stage.ErrCorrupt)
+			done.corrupt = true
+		}
+		if err == nil || ctx.Err() != nil {
+			return data, err
+		}
+	}
+	return nil, err
+}
+
+// logFailure logs a transfer that failed.
+func (f *Fetcher) logFailure(version *stage.Version, done *transferDone) {
+	choice := "retry"
+	if done.corrupt {
+		choice = "drop corrupt chunk"
+	}
+	f.Telemetry.Decide(telemetry.Decision{
+		Step: "fetch", Choice: choice, Reason: done.err.Error(),
+		Details: map[string]any{"version": version.ID.Short(), "chunk": done.chunk, "from": done.source, "kind": string(done.kind)},
+	})
+}
--- /dev/null
+++ b/daemon/settings/check.go
@@ -0,0 +1,128 @@
+package settings
+
+import (
+	"encoding/hex"
+	"fmt"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/wheelcleat/wheelcleat/api"
+)
+
+// Check returns every fault of an entry's settings.
+func (e *Entry) Check() []api.FieldError {
+	c := &checker{}
+	c.identity(e.Name, e.Hall)
+	c.address("listen.callers", e.Listen.Callers)
+	c.address("listen.operators", e.Listen.Operators)
+	c.address("listen.peers", e.Listen.Peers)
+	c.address("platform.keyValue", e.Platform.KeyValue)
+	c.address("platform.hostList", e.Platform.HostList)
+	for i, digest := range e.OperatorKeyDigests {
+		raw, err := hex.DecodeString(digest)
+		if err != nil || len(raw) != 32 {
+			c.add(fmt.Sprintf("operatorKeyDigests[%d]", i), "not a digest", "the hex SHA-256 of a bearer key, 64 hex digits")
+		}
+	}
+	if operators := e.Listen.Operators; len(e.OperatorKeyDigests) == 0 && operators.IsValid() && !operators.Addr().IsLoopback() {
+		c.add("operatorKeyDigests", "missing", "an operators' port off loopback needs at least one key digest")
+	}
+	c.atLeastZero("requests.maxBodyBytes", e.Requests.MaxBodyBytes)
+	c.atLeastZero("requests.maxHeaderBytes", int64(e.Requests.MaxHeaderBytes))
+	c.duration("drain", e.Drain)
+	c.level(e.Log)
+	return c.faults
+}
+
+// Check returns every fault of an agent's settings.
+func (a *Agent) Check() []api.FieldError {
+	c := &checker{}
+	c.identity(a.Name, a.Hall)
+	c.address("listen.peers", a.Listen.Peers)
+	c.address("platform.hostList", a.Platform.HostList)
+	c.address("upstream.address", a.Upstream.Address)
+	switch a.Upstream.Kind {
+	case UpstreamEngine:
+		c.address("weights.origin", a.Weights.Origin)
+		if a.Weights.Store.IsValid() {
+			c.address("weights.store", a.Weights.Store)
+		}
+		if len(a.Upstream.Services) > 0 {
+			c.add("upstream.services", "an engine names no services", "placement decides; leave the field out")
+		}
+	case UpstreamPlain:
+		if len(a.Upstream.Services) == 0 {
+			c.add("upstream.services", "missing", "name the plain services that this host serves")
+		}
+	default:
+		c.add("upstream.kind", fmt.Sprintf("unknown kind %q", a.Upstream.Kind), `use "engine" or "plain"`)
+	}
+	c.atLeastZero("weights.stagingBytes", a.Weights.StagingBytes)
+	c.atLeastZero("weights.uploadBytesPerSecond", a.Weights.UploadBytesPerSecond)
+	c.atLeastZero("weights.downloadBytesPerSecond", a.Weights.DownloadBytesPerSecond)
+	c.duration("weights.peerWait", a.Weights.PeerWait)
+	c.duration("upstream.orderHold", a.Upstream.OrderHold)
+	c.duration("drain", a.Drain)
+	c.level(a.Log)
+	return c.faults
+}
+
+// checker collects faults. Each address it is shown must differ from the ones
+// before, because no two of them can be the same port.
+type checker struct {
+	faults []api.FieldError
+	seen   []addressAt
+}
+
+type addressAt struct {
+	path    string
+	address netip.AddrPort
+}
+
+func (c *checker) add(path, problem, hint string) {
+	c.faults = append(c.faults, api.FieldError{Path: path, Problem: problem, Hint: hint})
+}
+
+func (c *checker) identity(name, hall string) {
+	if name == "" {
+		c.add("name", "missing", "the host's name in the platform's host list")
+	}
+	if hall == "" {
+		c.add("hall", "missing", "the data hall that the host stands in")
+	}
+}
+
+func (c *checker) address(path string, address netip.AddrPort) {
+	if !address.IsValid() {
+		c.add(path, "missing", `an IP number and a port, such as "10.0.0.7:7002"`)
+		return
+	}
+	if address.Port() == 0 {
+		return // an ephemeral port equals no other
+	}
+	for _, other := range c.seen {
+		if other.address == address {
+			c.add(path, fmt.Sprintf("%s is the address of %s too", address, other.path), "each address stands once")
+		}
+	}
+	c.seen = append(c.seen, addressAt{path, address})
+}
+
+func (c *checker) atLeastZero(path string, value int64) {
+	if value < 0 {
+		c.add(path, fmt.Sprintf("%d is below 0", value), "leave the field out for the default")
+	}
+}
+
+func (c *checker) duration(path string, value api.Duration) {
+	if value.Std() < 0 || value.Std() > 24*time.Hour {
+		c.add(path, fmt.Sprintf("%s is out of bounds", value.Std()), "from 0s to 24h")
+	}
+}
+
+func (c *checker) level(log Log) {
+	if log.Level != "" && !slices.Contains([]string{"debug", "info", "warn", "error"}, log.Level) {
+		c.add("log.level", fmt.Sprintf("unknown level %q", log.Level), "use debug, info, warn or error")
+	}
+}
