Prove the promises on real processes, under kills, drains and version changes

On the fleet, with the engines' own records as oracle: no request cut or answered by another version through three version changes under load, none cut by a drain of agent or entry, none run twice or falsely refused when hosts and entries are killed.

Found on the way: a manifest with a chunk of nothing was accepted; now refused.

Before: no tests.

--- a/api/manifest/manifest.go
+++ b/api/manifest/manifest.go
@@ -164,7 +164,7 @@
 		return nil, errShape
 	}
 	// Written so that no product can overflow.
-	if count == 0 && e.Size != 0 || count > 0 && (e.Size-1)/e.ChunkBytes != count-1 {
+	if (count == 0) != (e.Size == 0) || count > 0 && (e.Size-1)/e.ChunkBytes != count-1 {
 		return nil, errShape
 	}
 	m := &Manifest{Size: e.Size, ChunkBytes: e.ChunkBytes, Whole: whole, Chunks: make([]Digest, count)}
--- /dev/null
+++ b/cli/internal/fleet/fleet_test.go
@@ -0,0 +1,477 @@
+package fleet
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wheelcleat/wheelcleat/api"
+	"github.com/wheelcleat/wheelcleat/api/manifest"
+	"github.com/wheelcleat/wheelcleat/standin/engine"
+	"github.com/wheelcleat/wheelcleat/standin/weights"
+)
+
+const (
+	testKey    = "test-key"
+	testBytes  = 1 << 20
+	testTokens = 6
+)
+
+// quick returns a fleet whose waits are short.
+func quick(halls, entries, agents int) Config {
+	config := Config{EntriesPerHall: entries, Agents: agents, PlainServices: []string{"loans"}, PeerWait: 300 * time.Millisecond}
+	for i := range halls {
+		config.Halls = append(config.Halls, fmt.Sprintf("hall-%d", i+1))
+	}
+	config.Entry.Rearm, config.Entry.LameDuck = 10*time.Millisecond, 100*time.Millisecond
+	config.Entry.LeaseTTL, config.Entry.PlaceEvery, config.Entry.ReplaceAfter = time.Second, 20*time.Millisecond, time.Second
+	config.Entry.Silence = 1500 * time.Millisecond
+	config.Agent.LameDuck = 100 * time.Millisecond
+	config.Entry.HostsEvery, config.Agent.HostsEvery = 50*time.Millisecond, 50*time.Millisecond
+	config.SetUpEngine = func(e *engine.Server) { e.PerToken = 2 * time.Millisecond }
+	return config
+}
+
+// rig is a fleet under test.
+type rig struct {
+	*testing.T
+	*Fleet
+	ctx      context.Context //nolint:containedctx // as long as the test
+	versions []manifest.Digest
+}
+
+func startRig(t *testing.T, config Config) *rig {
+	t.Helper()
+	f, err := Start(config)
+	require.NoError(t, err)
+	t.Cleanup(f.Kill)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	t.Cleanup(cancel)
+	r := &rig{T: t, Fleet: f, ctx: ctx}
+	require.NoError(t, f.AwaitReady(ctx))
+	for seed := range uint64(3) {
+		id, err := f.AddModel(weights.Generate(seed, testBytes), 32<<10)
+		require.NoError(t, err)
+		r.versions = append(r.versions, id)
+	}
+	return r
+}
+
+func (r *rig) account() *api.Resource {
+	sum := sha256.Sum256([]byte(testKey))
+	return &api.Resource{Kind: api.KindAccount, Name: "till", Account: &api.AccountSpec{KeyDigests: []string{hex.EncodeToString(sum[:])}}}
+}
+
+func (r *rig) model() *api.Resource {
+	spec := &api.ModelSpec{}
+	for i, id := range r.versions {
+		spec.Versions = append(spec.Versions, api.Version{Name: fmt.Sprint("v", i+1), Manifest: id.String()})
+	}
+	return &api.Resource{Kind: api.KindModel, Name: "m", Model: spec}
+}
+
+func (r *rig) service(version string, change func(*api.ServiceSpec)) *api.Resource {
+	spec := &api.ServiceSpec{Model: "m", Version: version, Replicas: 2, Rollout: api.Rollout{WaveSize: 1}}
+	if change != nil {
+		change(spec)
+	}
+	return &api.Resource{Kind: api.KindService, Name: "s", Service: spec}
+}
+
+func (r *rig) declare(resources ...*api.Resource) {
+	r.Helper()
+	require.NoError(r, r.Declare(r.ctx, resources...))
+}
+
+// serve declares everything and waits until version v1 is in service.
+func (r *rig) serve(change func(*api.ServiceSpec)) {
+	r.Helper()
+	r.declare(r.account(), r.model(), r.service("v1", change))
+	r.awaitDone()
+}
+
+// awaitDone waits until every entry sees the rollout done.
+func (r *rig) awaitDone() {
+	r.Helper()
+	err := Await(r.ctx, "the rollout", func() bool {
+		for _, address := range r.Operator().Entries {
+			operator := r.Operator()
+			operator.Entries = []string{address}
+			status, err := operator.Rollout(r.ctx, "s")
+			if err != nil || !status.Done {
+				return false
+			}
+			for _, hall := range status.Halls {
+				if hall.Old > 0 || hall.OpenWave < hall.Waves {
+					return false
+				}
+			}
+		}
+		return true
+	})
+	require.NoError(r, err)
+}
+
+// result is what became of one request.
+type result struct {
+	id     string
+	answer Answer
+	err    error
+}
+
+func (r *rig) call(e *Entry, id string) result {
+	body, _ := json.Marshal(engine.Completion{Prompt: "prompt of " + id, MaxTokens: testTokens, Stream: true})
+	options := CallOptions{Service: "s", Path: "/v1/completions", Key: testKey, Body: body, Header: http.Header{api.HeaderRequestID: {id}}}
+	answer, err := Call(r.ctx, e, options)
+	return result{id, answer, err}
+}
+
+// load sends requests to the entries until stop is called, which returns all
+// results.
+func (r *rig) load(workers int, entries ...*Entry) (stop func() []result) {
+	if len(entries) == 0 {
+		entries = r.Entries()
+	}
+	var stopped atomic.Bool
+	var mu sync.Mutex
+	var results []result
+	var group sync.WaitGroup
+	for worker := range workers {
+		group.Go(func() {
+			for i := 0; !stopped.Load(); i++ {
+				got := r.call(entries[(worker+i)%len(entries)], fmt.Sprintf("r-%d-%d", worker, i))
+				mu.Lock()
+				results = append(results, got)
+				mu.Unlock()
+			}
+		})
+	}
+	return func() []result {
+		stopped.Store(true)
+		group.Wait()
+		return results
+	}
+}
+
+// runs returns how often each request ran, over the given hosts.
+func runs(hosts []*Host) map[string]int {
+	total := map[string]int{}
+	for _, host := range hosts {
+		if host.Engine == nil {
+			continue
+		}
+		for id, run := range host.Engine.Runs() {
+			total[id] += run.Count
+		}
+	}
+	return total
+}
+
+// whole checks that an answer is the whole answer to its own request by the
+// version that it names.
+func whole(got result) error {
+	events := strings.Split(strings.TrimSuffix(string(got.answer.Body), "\n\n"), "\n\n")
+	if len(events) != testTokens+1 || events[testTokens] != "data: [DONE]" {
+		return fmt.Errorf("%s: %d events", got.id, len(events))
+	}
+	version := got.answer.Header.Get(api.HeaderVersion)
+	for index, event := range events[:testTokens] {
+		var token engine.Token
+		if err := json.Unmarshal([]byte(strings.TrimPrefix(event, "data: ")), &token); err != nil {
+			return err
+		}
+		want := engine.Token{Request: got.id, Manifest: version, Index: index, Text: engine.TokenText(version, "prompt of "+got.id, index)}
+		if token != want {
+			return fmt.Errorf("%s: token %+v, wanted %+v", got.id, token, want)
+		}
+	}
+	return nil
+}
+
+// checkTruth holds every answer to what the engines recorded.
+func (r *rig) checkTruth(results []result, hosts []*Host) (done int) {
+	r.Helper()
+	ran := runs(hosts)
+	for _, got := range results {
+		require.LessOrEqual(r, ran[got.id], 1, "%s ran twice", got.id)
+		outcome := api.Outcome(got.answer.Header.Get(api.HeaderOutcome))
+		switch {
+		case got.err != nil:
+		case outcome == api.OutcomeDone:
+			require.NoError(r, whole(got))
+			require.Equal(r, 1, ran[got.id], got.id)
+			done++
+		case outcome == api.OutcomeNotRun:
+			require.Zero(r, ran[got.id], "%s was refused as not run and ran: %s", got.id, got.answer.Body)
+		default:
+			require.Equal(r, api.OutcomeUnknown, outcome, "%d %s", got.answer.Status, got.answer.Body)
+		}
+	}
+	return done
+}
+
+// checkAllDone expects a whole answer to every request.
+func (r *rig) checkAllDone(results []result, hosts []*Host) {
+	r.Helper()
+	require.NotEmpty(r, results)
+	for _, got := range results {
+		require.NoError(r, got.err, "%s was cut", got.id)
+		require.Equal(r, http.StatusOK, got.answer.Status, "%s: %s", got.id, got.answer.Body)
+	}
+	require.Equal(r, len(results), r.checkTruth(results, hosts))
+}
+
+func TestDeclareToAnswer(t *testing.T) {
+	r := startRig(t, quick(2, 2, 4))
+	r.serve(nil)
+	assert.Equal(t, 4, r.Ready(r.versions[0]))
+	for _, host := range r.EngineHosts() {
+		assert.Equal(t, manifest.Sum(weights.Generate(0, testBytes)).String(), host.Engine.State().Digest)
+	}
+	for i, e := range r.Entries() {
+		got := r.call(e, fmt.Sprint("id-", i))
+		require.NoError(t, got.err)
+		require.NoError(t, whole(got), "%s", got.answer.Body)
+		assert.Equal(t, got.id, got.answer.Header.Get(api.HeaderRequestID))
+		assert.True(t, strings.HasPrefix(got.answer.Header.Get(api.HeaderHost), e.Hall), "the own hall goes first")
+	}
+}
+
+func TestRefusalsOfTheEntry(t *testing.T) {
+	r := startRig(t, quick(1, 1, 1))
+	r.serve(func(s *api.ServiceSpec) { s.Replicas = 1 })
+	e := r.Entries()[0]
+	tests := []struct {
+		name, service, key string
+		header             http.Header
+		status             int
+		reason             string
+	}{
+		{"no key", "s", "", nil, http.StatusUnauthorized, "unauthorized"},
+		{"unknown key", "s", "another", nil, http.StatusForbidden, "forbidden"},
+		{"unknown service", "x", testKey, nil, http.StatusNotFound, "no-such-service"},
+		{"bad timeout", "s", testKey, http.Header{api.HeaderTimeout: {"soon"}}, http.StatusBadRequest, "malformed"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			got, err := Call(r.ctx, e, CallOptions{Service: test.service, Path: "/v1/completions", Key: test.key, Header: test.header})
+			require.NoError(t, err)
+			assert.Equal(t, test.status, got.Status)
+			assert.Equal(t, string(api.OutcomeNotRun), got.Header.Get(api.HeaderOutcome))
+			assert.Contains(t, string(got.Body), test.reason)
+		})
+	}
+	assert.Empty(t, runs(r.Hosts()))
+}
+
+func TestDeadline(t *testing.T) {
+	config := quick(1, 1, 1)
+	config.SetUpEngine = func(e *engine.Server) { e.Prefill = time.Hour }
+	r := startRig(t, config)
+	r.serve(func(s *api.ServiceSpec) { s.Replicas = 1 })
+	body, _ := json.Marshal(engine.Completion{Prompt: "p", MaxTokens: 1})
+	got, err := Call(r.ctx, r.Entries()[0], CallOptions{
+		Service: "s", Path: "/v1/completions", Key: testKey, Body: body,
+		Header: http.Header{api.HeaderTimeout: {"50ms"}, api.HeaderRequestID: {"late"}},
+	})
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusGatewayTimeout, got.Status)
+	assert.Equal(t, string(api.OutcomeUnknown), got.Header.Get(api.HeaderOutcome), "it was handed over")
+	require.NoError(t, Await(r.ctx, "the cancel at the engine", func() bool { return r.EngineHosts()[0].Engine.Runs()["late"].Cancelled }))
+}
+
+func TestVersionChangeUnderLoad(t *testing.T) {
+	r := startRig(t, quick(2, 1, 4))
+	r.serve(nil)
+	stop := r.load(8)
+	for _, version := range []string{"v2", "v3", "v1"} {
+		r.declare(r.service(version, nil))
+		r.awaitDone()
+	}
+	results := stop()
+	r.checkAllDone(results, r.Hosts())
+	for _, host := range r.EngineHosts() {
+		assert.Zero(t, host.Engine.CutByLoad(), "a request ran while its version was replaced")
+		for _, held := range host.Engine.History() {
+			id, err := manifest.ParseDigest(held.Manifest)
+			require.NoError(t, err)
+			require.Contains(t, r.versions, id)
+		}
+	}
+}
+
+func TestDrainCutsNothing(t *testing.T) {
+	tests := []struct {
+		name string
+		stop func(r *rig, ctx context.Context) error
+	}{
+		{"agent", func(r *rig, ctx context.Context) error { return r.Hosts()[0].Agent.Stop(ctx) }},
+		{"entry of the other hall", func(r *rig, ctx context.Context) error { return r.Entries()[1].Process.Stop(ctx) }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r := startRig(t, quick(2, 1, 4))
+			r.serve(nil)
+			stop := r.load(8, r.Entries()[0])
+			require.NoError(t, test.stop(r, r.ctx))
+			r.checkAllDone(stop(), r.Hosts())
+		})
+	}
+}
+
+func TestEntryDrainFinishesItsStreams(t *testing.T) {
+	config := quick(1, 2, 2)
+	config.SetUpEngine = func(e *engine.Server) { e.PerToken = 30 * time.Millisecond }
+	r := startRig(t, config)
+	r.serve(nil)
+	leaving := r.Entries()[0]
+	done := make(chan result)
+	go func() { done <- r.call(leaving, "stream") }()
+	require.NoError(t, Await(r.ctx, "the request at an engine", func() bool { return runs(r.Hosts())["stream"] == 1 }))
+	require.NoError(t, leaving.Process.Stop(r.ctx))
+	got := <-done
+	require.NoError(t, got.err)
+	require.NoError(t, whole(got))
+}
+
+func TestLeavingHostGetsNothingNew(t *testing.T) {
+	r := startRig(t, quick(1, 1, 2))
+	r.serve(nil)
+	leaving := r.EngineHosts()[0]
+	listed := r.HostList.Current("").Hosts
+	for _, host := range listed {
+		if host.Name == leaving.Name {
+			host.State = "leaving"
+			r.HostList.Set(host)
+		}
+	}
+	before := time.Now()
+	require.NoError(t, Await(r.ctx, "the host's refusal", func() bool { return leaving.Agent.Leaving() }))
+	assert.Less(t, time.Since(before), 3*time.Second)
+	count := len(leaving.Engine.Runs())
+	for i := range 50 {
+		got := r.call(r.Entries()[0], fmt.Sprint("after-", i))
+		require.NoError(t, got.err)
+		require.NoError(t, whole(got))
+	}
+	assert.Len(t, leaving.Engine.Runs(), count)
+}
+
+// TestKilled ends a process of each kind under load. Nothing may run twice, no
+// refusal may be false, and the rest goes on.
+func TestKilled(t *testing.T) {
+	tests := []struct {
+		name string
+		kill func(r *rig)
+	}{
+		{"host", func(r *rig) { r.KillHost(r.EngineHosts()[0]) }},
+		{"two hosts at once", func(r *rig) { r.KillHost(r.EngineHosts()[0]); r.KillHost(r.EngineHosts()[0]) }},
+		{"entry", func(r *rig) { r.KillEntry(r.Entries()[0]) }},
+		{"host and entry", func(r *rig) { r.KillHost(r.EngineHosts()[0]); r.KillEntry(r.Entries()[0]) }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r := startRig(t, quick(2, 2, 6))
+			r.serve(nil)
+			hosts := r.Hosts()
+			stop := r.load(8)
+			require.NoError(t, Await(r.ctx, "some load", func() bool { return len(runs(hosts)) > 100 }))
+			test.kill(r)
+			reached := len(runs(hosts)) + 200
+			require.NoError(t, Await(r.ctx, "the load to go on", func() bool { return len(runs(hosts)) > reached }))
+			done := r.checkTruth(stop(), hosts)
+			assert.Greater(t, done, 250)
+		})
+	}
+}
+
+func TestEngineCutsMidway(t *testing.T) {
+	config := quick(1, 1, 1)
+	config.SetUpEngine = func(e *engine.Server) {
+		e.Fault = func(id string) engine.Fault {
+			switch {
+			case strings.HasPrefix(id, "before"):
+				return engine.Fault{CutBefore: true}
+			case strings.HasPrefix(id, "midway"):
+				return engine.Fault{CutAfterTokens: 3}
+			default:
+				return engine.Fault{}
+			}
+		}
+	}
+	r := startRig(t, config)
+	r.serve(func(s *api.ServiceSpec) { s.Replicas = 1 })
+	e := r.Entries()[0]
+	got := r.call(e, "midway")
+	require.Error(t, got.err, "a cut stream is noticed by the client")
+	got = r.call(e, "before")
+	require.NoError(t, got.err)
+	assert.Equal(t, http.StatusBadGateway, got.answer.Status)
+	assert.Equal(t, string(api.OutcomeUnknown), got.answer.Header.Get(api.HeaderOutcome), "nobody can tell whether it ran")
+	r.checkAllDone([]result{r.call(e, "fine")}, r.Hosts())
+}
+
+func TestPlainServiceRunsAtMostOnce(t *testing.T) {
+	config := quick(2, 2, 0)
+	config.PlainAgents = 2
+	r := startRig(t, config)
+	r.declare(r.account(), &api.Resource{Kind: api.KindService, Name: "loans", Service: &api.ServiceSpec{Plain: true, NotRepeatable: true}})
+	require.NoError(t, Await(r.ctx, "the plain hosts", func() bool {
+		status, err := r.Operator().Rollout(r.ctx, "loans")
+		return err == nil && status.Done && len(status.Halls) == 2
+	}))
+	hosts := r.Hosts()
+	hosts[0].Plain.Fault = nil
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	answers := map[string]Answer{}
+	for i := range 200 {
+		group.Go(func() {
+			id := fmt.Sprint("loan-", i)
+			got, err := Call(r.ctx, r.Entries()[i%4], CallOptions{
+				Service: "loans", Path: "/v1/return", Key: testKey, Body: []byte(`{"ledger":"book","amount":1}`),
+				Header: http.Header{api.HeaderRequestID: {id}},
+			})
+			mu.Lock()
+			defer mu.Unlock()
+			if err == nil {
+				answers[id] = got
+			}
+		})
+		if i == 100 {
+			r.KillHost(hosts[0])
+		}
+	}
+	group.Wait()
+	total := map[string]int{}
+	for _, host := range hosts {
+		for id, count := range host.Plain.Runs() {
+			total[id] += count
+		}
+	}
+	for id, count := range total {
+		require.Equal(t, 1, count, id)
+	}
+	for id, answer := range answers {
+		switch api.Outcome(answer.Header.Get(api.HeaderOutcome)) {
+		case api.OutcomeDone:
+			assert.Contains(t, string(answer.Body), id)
+			assert.Equal(t, 1, total[id], id)
+		case api.OutcomeNotRun:
+			assert.Zero(t, total[id], id)
+		case api.OutcomeUnknown:
+		}
+	}
+	assert.Greater(t, len(answers), 150)
+}
--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -59,6 +59,9 @@
 	// LameDuck varies the time in which a leaving agent still answers; 0
 	// takes the default.
 	LameDuck time.Duration
+	// HostsEvery varies the interval between fetches of the host list; 0 takes
+	// the default.
+	HostsEvery time.Duration
 }
 
 // Process is one agent.
@@ -113,7 +116,7 @@
 		return err
 	}
 	client := &http.Client{Transport: p.peers}
-	p.hosts = &hosts.Follower{List: platform.NewHostList(p.settings.Platform.HostList, client), Hall: p.settings.Hall}
+	p.hosts = &hosts.Follower{List: platform.NewHostList(p.settings.Platform.HostList, client), Hall: p.settings.Hall, Every: p.options.HostsEvery}
 	entries := func() []platform.Host { return p.hosts.Select(platform.RoleEntry, "") }
 	p.reporter = &report.Reporter{
 		Host: p.settings.Name, Entries: entries, Client: client,
@@ -252,6 +255,9 @@
 // InFlight returns the number of requests at the upstream.
 func (p *Process) InFlight() int { return p.gate.InFlight() }
 
+// Leaving reports whether the agent refuses new requests.
+func (p *Process) Leaving() bool { return p.gate.Leaving() }
+
 // Done is closed when the agent has ended.
 func (p *Process) Done() <-chan struct{} { return p.done }
 
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -57,6 +57,8 @@
 	LeaseTTL, PlaceEvery, ReplaceAfter time.Duration
 	// Silence varies the time after which a silent agent is suspect; 0 likewise.
 	Silence time.Duration
+	// HostsEvery varies the interval between fetches of the host list; 0 likewise.
+	HostsEvery time.Duration
 }
 
 // Process is one entry.
@@ -113,7 +115,7 @@
 func (p *Process) Start() error {
 	client := &http.Client{Transport: p.client}
 	kv := platform.NewKV(p.settings.Platform.KeyValue, client)
-	p.hosts = &hosts.Follower{List: platform.NewHostList(p.settings.Platform.HostList, client)}
+	p.hosts = &hosts.Follower{List: platform.NewHostList(p.settings.Platform.HostList, client), Every: p.options.HostsEvery}
 	p.addFollowers(kv, client)
 	if err := p.listen(kv); err != nil {
 		p.killServers()
--- /dev/null
+++ b/daemon/internal/request/intake/budget_test.go
@@ -0,0 +1,31 @@
+package intake
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/wheelcleat/wheelcleat/api"
+)
+
+func TestBudget(t *testing.T) {
+	budgets := &Budgets{}
+	service := &api.Resource{Name: "s", Service: &api.ServiceSpec{Limits: api.Limits{RetryShare: 0.1}}}
+	count := func() int {
+		retries := 0
+		for budgets.For(service).Retry() {
+			retries++
+		}
+		return retries
+	}
+	assert.Equal(t, int(freeRetries), count(), "a fresh service may retry a little")
+	assert.Zero(t, count())
+	for range 1000 {
+		budgets.For(service).Request()
+	}
+	assert.InDelta(t, 100, count(), 1, "a tenth of the requests")
+	for range 1_000_000 {
+		budgets.For(service).Request()
+	}
+	assert.LessOrEqual(t, count(), int(maxSaved), "quiet times save up only so much")
+}
--- /dev/null
+++ b/daemon/internal/request/relay/relay_test.go
@@ -0,0 +1,184 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/upstream"
+)
+
+// breaker answers the first request on each connection and drops the
+// connection after it has read a later one, as a server that restarts does.
+type breaker struct {
+	listener net.Listener
+	requests atomic.Int64
+}
+
+func startBreaker(t *testing.T) *breaker {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	b := &breaker{listener: listener}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go b.serve(conn)
+		}
+	}()
+	return b
+}
+
+func (b *breaker) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for first := true; ; first = false {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		b.requests.Add(1)
+		if !first {
+			return
+		}
+		answer := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
+		if request.Method != http.MethodHead {
+			answer += "ok"
+		}
+		_, _ = io.WriteString(conn, answer)
+	}
+}
+
+func (b *breaker) address() netip.AddrPort {
+	return netip.MustParseAddrPort(b.listener.Addr().String())
+}
+
+// TestTransportNeverReplays covers every method, also those that net/http
+// would send again by itself when a reused connection breaks.
+func TestTransportNeverReplays(t *testing.T) {
+	for _, method := range []string{"GET", "HEAD", "OPTIONS", "POST", "PUT", "DELETE"} {
+		for _, body := range []string{"", "credit 5 points"} {
+			t.Run(method+" "+body, func(t *testing.T) {
+				b := startBreaker(t)
+				transport := upstream.NewTransport()
+				defer transport.CloseIdleConnections()
+				send := func() error {
+					in := httptest.NewRequest(method, "/v1/credit", strings.NewReader(body))
+					in.Header.Set("Idempotency-Key", "k")
+					response, err := Send(t.Context(), in, &Hop{Transport: transport, Peer: b.address(), Path: "/v1/credit"})
+					if err != nil {
+						return err
+					}
+					_, _ = io.Copy(io.Discard, response.Body)
+					return response.Body.Close()
+				}
+				require.NoError(t, send())
+				err := send()
+				var failure *Failure
+				require.ErrorAs(t, err, &failure)
+				assert.True(t, failure.HandedOver)
+				assert.Equal(t, int64(2), b.requests.Load(), "the broken request reached the peer once")
+			})
+		}
+	}
+}
+
+func TestNeverConnectedIsNotHandedOver(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := netip.MustParseAddrPort(listener.Addr().String())
+	require.NoError(t, listener.Close())
+	_, err = Send(t.Context(), httptest.NewRequest("POST", "/", strings.NewReader("x")), &Hop{Transport: upstream.NewTransport(), Peer: address, Path: "/"})
+	var failure *Failure
+	require.ErrorAs(t, err, &failure)
+	assert.False(t, failure.HandedOver)
+	assert.ErrorContains(t, err, address.String(), "the error names the peer")
+}
+
+func TestRefusedBodyIsNotRead(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer server.Close()
+	peer := netip.MustParseAddrPort(server.Listener.Addr().String())
+	body := strings.NewReader("a body that may be sent once")
+	in := httptest.NewRequest("POST", "/", body)
+	response, err := Send(t.Context(), in, &Hop{Transport: upstream.NewTransport(), Peer: peer, Path: "/", ExpectContinue: true})
+	require.NoError(t, err)
+	_ = response.Body.Close()
+	assert.Equal(t, int(body.Size()), body.Len(), "not one byte was taken from the caller")
+}
+
+func TestHeaders(t *testing.T) {
+	var got http.Header
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got = r.Header.Clone()
+		w.Header().Set("Keep-Alive", "timeout=5")
+		w.Header().Set("X-Answer", "yes")
+	}))
+	defer server.Close()
+	in := httptest.NewRequest("GET", "/", nil)
+	in.Header.Set("Connection", "close, X-Hop")
+	in.Header.Set("X-Hop", "dropped")
+	in.Header.Set("X-Kept", "kept")
+	in.Header.Set("Authorization", "Bearer secret")
+	hop := &Hop{Transport: upstream.NewTransport(), Peer: netip.MustParseAddrPort(server.Listener.Addr().String()), Path: "/", Header: http.Header{"Authorization": nil}}
+	response, err := Send(t.Context(), in, hop)
+	require.NoError(t, err)
+	recorder := httptest.NewRecorder()
+	CopyHead(recorder, response)
+	require.NoError(t, Copy(recorder, response))
+	assert.Equal(t, "kept", got.Get("X-Kept"))
+	assert.Empty(t, got.Get("X-Hop"))
+	assert.Empty(t, got.Get("Authorization"))
+	assert.Empty(t, recorder.Header().Get("Keep-Alive"))
+	assert.Equal(t, "yes", recorder.Header().Get("X-Answer"))
+}
+
+func TestCutAnswerIsAnError(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "part")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}))
+	defer server.Close()
+	hop := &Hop{Transport: upstream.NewTransport(), Peer: netip.MustParseAddrPort(server.Listener.Addr().String()), Path: "/"}
+	response, err := Send(t.Context(), httptest.NewRequest("GET", "/", nil), hop)
+	require.NoError(t, err)
+	recorder := httptest.NewRecorder()
+	err = Copy(recorder, response)
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	assert.False(t, IsCallerGone(err))
+}
+
+func TestCallerGoneReachesThePeer(t *testing.T) {
+	left := make(chan struct{})
+	entered := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		close(entered)
+		<-r.Context().Done()
+		close(left)
+	}))
+	defer server.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { <-entered; cancel() }()
+	hop := &Hop{Transport: upstream.NewTransport(), Peer: netip.MustParseAddrPort(server.Listener.Addr().String()), Path: "/"}
+	_, err := Send(ctx, httptest.NewRequest("GET", "/", nil), hop)
+	require.Error(t, err)
+	<-left
+}
--- /dev/null
+++ b/daemon/internal/version/fetch/fetch_test.go
@@ -0,0 +1,138 @@
+package fetch
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wheelcleat/wheelcleat/api/manifest"
+)
+
+// swarmOf returns halls of hosts, the first gateways of each hall being its
+// gateways.
+func swarmOf(hall string, perHall map[string]int, gateways int) Swarm {
+	var swarm Swarm
+	names := make([]string, 0, len(perHall))
+	for name := range perHall {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		for i := range perHall[name] {
+			peer := Peer{Name: fmt.Sprintf("%s-%03d", name, i), Hall: name, Address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(1000+i))}
+			if name == hall {
+				swarm.HallHosts = append(swarm.HallHosts, peer)
+			}
+			if i < gateways {
+				swarm.Gateways = append(swarm.Gateways, peer)
+			}
+		}
+	}
+	return swarm
+}
+
+func someChunks(n int) []digest {
+	chunks := make([]digest, n)
+	for i := range chunks {
+		chunks[i] = manifest.Sum([]byte(fmt.Sprint(i)))
+	}
+	return chunks
+}
+
+// TestOnePrimaryPerChunk checks over a whole fleet what the design rests on:
+// each chunk has one primary in each hall, and one of these goes to the origin.
+func TestOnePrimaryPerChunk(t *testing.T) {
+	halls := map[string]int{"a": 5, "b": 20, "c": 1}
+	chunks := someChunks(200)
+	primaries := map[string]int{}
+	origins := make([]int, len(chunks))
+	load := map[string]int{}
+	for hall, count := range halls {
+		swarm := swarmOf(hall, halls, 16)
+		for i := range count {
+			f := &Fetcher{Self: fmt.Sprintf("%s-%03d", hall, i), Hall: hall}
+			for _, d := range f.dutiesOf(chunks, swarm) {
+				if d.rank != 0 {
+					continue
+				}
+				primaries[fmt.Sprint(hall, d.chunk)]++
+				if len(d.hops) == 0 {
+					origins[d.chunk]++
+					load[hall]++
+				}
+			}
+		}
+	}
+	assert.Len(t, primaries, len(halls)*len(chunks))
+	for key, count := range primaries {
+		require.Equal(t, 1, count, key)
+	}
+	for chunk, count := range origins {
+		require.Equal(t, 1, count, "chunk %d", chunk)
+	}
+	for hall := range halls {
+		assert.InDelta(t, len(chunks)/len(halls), load[hall], 30, "halls share the first takes evenly")
+	}
+}
+
+func TestHopsLeadToTheFirstHall(t *testing.T) {
+	halls := map[string]int{"a": 3, "b": 3, "c": 3, "d": 3, "e": 3, "f": 3, "g": 3}
+	for hall := range halls {
+		swarm := swarmOf(hall, halls, 3)
+		for i := range 3 {
+			f := &Fetcher{Self: fmt.Sprintf("%s-%03d", hall, i), Hall: hall}
+			for _, d := range f.dutiesOf(someChunks(50), swarm) {
+				assert.LessOrEqual(t, len(d.hops), 2)
+				for _, hop := range d.hops {
+					assert.NotEqual(t, hall, hop.Hall, "asks other halls only")
+				}
+			}
+		}
+	}
+}
+
+func TestNeighboursConnectTheHall(t *testing.T) {
+	for _, hosts := range []int{1, 2, 3, 17, 64, 286} {
+		swarm := swarmOf("a", map[string]int{"a": hosts}, 16)
+		follows := map[string][]string{}
+		for i, host := range swarm.HallHosts {
+			f := &Fetcher{Self: host.Name, Hall: "a"}
+			for _, peer := range f.neighbours(swarm) {
+				require.NotEqual(t, host.Name, peer.Name)
+				follows[peer.Name] = append(follows[peer.Name], host.Name)
+			}
+			limit := DefaultNeighbours
+			if i < 16 {
+				limit += 15 // gateways follow each other
+			}
+			assert.LessOrEqual(t, len(f.neighbours(swarm)), min(limit, hosts-1))
+		}
+		reached := map[string]bool{"a-000": true}
+		for queue := []string{"a-000"}; len(queue) > 0; queue = queue[1:] {
+			for _, next := range follows[queue[0]] {
+				if !reached[next] {
+					reached[next] = true
+					queue = append(queue, next)
+				}
+			}
+		}
+		assert.Len(t, reached, hosts, "a chunk at one host reaches all")
+	}
+}
+
+func TestTreeNeighbours(t *testing.T) {
+	swarm := swarmOf("a", map[string]int{"a": 7}, 7)
+	parents := map[string]string{}
+	for _, host := range swarm.HallHosts {
+		f := &Fetcher{Self: host.Name, Hall: "a", Policy: PolicyTree}
+		for _, parent := range f.neighbours(swarm) {
+			parents[host.Name] = parent.Name
+		}
+	}
+	assert.Len(t, parents, 6, "all but the root")
+	assert.Equal(t, "a-002", parents["a-006"])
+}
--- /dev/null
+++ b/daemon/settings/settings_test.go
@@ -0,0 +1,107 @@
+package settings
+
+import (
+	"encoding/json"
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// edit returns an example file with one change to its JSON document.
+func edit(t *testing.T, role Role, change func(map[string]any)) []byte {
+	t.Helper()
+	data, err := Example(role)
+	require.NoError(t, err)
+	document := map[string]any{}
+	require.NoError(t, json.Unmarshal(data, &document))
+	change(document)
+	data, err = json.Marshal(document)
+	require.NoError(t, err)
+	return data
+}
+
+func section(document map[string]any, name string) map[string]any {
+	return document[name].(map[string]any)
+}
+
+func TestExamplesAreGood(t *testing.T) {
+	for _, role := range []Role{RoleEntry, RoleAgent} {
+		data, err := Example(role)
+		require.NoError(t, err)
+		path := filepath.Join(t.TempDir(), "settings.json")
+		require.NoError(t, os.WriteFile(path, data, 0o600))
+		file, err := Load(path)
+		require.NoError(t, err)
+		assert.Equal(t, role == RoleEntry, file.Entry != nil)
+		assert.Equal(t, role == RoleAgent, file.Agent != nil)
+	}
+	_, err := Example("tracker")
+	require.ErrorContains(t, err, "use entry or agent")
+}
+
+func TestFaultyFiles(t *testing.T) {
+	tests := []struct {
+		name  string
+		role  Role
+		edit  func(map[string]any)
+		lines []string
+	}{
+		{"unknown field", RoleEntry, func(d map[string]any) { d["hal"] = "recife" }, []string{"f.json: hal: unknown field (known here: "}},
+		{"unknown nested field", RoleAgent, func(d map[string]any) { section(d, "upstream")["addres"] = "x" }, []string{"f.json: upstream.addres: unknown field"}},
+		{"number for a duration", RoleEntry, func(d map[string]any) { d["drain"] = 5 }, []string{"f.json: drain: a duration is a string with a unit"}},
+		{"wrong unit", RoleEntry, func(d map[string]any) { d["drain"] = "5 minutes" }, []string{`f.json: drain: "5 minutes" is not a duration`}},
+		{"duration out of bounds", RoleEntry, func(d map[string]any) { d["drain"] = "48h" }, []string{"f.json: drain: 48h0m0s is out of bounds"}},
+		{"missing address", RoleEntry, func(d map[string]any) { delete(section(d, "platform"), "keyValue") }, []string{"f.json: platform.keyValue: missing (an IP number and a port"}},
+		{"host name for an address", RoleEntry, func(d map[string]any) { section(d, "listen")["callers"] = "localhost:7000" }, []string{"f.json: listen.callers: ", "such as"}},
+		{"duplicate address", RoleEntry, func(d map[string]any) { section(d, "listen")["peers"] = "127.0.0.1:7001" }, []string{"f.json: listen.peers: 127.0.0.1:7001 is the address of listen.operators too"}},
+		{"wrong type", RoleEntry, func(d map[string]any) { d["name"] = 7 }, []string{"f.json: name: 7 is not a string"}},
+		{"size with a unit", RoleAgent, func(d map[string]any) { section(d, "weights")["stagingBytes"] = "2GiB" }, []string{`f.json: weights.stagingBytes: "2GiB" is not a int64 (a whole number without a unit)`}},
+		{"object expected", RoleEntry, func(d map[string]any) { d["listen"] = "127.0.0.1:1" }, []string{"f.json: listen: 127.0.0.1:1 is not an object"}},
+		{"list expected", RoleAgent, func(d map[string]any) { section(d, "upstream")["services"] = "loans" }, []string{"f.json: upstream.services: loans is not a list"}},
+		{"unknown role", RoleEntry, func(d map[string]any) { d["role"] = "tracker" }, []string{`f.json: role: unknown role tracker (use "entry" or "agent")`}},
+		{"no role", RoleEntry, func(d map[string]any) { delete(d, "role") }, []string{"f.json: role: missing"}},
+		{"unknown level", RoleEntry, func(d map[string]any) { section(d, "log")["level"] = "loud" }, []string{`f.json: log.level: unknown level "loud"`}},
+		{"open operators' port", RoleEntry, func(d map[string]any) { section(d, "listen")["operators"] = "0.0.0.0:7001" }, []string{"f.json: operatorKeyDigests: missing"}},
+		{"plain without services", RoleAgent, func(d map[string]any) { section(d, "upstream")["kind"] = "plain" }, []string{"f.json: upstream.services: missing"}},
+		{"two faults", RoleEntry, func(d map[string]any) { delete(d, "hall"); delete(d, "name") }, []string{"f.json: name: missing", "\nf.json: hall: missing"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			_, err := Parse("f.json", edit(t, test.role, test.edit))
+			var faulty *FileError
+			require.True(t, errors.As(err, &faulty), "%v", err)
+			for _, line := range test.lines {
+				assert.Contains(t, err.Error(), line)
+			}
+		})
+	}
+}
+
+func TestNotJSON(t *testing.T) {
+	for _, text := range []string{"", "{", "[]", `{"role":"entry"} {}`} {
+		_, err := Parse("f.json", []byte(text))
+		require.ErrorContains(t, err, "f.json: ", "%q", text)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	for _, role := range []Role{RoleEntry, RoleAgent} {
+		data, _ := Example(role)
+		f.Add(data)
+	}
+	f.Add([]byte(`{"role":"entry","listen":{"callers":[]}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		file, err := Parse("f.json", data)
+		if err == nil {
+			require.True(t, (file.Entry != nil) != (file.Agent != nil))
+			return
+		}
+		var faulty *FileError
+		require.True(t, errors.As(err, &faulty))
+		require.NotEmpty(t, faulty.Faults)
+	})
+}
