Prove configuration under faults, and the command line end to end

Cause: writes, leases, rollouts and the command line ran untested under faults. Tests now cover an outage of the key-value service (what is in force goes on; a fresh entry rebuilds from its peers; writes say "unavailable"), lost answers, racing operators, a dead and a doubled lease holder, dead hosts, a version that fails to activate, and both daemons as processes from the example settings.

--- /dev/null
+++ b/cli/internal/command/daemon_test.go
@@ -0,0 +1,135 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wheelcleat/wheelcleat/cli/internal/fleet"
+	"github.com/wheelcleat/wheelcleat/daemon/settings"
+	"github.com/wheelcleat/wheelcleat/standin/engine"
+	"github.com/wheelcleat/wheelcleat/standin/hostlist"
+	"github.com/wheelcleat/wheelcleat/standin/kv"
+	"github.com/wheelcleat/wheelcleat/standin/serve"
+	"github.com/wheelcleat/wheelcleat/standin/weights"
+)
+
+// buildDaemon builds wheelcleatd once for a test.
+func buildDaemon(t *testing.T) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "wheelcleatd")
+	build := exec.CommandContext(t.Context(), "go", "build", "-o", path, "github.com/wheelcleat/wheelcleat/daemon/cmd/wheelcleatd")
+	text, err := build.CombinedOutput()
+	require.NoError(t, err, "%s", text)
+	return path
+}
+
+func freeAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+func startStandin(t *testing.T, handler http.Handler) netip.AddrPort {
+	t.Helper()
+	server, err := serve.Loopback(handler)
+	require.NoError(t, err)
+	t.Cleanup(server.Close)
+	return server.Address
+}
+
+// TestDaemons starts the example settings' entry and agent as processes, each
+// example value kept but for the addresses, which must be free.
+func TestDaemons(t *testing.T) {
+	daemon := buildDaemon(t)
+	list := &hostlist.Server{}
+	origin := &weights.Server{}
+	id, err := origin.Add(weights.Generate(1, 1<<20), 0)
+	require.NoError(t, err)
+
+	entry, agent := settings.ExampleEntry(), settings.ExampleAgent()
+	entry.Listen = settings.EntryListen{Callers: freeAddress(t), Operators: freeAddress(t), Peers: freeAddress(t)}
+	entry.Platform = settings.EntryPlatform{KeyValue: startStandin(t, &kv.Server{}), HostList: startStandin(t, list)}
+	agent.Listen.Peers = freeAddress(t)
+	agent.Platform.HostList = entry.Platform.HostList
+	agent.Weights.Origin = startStandin(t, origin)
+	beside := &engine.Server{}
+	agent.Upstream.Address = startStandin(t, beside)
+	list.Set(hostlist.Host{Name: entry.Name, Role: hostlist.RoleEntry, Hall: entry.Hall, Address: entry.Listen.Peers})
+	list.Set(hostlist.Host{Name: agent.Name, Role: hostlist.RoleAgent, Hall: agent.Hall, Address: agent.Listen.Peers})
+
+	var logs bytes.Buffer
+	processes := map[string]*exec.Cmd{}
+	for name, value := range map[string]any{"entry": entry, "agent": agent} {
+		var text bytes.Buffer
+		require.NoError(t, writeJSON(&text, value))
+		process := exec.Command(daemon, write(t, name+".json", text.String()))
+		if name == "entry" {
+			process.Stderr = &logs
+		}
+		require.NoError(t, process.Start())
+		t.Cleanup(func() { _ = process.Process.Kill() })
+		processes[name] = process
+	}
+	operators := "http://" + entry.Listen.Operators.String()
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	require.NoError(t, fleet.Await(ctx, "the entry", func() bool {
+		response, err := http.Get(operators + "/readyz")
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	}))
+	declarations := write(t, "d.json", `{"kind":"Model","name":"m","spec":{"versions":[{"name":"v1","manifest":"`+id.String()+`"}]}}`+
+		`{"kind":"Service","name":"s","spec":{"model":"m","version":"v1","replicas":1}}`)
+	require.NoError(t, run(ctx, "--entry", operators, "apply", "-f", declarations).err)
+	require.NoError(t, run(ctx, "--entry", operators, "rollout", "status", "s", "--wait").err)
+	assert.Equal(t, id.String(), beside.State().Manifest)
+
+	response, err := http.Get(operators + "/metrics")
+	require.NoError(t, err)
+	var metrics bytes.Buffer
+	_, err = metrics.ReadFrom(response.Body)
+	require.NoError(t, err)
+	_ = response.Body.Close()
+	assert.Contains(t, metrics.String(), "wheelcleat_key_value_up")
+
+	for name, process := range processes {
+		require.NoError(t, process.Process.Signal(syscall.SIGTERM))
+		require.NoError(t, process.Wait(), "%s exits 0 after a drain", name)
+	}
+	assert.Contains(t, logs.String(), `"decision":"place"`)
+}
+
+func TestDaemonRefusesBadSettings(t *testing.T) {
+	daemon := buildDaemon(t)
+	bad := write(t, "bad.json", `{"role":"entry","name":"e","hall":"h","listen":{"callers":"127.0.0.1:x"}}`)
+	for _, args := range [][]string{{bad}, {}, {bad, bad}} {
+		text, err := exec.Command(daemon, args...).CombinedOutput()
+		var exit *exec.ExitError
+		require.ErrorAs(t, err, &exit)
+		assert.Equal(t, ExitUsage, exit.ExitCode(), "%s", text)
+		if len(args) == 1 {
+			assert.Contains(t, string(text), "bad.json: listen.callers: ")
+			assert.Equal(t, 1, strings.Count(string(text), "\n"), "one clear line: %s", text)
+		}
+	}
+	_, err := os.Stat(bad)
+	require.NoError(t, err)
+}
--- /dev/null
+++ b/cli/internal/fleet/control_test.go
@@ -0,0 +1,355 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wheelcleat/wheelcleat/api"
+	"github.com/wheelcleat/wheelcleat/api/client"
+	"github.com/wheelcleat/wheelcleat/daemon/entry"
+	"github.com/wheelcleat/wheelcleat/standin/engine"
+	"github.com/wheelcleat/wheelcleat/standin/kv"
+)
+
+// kvFault lets a test change the key-value service's fault while it runs.
+type kvFault struct{ atomic.Pointer[kv.Fault] }
+
+func problemCode(err error) api.ProblemCode {
+	var problem *api.Problem
+	if errors.As(err, &problem) {
+		return problem.Code
+	}
+	return ""
+}
+
+func startFaultyRig(t *testing.T, config Config) (*rig, *kvFault) {
+	t.Helper()
+	f := &kvFault{}
+	f.Store(&kv.Fault{})
+	config.SetUpKV = func(s *kv.Server) { s.Fault = func(kv.Op, string) kv.Fault { return *f.Load() } }
+	return startRig(t, config), f
+}
+
+// awaitRevision waits until every entry has a revision in force.
+func (r *rig) awaitRevision(revision uint64) {
+	r.Helper()
+	require.NoError(r, Await(r.ctx, fmt.Sprint("revision ", revision), func() bool {
+		for _, e := range r.Entries() {
+			if e.Process.Revision() < revision {
+				return false
+			}
+		}
+		return true
+	}))
+}
+
+func TestOutageOfTheKeyValueService(t *testing.T) {
+	r, fault := startFaultyRig(t, quick(2, 2, 4))
+	r.serve(nil)
+	fault.Store(&kv.Fault{Down: true})
+	stop := r.load(4)
+	_, err := r.Operator().Put(r.ctx, r.service("v2", nil), client.PutOptions{})
+	assert.Equal(t, api.CodeUnavailable, problemCode(err), "%v", err)
+
+	// An entry that starts now takes its configuration from the others.
+	fresh, err := r.AddEntry("hall-1-entry-9", "hall-1")
+	require.NoError(t, err)
+	require.NoError(t, Await(r.ctx, "the fresh entry", func() bool { return fresh.Process.NotReady() == "" }))
+	require.NoError(t, Await(r.ctx, "its members", func() bool {
+		got := r.call(fresh, fmt.Sprint("fresh-", time.Now().UnixNano()))
+		return got.err == nil && got.answer.Status == http.StatusOK
+	}))
+	listing, err := (&client.Client{Entries: []string{"http://" + fresh.Process.Addresses().Operators.String()}}).List(r.ctx, api.KindService)
+	require.NoError(t, err)
+	assert.Len(t, listing.Items, 1)
+
+	// A host that dies in the outage is passed over.
+	hosts := r.Hosts()
+	r.KillHost(r.EngineHosts()[0])
+	reached := len(runs(hosts)) + 100
+	require.NoError(t, Await(r.ctx, "the load to go on", func() bool { return len(runs(hosts)) > reached }))
+	fault.Store(&kv.Fault{})
+	done := r.checkTruth(stop(), hosts)
+	assert.Greater(t, done, 100)
+	require.NoError(t, Await(r.ctx, "a write after the outage", func() bool {
+		accepted, err := r.Operator().Put(r.ctx, r.service("v2", func(s *api.ServiceSpec) { s.Replicas = 1 }), client.PutOptions{})
+		return err == nil && accepted.Revision > 0
+	}))
+	r.awaitDone()
+}
+
+func TestEntryWithNothingToGoBySaysSo(t *testing.T) {
+	f := &kvFault{}
+	f.Store(&kv.Fault{Down: true})
+	config := quick(1, 1, 0)
+	config.SetUpKV = func(s *kv.Server) { s.Fault = func(kv.Op, string) kv.Fault { return *f.Load() } }
+	fleet, err := Start(config)
+	require.NoError(t, err)
+	defer fleet.Kill()
+	alone := fleet.Entries()[0].Process
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	require.NoError(t, Await(ctx, "the reason", func() bool { return strings.Contains(alone.NotReady(), "no configuration") }))
+	response, err := http.Get("http://" + alone.Addresses().Callers.String() + "/readyz")
+	require.NoError(t, err)
+	_ = response.Body.Close()
+	assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	f.Store(&kv.Fault{})
+	require.NoError(t, fleet.AwaitReady(ctx))
+}
+
+func TestLostAnswers(t *testing.T) {
+	config := quick(1, 2, 2)
+	var calls atomic.Int64
+	config.SetUpKV = func(s *kv.Server) {
+		s.Fault = func(op kv.Op, _ string) kv.Fault {
+			// Every second write's answer is lost.
+			return kv.Fault{LoseAnswer: op == kv.OpPut && calls.Add(1)%2 == 1}
+		}
+	}
+	r := startRig(t, config)
+	r.serve(nil)
+	for i := range 10 {
+		account := r.account()
+		account.Account.Concurrency = i + 1
+		accepted, err := r.Operator().Put(r.ctx, account, client.PutOptions{})
+		require.NoError(t, err, "an accepted write is found again by its id")
+		item, ok := r.KV.Store.Get("wheelcleat/resources/accounts/till")
+		require.True(t, ok)
+		assert.Equal(t, accepted.Revision, item.Revision)
+		assert.Contains(t, string(item.Value), accepted.WriteID)
+	}
+}
+
+func TestRacingOperators(t *testing.T) {
+	r := startRig(t, quick(2, 2, 2))
+	r.declare(r.account())
+	present, err := r.Operator().Get(r.ctx, api.KindAccount, "till")
+	require.NoError(t, err)
+	r.awaitRevision(present.Revision)
+	var group sync.WaitGroup
+	var won, lost atomic.Int64
+	var accepted atomic.Uint64
+	for i, address := range r.Operator().Entries {
+		group.Go(func() {
+			mine := r.account()
+			mine.Account.Concurrency = 100 + i
+			operator := &client.Client{Entries: []string{address}}
+			got, err := operator.Put(r.ctx, mine, client.PutOptions{IfRevision: present.Revision})
+			switch {
+			case err == nil:
+				won.Add(1)
+				accepted.Store(got.Revision)
+			case problemCode(err) == api.CodeConflict:
+				lost.Add(1)
+				var problem *api.Problem
+				errors.As(err, &problem)
+				assert.Greater(r, problem.Revision, present.Revision, "the present revision is told")
+			default:
+				assert.NoError(r, err)
+			}
+		})
+	}
+	group.Wait()
+	assert.Equal(t, int64(1), won.Load())
+	assert.Equal(t, int64(3), lost.Load())
+	r.awaitRevision(accepted.Load())
+	for _, address := range r.Operator().Entries {
+		got, err := (&client.Client{Entries: []string{address}}).Get(r.ctx, api.KindAccount, "till")
+		require.NoError(t, err)
+		assert.Equal(t, accepted.Load(), got.Revision)
+	}
+}
+
+func TestResourceAPIRefuses(t *testing.T) {
+	r := startRig(t, quick(1, 1, 1))
+	r.declare(r.account(), r.model())
+	operator := r.Operator()
+	put := func(resource *api.Resource, options client.PutOptions) error {
+		_, err := operator.Put(r.ctx, resource, options)
+		return err
+	}
+	tests := []struct {
+		name string
+		call func() error
+		code api.ProblemCode
+	}{
+		{"invalid", func() error {
+			return put(r.service("v1", func(s *api.ServiceSpec) { s.Replicas = -1 }), client.PutOptions{})
+		}, api.CodeInvalid},
+		{"unknown version", func() error { return put(r.service("v9", nil), client.PutOptions{}) }, api.CodeInvalid},
+		{"unknown version, dry run", func() error { return put(r.service("v9", nil), client.PutOptions{DryRun: true}) }, api.CodeInvalid},
+		{"stale revision", func() error { return put(r.account(), client.PutOptions{IfRevision: 1 << 40}) }, api.CodeConflict},
+		{"create what is there", func() error { return put(r.account(), client.PutOptions{Create: true}) }, api.CodeConflict},
+		{"delete what is not there", func() error { return operator.Delete(r.ctx, api.KindAccount, "nobody", 0) }, api.CodeNotFound},
+		{"get what is not there", func() error { _, err := operator.Get(r.ctx, api.KindModel, "none"); return err }, api.CodeNotFound},
+		{"rollout of nothing", func() error { _, err := operator.Rollout(r.ctx, "none"); return err }, api.CodeNotFound},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			assert.Equal(t, test.code, problemCode(test.call()))
+		})
+	}
+	t.Run("dry run writes nothing", func(t *testing.T) {
+		require.NoError(t, put(r.service("v1", nil), client.PutOptions{DryRun: true}))
+		_, err := operator.Get(r.ctx, api.KindService, "s")
+		assert.Equal(t, api.CodeNotFound, problemCode(err))
+	})
+	t.Run("model in use", func(t *testing.T) {
+		require.NoError(t, put(r.service("v1", nil), client.PutOptions{}))
+		assert.Equal(t, api.CodeInUse, problemCode(operator.Delete(r.ctx, api.KindModel, "m", 0)))
+		smaller := r.model()
+		smaller.Model.Versions = smaller.Model.Versions[1:]
+		assert.Equal(t, api.CodeInvalid, problemCode(put(smaller, client.PutOptions{})), "its version is served")
+		require.NoError(t, operator.Delete(r.ctx, api.KindService, "s", 0))
+		require.NoError(t, operator.Delete(r.ctx, api.KindModel, "m", 0))
+	})
+	t.Run("the same again writes nothing", func(t *testing.T) {
+		before := r.KV.Counts().Writes
+		require.NoError(t, put(r.account(), client.PutOptions{}))
+		assert.Equal(t, before, r.KV.Counts().Writes)
+	})
+}
+
+func TestWatchAcrossEntries(t *testing.T) {
+	r := startRig(t, quick(1, 2, 0))
+	list, err := r.Operator().List(r.ctx, api.KindAccount)
+	require.NoError(t, err)
+	after := list.Revision
+	var concurrency []int
+	errEnough := errors.New("seen enough")
+	go func() {
+		for i := range 20 {
+			account := r.account()
+			account.Account.Concurrency = i + 1
+			_ = r.Declare(r.ctx, account)
+		}
+	}()
+	for len(concurrency) == 0 || concurrency[len(concurrency)-1] < 20 {
+		// Each watch goes to another entry and resumes where the last one was.
+		operator := r.Operator()
+		operator.Entries = operator.Entries[len(concurrency)%2:]
+		seen := 0
+		err := operator.Watch(r.ctx, after, func(event api.Event) error {
+			require.GreaterOrEqual(t, event.Revision, after, "never back")
+			after = event.Revision
+			if event.Type != api.EventPut {
+				return nil
+			}
+			concurrency = append(concurrency, event.Resource.Account.Concurrency)
+			if seen++; seen == 3 || event.Resource.Account.Concurrency == 20 {
+				return errEnough
+			}
+			return nil
+		})
+		require.ErrorIs(t, err, errEnough)
+	}
+	for i, value := range concurrency {
+		assert.Equal(t, i+1, value, "every change once, in order")
+	}
+}
+
+func TestLeaseHolderDies(t *testing.T) {
+	r := startRig(t, quick(1, 3, 2))
+	r.serve(nil)
+	item, ok := r.KV.Store.Get("wheelcleat/lease/placement/hall-1")
+	require.True(t, ok)
+	for _, e := range r.Entries() {
+		if e.Name == string(item.Value) {
+			r.KillEntry(e)
+		}
+	}
+	require.Len(t, r.Entries(), 2)
+	r.declare(r.service("v2", nil))
+	r.awaitDone()
+	assert.Equal(t, 2, r.Ready(r.versions[1]))
+}
+
+// TestTwoHoldersOfTheLease takes the lease's key away while its holder goes on
+// in the belief that it still holds it, so that a second one takes it too.
+func TestTwoHoldersOfTheLease(t *testing.T) {
+	r := startRig(t, quick(1, 3, 4))
+	r.serve(nil)
+	for i := range 6 {
+		r.KV.Store.Delete("wheelcleat/lease/placement/hall-1", kv.Any)
+		r.declare(r.service(fmt.Sprint("v", 1+i%3), nil))
+	}
+	r.declare(r.service("v2", nil))
+	r.awaitDone()
+	for _, host := range r.EngineHosts() {
+		last := uint64(0)
+		for _, state := range host.Engine.History() {
+			assert.GreaterOrEqual(t, state.Token, last, "fencing tokens of %s", host.Name)
+			last = state.Token
+		}
+	}
+}
+
+func TestDeadHostIsReplaced(t *testing.T) {
+	r := startRig(t, quick(1, 2, 3))
+	r.serve(nil)
+	var serving *Host
+	for _, host := range r.EngineHosts() {
+		if host.Engine.State().Manifest != "" {
+			serving = host
+		}
+	}
+	r.KillHost(serving)
+	require.NoError(t, Await(r.ctx, "the spare host", func() bool { return r.Ready(r.versions[0]) == 2 }))
+	r.awaitDone()
+}
+
+func TestFailingVersionHaltsAndRollsBack(t *testing.T) {
+	config := quick(1, 1, 3)
+	var bad atomic.Value
+	bad.Store("")
+	config.SetUpEngine = func(e *engine.Server) {
+		e.FailLoad = func(o engine.Order) error {
+			if o.Version == bad.Load().(string) {
+				return errors.New("out of accelerator memory")
+			}
+			return nil
+		}
+	}
+	r := startRig(t, config)
+	r.serve(func(s *api.ServiceSpec) { s.Replicas = 3 })
+	bad.Store("v2")
+	stop := r.load(4)
+	r.declare(r.service("v2", func(s *api.ServiceSpec) { s.Replicas = 3 }))
+	var status *api.RolloutStatus
+	require.NoError(t, Await(r.ctx, "the halt", func() bool {
+		var err error
+		status, err = r.Operator().Rollout(r.ctx, "s")
+		return err == nil && status.Halls[0].Halted != ""
+	}))
+	assert.Contains(t, status.Halls[0].Halted, "out of accelerator memory")
+	assert.Equal(t, 3, r.Ready(r.versions[0]), "all hosts still serve the version before")
+	r.declare(r.service("v1", func(s *api.ServiceSpec) { s.Replicas = 3 }))
+	r.awaitDone()
+	r.checkAllDone(stop(), r.Hosts())
+}
+
+func TestOperatorKeys(t *testing.T) {
+	r := startRig(t, quick(1, 1, 0))
+	settings := r.EntrySettings("guarded", "hall-1")
+	settings.OperatorKeyDigests = r.account().Account.KeyDigests
+	guarded, err := entry.New(settings, r.Config.Entry)
+	require.NoError(t, err)
+	require.NoError(t, guarded.Start())
+	defer guarded.Kill()
+	for key, code := range map[string]api.ProblemCode{"": api.CodeUnauthorized, "wrong": api.CodeForbidden, testKey: ""} {
+		operator := &client.Client{Entries: []string{"http://" + guarded.Addresses().Operators.String()}, Key: key}
+		_, err := operator.List(r.ctx, api.KindModel)
+		assert.Equal(t, code, problemCode(err), "key %q", key)
+	}
+}
--- a/cli/internal/fleet/fleet.go
+++ b/cli/internal/fleet/fleet.go
@@ -61,6 +61,8 @@
 	PeerWait time.Duration
 	// SetUpEngine varies each engine before it starts; nil means not at all.
 	SetUpEngine func(*engine.Server)
+	// SetUpKV varies the key-value service before it starts; nil likewise.
+	SetUpKV func(*kv.Server)
 }
 
 // Fleet is a running fleet.
@@ -119,6 +121,9 @@
 		Config: config, KV: &kv.Server{}, HostList: &hostlist.Server{},
 		Origin: &weights.Server{BytesPerSecond: config.OriginBytesPerSecond},
 	}
+	if config.SetUpKV != nil {
+		config.SetUpKV(f.KV)
+	}
 	if err := f.start(); err != nil {
 		f.Kill()
 		return nil, err
--- a/cli/internal/fleet/fleet_test.go
+++ b/cli/internal/fleet/fleet_test.go
@@ -19,6 +19,7 @@
 	"github.com/wheelcleat/wheelcleat/api"
 	"github.com/wheelcleat/wheelcleat/api/manifest"
 	"github.com/wheelcleat/wheelcleat/standin/engine"
+	"github.com/wheelcleat/wheelcleat/standin/plain"
 	"github.com/wheelcleat/wheelcleat/standin/weights"
 )
 
@@ -321,9 +322,12 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			r := startRig(t, quick(2, 1, 4))
+			config := quick(2, 1, 4)
+			config.SetUpEngine = func(e *engine.Server) { e.PerToken = 20 * time.Millisecond }
+			r := startRig(t, config)
 			r.serve(nil)
 			stop := r.load(8, r.Entries()[0])
+			require.NoError(t, Await(r.ctx, "load", func() bool { return len(runs(r.Hosts())) > 8 }))
 			require.NoError(t, test.stop(r, r.ctx))
 			r.checkAllDone(stop(), r.Hosts())
 		})
@@ -382,10 +386,13 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			r := startRig(t, quick(2, 2, 6))
+			config := quick(2, 2, 6)
+			// Long enough that a kill meets requests handed over but not answered.
+			config.SetUpEngine = func(e *engine.Server) { e.Prefill = 20 * time.Millisecond }
+			r := startRig(t, config)
 			r.serve(nil)
 			hosts := r.Hosts()
-			stop := r.load(8)
+			stop := r.load(16)
 			require.NoError(t, Await(r.ctx, "some load", func() bool { return len(runs(hosts)) > 100 }))
 			test.kill(r)
 			reached := len(runs(hosts)) + 200
@@ -432,7 +439,10 @@
 		return err == nil && status.Done && len(status.Halls) == 2
 	}))
 	hosts := r.Hosts()
-	hosts[0].Plain.Fault = nil
+	for _, host := range hosts {
+		// Long enough that the kill meets calls that ran and are not answered.
+		host.Plain.Fault = func(string) plain.Fault { return plain.Fault{Delay: 50 * time.Millisecond} }
+	}
 	var group sync.WaitGroup
 	var mu sync.Mutex
 	answers := map[string]Answer{}
@@ -450,6 +460,7 @@
 			}
 		})
 		if i == 100 {
+			require.NoError(t, Await(r.ctx, "calls at the host", func() bool { return len(hosts[0].Plain.Runs()) > 0 }))
 			r.KillHost(hosts[0])
 		}
 	}
--- a/daemon/settings/settings_test.go
+++ b/daemon/settings/settings_test.go
@@ -51,7 +51,7 @@
 		lines []string
 	}{
 		{"unknown field", RoleEntry, func(d map[string]any) { d["hal"] = "recife" }, []string{"f.json: hal: unknown field (known here: "}},
-		{"unknown nested field", RoleAgent, func(d map[string]any) { section(d, "upstream")["addres"] = "x" }, []string{"f.json: upstream.addres: unknown field"}},
+		{"unknown nested field", RoleAgent, func(d map[string]any) { section(d, "upstream")["addr"] = "x" }, []string{"f.json: upstream.addr: unknown field"}},
 		{"number for a duration", RoleEntry, func(d map[string]any) { d["drain"] = 5 }, []string{"f.json: drain: a duration is a string with a unit"}},
 		{"wrong unit", RoleEntry, func(d map[string]any) { d["drain"] = "5 minutes" }, []string{`f.json: drain: "5 minutes" is not a duration`}},
 		{"duration out of bounds", RoleEntry, func(d map[string]any) { d["drain"] = "48h" }, []string{"f.json: drain: 48h0m0s is out of bounds"}},
