--- /dev/null
+++ b/cli/internal/bench/usage.go
@@ -0,0 +1,47 @@
+package bench
+
+import (
+	"runtime"
+	"syscall"
+	"time"
+
+	"github.com/wheelcleat/wheelcleat/cli/internal/fleet"
+)
+
+// usage measures this process's use of the machine.
+type usage struct {
+	started time.Time
+	cpu     time.Duration
+}
+
+// cpuTime returns the process's CPU time so far.
+func cpuTime() time.Duration {
+	var used syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &used) != nil {
+		return 0
+	}
+	return time.Duration(used.Utime.Nano() + used.Stime.Nano())
+}
+
+func startUsage() usage { return usage{time.Now(), cpuTime()} }
+
+// end returns the share of the machine's CPU time used since the start, and
+// the process's largest resident size in MiB.
+func (u usage) end() (cpuShare, rssMB float64) {
+	elapsed := time.Since(u.started) * time.Duration(runtime.NumCPU())
+	var used syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &used)
+	return float64(cpuTime()-u.cpu) / float64(elapsed), float64(used.Maxrss) / 1024
+}
+
+// controlBytes sums the bytes of control messages at the fleet's processes.
+func controlBytes(f *fleet.Fleet) int64 {
+	total := int64(0)
+	for _, e := range f.Entries() {
+		total += e.Process.ControlBytes()
+	}
+	for _, host := range f.Hosts() {
+		total += host.Agent.ControlBytes()
+	}
+	return total
+}
--- a/cli/internal/fleet/fleet.go
+++ b/cli/internal/fleet/fleet.go
@@ -63,6 +63,9 @@
 	SetUpEngine func(*engine.Server)
 	// SetUpKV varies the key-value service before it starts; nil likewise.
 	SetUpKV func(*kv.Server)
+	// SetUpOrigin varies the origin, SetUpAgent each agent; nil likewise.
+	SetUpOrigin func(*weights.Server)
+	SetUpAgent  func(name string, options *agent.Options)
 }
 
 // Fleet is a running fleet.
@@ -79,6 +82,7 @@
 	hosts   []*Host
 
 	kvServer, listServer, originServer *serve.Server
+	network                            *network
 }
 
 // Entry is one entry of the fleet.
@@ -119,11 +123,15 @@
 	config.Entry.LogOutput, config.Agent.LogOutput = config.LogOutput, config.LogOutput
 	f := &Fleet{
 		Config: config, KV: &kv.Server{}, HostList: &hostlist.Server{},
-		Origin: &weights.Server{BytesPerSecond: config.OriginBytesPerSecond},
+		Origin:  &weights.Server{BytesPerSecond: config.OriginBytesPerSecond},
+		network: newNetwork(),
 	}
 	if config.SetUpKV != nil {
 		config.SetUpKV(f.KV)
 	}
+	if config.SetUpOrigin != nil {
+		config.SetUpOrigin(f.Origin)
+	}
 	if err := f.start(); err != nil {
 		f.Kill()
 		return nil, err
@@ -142,6 +150,9 @@
 	if f.originServer, err = serve.Loopback(f.Origin); err != nil {
 		return err
 	}
+	for _, s := range []*serve.Server{f.kvServer, f.listServer, f.originServer} {
+		f.network.put(s.Address, Platform)
+	}
 	for _, hall := range f.Config.Halls {
 		for i := range f.Config.EntriesPerHall {
 			if _, err := f.AddEntry(fmt.Sprintf("%s-entry-%d", hall, i+1), hall); err != nil {
@@ -185,13 +196,16 @@
 
 // AddEntry starts an entry and puts it on the host list.
 func (f *Fleet) AddEntry(name, hall string) (*Entry, error) {
-	process, err := entry.New(f.EntrySettings(name, hall), f.Config.Entry)
+	options := f.Config.Entry
+	options.Dial = f.network.dialFrom(hall)
+	process, err := entry.New(f.EntrySettings(name, hall), options)
 	if err != nil {
 		return nil, err
 	}
 	if err := process.Start(); err != nil {
 		return nil, err
 	}
+	f.network.put(process.Addresses().Peers, hall)
 	added := &Entry{Name: name, Hall: hall, Process: process}
 	f.mu.Lock()
 	f.entries = append(f.entries, added)
@@ -231,7 +245,7 @@
 		Platform: settings.AgentPlatform{HostList: f.listServer.Address},
 		Weights:  settings.Weights{Origin: f.originServer.Address, PeerWait: api.Duration(f.Config.PeerWait)},
 		Upstream: upstream, Log: f.log(),
-	}, f.agentOptions())
+	}, f.agentOptions(host))
 	if err != nil {
 		return err
 	}
@@ -239,6 +253,7 @@
 		return err
 	}
 	host.Agent = process
+	f.network.put(process.Address(), host.Hall)
 	f.mu.Lock()
 	f.hosts = append(f.hosts, host)
 	f.mu.Unlock()
@@ -250,8 +265,9 @@
 const linkBurst = 64 << 10
 
 // agentOptions gives each agent limiters of its own.
-func (f *Fleet) agentOptions() agent.Options {
+func (f *Fleet) agentOptions(host *Host) agent.Options {
 	options := f.Config.Agent
+	options.Dial = f.network.dialFrom(host.Hall)
 	if up := f.Config.UploadBytesPerSecond; up > 0 {
 		options.Upload = rate.NewLimiter(rate.Limit(up), linkBurst)
 		options.Download = options.Upload
@@ -259,6 +275,9 @@
 	if down := f.Config.DownloadBytesPerSecond; down > 0 && !f.Config.HalfDuplex {
 		options.Download = rate.NewLimiter(rate.Limit(down), linkBurst)
 	}
+	if f.Config.SetUpAgent != nil {
+		f.Config.SetUpAgent(host.Name, &options)
+	}
 	return options
 }
 
--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -16,6 +16,7 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/dial"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/follow"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/report"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/upstream"
@@ -49,8 +50,9 @@
 	LogOutput io.Writer
 	// Policy is the way chunks are found; empty means the swarm.
 	Policy string
-	// Uploads bounds the uploads at a time; 0 means the default.
-	Uploads int
+	// Uploads and Downloads bound the transfers between peers at a time, and
+	// Neighbours the hosts whose chunks are followed; 0 means the defaults.
+	Uploads, Downloads, Neighbours int
 	// Upload and Download pace the link; nil takes the settings' rates. A
 	// bench with a half-duplex link gives both the same limiter.
 	Upload, Download *rate.Limiter
@@ -62,8 +64,15 @@
 	// HostsEvery varies the interval between fetches of the host list; 0 takes
 	// the default.
 	HostsEvery time.Duration
+	// Dial makes the connections to other hosts; nil means over the network.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// UploadFault is asked at each chunk that is sent; nil means no faults.
+	UploadFault func() UploadFault
 }
 
+// UploadFault says what goes wrong with a chunk that is sent.
+type UploadFault = share.Fault
+
 // Process is one agent.
 type Process struct {
 	settings  settings.Agent
@@ -76,9 +85,11 @@
 	hosts     *hosts.Follower
 	follower  *follow.Follower
 	reporter  *report.Reporter
-	transport *http.Transport
-	peers     *http.Transport
 	server    *server.Server
+	// transport carries requests to the upstream, chunks weights, and control
+	// all else, which meter counts.
+	transport, chunks, control *http.Transport
+	meter                      dial.Meter
 
 	stopOnce sync.Once
 	done     chan struct{}
@@ -94,28 +105,22 @@
 	p := &Process{
 		settings: s, options: options, telemetry: t,
 		gate: &gate.Gate{}, stage: &stage.Stage{MaxBytes: s.Weights.StagingBytes},
-		transport: upstream.NewTransport(), peers: newPeerTransport(),
-		done: make(chan struct{}),
+		transport: upstream.NewTransport(nil),
+		done:      make(chan struct{}),
 	}
+	connect := dial.OrDirect(options.Dial)
+	p.chunks = dial.NewTransport(connect)
+	p.control = dial.NewTransport(p.meter.Count(connect))
 	return p, nil
 }
 
-// newPeerTransport makes the connections for chunks and control.
-func newPeerTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: time.Second, KeepAlive: 15 * time.Second}
-	return &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second,
-		DisableCompression: true, ReadBufferSize: 32 << 10, WriteBufferSize: 32 << 10,
-	}
-}
-
 // Start opens the port and begins to follow, fetch and serve.
 func (p *Process) Start() error {
 	mux := http.NewServeMux()
 	if err := p.listen(mux); err != nil {
 		return err
 	}
-	client := &http.Client{Transport: p.peers}
+	client := &http.Client{Transport: p.control}
 	p.hosts = &hosts.Follower{List: platform.NewHostList(p.settings.Platform.HostList, client), Hall: p.settings.Hall, Every: p.options.HostsEvery}
 	entries := func() []platform.Host { return p.hosts.Select(platform.RoleEntry, "") }
 	p.reporter = &report.Reporter{
@@ -164,7 +169,7 @@
 func (p *Process) addEngine(mux *http.ServeMux, client *http.Client, entries func() []platform.Host) {
 	upload := p.limiter(p.options.Upload, p.settings.Weights.UploadBytesPerSecond)
 	sent := p.telemetry.Scope.Counter("weights_sent_bytes")
-	sharing := &share.Server{Stage: p.stage, Slots: p.options.Uploads, Upload: upload, OnBytes: func(n int64) { sent.Inc(n) }}
+	sharing := &share.Server{Stage: p.stage, Slots: p.options.Uploads, Upload: upload, OnBytes: func(n int64) { sent.Inc(n) }, Fault: p.options.UploadFault}
 	sharing.Register(mux)
 	checksFence := p.settings.Upstream.ChecksFence
 	fence := &activate.Fence{Engine: activate.NewEngine(p.settings.Upstream.Address, &http.Client{Transport: p.transport})}
@@ -198,7 +203,7 @@
 }
 
 func (p *Process) fetcher(client *http.Client) *fetch.Fetcher {
-	link := &source.Link{Client: client, Download: p.limiter(p.options.Download, p.settings.Weights.DownloadBytesPerSecond)}
+	link := &source.Link{Client: &http.Client{Transport: p.chunks}, Download: p.limiter(p.options.Download, p.settings.Weights.DownloadBytesPerSecond)}
 	var sources []*source.Source
 	if p.settings.Weights.Store.IsValid() {
 		sources = append(sources, source.NewSource("store", p.settings.Weights.Store, link))
@@ -210,7 +215,7 @@
 			return wire.NewPeerProtobufClient("http://"+peer.String(), client).Have(ctx, request)
 		},
 		Telemetry: p.telemetry, Policy: fetch.Policy(p.options.Policy), PeerWait: p.settings.Weights.PeerWait.Std(),
-		OnBytes: p.countFetched(),
+		PeerSlots: p.options.Downloads, Neighbours: p.options.Neighbours, OnBytes: p.countFetched(),
 	}
 }
 
@@ -252,6 +257,10 @@
 // Address is where the agent listens.
 func (p *Process) Address() netip.AddrPort { return p.server.Address }
 
+// ControlBytes returns the bytes of control messages that the agent exchanged
+// on connections that it made.
+func (p *Process) ControlBytes() int64 { return p.meter.Bytes() }
+
 // InFlight returns the number of requests at the upstream.
 func (p *Process) InFlight() int { return p.gate.InFlight() }
 
@@ -314,7 +323,8 @@
 	p.reporter.Stop()
 	p.hosts.Stop()
 	p.transport.CloseIdleConnections()
-	p.peers.CloseIdleConnections()
+	p.chunks.CloseIdleConnections()
+	p.control.CloseIdleConnections()
 	p.telemetry.Close()
 	close(p.done)
 }
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/uptrace/bunrouter"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/control"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/dial"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/gossip"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/upstream"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/wire"
@@ -59,6 +60,8 @@
 	Silence time.Duration
 	// HostsEvery varies the interval between fetches of the host list; 0 likewise.
 	HostsEvery time.Duration
+	// Dial makes the connections to other hosts; nil means over the network.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Process is one entry.
@@ -67,15 +70,16 @@
 	options   Options
 	telemetry *telemetry.Telemetry
 
-	table     *tables.Table
-	members   *members.Table
-	hosts     *hosts.Follower
-	watcher   *kvwatch.Watcher
-	puller    *gossip.Puller
-	placer    *placer.Placer
-	router    *route.Router
-	client    *http.Transport
-	transport *http.Transport
+	table   *tables.Table
+	members *members.Table
+	hosts   *hosts.Follower
+	watcher *kvwatch.Watcher
+	puller  *gossip.Puller
+	placer  *placer.Placer
+	router  *route.Router
+	// transport carries requests, client all else, which meter counts.
+	transport, client *http.Transport
+	meter             dial.Meter
 
 	callers, operators, peers *server.Server
 
@@ -96,19 +100,15 @@
 	if err != nil {
 		return nil, fmt.Errorf("entry %s: %w", s.Name, err)
 	}
-	return &Process{
+	p := &Process{
 		settings: s, options: options, telemetry: t,
 		table: &tables.Table{}, members: &members.Table{Silence: options.Silence},
-		router: &route.Router{Hall: s.Hall},
-		client: newControlTransport(), transport: upstream.NewTransport(),
-		stopping: make(chan struct{}), done: make(chan struct{}),
-	}, nil
-}
-
-// newControlTransport makes the connections to the platform and to entries.
-func newControlTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: time.Second, KeepAlive: 15 * time.Second}
-	return &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second}
+		router:    &route.Router{Hall: s.Hall},
+		transport: upstream.NewTransport(options.Dial),
+		stopping:  make(chan struct{}), done: make(chan struct{}),
+	}
+	p.client = dial.NewTransport(p.meter.Count(dial.OrDirect(options.Dial)))
+	return p, nil
 }
 
 // Start opens the ports and begins to follow the platform.
@@ -261,6 +261,13 @@
 // Revision returns the configuration revision that is in force here.
 func (p *Process) Revision() uint64 { return p.table.View().Revision }
 
+// Members returns the number of agents that the entry knows of.
+func (p *Process) Members() int { return len(p.members.View().Agents) }
+
+// ControlBytes returns the bytes of control messages that the entry exchanged
+// on connections that it made.
+func (p *Process) ControlBytes() int64 { return p.meter.Bytes() }
+
 // NotReady returns why the entry is not ready, or "".
 func (p *Process) NotReady() string { return p.telemetry.NotReady() }
 
--- a/daemon/internal/connection/upstream/transport.go
+++ b/daemon/internal/connection/upstream/transport.go
@@ -11,14 +11,14 @@
 
 import (
 	"io"
-	"net"
 	"net/http"
 	"time"
+
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/dial"
 )
 
 // Limits of the connections to one host.
 const (
-	dialTimeout     = time.Second
 	idleTimeout     = 90 * time.Second
 	idlePerHost     = 128
 	continueTimeout = time.Hour // the agent always answers; see ExpectContinue
@@ -26,10 +26,9 @@
 
 // NewTransport returns a transport for requests. HTTP/1.1 only: a stalled
 // stream must not hold up the others that share its connection.
-func NewTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: 15 * time.Second}
+func NewTransport(connect dial.Func) *http.Transport {
 	return &http.Transport{
-		DialContext:           dialer.DialContext,
+		DialContext:           dial.OrDirect(connect),
 		MaxIdleConns:          0,
 		MaxIdleConnsPerHost:   idlePerHost,
 		IdleConnTimeout:       idleTimeout,
--- a/daemon/internal/process/kvwatch/kvwatch.go
+++ b/daemon/internal/process/kvwatch/kvwatch.go
@@ -2,10 +2,13 @@
 // one waiting watch.
 //
 // Every entry's watch wakes at every change, so a burst of writes would cost
-// entries × writes calls. After a wake the next watch is therefore armed only
-// after a short wait, in which further changes gather: an entry makes at most
-// 1/Rearm calls a second, whatever the rate of writes. At 400 entries and 500
-// ms that is 800 of the 2,000 reads a second that the service takes.
+// entries × writes calls. After a wake the next watch is therefore armed at once
+// only a few times in a row, then once per Rearm, so that further changes gather:
+// an entry makes at most 1/Rearm calls a second, whatever the rate of writes. At
+// 400 entries and 500 ms that is 800 of the 2,000 reads a second that the service
+// takes, and a first burst of 1,200. A fixed wait after every change was tried
+// first: a placement that follows a declaration then reached the other halls
+// half a second late for nothing.
 package kvwatch
 
 import (
@@ -15,6 +18,7 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"golang.org/x/time/rate"
 	"gopkg.in/tomb.v2"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/platform"
@@ -23,8 +27,12 @@
 
 // Defaults of a Watcher.
 const (
-	DefaultWait    = 30 * time.Second
-	DefaultRearm   = 500 * time.Millisecond
+	DefaultWait  = 30 * time.Second
+	DefaultRearm = 500 * time.Millisecond
+	// rearmBurst is the number of wakes in a row that are not held back.
+	rearmBurst = 3
+	// rearmJitter is the part of Rearm by which entries spread their calls.
+	rearmJitter    = 10
 	DefaultMaxWait = 2 * time.Second
 )
 
@@ -39,6 +47,8 @@
 	OnState func(err error)
 
 	tomb tomb.Tomb
+	// wakes paces the watch after changes; it belongs to the goroutine of run.
+	wakes *rate.Limiter
 }
 
 // Start begins to follow.
@@ -65,6 +75,7 @@
 	waits := backoff.NewExponentialBackOff()
 	waits.InitialInterval = 50 * time.Millisecond
 	waits.MaxInterval = orDefault(w.MaxWait, DefaultMaxWait)
+	w.wakes = rate.NewLimiter(rate.Every(orDefault(w.Rearm, DefaultRearm)), rearmBurst)
 	listed := false
 	for w.tomb.Alive() {
 		var err error
@@ -113,8 +124,7 @@
 	}
 	w.Table.Apply(changes.Events, changes.Revision)
 	if len(changes.Events) > 0 {
-		rearm := orDefault(w.Rearm, DefaultRearm)
-		w.pause(rearm/2 + rand.N(rearm))
+		w.pause(w.wakes.Reserve().Delay() + rand.N(orDefault(w.Rearm, DefaultRearm)/rearmJitter))
 	}
 	return nil
 }
--- a/daemon/internal/process/members/members.go
+++ b/daemon/internal/process/members/members.go
@@ -90,6 +90,8 @@
 	ByName map[string]*Agent
 	// ByService lists the agents that say they serve a service, sorted by name.
 	ByService map[string][]*Agent
+	// EngineHalls lists the halls that have an engine host, sorted.
+	EngineHalls []string
 }
 
 var emptyView = &View{}
@@ -291,6 +293,9 @@
 	for i := range view.Agents {
 		agent := &view.Agents[i]
 		view.ByName[agent.GetName()] = agent
+		if len(agent.GetPlainServices()) == 0 && !slices.Contains(view.EngineHalls, agent.GetHall()) {
+			view.EngineHalls = append(view.EngineHalls, agent.GetHall())
+		}
 		if service := agent.GetReadyService(); service != "" {
 			view.ByService[service] = append(view.ByService[service], agent)
 		}
@@ -298,6 +303,7 @@
 			view.ByService[service] = append(view.ByService[service], agent)
 		}
 	}
+	slices.Sort(view.EngineHalls)
 	return view
 }
 
--- a/daemon/internal/process/orders/orders.go
+++ b/daemon/internal/process/orders/orders.go
@@ -16,6 +16,7 @@
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/wire"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/members"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/placement"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/process/placer"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/tables"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/rendezvous"
 )
@@ -100,10 +101,39 @@
 		}
 		told.Gateways = append(told.Gateways, gateways(v.Manifest, hosts)...)
 	}
+	told.Halls = halls(view, membership, told)
 	slices.SortStableFunc(told.Gateways, func(a, b *wire.Host) int { return strings.Compare(a.GetHall(), b.GetHall()) })
 	return told
 }
 
+// halls returns the halls that are to take a version: those that have hosts
+// for it, and those that a service declares it for. Placements of the halls
+// come into force one after the other; if only those counted, each hall would
+// first take itself for the one that goes to the origin.
+func halls(view *tables.View, membership *members.View, told *wire.Version) []string {
+	found := map[string]bool{}
+	for _, gateway := range told.GetGateways() {
+		found[gateway.GetHall()] = true
+	}
+	for _, service := range view.Services {
+		target, ok := view.Target(service)
+		if !ok || target.Manifest != told.GetManifest() {
+			continue
+		}
+		for _, hall := range membership.EngineHalls {
+			if placer.Serves(service.Service.Halls, hall) {
+				found[hall] = true
+			}
+		}
+	}
+	names := make([]string, 0, len(found))
+	for name := range found {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
 // takers returns the hosts of a hall that serve or fetch a version.
 func takers(document *placement.Document, membership *members.View, hall, manifest string) []*wire.Host {
 	var hosts []*wire.Host
--- a/daemon/internal/process/placer/placer.go
+++ b/daemon/internal/process/placer/placer.go
@@ -67,6 +67,8 @@
 	validUntil time.Time
 	// heldSince is when the lease was taken.
 	heldSince time.Time
+	// wroteAt is when the document was last written.
+	wroteAt time.Time
 	// readySince is when the open waves of a service became ready.
 	readySince map[waveKey]time.Time
 }
@@ -110,22 +112,49 @@
 	defer p.giveBack()
 	every := orDefault(p.Every, DefaultEvery)
 	for {
+		changed := p.Table.Changed()
 		p.step(ctx)
 		wait := every
 		if p.lease == 0 {
 			// All entries of the hall see the lease lapse together.
 			wait = every + rand.N(every)
+			changed = nil
 		}
-		timer := time.NewTimer(wait)
-		select {
-		case <-timer.C:
-		case <-p.tomb.Dying():
-			timer.Stop()
+		if !p.pause(wait, changed) {
 			return nil
 		}
 	}
 }
 
+// gatherFor is the time in which further declarations join a plan that a
+// change of the configuration has called for.
+const gatherFor = 20 * time.Millisecond
+
+// pause waits until it is time for the next step: the interval is over, or the
+// configuration changed and nothing was written within it. It reports false
+// when the placer is to end.
+func (p *Placer) pause(wait time.Duration, changed <-chan struct{}) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	if p.now().Sub(p.wroteAt) < wait {
+		changed = nil
+	}
+	select {
+	case <-timer.C:
+		return true
+	case <-changed:
+		timer.Reset(gatherFor)
+	case <-p.tomb.Dying():
+		return false
+	}
+	select {
+	case <-timer.C:
+		return true
+	case <-p.tomb.Dying():
+		return false
+	}
+}
+
 // step does what is due: campaign, renew, plan.
 func (p *Placer) step(ctx context.Context) {
 	if p.lease != 0 && !p.now().Before(p.validUntil) {
@@ -324,6 +353,7 @@
 	defer cancel()
 	writer := kvwrite.Writer{KV: p.KV, StampOf: StampOf}
 	key := tables.PlacementKey(p.Hall)
+	p.wroteAt = p.now()
 	written, err := writer.Put(ctx, platform.Write{Key: key, Value: value, IfRevision: revision}, next.WriteID)
 	if err != nil {
 		p.Telemetry.Log.WithError(err).Warn("placement was not written")
--- a/daemon/internal/request/relay/relay_test.go
+++ b/daemon/internal/request/relay/relay_test.go
@@ -75,7 +75,7 @@
 		for _, body := range []string{"", "credit 5 points"} {
 			t.Run(method+" "+body, func(t *testing.T) {
 				b := startBreaker(t)
-				transport := upstream.NewTransport()
+				transport := upstream.NewTransport(nil)
 				defer transport.CloseIdleConnections()
 				send := func() error {
 					in := httptest.NewRequest(method, "/v1/credit", strings.NewReader(body))
@@ -103,7 +103,7 @@
 	require.NoError(t, err)
 	address := netip.MustParseAddrPort(listener.Addr().String())
 	require.NoError(t, listener.Close())
-	_, err = Send(t.Context(), httptest.NewRequest("POST", "/", strings.NewReader("x")), &Hop{Transport: upstream.NewTransport(), Peer: address, Path: "/"})
+	_, err = Send(t.Context(), httptest.NewRequest("POST", "/", strings.NewReader("x")), &Hop{Transport: upstream.NewTransport(nil), Peer: address, Path: "/"})
 	var failure *Failure
 	require.ErrorAs(t, err, &failure)
 	assert.False(t, failure.HandedOver)
@@ -118,7 +118,7 @@
 	peer := netip.MustParseAddrPort(server.Listener.Addr().String())
 	body := strings.NewReader("a body that may be sent once")
 	in := httptest.NewRequest("POST", "/", body)
-	response, err := Send(t.Context(), in, &Hop{Transport: upstream.NewTransport(), Peer: peer, Path: "/", ExpectContinue: true})
+	response, err := Send(t.Context(), in, &Hop{Transport: upstream.NewTransport(nil), Peer: peer, Path: "/", ExpectContinue: true})
 	require.NoError(t, err)
 	_ = response.Body.Close()
 	assert.Equal(t, int(body.Size()), body.Len(), "not one byte was taken from the caller")
@@ -137,7 +137,7 @@
 	in.Header.Set("X-Hop", "dropped")
 	in.Header.Set("X-Kept", "kept")
 	in.Header.Set("Authorization", "Bearer secret")
-	hop := &Hop{Transport: upstream.NewTransport(), Peer: netip.MustParseAddrPort(server.Listener.Addr().String()), Path: "/", Header: http.Header{"Authorization": nil}}
+	hop := &Hop{Transport: upstream.NewTransport(nil), Peer: netip.MustParseAddrPort(server.Listener.Addr().String()), Path: "/", Header: http.Header{"Authorization": nil}}
 	response, err := Send(t.Context(), in, hop)
 	require.NoError(t, err)
 	recorder := httptest.NewRecorder()
@@ -157,7 +157,7 @@
 		panic(http.ErrAbortHandler)
 	}))
 	defer server.Close()
-	hop := &Hop{Transport: upstream.NewTransport(), Peer: netip.MustParseAddrPort(server.Listener.Addr().String()), Path: "/"}
+	hop := &Hop{Transport: upstream.NewTransport(nil), Peer: netip.MustParseAddrPort(server.Listener.Addr().String()), Path: "/"}
 	response, err := Send(t.Context(), httptest.NewRequest("GET", "/", nil), hop)
 	require.NoError(t, err)
 	recorder := httptest.NewRecorder()
@@ -177,7 +177,7 @@
 	defer server.Close()
 	ctx, cancel := context.WithCancel(t.Context())
 	go func() { <-entered; cancel() }()
-	hop := &Hop{Transport: upstream.NewTransport(), Peer: netip.MustParseAddrPort(server.Listener.Addr().String()), Path: "/"}
+	hop := &Hop{Transport: upstream.NewTransport(nil), Peer: netip.MustParseAddrPort(server.Listener.Addr().String()), Path: "/"}
 	_, err := Send(ctx, httptest.NewRequest("GET", "/", nil), hop)
 	require.Error(t, err)
 	<-left
--- a/daemon/internal/version/fetch/fetch.go
+++ b/daemon/internal/version/fetch/fetch.go
@@ -45,6 +45,9 @@
 	HallHosts []Peer
 	// Gateways are the hosts of every hall among which primaries are chosen.
 	Gateways []Peer
+	// Halls are all halls that are to take the version, also those that have
+	// no gateways yet.
+	Halls []string
 }
 
 // Policy says how chunks are found.
@@ -69,8 +72,8 @@
 // Defaults of a Fetcher.
 const (
 	DefaultPeerWait    = 2 * time.Second
-	DefaultPeerSlots   = 6
-	DefaultOriginSlots = 2
+	DefaultPeerSlots   = 10
+	DefaultOriginSlots = 1
 	DefaultHallSlots   = 4
 	// DefaultNeighbours is the number of hosts whose chunks a host follows.
 	DefaultNeighbours = 16
--- a/daemon/internal/version/fetch/neighbours.go
+++ b/daemon/internal/version/fetch/neighbours.go
@@ -23,6 +23,8 @@
 	before []string
 	// hops are the primaries of other halls to ask before the origin.
 	hops []Peer
+	// waits is set while the hall to ask has no gateways yet.
+	waits bool
 }
 
 // setSwarm takes the hosts that an order names.
@@ -146,11 +148,13 @@
 	if _, isGateway := halls[own].peers[f.Self]; !isGateway {
 		return nil
 	}
-	names := make([]string, len(halls))
+	names := slices.Clone(swarm.Halls)
 	byName := map[string]gatewaysByHall{}
-	for i, hall := range halls {
-		names[i] = hall.hall
+	for _, hall := range halls {
 		byName[hall.hall] = hall
+		if !slices.Contains(names, hall.hall) {
+			names = append(names, hall.hall)
+		}
 	}
 	duties := make([]duty, 0, len(chunks))
 	for index, chunk := range chunks {
@@ -158,7 +162,7 @@
 		ranked := rendezvous.Rank(key, halls[own].names)
 		rank := slices.Index(ranked, f.Self)
 		d := duty{chunk: index, rank: rank, before: ranked[:rank]}
-		d.hops = hopsTo(key, f.Hall, rendezvous.Rank(key, names), byName)
+		d.hops, d.waits = hopsTo(key, f.Hall, rendezvous.Rank(key, names), byName)
 		duties = append(duties, d)
 	}
 	return duties
@@ -168,18 +172,20 @@
 // hall. The halls form a binary tree in the order of their rank for the chunk:
 // the first one goes to the origin, each other one to its parent, and in case
 // the parent fails to the first.
-func hopsTo(key, hall string, ranked []string, byName map[string]gatewaysByHall) []Peer {
+func hopsTo(key, hall string, ranked []string, byName map[string]gatewaysByHall) (hops []Peer, waits bool) {
 	at := slices.Index(ranked, hall)
 	if at <= 0 {
-		return nil
+		return nil, false
 	}
-	var hops []Peer
 	for _, from := range []int{(at - 1) / 2, 0} {
-		source := byName[ranked[from]]
+		source, known := byName[ranked[from]]
+		if !known {
+			continue
+		}
 		primary := source.peers[rendezvous.First(key, source.names)]
 		if !slices.Contains(hops, primary) {
 			hops = append(hops, primary)
 		}
 	}
-	return hops
+	return hops, len(hops) == 0
 }
--- a/daemon/internal/version/fetch/run.go
+++ b/daemon/internal/version/fetch/run.go
@@ -45,8 +45,8 @@
 	seen bool
 	// holders is the number of neighbours that have the chunk.
 	holders int
-	// from is the kind of the first transfer under way.
-	from Kind
+	// pausedUntil keeps other halls from being asked too soon again.
+	pausedUntil time.Time
 }
 
 // peerState is what a run knows of one neighbour.
@@ -117,6 +117,8 @@
 	bytes   int64
 	err     error
 	corrupt bool
+	// useful is set when the chunk was not here before.
+	useful bool
 	// source names where a corrupt or failed transfer came from.
 	source string
 }
@@ -262,20 +264,25 @@
 	r.slots[done.kind]--
 	chunk := &r.chunks[done.chunk]
 	chunk.transfers--
-	useful := done.err == nil && !chunk.held
 	if done.err == nil {
 		chunk.held = true
 		r.see(done.chunk)
 	}
 	if r.fetcher.OnBytes != nil && done.bytes > 0 {
-		r.fetcher.OnBytes(done.kind, done.bytes, useful)
+		r.fetcher.OnBytes(done.kind, done.bytes, done.useful)
 	}
-	if done.err != nil && !errors.Is(done.err, context.Canceled) && !errors.Is(done.err, source.ErrBusy) {
+	if done.err != nil && !errors.Is(done.err, context.Canceled) && !errors.Is(done.err, source.ErrBusy) &&
+		!errors.Is(done.err, source.ErrAbsent) {
 		r.fetcher.logFailure(r.version, done)
 	}
-	if done.kind == FromOrigin {
+	switch done.kind {
+	case FromOrigin:
 		r.finishOrigin(done, now)
-		return
+	case FromHall:
+		if done.err != nil {
+			chunk.pausedUntil = now.Add(busyPause)
+		}
+	case FromPeer:
 	}
 	if peer := r.peers[done.peer]; peer != nil {
 		r.finishPeer(peer, done, now)
--- a/daemon/internal/version/fetch/schedule.go
+++ b/daemon/internal/version/fetch/schedule.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/wheelcleat/wheelcleat/api/manifest"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/telemetry"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/version/source"
@@ -15,6 +17,10 @@
 
 type digest = manifest.Digest
 
+// hallPatience times the peer wait is the quiet time after which a hall goes to
+// the origin itself although the primaries of other halls still answer.
+const hallPatience = 2
+
 // lastResort times the peer wait is the quiet time after which any host goes
 // to the origin for any chunk, whatever became of the gateways.
 const lastResort = 6
@@ -59,25 +65,36 @@
 	for i := range r.duties {
 		d := &r.duties[i]
 		chunk := &r.chunks[d.chunk]
-		if chunk.held || chunk.holders > 0 || chunk.transfers > 0 {
+		if chunk.held || chunk.holders > 0 || chunk.transfers > 0 || now.Before(chunk.pausedUntil) {
 			continue
 		}
 		ahead := r.aliveBefore(d, now)
+		if d.waits {
+			ahead++
+		}
 		if time.Duration(ahead)*r.patience() > quiet {
 			continue
 		}
-		if len(d.hops) > 0 {
+		if len(d.hops) > 0 && quiet < hallPatience*r.patience() {
 			if r.slots[FromHall] < orDefault(r.fetcher.HallSlots, DefaultHallSlots) {
 				r.start(ctx, transfer{chunk: d.chunk, kind: FromHall, hops: d.hops}, now)
 			}
 			continue
 		}
 		if r.originFree(now) {
+			r.logOrigin(d, quiet)
 			r.start(ctx, transfer{chunk: d.chunk, kind: FromOrigin}, now)
 		}
 	}
 }
 
+// logOrigin tells why this host asks the origin for a chunk.
+func (r *run) logOrigin(d *duty, quiet time.Duration) {
+	r.fetcher.Telemetry.Log.WithFields(log.Fields{
+		"version": r.version.ID.Short(), "chunk": d.chunk, "rank": d.rank, "waits": d.waits, "quiet": quiet.String(), "patience": r.patience().String(),
+	}).Debug("chunk asked of the origin")
+}
+
 // aliveBefore counts the gateways that rank before this host for a chunk and
 // are not known to be down.
 func (r *run) aliveBefore(d *duty, now time.Time) int {
@@ -204,7 +221,7 @@
 func (r *run) start(ctx context.Context, t transfer, now time.Time) {
 	chunk := &r.chunks[t.chunk]
 	if chunk.transfers == 0 {
-		chunk.since, chunk.from = now, t.kind
+		chunk.since = now
 	}
 	chunk.transfers++
 	r.slots[t.kind]++
@@ -232,7 +249,7 @@
 	}
 	done.bytes = int64(len(data))
 	if err == nil {
-		err = f.Stage.Put(version, t.chunk, data)
+		done.useful, err = f.Stage.Put(version, t.chunk, data)
 		done.corrupt = errors.Is(err, stage.ErrCorrupt)
 	}
 	done.err = err
@@ -244,27 +261,33 @@
 	return source.ChunkRequest{Peer: peer.Address, Digest: version.Manifest.Chunks[index], Length: length, Wait: wait}
 }
 
-// fromHalls asks the primaries of other halls and, when none of them can give
-// the chunk, the origin.
+// fromHalls asks the primaries of other halls. One that is busy, or has not got
+// the chunk itself yet, is asked again later: only when none of them answers at
+// all does this hall go to the origin in their place.
 func (f *Fetcher) fromHalls(ctx context.Context, version *stage.Version, t transfer, done *transferDone) ([]byte, error) {
+	var answered error
 	for _, hop := range t.hops {
 		done.source = hop.Address.String()
 		data, err := f.Link.FetchChunk(ctx, chunkRequest(version, t.chunk, hop, orDefault(f.PeerWait, DefaultPeerWait)))
-		if err == nil && manifest.Sum(data) == version.Manifest.Chunks[t.chunk] {
+		switch {
+		case err == nil && manifest.Sum(data) == version.Manifest.Chunks[t.chunk]:
 			return data, nil
-		}
-		if ctx.Err() != nil {
+		case ctx.Err() != nil:
 			return nil, ctx.Err()
-		}
-		reason := "its chunk was corrupt"
-		if err != nil {
-			reason = err.Error()
+		case errors.Is(err, source.ErrBusy), errors.Is(err, source.ErrAbsent):
+			answered = err
+			continue
+		case err == nil:
+			err = fmt.Errorf("chunk %d from %s: %w", t.chunk, hop.Address, stage.ErrCorrupt)
 		}
 		f.Telemetry.Decide(telemetry.Decision{
-			Step: "fetch", Choice: "pass over " + hop.Name, Reason: reason,
+			Step: "fetch", Choice: "pass over " + hop.Name, Reason: err.Error(),
 			Details: map[string]any{"version": version.ID.Short(), "chunk": t.chunk},
 		})
 	}
+	if answered != nil {
+		return nil, answered
+	}
 	return f.fromSources(ctx, version, t.chunk, done)
 }
 
--- a/daemon/internal/version/install/install.go
+++ b/daemon/internal/version/install/install.go
@@ -173,7 +173,7 @@
 	defer i.mu.Unlock()
 	for _, v := range []*wire.Version{i.order.GetServe(), i.order.GetNext()} {
 		if v.GetManifest() == id.String() {
-			return fetch.Swarm{HallHosts: peersOf(v.GetHallHosts()), Gateways: peersOf(v.GetGateways())}, i.orderChanged
+			return fetch.Swarm{HallHosts: peersOf(v.GetHallHosts()), Gateways: peersOf(v.GetGateways()), Halls: v.GetHalls()}, i.orderChanged
 		}
 	}
 	return fetch.Swarm{}, i.orderChanged
--- a/daemon/internal/version/share/share.go
+++ b/daemon/internal/version/share/share.go
@@ -11,6 +11,7 @@
 package share
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net"
@@ -48,10 +49,22 @@
 	Slots int
 	// Upload bounds sent bytes; nil means no bound.
 	Upload *rate.Limiter
+	// Fault is asked at each chunk; nil means no faults.
+	Fault func() Fault
 	// OnBytes counts sent bytes; nil means nobody does.
 	OnBytes func(bytes int64)
 
-	slots chan struct{}
+	// slots are the free uploads within the hall, hallSlots those to other
+	// halls, where whole halls wait for one chunk.
+	slots, hallSlots chan struct{}
+}
+
+// Fault says what goes wrong with one chunk.
+type Fault struct {
+	// Corrupt flips a bit.
+	Corrupt bool
+	// Stall sends half of the chunk and then nothing.
+	Stall bool
 }
 
 // Register adds the routes to a mux.
@@ -61,6 +74,7 @@
 		slots = DefaultSlots
 	}
 	s.slots = make(chan struct{}, slots)
+	s.hallSlots = make(chan struct{}, slots)
 	mux.HandleFunc("GET /chunks/{digest}", s.serveChunk)
 	mux.HandleFunc("GET /manifests/{digest}", s.serveManifest)
 	mux.HandleFunc("GET /versions/{digest}/weights", s.serveWeights)
@@ -87,15 +101,38 @@
 		http.Error(w, "the chunk is not here", http.StatusNotFound)
 		return
 	}
-	if !s.takeSlot(r.Context()) {
+	slots := s.slots
+	if r.URL.Query().Has("wait") {
+		slots = s.hallSlots
+	}
+	if !takeSlot(r.Context(), slots) {
 		http.Error(w, "no free upload slot", http.StatusServiceUnavailable)
 		return
 	}
-	defer func() { <-s.slots }()
+	defer func() { <-slots }()
 	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	if s.Fault != nil {
+		s.sendFaulty(r.Context(), w, data, s.Fault())
+		return
+	}
 	_ = s.send(r.Context(), w, data)
 }
 
+// sendFaulty sends a chunk as a broken host would.
+func (s *Server) sendFaulty(ctx context.Context, w http.ResponseWriter, data []byte, fault Fault) {
+	if fault.Corrupt && len(data) > 0 {
+		data = bytes.Clone(data)
+		data[len(data)/2] ^= 1
+	}
+	if !fault.Stall {
+		_ = s.send(ctx, w, data)
+		return
+	}
+	_ = s.send(ctx, w, data[:len(data)/2])
+	_ = http.NewResponseController(w).Flush()
+	<-ctx.Done()
+}
+
 // await returns a chunk, waiting for it as long as the request asks.
 func (s *Server) await(r *http.Request, digest manifest.Digest) []byte {
 	wait, err := time.ParseDuration(r.URL.Query().Get("wait"))
@@ -119,16 +156,16 @@
 	}
 }
 
-func (s *Server) takeSlot(ctx context.Context) bool {
+func takeSlot(ctx context.Context, slots chan struct{}) bool {
 	select {
-	case s.slots <- struct{}{}:
+	case slots <- struct{}{}:
 		return true
 	default:
 	}
 	timer := time.NewTimer(slotWait)
 	defer timer.Stop()
 	select {
-	case s.slots <- struct{}{}:
+	case slots <- struct{}{}:
 		return true
 	case <-timer.C:
 		return false
--- a/daemon/internal/version/stage/stage.go
+++ b/daemon/internal/version/stage/stage.go
@@ -236,21 +236,22 @@
 }
 
 // Put verifies a chunk of a version and keeps it for every version that names
-// it. The stage owns data from then on.
-func (s *Stage) Put(version *Version, index int, data []byte) error {
+// it. The stage owns data from then on. It reports false for a chunk that was
+// here already.
+func (s *Stage) Put(version *Version, index int, data []byte) (bool, error) {
 	digest := version.Manifest.Chunks[index]
 	_, length := version.Manifest.ChunkRange(index)
 	if int64(len(data)) != length || manifest.Sum(data) != digest {
-		return fmt.Errorf("chunk %d of version %s: %w", index, version.ID.Short(), ErrCorrupt)
+		return false, fmt.Errorf("chunk %d of version %s: %w", index, version.ID.Short(), ErrCorrupt)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	held := s.chunks[digest]
 	if held == nil || version.isDropped() {
-		return ErrDropped
+		return false, ErrDropped
 	}
 	if held.data != nil {
-		return nil
+		return false, nil
 	}
 	held.data = data
 	s.bytes += length
@@ -261,7 +262,7 @@
 	for _, user := range s.versions {
 		user.gainAll(digest)
 	}
-	return nil
+	return true, nil
 }
 
 func (v *Version) isDropped() bool {
--- a/daemon/internal/version/stage/stage_test.go
+++ b/daemon/internal/version/stage/stage_test.go
@@ -13,6 +13,11 @@
 
 const chunkBytes = 4
 
+func put(s *Stage, v *Version, index int, data []byte) error {
+	_, err := s.Put(v, index, data)
+	return err
+}
+
 // build describes a file.
 func build(t require.TestingT, data string) (*manifest.Manifest, manifest.Digest) {
 	m, err := manifest.Build(bytes.NewReader([]byte(data)), int64(len(data)), chunkBytes)
@@ -32,14 +37,14 @@
 	m, id := build(t, "aaaabbbbcc")
 	v, err := s.Open(id, m, nil)
 	require.NoError(t, err)
-	require.ErrorIs(t, s.Put(v, 0, []byte("aaab")), ErrCorrupt)
-	require.ErrorIs(t, s.Put(v, 0, []byte("aaa")), ErrCorrupt)
-	require.ErrorIs(t, s.Put(v, 2, []byte("aaaa")), ErrCorrupt)
+	require.ErrorIs(t, put(s, v, 0, []byte("aaab")), ErrCorrupt)
+	require.ErrorIs(t, put(s, v, 0, []byte("aaa")), ErrCorrupt)
+	require.ErrorIs(t, put(s, v, 2, []byte("aaaa")), ErrCorrupt)
 	require.Zero(t, s.Bytes())
 	require.ErrorContains(t, v.Verify(), "3 chunks are missing")
 	for i := range m.Chunks {
-		require.NoError(t, s.Put(v, i, chunkOf(m, "aaaabbbbcc", i)))
-		require.NoError(t, s.Put(v, i, chunkOf(m, "aaaabbbbcc", i)), "twice is once")
+		require.NoError(t, put(s, v, i, chunkOf(m, "aaaabbbbcc", i)))
+		require.NoError(t, put(s, v, i, chunkOf(m, "aaaabbbbcc", i)), "twice is once")
 	}
 	require.False(t, v.Verified(), "complete is not yet verified")
 	require.NoError(t, v.Verify())
@@ -50,7 +55,7 @@
 	s.Drop(id)
 	require.False(t, v.Verified())
 	require.ErrorIs(t, v.WriteAll(&whole), ErrDropped)
-	require.ErrorIs(t, s.Put(v, 0, []byte("aaaa")), ErrDropped)
+	require.ErrorIs(t, put(s, v, 0, []byte("aaaa")), ErrDropped)
 }
 
 func TestSelfContradictingManifest(t *testing.T) {
@@ -59,8 +64,8 @@
 	m.Whole = manifest.Digest{1}
 	v, err := s.Open(id, m, nil)
 	require.NoError(t, err)
-	require.NoError(t, s.Put(v, 0, []byte("aaaa")))
-	require.NoError(t, s.Put(v, 1, []byte("bbbb")))
+	require.NoError(t, put(s, v, 0, []byte("aaaa")))
+	require.NoError(t, put(s, v, 1, []byte("bbbb")))
 	require.ErrorContains(t, v.Verify(), "digest over the whole")
 	require.False(t, v.Verified())
 }
@@ -70,10 +75,10 @@
 	one, oneID := build(t, "aaaabbbb")
 	two, twoID := build(t, "aaaacccc")
 	v1, _ := s.Open(oneID, one, nil)
-	require.NoError(t, s.Put(v1, 0, []byte("aaaa")))
+	require.NoError(t, put(s, v1, 0, []byte("aaaa")))
 	v2, _ := s.Open(twoID, two, nil)
 	assert.True(t, v2.Has(0), "a new version finds what is here")
-	require.NoError(t, s.Put(v2, 1, []byte("cccc")))
+	require.NoError(t, put(s, v2, 1, []byte("cccc")))
 	assert.Equal(t, int64(8), s.Bytes())
 	s.Drop(oneID)
 	require.NoError(t, v2.Verify(), "dropping one leaves the other whole")
@@ -106,7 +111,7 @@
 	v, _ := s.Open(id, m, nil)
 	first, changed := v.Since("", 0)
 	assert.Empty(t, first.Chunks)
-	require.NoError(t, s.Put(v, 0, []byte("aaaa")))
+	require.NoError(t, put(s, v, 0, []byte("aaaa")))
 	<-changed
 	next, _ := v.Since(first.Instance, first.Cursor)
 	assert.Equal(t, []uint32{0, 2}, next.Chunks, "equal chunks come together")
@@ -140,7 +145,7 @@
 				index := rapid.IntRange(0, len(v.Manifest.Chunks)-1).Draw(t, "index")
 				other := rapid.IntRange(0, len(m.Chunks)-1).Draw(t, "other")
 				data := chunkOf(m, from, other)
-				err := s.Put(v, index, data)
+				err := put(s, v, index, data)
 				if m.Chunks[other] != v.Manifest.Chunks[index] {
 					require.ErrorIs(t, err, ErrCorrupt)
 				}
