Pick chunks at random among two, and tell neighbours in fewer messages

Cause: while the origin still sent, hosts received at 80 % of their links. All wanted the rarest chunks, held by few gateways, whose uplinks were then the bottleneck. Ruled out: the machine (same slope at half the rates), upload slots (1 to 8), download slots (3 to 20).

Taken: rarest of 2, which keeps rare chunks in favour.

--- a/cli/internal/fleet/fleet.go
+++ b/cli/internal/fleet/fleet.go
@@ -262,7 +262,7 @@
 }
 
 // linkBurst is the burst of a paced link in bytes.
-const linkBurst = 64 << 10
+const linkBurst = 128 << 10
 
 // agentOptions gives each agent limiters of its own.
 func (f *Fleet) agentOptions(host *Host) agent.Options {
--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -40,7 +40,7 @@
 	// while its entries learn that it leaves.
 	lameDuck = time.Second
 	// linkBurst is the burst of a paced link in bytes.
-	linkBurst = 64 << 10
+	linkBurst = 128 << 10
 )
 
 // Options vary an agent for tests and benches. The zero value is a production
--- a/daemon/internal/version/fetch/schedule.go
+++ b/daemon/internal/version/fetch/schedule.go
@@ -21,6 +21,9 @@
 // the origin itself although the primaries of other halls still answer.
 const hallPatience = 2
 
+// rarestOf is the number of random chunks from which the rarest is taken.
+const rarestOf = 2
+
 // lastResort times the peer wait is the quiet time after which any host goes
 // to the origin for any chunk, whatever became of the gateways.
 const lastResort = 6
@@ -149,10 +152,17 @@
 }
 
 // pick returns a chunk that is not under way and a usable neighbour that has
-// it: the rarest chunk (a random one for the naive policy), a random neighbour.
+// it: the rarest of a few random such chunks, and a random holder.
+//
+// The rarest of all was tried first. While the origin still sends, everybody
+// then wants the newest chunks of the few gateways that have them, whose uplinks
+// become the bottleneck while all others idle: 1.26 times the least time to 64
+// hosts against 1.15 for a random chunk. A sample keeps rare chunks in favour,
+// which matters when their holders leave.
 func (r *run) pick(now time.Time) (int, *peerState) {
 	best, bestHolders := -1, 0
 	var bestPeer *peerState
+	sampled := 0
 	start := rand.IntN(len(r.chunks))
 	for i := range r.chunks {
 		index := (start + i) % len(r.chunks)
@@ -161,24 +171,37 @@
 			continue
 		}
 		if best >= 0 && chunk.holders >= bestHolders {
-			continue
-		}
-		if peer := r.holder(index, "", now); peer != nil {
-			best, bestHolders, bestPeer = index, chunk.holders, peer
-			if r.fetcher.Policy == PolicyNaive || bestHolders == 1 {
+			if sampled++; sampled >= r.sample() {
 				break
 			}
+			continue
+		}
+		peer := r.holder(index, now)
+		if peer == nil {
+			continue
+		}
+		best, bestHolders, bestPeer = index, chunk.holders, peer
+		if sampled++; sampled >= r.sample() {
+			break
 		}
 	}
 	return best, bestPeer
 }
 
-// holder returns a random usable neighbour that has a chunk, other than one.
-func (r *run) holder(index int, other string, now time.Time) *peerState {
+// sample is the number of random chunks from which pick takes the rarest.
+func (r *run) sample() int {
+	if r.fetcher.Policy == PolicyNaive {
+		return 1
+	}
+	return rarestOf
+}
+
+// holder returns a random usable neighbour that has a chunk.
+func (r *run) holder(index int, now time.Time) *peerState {
 	var found *peerState
 	count := 0
-	for name, peer := range r.peers {
-		if name == other || !peer.has[index] || !peer.usable(now) {
+	for _, peer := range r.peers {
+		if !peer.has[index] || !peer.usable(now) {
 			continue
 		}
 		count++
@@ -202,7 +225,7 @@
 		if chunk.held || chunk.transfers != 1 || now.Sub(chunk.since) < late || chunk.holders == 0 {
 			continue
 		}
-		if peer := r.holder(index, "", now); peer != nil {
+		if peer := r.holder(index, now); peer != nil {
 			peer.transfers++
 			r.start(ctx, transfer{chunk: index, kind: FromPeer, hops: []Peer{peer.Peer}}, now)
 		}
--- a/daemon/internal/version/share/share.go
+++ b/daemon/internal/version/share/share.go
@@ -36,10 +36,16 @@
 	maxChunkWait = 30 * time.Second
 	// maxHaveWait bounds one poll.
 	maxHaveWait = 30 * time.Second
-	// HaveEvery is the time in which gained chunks gather into one answer.
-	haveEvery = 20 * time.Millisecond
+	// haveEnough is the part of a version's chunks that is worth an answer at
+	// once: a peer is told in about haveEnough answers, however fast the
+	// chunks come. With 64 of them control bytes halve, but news comes so late
+	// that the last host is 4 % later.
+	haveEnough = 128
+	// haveMin and haveMax bound the time in which gained chunks gather.
+	haveMin = 50 * time.Millisecond
+	haveMax = 2 * time.Second
 	// pieceBytes is the piece in which uploads are paced.
-	pieceBytes = 16 << 10
+	pieceBytes = 32 << 10
 )
 
 // Server serves a stage. Set the fields before Register.
@@ -279,12 +285,20 @@
 
 // gather lets further chunks join an answer.
 func (s *Server) gather(ctx context.Context, version *stage.Version, request *wire.HaveRequest) *wire.HaveResponse {
-	timer := time.NewTimer(haveEvery)
+	enough := max(len(version.Manifest.Chunks)/haveEnough, 1)
+	usual := time.Duration(enough) * version.UsualGap()
+	timer := time.NewTimer(min(max(usual, haveMin), haveMax))
 	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+	gained, changed := version.Since(request.GetInstance(), request.GetCursor())
+	for waiting := true; waiting && len(gained.Chunks) < enough; {
+		select {
+		case <-changed:
+		case <-timer.C:
+			waiting = false
+		case <-ctx.Done():
+			waiting = false
+		}
+		gained, changed = version.Since(request.GetInstance(), request.GetCursor())
 	}
-	gained, _ := version.Since(request.GetInstance(), request.GetCursor())
 	return &wire.HaveResponse{Instance: gained.Instance, Cursor: gained.Cursor, Gained: gained.Chunks}
 }
--- a/daemon/internal/version/source/source.go
+++ b/daemon/internal/version/source/source.go
@@ -52,7 +52,7 @@
 
 const (
 	defaultStallAfter = 2 * time.Second
-	readBytes         = 32 << 10
+	readBytes         = 64 << 10
 )
 
 // NewSource returns the store or origin at an address.
--- a/daemon/internal/version/stage/stage.go
+++ b/daemon/internal/version/stage/stage.go
@@ -12,6 +12,7 @@
 	"io"
 	"math/rand/v2"
 	"sync"
+	"time"
 
 	"github.com/zeebo/blake3"
 
@@ -60,6 +61,8 @@
 	Manifest *manifest.Manifest
 
 	stage *Stage
+	// opened is when the version was staged.
+	opened time.Time
 	// instance names this staging, so that a reader's cursor into gained is
 	// not taken for one into another's.
 	instance string
@@ -89,7 +92,7 @@
 		return nil, err
 	}
 	version := &Version{
-		ID: id, Manifest: m, stage: s,
+		ID: id, Manifest: m, stage: s, opened: time.Now(),
 		instance: fmt.Sprintf("%016x", rand.Uint64()),
 		held:     make([]bool, len(m.Chunks)),
 		changed:  make(chan struct{}),
@@ -312,6 +315,16 @@
 	return v.count, len(v.held)
 }
 
+// UsualGap returns the mean time between two chunks that came.
+func (v *Version) UsualGap() time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.count == 0 {
+		return 0
+	}
+	return time.Since(v.opened) / time.Duration(v.count)
+}
+
 // Gained is an answer to Since.
 type Gained struct {
 	Instance string
