--- /dev/null
+++ b/cli/internal/bench/distribute_test.go
@@ -0,0 +1,98 @@
+package bench
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// small is a run of a second or so.
+func small(fault string) *Distribute {
+	return &Distribute{
+		Hosts: 9, Halls: 3, ModelBytes: 2 << 20, ChunkBytes: 32 << 10, Unit: 2 * time.Second,
+		Seed: 3, Fault: fault, Timeout: time.Minute, LogOutput: io.Discard,
+	}
+}
+
+// TestFaultTable runs real agents through every fault. Whatever happens, no
+// engine holds anything but a declared version, and every host that survives
+// comes to serve it.
+func TestFaultTable(t *testing.T) {
+	for _, name := range Faults() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			result, err := small(name).Run(t.Context())
+			require.NoError(t, err)
+			assert.Zero(t, result.CorruptServed)
+			assert.Equal(t, result.HostsExpected, result.HostsCompleted)
+			if name != "none" {
+				assert.Positive(t, result.FaultsInjected)
+			}
+			// Each of the two versions of a superseded rollout counts.
+			allowed := map[string]float64{"superseded": 3, "hall-cut": 2.5}[name]
+			if allowed == 0 {
+				allowed = 1.6
+			}
+			assert.LessOrEqual(t, result.OriginCopies, allowed)
+		})
+	}
+}
+
+func TestPolicies(t *testing.T) {
+	for policy, copies := range map[string][2]float64{"swarm": {1, 1.5}, "tree": {3, 3.5}, "naive-swarm": {1, 9}, "origin-only": {9, 9}} {
+		t.Run(policy, func(t *testing.T) {
+			t.Parallel()
+			run := small("")
+			run.Policy = policy
+			result, err := run.Run(t.Context())
+			require.NoError(t, err)
+			assert.GreaterOrEqual(t, result.OriginCopies, copies[0])
+			assert.LessOrEqual(t, result.OriginCopies, copies[1])
+			assert.GreaterOrEqual(t, result.RatioToBound, 1.0, "nothing beats the bound")
+		})
+	}
+}
+
+func TestBound(t *testing.T) {
+	tests := []struct {
+		hosts int
+		half  bool
+		want  time.Duration
+	}{
+		{1, false, 5 * time.Second},           // the host's downlink
+		{64, false, 5 * time.Second},          // downlinks again: 64/132 of a unit is less
+		{1, true, 5 * time.Second},            //
+		{1000, true, 9995 * time.Millisecond}, // nearly every byte takes two links' time
+	}
+	for _, test := range tests {
+		run := &Distribute{Hosts: test.hosts, Unit: 10 * time.Second, HalfDuplex: test.half}
+		assert.Equal(t, test.want, run.bound(), "%+v", test)
+	}
+}
+
+func TestTimeTo(t *testing.T) {
+	series := []Point{{0, 0}, {1, 3}, {2, 9}, {4, 10}}
+	assert.InDelta(t, 2, timeTo(series, 10, 50), 0)
+	assert.InDelta(t, 2, timeTo(series, 10, 90), 0)
+	assert.InDelta(t, 4, timeTo(series, 10, 100), 0)
+	assert.Zero(t, timeTo(series, 11, 100))
+}
+
+func TestUnknownFault(t *testing.T) {
+	_, err := small("gremlins").Run(t.Context())
+	require.ErrorContains(t, err, "use one of none, host-dies")
+}
+
+func TestPlot(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "p.png")
+	results := []*DistributeResult{{Policy: "swarm", Hosts: 2, Bound: 1, Series: []Point{{0, 0}, {1, 2}}}, {Policy: "tree", Hosts: 2, Series: []Point{{0, 0}, {2, 2}}}}
+	require.NoError(t, PlotReplicas(path, results))
+	info, err := os.Stat(path)
+	require.NoError(t, err)
+	assert.Positive(t, info.Size())
+}
--- a/daemon/internal/version/fetch/neighbours.go
+++ b/daemon/internal/version/fetch/neighbours.go
@@ -168,6 +168,10 @@
 	return duties
 }
 
+// hopsPerHall is the number of gateways of another hall that are asked for a
+// chunk: its primary, and who stands in for it.
+const hopsPerHall = 2
+
 // hopsTo returns the primaries of the halls through which a chunk comes to a
 // hall. The halls form a binary tree in the order of their rank for the chunk:
 // the first one goes to the origin, each other one to its parent, and in case
@@ -182,9 +186,11 @@
 		if !known {
 			continue
 		}
-		primary := source.peers[rendezvous.First(key, source.names)]
-		if !slices.Contains(hops, primary) {
-			hops = append(hops, primary)
+		inOrder := rendezvous.Rank(key, source.names)
+		for _, name := range inOrder[:min(hopsPerHall, len(inOrder))] {
+			if peer := source.peers[name]; !slices.Contains(hops, peer) {
+				hops = append(hops, peer)
+			}
 		}
 	}
 	return hops, len(hops) == 0
--- a/daemon/internal/version/fetch/run.go
+++ b/daemon/internal/version/fetch/run.go
@@ -19,8 +19,12 @@
 	// haveRetry is the pause after a poll that failed.
 	haveRetry = 250 * time.Millisecond
 	// corruptLimit is the number of corrupt chunks after which a peer is
-	// taken off for the version.
+	// taken off for the version, failLimit that of failures in a row after
+	// which it is taken off for offFor.
 	corruptLimit = 3
+	failLimit    = 3
+	offFor       = 30 * time.Second
+	offForever   = 24 * time.Hour
 	// hedgeFloor is the least age of a transfer that is hedged.
 	hedgeFloor = 300 * time.Millisecond
 	// hedgeFactor times the usual duration is the age from which a transfer
@@ -52,12 +56,17 @@
 // peerState is what a run knows of one neighbour.
 type peerState struct {
 	Peer
-	has       []bool
+	has []bool
+	// missed lists what the peer said to have while it was off.
+	missed    []uint32
 	transfers int
 	// pausedUntil keeps the peer from being asked too soon again.
 	pausedUntil time.Time
 	failures    int
 	corrupt     int
+	// offUntil is set for a peer whose chunks do not arrive whole. Until then
+	// it counts as having none.
+	offUntil time.Time
 	// downSince is when its polls began to fail, zero while they succeed.
 	downSince time.Time
 	stop      context.CancelFunc
@@ -65,7 +74,14 @@
 
 // usable reports whether the peer may be asked now.
 func (p *peerState) usable(now time.Time) bool {
-	return p.transfers < perPeerSlots && p.corrupt < corruptLimit && !now.Before(p.pausedUntil)
+	return p.transfers < perPeerSlots && !now.Before(p.pausedUntil)
+}
+
+// bad reports whether the peer cannot be counted on: it does not answer, or
+// what it sends does not arrive whole.
+func (p *peerState) bad(now time.Time) bool {
+	silent := !p.downSince.IsZero() && now.Sub(p.downSince) >= downAfter
+	return silent || now.Before(p.offUntil)
 }
 
 // run is one version being fetched. All fields belong to the goroutine of loop.
@@ -239,13 +255,30 @@
 	if news.reset {
 		r.forget(peer)
 	}
-	for _, index := range news.chunks {
+	if now := time.Now(); now.Before(peer.offUntil) {
+		peer.missed = append(peer.missed, news.chunks...)
+		return
+	}
+	for _, index := range append(peer.missed, news.chunks...) {
 		if int(index) < len(peer.has) && !peer.has[index] {
 			peer.has[index] = true
 			r.chunks[index].holders++
 			r.see(int(index))
 		}
 	}
+	peer.missed = nil
+}
+
+// takeOff counts a peer as having nothing for a while, so that what only it
+// offers is brought in by another way. What it said is remembered until then.
+func (r *run) takeOff(peer *peerState, until time.Time) {
+	peer.offUntil = until
+	for index, has := range peer.has {
+		if has {
+			peer.missed = append(peer.missed, uint32(index))
+		}
+	}
+	r.forget(peer)
 }
 
 // forget takes back what a neighbour was known to have.
@@ -310,10 +343,16 @@
 		r.usual += (took - r.usual) / 8
 	case done.corrupt:
 		peer.corrupt++
+		if peer.corrupt >= corruptLimit {
+			r.takeOff(peer, now.Add(offForever))
+		}
 	case errors.Is(done.err, source.ErrBusy):
 		peer.pausedUntil = now.Add(busyPause)
 	default:
 		peer.failures++
+		if peer.failures >= failLimit {
+			r.takeOff(peer, now.Add(offFor))
+		}
 		peer.pausedUntil = now.Add(failPause << min(peer.failures, failDoubles))
 		if peer.has[done.chunk] && errors.Is(done.err, source.ErrAbsent) {
 			peer.has[done.chunk] = false
--- a/daemon/internal/version/fetch/schedule.go
+++ b/daemon/internal/version/fetch/schedule.go
@@ -99,12 +99,11 @@
 }
 
 // aliveBefore counts the gateways that rank before this host for a chunk and
-// are not known to be down.
+// are not known to be bad.
 func (r *run) aliveBefore(d *duty, now time.Time) int {
 	alive := 0
 	for _, name := range d.before {
-		peer := r.peers[name]
-		if peer == nil || peer.downSince.IsZero() || now.Sub(peer.downSince) < downAfter {
+		if peer := r.peers[name]; peer == nil || !peer.bad(now) {
 			alive++
 		}
 	}
--- a/daemon/internal/version/source/source.go
+++ b/daemon/internal/version/source/source.go
@@ -46,14 +46,14 @@
 	// Download bounds received bytes; nil means no bound.
 	Download *rate.Limiter
 	// StallAfter is the time without a byte after which a transfer is given
-	// up; 0 means 2s.
+	// up, at least; 0 means 2s. A peer whose transfers usually pause longer is
+	// given more.
 	StallAfter time.Duration
+
+	gaps gaps
 }
 
-const (
-	defaultStallAfter = 2 * time.Second
-	readBytes         = 64 << 10
-)
+const readBytes = 64 << 10
 
 // NewSource returns the store or origin at an address.
 func NewSource(name string, address netip.AddrPort, link *Link) *Source {
@@ -121,23 +121,28 @@
 	headWait time.Duration
 }
 
-func (l *Link) stallAfter() time.Duration {
+func (l *Link) stallAfter(peer string) time.Duration {
+	least := defaultStallAfter
 	if l.StallAfter > 0 {
-		return l.StallAfter
+		least = l.StallAfter
 	}
-	return defaultStallAfter
+	return l.gaps.allowed(peer, least)
 }
 
 // get downloads and gives up when no byte comes for stallAfter.
 func (l *Link) get(ctx context.Context, g get) ([]byte, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watchdog := time.AfterFunc(l.stallAfter()+g.headWait, func() { cancel(ErrStalled) })
-	defer watchdog.Stop()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, g.url, nil)
 	if err != nil {
 		return nil, err
 	}
+	allowed := l.stallAfter(request.URL.Host)
+	watchdog := time.AfterFunc(allowed+g.headWait, func() {
+		l.gaps.stalled(request.URL.Host, allowed)
+		cancel(ErrStalled)
+	})
+	defer watchdog.Stop()
 	if g.byteRange != "" {
 		request.Header.Set("Range", g.byteRange)
 	}
@@ -178,6 +183,8 @@
 		return nil, fmt.Errorf("answer of %d bytes, more than the %d asked for", response.ContentLength, g.limit)
 	}
 	data := make([]byte, 0, max(response.ContentLength, readBytes))
+	peer := response.Request.URL.Host
+	last := time.Now()
 	for {
 		if len(data) == cap(data) {
 			data = append(data, 0)[:len(data)]
@@ -185,10 +192,12 @@
 		n, err := response.Body.Read(data[len(data):min(cap(data), len(data)+readBytes)])
 		data = data[:len(data)+n]
 		if n > 0 {
-			watchdog.Reset(l.stallAfter())
-			if waitErr := l.pace(ctx, n, watchdog); waitErr != nil {
+			l.gaps.saw(peer, time.Since(last))
+			watchdog.Reset(l.stallAfter(peer))
+			if waitErr := l.pace(ctx, n, peer, watchdog); waitErr != nil {
 				return nil, causeOf(ctx, waitErr)
 			}
+			last = time.Now()
 		}
 		switch {
 		case int64(len(data)) > g.limit:
@@ -205,12 +214,12 @@
 
 // pace holds the download to the link's rate. Waiting for the own link is no
 // stall of the sender.
-func (l *Link) pace(ctx context.Context, n int, watchdog *time.Timer) error {
+func (l *Link) pace(ctx context.Context, n int, peer string, watchdog *time.Timer) error {
 	if l.Download == nil {
 		return nil
 	}
 	watchdog.Stop()
 	err := l.Download.WaitN(ctx, n)
-	watchdog.Reset(l.stallAfter())
+	watchdog.Reset(l.stallAfter(peer))
 	return err
 }
