Pass over hosts of other halls that hang, and take a hanging peer off sooner

Every chunk whose primary in another hall hung cost a wait and a stall of its own, doubling each time, on four slots. Ruled out: hedging (no second holder existed to ask).

--- /dev/null
+++ b/cli/internal/bench/control.go
@@ -0,0 +1,349 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"runtime"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/wheelcleat/wheelcleat/api"
+	"github.com/wheelcleat/wheelcleat/api/client"
+	"github.com/wheelcleat/wheelcleat/cli/internal/fleet"
+	"github.com/wheelcleat/wheelcleat/standin/kv"
+)
+
+// Control describes one run of the control bench: a fleet at rest, then
+// declarations that race through different entries, with what the key-value
+// service does meanwhile.
+type Control struct {
+	Halls, EntriesPerHall, Agents int
+	// Rest is the time for which the fleet's use at rest is measured.
+	Rest time.Duration
+	// Changes is the number of declarations, one every Every.
+	Changes int
+	Every   time.Duration
+	// Fault is none, slow, down or lost-answers.
+	Fault     string
+	Timeout   time.Duration
+	LogOutput io.Writer
+}
+
+// ControlResult is what a run measured. Figures per daemon are means over all
+// entries and agents; the CPU and memory of the stand-ins and of the bench itself
+// are in them, so they are upper limits.
+type ControlResult struct {
+	Fault    string `json:"fault"`
+	Daemons  int    `json:"daemons"`
+	Entries  int    `json:"entries"`
+	Agents   int    `json:"agents"`
+	Halls    int    `json:"halls"`
+	Changes  int    `json:"changes"`
+	Accepted int    `json:"accepted"`
+	// InForce are the times from the answer that accepted a write until it is
+	// in force at every entry.
+	InForceP50MS float64 `json:"in_force_p50_ms"`
+	InForceP99MS float64 `json:"in_force_p99_ms"`
+	InForceMaxMS float64 `json:"in_force_max_ms"`
+	// Reverts counts entries seen with an older value after a newer one,
+	// LostAccepted accepted writes that are not in force in the end, and
+	// FalseFailures writes that were said to have failed and took effect.
+	Reverts       int `json:"reverts"`
+	LostAccepted  int `json:"lost_accepted"`
+	FalseFailures int `json:"false_failures"`
+	// At rest, and per second.
+	KVReadsPerSecond  float64 `json:"kv_reads_per_s"`
+	KVWritesPerSecond float64 `json:"kv_writes_per_s"`
+	EntryBytes        float64 `json:"control_bytes_per_s_per_entry"`
+	AgentBytes        float64 `json:"control_bytes_per_s_per_agent"`
+	DaemonBytes       float64 `json:"control_bytes_per_s_per_daemon"`
+	CPUPercent        float64 `json:"control_cpu_percent_per_daemon"`
+	// Heap is live Go memory over the number of daemons.
+	HeapMB float64 `json:"control_heap_mb_per_daemon"`
+	// KVCallsPerChange is the reads that one change cost beyond rest.
+	KVCallsPerChange float64 `json:"kv_calls_per_change"`
+}
+
+// controlFaults are what the key-value service may do during the changes.
+var controlFaults = map[string]func(n int64) kv.Fault{
+	"none":         func(int64) kv.Fault { return kv.Fault{} },
+	"slow":         func(int64) kv.Fault { return kv.Fault{Delay: 200 * time.Millisecond} },
+	"down":         func(n int64) kv.Fault { return kv.Fault{Down: n%4 != 0} },
+	"lost-answers": func(n int64) kv.Fault { return kv.Fault{LoseAnswer: n%2 == 0} },
+}
+
+// controlling is one run under way.
+type controlling struct {
+	*Control
+	fleet  *fleet.Fleet
+	result ControlResult
+
+	// mu guards all below.
+	mu     sync.Mutex
+	faulty func(n int64) kv.Fault
+	calls  int64
+	// newest is the highest value that each entry was seen with, by resource.
+	newest  map[string]int
+	inForce []time.Duration
+}
+
+// Run measures one fleet.
+func (c *Control) Run(ctx context.Context) (*ControlResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	if controlFaults[c.Fault] == nil {
+		return nil, fmt.Errorf("unknown fault %q; use none, slow, down or lost-answers", c.Fault)
+	}
+	r := &controlling{Control: c, faulty: controlFaults["none"], newest: map[string]int{}}
+	if err := r.start(ctx); err != nil {
+		return nil, err
+	}
+	defer r.fleet.Kill()
+	if err := r.rest(ctx); err != nil {
+		return nil, err
+	}
+	if err := r.change(ctx); err != nil {
+		return nil, err
+	}
+	return &r.result, nil
+}
+
+func (r *controlling) start(ctx context.Context) error {
+	config := fleet.Config{EntriesPerHall: r.EntriesPerHall, Agents: r.Agents, LogOutput: r.LogOutput, LogLevel: "error"}
+	for i := range r.Halls {
+		config.Halls = append(config.Halls, fmt.Sprintf("hall-%d", i+1))
+	}
+	config.SetUpKV = func(s *kv.Server) {
+		s.Fault = func(kv.Op, string) kv.Fault {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.calls++
+			return r.faulty(r.calls)
+		}
+	}
+	var err error
+	if r.fleet, err = fleet.Start(config); err != nil {
+		return err
+	}
+	r.result = ControlResult{
+		Fault: r.Fault, Halls: r.Halls, Entries: len(r.fleet.Entries()), Agents: len(r.fleet.Hosts()), Changes: r.Changes,
+	}
+	r.result.Daemons = r.result.Entries + r.result.Agents
+	if err := r.fleet.AwaitReady(ctx); err != nil {
+		return err
+	}
+	return fleet.Await(ctx, "membership of all hosts", func() bool {
+		return !slices.ContainsFunc(r.fleet.Entries(), func(e *fleet.Entry) bool { return e.Process.Members() < r.Agents })
+	})
+}
+
+// bytes sums the control bytes of entries and of agents.
+func (r *controlling) bytes() (entries, agents int64) {
+	for _, e := range r.fleet.Entries() {
+		entries += e.Process.ControlBytes()
+	}
+	for _, host := range r.fleet.Hosts() {
+		agents += host.Agent.ControlBytes()
+	}
+	return entries, agents
+}
+
+// rest measures the fleet while nothing changes.
+func (r *controlling) rest(ctx context.Context) error {
+	if err := wait(ctx, time.Second); err != nil {
+		return err
+	}
+	entriesBefore, agentsBefore := r.bytes()
+	countsBefore := r.fleet.KV.Counts()
+	cpuBefore, started := cpuTime(), time.Now()
+	if err := wait(ctx, r.Rest); err != nil {
+		return err
+	}
+	seconds := time.Since(started).Seconds()
+	cpu := cpuTime() - cpuBefore
+	counts := r.fleet.KV.Counts()
+	entries, agents := r.bytes()
+	out := &r.result
+	out.EntryBytes = float64(entries-entriesBefore) / seconds / float64(out.Entries)
+	out.AgentBytes = float64(agents-agentsBefore) / seconds / float64(max(out.Agents, 1))
+	// A message is counted where its connection was made; it costs its
+	// receiver as much.
+	out.DaemonBytes = 2 * float64(entries-entriesBefore+agents-agentsBefore) / seconds / float64(out.Daemons)
+	out.KVReadsPerSecond = float64(counts.Reads-countsBefore.Reads) / seconds
+	out.KVWritesPerSecond = float64(counts.Writes-countsBefore.Writes) / seconds
+	out.CPUPercent = 100 * cpu.Seconds() / seconds / float64(out.Daemons)
+	runtime.GC()
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	out.HeapMB = float64(memory.HeapAlloc+memory.StackInuse) / (1 << 20) / float64(out.Daemons)
+	return nil
+}
+
+func wait(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// racers is the number of resources that are changed in turn, each through
+// another entry than the time before.
+const racers = 4
+
+func (r *controlling) account(name string, value int) *api.Resource {
+	digest := fmt.Sprintf("%064x", 1)
+	return &api.Resource{Kind: api.KindAccount, Name: name, Account: &api.AccountSpec{KeyDigests: []string{digest}, Concurrency: value}}
+}
+
+// change writes declarations and watches them come into force.
+func (r *controlling) change(ctx context.Context) error {
+	watchCtx, stopWatching := context.WithCancel(ctx)
+	defer stopWatching()
+	var watching sync.WaitGroup
+	for _, e := range r.fleet.Entries() {
+		watching.Go(func() { r.watchEntry(watchCtx, e) })
+	}
+	r.setFault(r.Fault)
+	before := r.fleet.KV.Counts()
+	accepted := map[string]int{}
+	var group sync.WaitGroup
+	for i := range r.Changes {
+		name := fmt.Sprint("account-", i%racers)
+		value := i + 1
+		took, err := r.write(ctx, r.fleet.Entries()[i%r.result.Entries], name, value, &group)
+		if err != nil {
+			return err
+		}
+		if took {
+			accepted[name] = value
+		}
+		if err := wait(ctx, r.Every); err != nil {
+			return err
+		}
+	}
+	group.Wait()
+	r.setFault("none")
+	counts := r.fleet.KV.Counts()
+	r.result.KVCallsPerChange = float64(counts.Reads-before.Reads) / float64(max(r.Changes, 1))
+	err := r.settle(ctx, accepted)
+	stopWatching()
+	watching.Wait()
+	r.summarize()
+	return err
+}
+
+func (r *controlling) setFault(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faulty = controlFaults[name]
+}
+
+// write declares one value and times it into force. It reports whether the
+// write was accepted.
+func (r *controlling) write(ctx context.Context, e *fleet.Entry, name string, value int, group *sync.WaitGroup) (bool, error) {
+	operator := &client.Client{Entries: []string{"http://" + e.Process.Addresses().Operators.String()}}
+	got, err := operator.Put(ctx, r.account(name, value), client.PutOptions{})
+	if err != nil {
+		if ctx.Err() != nil {
+			return false, ctx.Err()
+		}
+		if failedForSure(err) && r.tookEffect(name, value) {
+			r.result.FalseFailures++
+		}
+		return false, nil // refused or unknown: not a promise
+	}
+	r.result.Accepted++
+	started := time.Now()
+	group.Go(func() {
+		if r.fleet.AwaitRevision(ctx, got.Revision) == nil {
+			r.mu.Lock()
+			r.inForce = append(r.inForce, time.Since(started))
+			r.mu.Unlock()
+		}
+	})
+	return true, nil
+}
+
+// failedForSure reports whether an error says that nothing was written.
+func failedForSure(err error) bool {
+	problem, ok := err.(*api.Problem) //nolint:errorlint // the client returns it unwrapped
+	return ok && (problem.Code == api.CodeUnavailable || problem.Code == api.CodeConflict)
+}
+
+func (r *controlling) tookEffect(name string, value int) bool {
+	item, ok := r.fleet.KV.Store.Get("wheelcleat/resources/accounts/" + name)
+	if !ok {
+		return false
+	}
+	var stored struct {
+		Resource api.Resource `json:"resource"`
+	}
+	err := json.Unmarshal(item.Value, &stored)
+	return err == nil && stored.Resource.Account.Concurrency == value
+}
+
+// watchEntry holds one entry to never showing an older value after a newer one.
+func (r *controlling) watchEntry(ctx context.Context, e *fleet.Entry) {
+	operator := &client.Client{Entries: []string{"http://" + e.Process.Addresses().Operators.String()}}
+	for ctx.Err() == nil {
+		list, err := operator.List(ctx, api.KindAccount)
+		if err == nil {
+			r.note(e.Name, list)
+		}
+		_ = wait(ctx, 20*time.Millisecond)
+	}
+}
+
+func (r *controlling) note(entry string, list *api.List) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := range list.Items {
+		key := entry + "/" + list.Items[i].Name
+		value := list.Items[i].Account.Concurrency
+		if value < r.newest[key] {
+			r.result.Reverts++
+		}
+		r.newest[key] = max(value, r.newest[key])
+	}
+}
+
+// settle waits until every entry has every accepted value, or a later one.
+func (r *controlling) settle(ctx context.Context, accepted map[string]int) error {
+	missing := func() int {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		count := 0
+		for _, e := range r.fleet.Entries() {
+			for name, value := range accepted {
+				if r.newest[e.Name+"/"+name] < value {
+					count++
+				}
+			}
+		}
+		return count
+	}
+	err := fleet.Await(ctx, "the accepted declarations at every entry", func() bool { return missing() == 0 })
+	r.result.LostAccepted = missing()
+	return err
+}
+
+func (r *controlling) summarize() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	slices.Sort(r.inForce)
+	if len(r.inForce) == 0 {
+		return
+	}
+	at := func(share float64) float64 {
+		index := min(int(share*float64(len(r.inForce))), len(r.inForce)-1)
+		return float64(r.inForce[index].Microseconds()) / 1000
+	}
+	r.result.InForceP50MS, r.result.InForceP99MS, r.result.InForceMaxMS = at(0.5), at(0.99), at(1)
+}
--- /dev/null
+++ b/cli/internal/bench/control_test.go
@@ -0,0 +1,31 @@
+package bench
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// TestControlUnderFaults holds the fleet to its word on configuration while
+// declarations race and the key-value service misbehaves.
+func TestControlUnderFaults(t *testing.T) {
+	for fault := range controlFaults {
+		t.Run(fault, func(t *testing.T) {
+			t.Parallel()
+			run := &Control{Halls: 2, EntriesPerHall: 2, Agents: 4, Rest: 100 * time.Millisecond, Changes: 20, Every: 10 * time.Millisecond, Fault: fault, Timeout: time.Minute}
+			result, err := run.Run(t.Context())
+			require.NoError(t, err)
+			assert.Zero(t, result.Reverts)
+			assert.Zero(t, result.LostAccepted)
+			assert.Zero(t, result.FalseFailures)
+			assert.Positive(t, result.Accepted)
+			assert.Equal(t, 8, result.Daemons)
+			assert.Positive(t, result.InForceP99MS)
+			assert.Positive(t, result.EntryBytes)
+		})
+	}
+	_, err := (&Control{Fault: "gremlins", Timeout: time.Second}).Run(t.Context())
+	require.ErrorContains(t, err, "unknown fault")
+}
--- /dev/null
+++ b/cli/internal/bench/route_test.go
@@ -0,0 +1,37 @@
+package bench
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// TestRouteUnderFaults sends an open-loop load through each fault and holds the
+// answers to the engines' own record.
+func TestRouteUnderFaults(t *testing.T) {
+	for _, fault := range RouteFaults() {
+		t.Run(fault, func(t *testing.T) {
+			t.Parallel()
+			run := &Route{
+				Halls: 2, EntriesPerHall: 1, Hosts: 4, Rate: 100, Duration: 1500 * time.Millisecond, Tokens: 4,
+				Prefill: 10 * time.Millisecond, PerToken: 5 * time.Millisecond, Fault: fault, Seed: 1,
+				Timeout: time.Minute, LogOutput: io.Discard,
+			}
+			result, err := run.Run(t.Context())
+			require.NoError(t, err)
+			assert.Zero(t, result.Doubled)
+			assert.Zero(t, result.FalseNotRun)
+			assert.Zero(t, result.Mixed)
+			assert.Zero(t, result.CutInDrain)
+			assert.Equal(t, result.Requests, result.Done+result.NotRun+result.Unknown+result.Cut)
+			assert.Greater(t, result.Done, result.Requests/2)
+			if fault != "host-dies" {
+				assert.Equal(t, result.Requests, result.Done, "%+v", *result)
+			}
+			assert.GreaterOrEqual(t, result.FirstP50US, run.Prefill.Microseconds())
+		})
+	}
+}
--- a/cli/internal/command/bench.go
+++ b/cli/internal/command/bench.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"time"
 
@@ -16,7 +17,7 @@
 func benchCommand() *cli.Command {
 	return &cli.Command{
 		Name: "bench", Usage: "measure wheelcleat on a small fleet in this process",
-		Commands: []*cli.Command{benchDistributeCommand()},
+		Commands: []*cli.Command{benchDistributeCommand(), benchControlCommand(), benchRouteCommand()},
 	}
 }
 
@@ -114,3 +115,97 @@
 	}
 	_ = json.NewEncoder(out).Encode(r)
 }
+
+func benchControlCommand() *cli.Command {
+	return &cli.Command{
+		Name: "control", Usage: "time from an accepted declaration to in force everywhere, and what control costs at rest",
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "data-halls", Value: 2, Usage: "data halls, `N`"},
+			&cli.IntFlag{Name: "entries", Value: 4, Usage: "entries in each data hall, `N`"},
+			&cli.IntFlag{Name: "hosts", Value: 16, Usage: "engine hosts over all data halls, `N`"},
+			&cli.DurationFlag{Name: "rest", Value: 10 * time.Second, Usage: "`TIME` at rest that is measured"},
+			&cli.IntFlag{Name: "changes", Value: 60, Usage: "declarations, `N`"},
+			&cli.DurationFlag{Name: "every", Value: 100 * time.Millisecond, Usage: "`TIME` between two declarations"},
+			&cli.StringFlag{Name: "fault", Value: "none", Usage: "`FAULT` of the key-value service: none, slow, down (3 of 4 calls), lost-answers"},
+			&cli.DurationFlag{Name: "timeout", Value: 5 * time.Minute, Usage: "`TIME` after which the run is given up"},
+			&cli.BoolFlag{Name: "json", Usage: "only the JSON line"},
+		},
+		Action: benchControl,
+	}
+}
+
+func benchControl(ctx context.Context, command *cli.Command) error {
+	run := bench.Control{
+		Halls: command.Int("data-halls"), EntriesPerHall: command.Int("entries"), Agents: command.Int("hosts"),
+		Rest: command.Duration("rest"), Changes: command.Int("changes"), Every: command.Duration("every"),
+		Fault: command.String("fault"), Timeout: command.Duration("timeout"),
+	}
+	if run.Halls < 1 || run.EntriesPerHall < 1 || run.Agents < run.Halls {
+		return fmt.Errorf("%w: every hall needs an entry and a host", errUsage)
+	}
+	r, err := run.Run(ctx)
+	if err != nil {
+		return err
+	}
+	out := command.Root().Writer
+	if !command.Bool("json") {
+		_, _ = fmt.Fprintf(out, "%d daemons, fault %s: in force after %.0f ms (p50), %.0f ms (p99); %d reverts, %d accepted and lost, %d false failures\n",
+			r.Daemons, r.Fault, r.InForceP50MS, r.InForceP99MS, r.Reverts, r.LostAccepted, r.FalseFailures)
+	}
+	return json.NewEncoder(out).Encode(r)
+}
+
+func benchRouteCommand() *cli.Command {
+	return &cli.Command{
+		Name: "route", Usage: "what the way through entry and agent adds to the same load sent straight to the engines",
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "data-halls", Value: 2, Usage: "data halls, `N`"},
+			&cli.IntFlag{Name: "entries", Value: 2, Usage: "entries in each data hall, `N`"},
+			&cli.IntFlag{Name: "hosts", Value: 8, Usage: "engine hosts over all data halls, `N`"},
+			&cli.FloatFlag{Name: "rate", Value: 500, Usage: "requests a second, `N`"},
+			&cli.DurationFlag{Name: "duration", Value: 10 * time.Second, Usage: "`TIME` of each of the two parts"},
+			&cli.IntFlag{Name: "tokens", Value: 16, Usage: "tokens of an answer, `N`"},
+			&cli.DurationFlag{Name: "prefill", Value: 20 * time.Millisecond, Usage: "`TIME` of an engine to the first token"},
+			&cli.DurationFlag{Name: "per-token", Value: 10 * time.Millisecond, Usage: "`TIME` of an engine between tokens"},
+			&cli.StringFlag{Name: "fault", Value: "none", Usage: "`FAULT` a third into the routed part: " + strings.Join(bench.RouteFaults(), ", ")},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "`SEED` of the arrivals"},
+			&cli.DurationFlag{Name: "timeout", Value: 5 * time.Minute, Usage: "`TIME` after which the run is given up"},
+			&cli.BoolFlag{Name: "json", Usage: "only the JSON line"},
+			&cli.StringFlag{Name: "log", Usage: "write the log lines of all processes to `FILE`; costs CPU that counts"},
+		},
+		Action: benchRoute,
+	}
+}
+
+func benchRoute(ctx context.Context, command *cli.Command) error {
+	run := bench.Route{
+		Halls: command.Int("data-halls"), EntriesPerHall: command.Int("entries"), Hosts: command.Int("hosts"),
+		Rate: command.Float("rate"), Duration: command.Duration("duration"), Tokens: command.Int("tokens"),
+		Prefill: command.Duration("prefill"), PerToken: command.Duration("per-token"),
+		Fault: command.String("fault"), Seed: command.Uint64("seed"), Timeout: command.Duration("timeout"),
+	}
+	if run.Halls < 1 || run.EntriesPerHall < 1 || run.Hosts < run.Halls || run.Rate <= 0 || run.Tokens < 1 {
+		return fmt.Errorf("%w: every hall needs an entry and a host, and rate and tokens are above 0", errUsage)
+	}
+	if !slices.Contains(bench.RouteFaults(), run.Fault) {
+		return fmt.Errorf("%w: unknown --fault %q; use one of %s", errUsage, run.Fault, strings.Join(bench.RouteFaults(), ", "))
+	}
+	output, closeLog, err := openLog(command.String("log"))
+	if err != nil {
+		return err
+	}
+	defer closeLog()
+	if output != io.Discard {
+		run.LogOutput = output
+	}
+	r, err := run.Run(ctx)
+	if err != nil {
+		return err
+	}
+	out := command.Root().Writer
+	if !command.Bool("json") {
+		_, _ = fmt.Fprintf(out, "%d requests at %.0f/s, fault %s: relay adds %d us (p50), %d us (p99) to the first token, %.0f us CPU a request; doubled %d, false not-run %d, mixed %d, cut in drain %d\n",
+			r.Requests, r.Rate, r.Fault, r.AddedP50US, r.AddedP99US, r.CPUPerRequestUS, r.Doubled, r.FalseNotRun, r.Mixed, r.CutInDrain)
+	}
+	return json.NewEncoder(out).Encode(r)
+}
--- a/cli/internal/fleet/control_test.go
+++ b/cli/internal/fleet/control_test.go
@@ -40,19 +40,6 @@
 	return startRig(t, config), f
 }
 
-// awaitRevision waits until every entry has a revision in force.
-func (r *rig) awaitRevision(revision uint64) {
-	r.Helper()
-	require.NoError(r, Await(r.ctx, fmt.Sprint("revision ", revision), func() bool {
-		for _, e := range r.Entries() {
-			if e.Process.Revision() < revision {
-				return false
-			}
-		}
-		return true
-	}))
-}
-
 func TestOutageOfTheKeyValueService(t *testing.T) {
 	r, fault := startFaultyRig(t, quick(2, 2, 4))
 	r.serve(nil)
@@ -136,7 +123,7 @@
 	r.declare(r.account())
 	present, err := r.Operator().Get(r.ctx, api.KindAccount, "till")
 	require.NoError(t, err)
-	r.awaitRevision(present.Revision)
+	require.NoError(t, r.AwaitRevision(r.ctx, present.Revision))
 	var group sync.WaitGroup
 	var won, lost atomic.Int64
 	var accepted atomic.Uint64
@@ -163,7 +150,7 @@
 	group.Wait()
 	assert.Equal(t, int64(1), won.Load())
 	assert.Equal(t, int64(3), lost.Load())
-	r.awaitRevision(accepted.Load())
+	require.NoError(t, r.AwaitRevision(r.ctx, accepted.Load()))
 	for _, address := range r.Operator().Entries {
 		got, err := (&client.Client{Entries: []string{address}}).Get(r.ctx, api.KindAccount, "till")
 		require.NoError(t, err)
--- a/cli/internal/fleet/fleet.go
+++ b/cli/internal/fleet/fleet.go
@@ -101,6 +101,9 @@
 	server *serve.Server
 }
 
+// UpstreamURL is where the program beside the agent listens.
+func (h *Host) UpstreamURL() string { return h.server.URL() }
+
 // logs serializes the lines of many processes.
 type logs struct {
 	mu  sync.Mutex
@@ -420,6 +423,18 @@
 	})
 }
 
+// AwaitRevision waits until every entry has a configuration revision in force.
+func (f *Fleet) AwaitRevision(ctx context.Context, revision uint64) error {
+	return Await(ctx, fmt.Sprint("revision ", revision, " at every entry"), func() bool {
+		for _, e := range f.Entries() {
+			if e.Process.Revision() < revision {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // Declare writes resources in order.
 func (f *Fleet) Declare(ctx context.Context, resources ...*api.Resource) error {
 	operator := f.Operator()
--- a/daemon/internal/version/fetch/run.go
+++ b/daemon/internal/version/fetch/run.go
@@ -22,7 +22,7 @@
 	// taken off for the version, failLimit that of failures in a row after
 	// which it is taken off for offFor.
 	corruptLimit = 3
-	failLimit    = 3
+	failLimit    = 2
 	offFor       = 30 * time.Second
 	offForever   = 24 * time.Hour
 	// hedgeFloor is the least age of a transfer that is hedged.
@@ -92,6 +92,9 @@
 	peers   map[string]*peerState
 	swarm   Swarm
 	duties  []duty
+	// hopsOff names the agents of other halls that failed, and until when they
+	// are passed over.
+	hopsOff map[string]time.Time
 	// slots counts the transfers under way of each kind.
 	slots map[Kind]int
 	// usual is a moving mean of how long a chunk takes from a peer.
@@ -133,6 +136,8 @@
 	bytes   int64
 	err     error
 	corrupt bool
+	// failedHops names the agents of other halls that failed on the way.
+	failedHops []string
 	// useful is set when the chunk was not here before.
 	useful bool
 	// source names where a corrupt or failed transfer came from.
@@ -142,11 +147,12 @@
 func newRun(f *Fetcher, version *stage.Version) *run {
 	return &run{
 		fetcher: f, version: version,
-		chunks: make([]chunkState, len(version.Manifest.Chunks)),
-		peers:  map[string]*peerState{},
-		slots:  map[Kind]int{},
-		newest: time.Now(),
-		events: make(chan event, 64),
+		chunks:  make([]chunkState, len(version.Manifest.Chunks)),
+		peers:   map[string]*peerState{},
+		hopsOff: map[string]time.Time{},
+		slots:   map[Kind]int{},
+		newest:  time.Now(),
+		events:  make(chan event, 64),
 	}
 }
 
@@ -315,6 +321,9 @@
 		if done.err != nil {
 			chunk.pausedUntil = now.Add(busyPause)
 		}
+		for _, name := range done.failedHops {
+			r.hopsOff[name] = now.Add(offFor)
+		}
 	case FromPeer:
 	}
 	if peer := r.peers[done.peer]; peer != nil {
--- a/daemon/internal/version/fetch/schedule.go
+++ b/daemon/internal/version/fetch/schedule.go
@@ -78,9 +78,9 @@
 		if time.Duration(ahead)*r.patience() > quiet {
 			continue
 		}
-		if len(d.hops) > 0 && quiet < hallPatience*r.patience() {
+		if hops := r.hopsOn(d, now); len(hops) > 0 && quiet < hallPatience*r.patience() {
 			if r.slots[FromHall] < orDefault(r.fetcher.HallSlots, DefaultHallSlots) {
-				r.start(ctx, transfer{chunk: d.chunk, kind: FromHall, hops: d.hops}, now)
+				r.start(ctx, transfer{chunk: d.chunk, kind: FromHall, hops: hops}, now)
 			}
 			continue
 		}
@@ -91,6 +91,18 @@
 	}
 }
 
+// hopsOn returns the agents of other halls to ask, without those that failed
+// lately: one that hangs costs a few seconds, and that for every chunk.
+func (r *run) hopsOn(d *duty, now time.Time) []Peer {
+	var on []Peer
+	for _, hop := range d.hops {
+		if !now.Before(r.hopsOff[hop.Name]) {
+			on = append(on, hop)
+		}
+	}
+	return on
+}
+
 // logOrigin tells why this host asks the origin for a chunk.
 func (r *run) logOrigin(d *duty, quiet time.Duration) {
 	r.fetcher.Telemetry.Log.WithFields(log.Fields{
@@ -302,6 +314,7 @@
 		case err == nil:
 			err = fmt.Errorf("chunk %d from %s: %w", t.chunk, hop.Address, stage.ErrCorrupt)
 		}
+		done.failedHops = append(done.failedHops, hop.Name)
 		f.Telemetry.Decide(telemetry.Decision{
 			Step: "fetch", Choice: "pass over " + hop.Name, Reason: err.Error(),
 			Details: map[string]any{"version": version.ID.Short(), "chunk": t.chunk},
