--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -21,6 +21,7 @@
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/report"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/upstream"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/wire"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/hosts"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/platform"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/server"
@@ -287,16 +288,7 @@
 	p.telemetry.Decide(telemetry.Decision{Step: "leave", Choice: "drain", Reason: "the process was told to stop", Details: map[string]any{"inFlight": p.gate.InFlight()}})
 	p.reporter.Send(ctx)
 	drained := p.gate.Drain(ctx)
-	wait := p.options.LameDuck
-	if wait == 0 {
-		wait = lameDuck
-	}
-	timer := time.NewTimer(wait)
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	timer.Stop()
+	helpers.Pause(helpers.OrDefault(p.options.LameDuck, lameDuck), ctx.Done())
 	p.server.Closing()
 	if err := p.server.Shutdown(ctx); err != nil && drained == nil {
 		return err
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -23,6 +23,7 @@
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/gossip"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/upstream"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/wire"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/hosts"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/kvwatch"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/members"
@@ -293,16 +294,7 @@
 	p.telemetry.Decide(telemetry.Decision{Step: "leave", Choice: "drain", Reason: "the process was told to stop"})
 	p.placer.Stop() // another entry takes the lease at once
 	p.callers.Closing()
-	wait := p.options.LameDuck
-	if wait == 0 {
-		wait = lameDuck
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	helpers.Pause(helpers.OrDefault(p.options.LameDuck, lameDuck), ctx.Done())
 	return errors.Join(p.callers.Shutdown(ctx), p.operators.Shutdown(ctx), p.peers.Shutdown(ctx))
 }
 
--- a/daemon/internal/connection/follow/follow.go
+++ b/daemon/internal/connection/follow/follow.go
@@ -20,6 +20,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/wire"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/orders"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/platform"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/rendezvous"
@@ -101,14 +102,14 @@
 	for f.tomb.Alive() {
 		ranked := Ranked(f.Host, f.Entries())
 		if len(ranked) == 0 {
-			f.pause(retryMin)
+			helpers.Pause(retryMin, f.tomb.Dying())
 			continue
 		}
 		entry := ranked[(lane+failures)%len(ranked)]
 		if err := f.poll(ctx, lane, entry); err != nil {
 			failures++
 			wait := min(retryMin<<min(failures, 5), retryMax)
-			f.pause(wait/2 + rand.N(wait))
+			helpers.Pause(wait/2+rand.N(wait), f.tomb.Dying())
 			continue
 		}
 		if failures > 0 && failures%len(ranked) == 0 {
@@ -117,15 +118,6 @@
 	}
 }
 
-func (f *Follower) pause(wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-f.tomb.Dying():
-	}
-}
-
 // poll asks one entry for a change.
 func (f *Follower) poll(ctx context.Context, lane int, entry platform.Host) error {
 	ctx, cancel := context.WithTimeout(ctx, pollWait+pollGrace)
--- a/daemon/internal/connection/gossip/gossip.go
+++ b/daemon/internal/connection/gossip/gossip.go
@@ -15,6 +15,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/wire"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/members"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/platform"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/tables"
@@ -73,20 +74,13 @@
 func (p *Puller) run() error {
 	ctx := p.tomb.Context(nil) //nolint:staticcheck // tomb takes nil for "no parent"
 	p.peers = map[string]*peer{}
-	every := p.Every
-	if every == 0 {
-		every = DefaultEvery
-	}
+	every := helpers.OrDefault(p.Every, DefaultEvery)
 	for {
 		p.round(ctx)
 		if marked := p.Members.Sweep(); len(marked) > 0 && p.OnSuspects != nil {
 			p.OnSuspects(marked)
 		}
-		timer := time.NewTimer(every/2 + rand.N(every))
-		select {
-		case <-timer.C:
-		case <-p.tomb.Dying():
-			timer.Stop()
+		if !helpers.Pause(every/2+rand.N(every), p.tomb.Dying()) {
 			return nil
 		}
 	}
--- a/daemon/internal/connection/report/report.go
+++ b/daemon/internal/connection/report/report.go
@@ -15,6 +15,7 @@
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/follow"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/wire"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/platform"
 )
 
@@ -80,10 +81,7 @@
 
 func (r *Reporter) run() error {
 	ctx := r.tomb.Context(nil) //nolint:staticcheck // tomb takes nil for "no parent"
-	every := r.Every
-	if every == 0 {
-		every = DefaultEvery
-	}
+	every := helpers.OrDefault(r.Every, DefaultEvery)
 	for {
 		r.Send(ctx)
 		timer := time.NewTimer(every)
@@ -100,12 +98,7 @@
 }
 
 func (r *Reporter) gather() {
-	timer := time.NewTimer(gatherFor)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-r.tomb.Dying():
-	}
+	helpers.Pause(gatherFor, r.tomb.Dying())
 }
 
 // Send reports once, to all entries that hear from this agent side by side.
--- /dev/null
+++ b/daemon/internal/helpers/helpers_test.go
@@ -0,0 +1,27 @@
+package helpers
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func TestPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		started := time.Now()
+		assert.True(t, Pause(time.Hour, nil))
+		assert.Equal(t, time.Hour, time.Since(started))
+		stop := make(chan struct{})
+		time.AfterFunc(time.Minute, func() { close(stop) })
+		assert.False(t, Pause(time.Hour, stop))
+		assert.Equal(t, time.Hour+time.Minute, time.Since(started))
+	})
+}
+
+func TestOrDefault(t *testing.T) {
+	assert.Equal(t, 3, OrDefault(0, 3))
+	assert.Equal(t, 2, OrDefault(2, 3))
+	assert.Equal(t, "x", OrDefault("", "x"))
+}
--- a/daemon/internal/process/hosts/hosts.go
+++ b/daemon/internal/process/hosts/hosts.go
@@ -10,6 +10,7 @@
 
 	"gopkg.in/tomb.v2"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/platform"
 )
 
@@ -70,20 +71,12 @@
 
 func (f *Follower) run() error {
 	ctx := f.tomb.Context(nil) //nolint:staticcheck // tomb takes nil for "no parent"
-	every := f.Every
-	if every == 0 {
-		every = DefaultEvery
-	}
-	for {
+	every := helpers.OrDefault(f.Every, DefaultEvery)
+	f.fetch(ctx)
+	for helpers.Pause(every/2+rand.N(every), f.tomb.Dying()) {
 		f.fetch(ctx)
-		timer := time.NewTimer(every/2 + rand.N(every))
-		select {
-		case <-timer.C:
-		case <-f.tomb.Dying():
-			timer.Stop()
-			return nil
-		}
 	}
+	return nil
 }
 
 func (f *Follower) fetch(ctx context.Context) {
--- a/daemon/internal/process/kvwatch/kvwatch.go
+++ b/daemon/internal/process/kvwatch/kvwatch.go
@@ -21,6 +21,7 @@
 	"golang.org/x/time/rate"
 	"gopkg.in/tomb.v2"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/platform"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/tables"
 )
@@ -63,19 +64,12 @@
 // Done is closed when the watcher has ended.
 func (w *Watcher) Done() <-chan struct{} { return w.tomb.Dead() }
 
-func orDefault(value, fallback time.Duration) time.Duration {
-	if value == 0 {
-		return fallback
-	}
-	return value
-}
-
 func (w *Watcher) run() error {
 	ctx := w.tomb.Context(nil) //nolint:staticcheck // tomb takes nil for "no parent"
 	waits := backoff.NewExponentialBackOff()
 	waits.InitialInterval = 50 * time.Millisecond
-	waits.MaxInterval = orDefault(w.MaxWait, DefaultMaxWait)
-	w.wakes = rate.NewLimiter(rate.Every(orDefault(w.Rearm, DefaultRearm)), rearmBurst)
+	waits.MaxInterval = helpers.OrDefault(w.MaxWait, DefaultMaxWait)
+	w.wakes = rate.NewLimiter(rate.Every(helpers.OrDefault(w.Rearm, DefaultRearm)), rearmBurst)
 	listed := false
 	for w.tomb.Alive() {
 		var err error
@@ -91,7 +85,7 @@
 		}
 		w.tell(err)
 		if err != nil && !errors.Is(err, platform.ErrCompacted) {
-			w.pause(waits.NextBackOff())
+			helpers.Pause(waits.NextBackOff(), w.tomb.Dying())
 			continue
 		}
 		waits.Reset()
@@ -118,22 +112,13 @@
 }
 
 func (w *Watcher) watch(ctx context.Context) error {
-	changes, err := w.KV.Watch(ctx, tables.Prefix, w.Table.View().Revision, orDefault(w.Wait, DefaultWait))
+	changes, err := w.KV.Watch(ctx, tables.Prefix, w.Table.View().Revision, helpers.OrDefault(w.Wait, DefaultWait))
 	if err != nil {
 		return err
 	}
 	w.Table.Apply(changes.Events, changes.Revision)
 	if len(changes.Events) > 0 {
-		w.pause(w.wakes.Reserve().Delay() + rand.N(orDefault(w.Rearm, DefaultRearm)/rearmJitter))
+		helpers.Pause(w.wakes.Reserve().Delay()+rand.N(helpers.OrDefault(w.Rearm, DefaultRearm)/rearmJitter), w.tomb.Dying())
 	}
 	return nil
 }
-
-func (w *Watcher) pause(wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-w.tomb.Dying():
-	}
-}
--- a/daemon/internal/process/kvwrite/kvwrite.go
+++ b/daemon/internal/process/kvwrite/kvwrite.go
@@ -23,6 +23,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/platform"
 )
 
@@ -33,6 +34,12 @@
 	BasedOn uint64
 }
 
+// Bounds of the wait between tries.
+const (
+	defaultMinWait = 50 * time.Millisecond
+	defaultMaxWait = time.Second
+)
+
 // Writer writes to the key-value service.
 type Writer struct {
 	KV *platform.KV
@@ -62,14 +69,8 @@
 
 func (w *Writer) waits() *backoff.ExponentialBackOff {
 	waits := backoff.NewExponentialBackOff()
-	waits.InitialInterval = 50 * time.Millisecond
-	waits.MaxInterval = time.Second
-	if w.MinWait > 0 {
-		waits.InitialInterval = w.MinWait
-	}
-	if w.MaxWait > 0 {
-		waits.MaxInterval = w.MaxWait
-	}
+	waits.InitialInterval = helpers.OrDefault(w.MinWait, defaultMinWait)
+	waits.MaxInterval = helpers.OrDefault(w.MaxWait, defaultMaxWait)
 	return waits
 }
 
@@ -82,11 +83,7 @@
 			return revision, err
 		}
 		last = err
-		timer := time.NewTimer(waits.NextBackOff())
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
+		if !helpers.Pause(waits.NextBackOff(), ctx.Done()) {
 			return 0, p.giveUp(last)
 		}
 	}
@@ -168,11 +165,7 @@
 		case !errors.Is(err, platform.ErrUnavailable):
 			inDoubt = true
 		}
-		timer := time.NewTimer(waits.NextBackOff())
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
+		if !helpers.Pause(waits.NextBackOff(), ctx.Done()) {
 			kind := platform.ErrUnavailable
 			if inDoubt {
 				kind = platform.ErrUnknown
--- a/daemon/internal/process/members/members.go
+++ b/daemon/internal/process/members/members.go
@@ -31,6 +31,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/wire"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 )
 
 // DefaultSilence is how long an agent may be silent before it is suspect.
@@ -213,10 +214,10 @@
 	var marked []string
 	for name, held := range t.records {
 		switch {
-		case held.direct && !held.member.GetSuspect() && now.Sub(held.heard) > orDefault(t.Silence, DefaultSilence):
+		case held.direct && !held.member.GetSuspect() && now.Sub(held.heard) > helpers.OrDefault(t.Silence, DefaultSilence):
 			t.replace(held, suspect(held.member))
 			marked = append(marked, name)
-		case held.member.GetSuspect() && now.Sub(held.suspectSince) > orDefault(t.Forget, DefaultForget):
+		case held.member.GetSuspect() && now.Sub(held.suspectSince) > helpers.OrDefault(t.Forget, DefaultForget):
 			delete(t.records, name)
 			t.publish()
 		}
@@ -225,13 +226,6 @@
 	return marked
 }
 
-func orDefault(value, fallback time.Duration) time.Duration {
-	if value == 0 {
-		return fallback
-	}
-	return value
-}
-
 // suspect returns a copy of the record with the mark set.
 func suspect(m *wire.Member) *wire.Member {
 	return &wire.Member{
--- a/daemon/internal/process/placer/placer.go
+++ b/daemon/internal/process/placer/placer.go
@@ -19,6 +19,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/wheelcleat/wheelcleat/api"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/kvwrite"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/members"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/placement"
@@ -99,18 +100,11 @@
 	return time.Now()
 }
 
-func orDefault(value, fallback time.Duration) time.Duration {
-	if value == 0 {
-		return fallback
-	}
-	return value
-}
-
 func (p *Placer) run() error {
 	ctx := p.tomb.Context(nil) //nolint:staticcheck // tomb takes nil for "no parent"
 	p.readySince = map[waveKey]time.Time{}
 	defer p.giveBack()
-	every := orDefault(p.Every, DefaultEvery)
+	every := helpers.OrDefault(p.Every, DefaultEvery)
 	for {
 		changed := p.Table.Changed()
 		p.step(ctx)
@@ -143,16 +137,10 @@
 	case <-timer.C:
 		return true
 	case <-changed:
-		timer.Reset(gatherFor)
-	case <-p.tomb.Dying():
-		return false
-	}
-	select {
-	case <-timer.C:
-		return true
 	case <-p.tomb.Dying():
 		return false
 	}
+	return helpers.Pause(gatherFor, p.tomb.Dying())
 }
 
 // step does what is due: campaign, renew, plan.
@@ -182,7 +170,7 @@
 		return
 	}
 	asked := p.now()
-	ttl := orDefault(p.TTL, DefaultTTL)
+	ttl := helpers.OrDefault(p.TTL, DefaultTTL)
 	lease, err := p.KV.Grant(ctx, ttl)
 	if err != nil {
 		return
@@ -201,7 +189,7 @@
 
 // renew keeps the lease when a third of its time has passed.
 func (p *Placer) renew(ctx context.Context) {
-	ttl := orDefault(p.TTL, DefaultTTL)
+	ttl := helpers.OrDefault(p.TTL, DefaultTTL)
 	asked := p.now()
 	if p.validUntil.Sub(asked) > ttl*2/3 {
 		return
@@ -294,7 +282,7 @@
 	previous := p.previous()
 	census := Census{
 		Hall: p.Hall, Listed: listed, Members: p.Members.View(), Placed: previous.Document,
-		Now: p.now(), HeldSince: p.heldSince, ReplaceAfter: orDefault(p.ReplaceAfter, DefaultReplaceAfter),
+		Now: p.now(), HeldSince: p.heldSince, ReplaceAfter: helpers.OrDefault(p.ReplaceAfter, DefaultReplaceAfter),
 	}
 	hosts := census.Candidates()
 	input := placement.Input{Previous: previous.Document, Targets: p.targets(view), Hosts: hosts, PauseOver: p.pauseOver(view, previous, hosts)}
--- a/daemon/internal/version/activate/activate.go
+++ b/daemon/internal/version/activate/activate.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"github.com/wheelcleat/wheelcleat/api/manifest"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 )
 
 // ErrFenced means that a higher token has been seen; the order must not be followed.
@@ -174,14 +175,10 @@
 	if wait <= 0 {
 		return nil
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !helpers.Pause(wait, ctx.Done()) {
 		return ctx.Err()
 	}
+	return nil
 }
 
 // noteFailed holds back the next order after one without an answer.
--- a/daemon/internal/version/fetch/fetch.go
+++ b/daemon/internal/version/fetch/fetch.go
@@ -103,14 +103,6 @@
 	OnBytes func(from Kind, bytes int64, useful bool)
 }
 
-func orDefault[T comparable](value, fallback T) T {
-	var zero T
-	if value == zero {
-		return fallback
-	}
-	return value
-}
-
 // Kind says where a transfer comes from.
 type Kind string
 
--- a/daemon/internal/version/fetch/neighbours.go
+++ b/daemon/internal/version/fetch/neighbours.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/rendezvous"
 )
 
@@ -78,7 +79,7 @@
 		}
 		return []Peer{hosts[(self-1)/TreeFanOut]}
 	}
-	limit := min(orDefault(f.Neighbours, DefaultNeighbours), len(hosts)-1)
+	limit := min(helpers.OrDefault(f.Neighbours, DefaultNeighbours), len(hosts)-1)
 	chosen := map[string]bool{f.Self: true}
 	var picked []Peer
 	add := func(peer Peer) {
--- a/daemon/internal/version/fetch/run.go
+++ b/daemon/internal/version/fetch/run.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/wire"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/version/source"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/version/stage"
 )
@@ -391,12 +392,7 @@
 		}
 		if err != nil {
 			instance, cursor = "", 0 // ask for everything when it is back
-			timer := time.NewTimer(haveRetry)
-			select {
-			case <-timer.C:
-			case <-ctx.Done():
-				timer.Stop()
-			}
+			helpers.Pause(haveRetry, ctx.Done())
 		}
 	}
 }
--- a/daemon/internal/version/fetch/schedule.go
+++ b/daemon/internal/version/fetch/schedule.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 
 	"github.com/wheelcleat/wheelcleat/api/manifest"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/telemetry"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/version/source"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/version/stage"
@@ -56,7 +57,7 @@
 // few times the usual gap between two new chunks, so that a slow origin does
 // not look like a dead one.
 func (r *run) patience() time.Duration {
-	return max(orDefault(r.fetcher.PeerWait, DefaultPeerWait), 4*r.usualGap)
+	return max(helpers.OrDefault(r.fetcher.PeerWait, DefaultPeerWait), 4*r.usualGap)
 }
 
 // quiet is the time since a new chunk was last seen near.
@@ -79,7 +80,7 @@
 			continue
 		}
 		if hops := r.hopsOn(d, now); len(hops) > 0 && quiet < hallPatience*r.patience() {
-			if r.slots[FromHall] < orDefault(r.fetcher.HallSlots, DefaultHallSlots) {
+			if r.slots[FromHall] < helpers.OrDefault(r.fetcher.HallSlots, DefaultHallSlots) {
 				r.start(ctx, transfer{chunk: d.chunk, kind: FromHall, hops: hops}, now)
 			}
 			continue
@@ -123,7 +124,7 @@
 }
 
 func (r *run) originFree(now time.Time) bool {
-	return r.slots[FromOrigin] < orDefault(r.fetcher.OriginSlots, DefaultOriginSlots) && !now.Before(r.originPausedUntil)
+	return r.slots[FromOrigin] < helpers.OrDefault(r.fetcher.OriginSlots, DefaultOriginSlots) && !now.Before(r.originPausedUntil)
 }
 
 // scheduleAnyOrigin fetches missing chunks from the origin, whoever is primary.
@@ -152,7 +153,7 @@
 
 // schedulePeers fills the free slots with chunks of neighbours, rarest first.
 func (r *run) schedulePeers(ctx context.Context, now time.Time) {
-	for r.slots[FromPeer] < orDefault(r.fetcher.PeerSlots, DefaultPeerSlots) {
+	for r.slots[FromPeer] < helpers.OrDefault(r.fetcher.PeerSlots, DefaultPeerSlots) {
 		index, peer := r.pick(now)
 		if peer == nil {
 			return
@@ -229,7 +230,7 @@
 func (r *run) hedge(ctx context.Context, now time.Time) {
 	late := max(hedgeFactor*r.usual, hedgeFloor)
 	for index := range r.chunks {
-		if r.slots[FromPeer] >= orDefault(r.fetcher.PeerSlots, DefaultPeerSlots) {
+		if r.slots[FromPeer] >= helpers.OrDefault(r.fetcher.PeerSlots, DefaultPeerSlots) {
 			return
 		}
 		chunk := &r.chunks[index]
@@ -302,7 +303,7 @@
 	var answered error
 	for _, hop := range t.hops {
 		done.source = hop.Address.String()
-		data, err := f.Link.FetchChunk(ctx, chunkRequest(version, t.chunk, hop, orDefault(f.PeerWait, DefaultPeerWait)))
+		data, err := f.Link.FetchChunk(ctx, chunkRequest(version, t.chunk, hop, helpers.OrDefault(f.PeerWait, DefaultPeerWait)))
 		switch {
 		case err == nil && manifest.Sum(data) == version.Manifest.Chunks[t.chunk]:
 			return data, nil
--- a/daemon/internal/version/install/install.go
+++ b/daemon/internal/version/install/install.go
@@ -20,6 +20,7 @@
 
 	"github.com/wheelcleat/wheelcleat/api/manifest"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/wire"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/telemetry"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/gate"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/version/activate"
@@ -282,12 +283,7 @@
 			return
 		}
 		i.Telemetry.Log.WithError(err).WithField("version", id.Short()).Warn("fetch failed; trying again")
-		timer := time.NewTimer(waits.NextBackOff())
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
-		}
+		helpers.Pause(waits.NextBackOff(), ctx.Done())
 	}
 }
 
