Do not wait again and again for a hall that is cut off

Cause: with a hall cut off from the platform, a new version did not reach the others within a minute. Half of the chunks were that hall's to take first; each was waited for anew, and the wait counted as a usual gap between chunks, so the next wait was four times as long. Ruled out: placement and orders (both were right at once in the logs). Now whoever was waited for in vain is not waited for again until it brings something, and gaps spent waiting do not count.

--- a/cli/internal/fleet/control_test.go
+++ b/cli/internal/fleet/control_test.go
@@ -273,13 +273,7 @@
 	}
 	r.declare(r.service("v2", nil))
 	r.awaitDone()
-	for _, host := range r.EngineHosts() {
-		last := uint64(0)
-		for _, state := range host.Engine.History() {
-			assert.GreaterOrEqual(t, state.Token, last, "fencing tokens of %s", host.Name)
-			last = state.Token
-		}
-	}
+	r.neverBack()
 }
 
 func TestDeadHostIsReplaced(t *testing.T) {
--- a/cli/internal/fleet/fleet_test.go
+++ b/cli/internal/fleet/fleet_test.go
@@ -50,6 +50,8 @@
 	*Fleet
 	ctx      context.Context //nolint:containedctx // as long as the test
 	versions []manifest.Digest
+	// rounds counts the loads, so that their request ids differ.
+	rounds atomic.Int64
 }
 
 func startRig(t *testing.T, config Config) *rig {
@@ -144,6 +146,7 @@
 	if len(entries) == 0 {
 		entries = r.Entries()
 	}
+	round := r.rounds.Add(1)
 	var stopped atomic.Bool
 	var mu sync.Mutex
 	var results []result
@@ -151,7 +154,7 @@
 	for worker := range workers {
 		group.Go(func() {
 			for i := 0; !stopped.Load(); i++ {
-				got := r.call(entries[(worker+i)%len(entries)], fmt.Sprintf("r-%d-%d", worker, i))
+				got := r.call(entries[(worker+i)%len(entries)], fmt.Sprintf("r-%d-%d-%d", round, worker, i))
 				mu.Lock()
 				results = append(results, got)
 				mu.Unlock()
--- a/daemon/internal/version/fetch/run.go
+++ b/daemon/internal/version/fetch/run.go
@@ -96,6 +96,11 @@
 	// hopsOff names the agents of other halls that failed, and until when they
 	// are passed over.
 	hopsOff map[string]time.Time
+	// idle names the gateways of the own hall that were waited for in vain,
+	// until they bring something. hallsOver is set once halls without gateways
+	// were waited for in vain, until the swarm changes.
+	idle      map[string]bool
+	hallsOver bool
 	// slots counts the transfers under way of each kind.
 	slots map[Kind]int
 	// usual is a moving mean of how long a chunk takes from a peer.
@@ -151,6 +156,7 @@
 		chunks:  make([]chunkState, len(version.Manifest.Chunks)),
 		peers:   map[string]*peerState{},
 		hopsOff: map[string]time.Time{},
+		idle:    map[string]bool{},
 		slots:   map[Kind]int{},
 		newest:  time.Now(),
 		events:  make(chan event, 64),
@@ -227,7 +233,11 @@
 	}
 	r.chunks[index].seen = true
 	now := time.Now()
-	r.usualGap = max(now.Sub(r.newest), r.usualGap*9/10)
+	// A gap as long as the patience was spent waiting for somebody; counting it
+	// would make the next wait four times as long, and so on.
+	if gap := now.Sub(r.newest); gap < r.patience() {
+		r.usualGap = max(gap, r.usualGap*9/10)
+	}
 	r.newest = now
 }
 
@@ -270,6 +280,7 @@
 		if int(index) < len(peer.has) && !peer.has[index] {
 			peer.has[index] = true
 			r.chunks[index].holders++
+			delete(r.idle, news.peer)
 			r.see(int(index))
 		}
 	}
--- a/daemon/internal/version/fetch/schedule.go
+++ b/daemon/internal/version/fetch/schedule.go
@@ -72,23 +72,52 @@
 		if chunk.held || chunk.holders > 0 || chunk.transfers > 0 || now.Before(chunk.pausedUntil) {
 			continue
 		}
-		ahead := r.aliveBefore(d, now)
-		if d.waits {
-			ahead++
+		if r.isDue(d, now, quiet) {
+			r.startDuty(ctx, d, now, quiet)
 		}
-		if time.Duration(ahead)*r.patience() > quiet {
-			continue
-		}
-		if hops := r.hopsOn(d, now); len(hops) > 0 && quiet < hallPatience*r.patience() {
-			if r.slots[FromHall] < helpers.OrDefault(r.fetcher.HallSlots, DefaultHallSlots) {
-				r.start(ctx, transfer{chunk: d.chunk, kind: FromHall, hops: hops}, now)
-			}
-			continue
-		}
-		if r.originFree(now) {
-			r.logOrigin(d, quiet)
-			r.start(ctx, transfer{chunk: d.chunk, kind: FromOrigin}, now)
+	}
+}
+
+// isDue reports whether it is this host's turn to bring a chunk in: nobody
+// ranks before it, or was waited for long enough.
+func (r *run) isDue(d *duty, now time.Time, quiet time.Duration) bool {
+	ahead := r.aliveBefore(d, now)
+	if d.waits && !r.hallsOver {
+		ahead++
+	}
+	if time.Duration(ahead)*r.patience() > quiet {
+		return false
+	}
+	if ahead > 0 {
+		r.waitedInVain(d)
+	}
+	return true
+}
+
+// startDuty brings a chunk in from another hall, or from the origin when there
+// is none to ask or they were waited for in vain.
+func (r *run) startDuty(ctx context.Context, d *duty, now time.Time, quiet time.Duration) {
+	if hops := r.hopsOn(d, now); len(hops) > 0 && quiet < hallPatience*r.patience() {
+		if r.slots[FromHall] < helpers.OrDefault(r.fetcher.HallSlots, DefaultHallSlots) {
+			r.start(ctx, transfer{chunk: d.chunk, kind: FromHall, hops: hops}, now)
 		}
+		return
+	}
+	for _, hop := range d.hops {
+		r.hopsOff[hop.Name] = now.Add(offFor)
+	}
+	if r.originFree(now) {
+		r.logOrigin(d, quiet)
+		r.start(ctx, transfer{chunk: d.chunk, kind: FromOrigin}, now)
+	}
+}
+
+// waitedInVain notes whom a chunk was waited for, so that the next chunk need
+// not wait for them again.
+func (r *run) waitedInVain(d *duty) {
+	r.hallsOver = r.hallsOver || d.waits
+	for _, name := range d.before {
+		r.idle[name] = true
 	}
 }
 
@@ -112,11 +141,11 @@
 }
 
 // aliveBefore counts the gateways that rank before this host for a chunk and
-// are not known to be bad.
+// are neither known to be bad nor were waited for in vain.
 func (r *run) aliveBefore(d *duty, now time.Time) int {
 	alive := 0
 	for _, name := range d.before {
-		if peer := r.peers[name]; peer == nil || !peer.bad(now) {
+		if peer := r.peers[name]; !r.idle[name] && (peer == nil || !peer.bad(now)) {
 			alive++
 		}
 	}
