Be patient for twice the own transfer from the origin

Cause: at 200 hosts 48 gateways share the origin's link, so the first chunks of all come after seconds; a patience of 2 s then had the next ranks and the other halls go to the origin too (251 primaries and 8 others asked, but 1.84 copies through halls that gave up). Ruled out: the machine (CPU 0.55 to 0.68), stalls (35).

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 
 FUZZTIME := 20s
 # Package and target of each fuzz test.
-FUZZ :=
+FUZZ := ./api:FuzzResource ./api/manifest:FuzzDecode ./daemon/settings:FuzzParse
 
 .PHONY: run test check build format lint vet unit race fuzz generate clean
 
--- a/daemon/internal/version/fetch/run.go
+++ b/daemon/internal/version/fetch/run.go
@@ -109,6 +109,10 @@
 	// slowly forgetting maximum of the time between two such.
 	newest   time.Time
 	usualGap time.Duration
+	// originTook is how long the last transfer from the origin took, and
+	// originBegan when the oldest one under way began.
+	originTook  time.Duration
+	originBegan time.Time
 	// originPausedUntil keeps the sources from being asked too soon again.
 	originPausedUntil time.Time
 	originFailures    int
@@ -346,6 +350,7 @@
 func (r *run) finishOrigin(done *transferDone, now time.Time) {
 	if done.err == nil {
 		r.originFailures = 0
+		r.originTook = now.Sub(done.started)
 		return
 	}
 	r.originFailures++
--- a/daemon/internal/version/fetch/schedule.go
+++ b/daemon/internal/version/fetch/schedule.go
@@ -53,11 +53,17 @@
 	}
 }
 
-// patience is how long nothing new may show up before the next rank stands in: a
-// few times the usual gap between two new chunks, so that a slow origin does
-// not look like a dead one.
+// patience is how long nothing new may show up before the next rank stands in.
+// So that a slow origin does not look like a dead one, it is a few times the
+// usual gap between two new chunks, and twice what this host's own transfer from
+// the origin took, or has taken so far: at the start all gateways share the
+// origin's link, and the first chunks of all come late together.
 func (r *run) patience() time.Duration {
-	return max(helpers.OrDefault(r.fetcher.PeerWait, DefaultPeerWait), 4*r.usualGap)
+	own := r.originTook
+	if r.slots[FromOrigin] > 0 {
+		own = max(own, time.Since(r.originBegan))
+	}
+	return max(helpers.OrDefault(r.fetcher.PeerWait, DefaultPeerWait), 4*r.usualGap, 2*own)
 }
 
 // quiet is the time since a new chunk was last seen near.
@@ -287,6 +293,9 @@
 	if chunk.transfers == 0 {
 		chunk.since = now
 	}
+	if t.kind == FromOrigin && r.slots[FromOrigin] == 0 {
+		r.originBegan = now
+	}
 	chunk.transfers++
 	r.slots[t.kind]++
 	go func() {
