Show that the store goes first and the origin stands behind it

Cause: the order of sources had no test; a store that is down or corrupt must cost the origin only what it could not give.

--- a/daemon/internal/version/fetch/fetch_test.go
+++ b/daemon/internal/version/fetch/fetch_test.go
@@ -1,15 +1,23 @@
 package fetch
 
 import (
+	"bytes"
+	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net/netip"
 	"slices"
+	"sync"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/wheelcleat/wheelcleat/api/manifest"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/process/telemetry"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/version/source"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/version/stage"
 )
 
 // swarmOf returns halls of hosts, the first gateways of each hall being its
@@ -136,3 +144,48 @@
 	assert.Len(t, parents, 6, "all but the root")
 	assert.Equal(t, "a-002", parents["a-006"])
 }
+
+// TestStoreBeforeOrigin fetches alone, from a store that fails in every way and
+// from the origin behind it.
+func TestStoreBeforeOrigin(t *testing.T) {
+	data := bytes.Repeat([]byte("weights of a small model "), 100)
+	m, err := manifest.Build(bytes.NewReader(data), int64(len(data)), 256)
+	require.NoError(t, err)
+	_, id, err := m.Encode()
+	require.NoError(t, err)
+	var mu sync.Mutex
+	asked := map[string]int{}
+	sourceOf := func(name string, answer func(offset int64, good []byte) ([]byte, error)) *source.Source {
+		return &source.Source{Name: name, FetchRange: func(_ context.Context, _ manifest.Digest, offset, length int64) ([]byte, error) {
+			mu.Lock()
+			asked[name]++
+			mu.Unlock()
+			return answer(offset, bytes.Clone(data[offset:offset+length]))
+		}}
+	}
+	store := sourceOf("store", func(offset int64, good []byte) ([]byte, error) {
+		switch offset / 256 % 3 {
+		case 0:
+			return nil, errors.New("the store is down")
+		case 1:
+			good[0] ^= 1
+		}
+		return good, nil
+	})
+	origin := sourceOf("origin", func(_ int64, good []byte) ([]byte, error) { return good, nil })
+	quiet, err := telemetry.New(telemetry.Options{Level: "error", Output: io.Discard})
+	require.NoError(t, err)
+	defer quiet.Close()
+	self := Peer{Name: "alone", Hall: "a"}
+	alone := Swarm{HallHosts: []Peer{self}, Gateways: []Peer{self}, Halls: []string{"a"}}
+	f := &Fetcher{Self: "alone", Hall: "a", Stage: &stage.Stage{}, Link: &source.Link{}, Sources: []*source.Source{store, origin}, Telemetry: quiet}
+	version, err := f.Stage.Open(id, m, nil)
+	require.NoError(t, err)
+	require.NoError(t, f.Fetch(t.Context(), version, func() (Swarm, <-chan struct{}) { return alone, nil }))
+	var whole bytes.Buffer
+	require.NoError(t, version.WriteAll(&whole))
+	assert.Equal(t, data, whole.Bytes())
+	assert.Equal(t, len(m.Chunks), asked["store"], "the store goes first")
+	assert.Less(t, asked["origin"], asked["store"], "the origin only for what the store could not give")
+	assert.Positive(t, asked["origin"])
+}
