--- a/daemon/internal/process/server/server.go
+++ b/daemon/internal/process/server/server.go
@@ -20,8 +20,7 @@
 	// Address is where the server listens.
 	Address netip.AddrPort
 
-	http     *http.Server
-	listener net.Listener
+	http *http.Server
 	// closing makes answers end their connections.
 	closing atomic.Bool
 	done    chan struct{}
@@ -45,7 +44,7 @@
 	if !ok {
 		return nil, fmt.Errorf("listen for %s on %s: not a TCP address", options.Name, options.Address)
 	}
-	s := &Server{Address: bound.AddrPort(), listener: listener, done: make(chan struct{})}
+	s := &Server{Address: bound.AddrPort(), done: make(chan struct{})}
 	s.http = &http.Server{Handler: s.ending(options.Handler), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: options.MaxHeaderBytes}
 	go func() {
 		defer close(s.done)
--- a/daemon/internal/process/telemetry/telemetry.go
+++ b/daemon/internal/process/telemetry/telemetry.go
@@ -76,8 +76,8 @@
 // Close flushes and ends the metrics reporter.
 func (t *Telemetry) Close() { _ = t.closer.Close() }
 
-// Decision logs one routing or placement decision: what was decided, the
-// choice, why, at which configuration revision, and what else it depended on.
+// Decision is one routing or placement decision: what was decided, the choice,
+// why, at which configuration revision, and what else it depended on.
 type Decision struct {
 	Step     string // "route", "place", "activate", "fetch", ...
 	Choice   string
--- a/daemon/internal/version/fetch/neighbours.go
+++ b/daemon/internal/version/fetch/neighbours.go
@@ -30,7 +30,6 @@
 
 // setSwarm takes the hosts that an order names.
 func (r *run) setSwarm(ctx context.Context, swarm Swarm) {
-	r.swarm = swarm
 	r.hallsOver = false
 	wanted := map[string]Peer{}
 	for _, peer := range r.fetcher.neighbours(swarm) {
--- a/daemon/internal/version/fetch/run.go
+++ b/daemon/internal/version/fetch/run.go
@@ -91,7 +91,6 @@
 	version *stage.Version
 	chunks  []chunkState
 	peers   map[string]*peerState
-	swarm   Swarm
 	duties  []duty
 	// hopsOff names the agents of other halls that failed, and until when they
 	// are passed over.
