--- a/cli/internal/fleet/control_test.go
+++ b/cli/internal/fleet/control_test.go
@@ -244,6 +244,14 @@
 	for i, value := range concurrency {
 		assert.Equal(t, i+1, value, "every change once, in order")
 	}
+	fresh, err := r.AddEntry("hall-1-entry-9", "hall-1")
+	require.NoError(t, err)
+	require.NoError(t, r.AwaitReady(r.ctx))
+	err = r.operatorAt(fresh).Watch(r.ctx, 1, func(api.Event) error { return nil })
+	assert.Equal(t, api.CodeTooOld, problemCode(err), "an entry without that history says so: %v", err)
+	var problem *api.Problem
+	require.ErrorAs(t, err, &problem)
+	assert.GreaterOrEqual(t, problem.Revision, after, "and where to list from")
 }
 
 func TestLeaseHolderDies(t *testing.T) {
