--- a/cli/internal/bench/control.go
+++ b/cli/internal/bench/control.go
@@ -120,10 +120,7 @@
 }
 
 func (r *controlling) start(ctx context.Context) error {
-	config := fleet.Config{EntriesPerHall: r.EntriesPerHall, Agents: r.Agents, LogOutput: r.LogOutput, LogLevel: "error"}
-	for i := range r.Halls {
-		config.Halls = append(config.Halls, fmt.Sprintf("hall-%d", i+1))
-	}
+	config := fleet.Config{Halls: fleet.HallNames(r.Halls), EntriesPerHall: r.EntriesPerHall, Agents: r.Agents, LogOutput: r.LogOutput, LogLevel: "error"}
 	config.SetUpKV = func(s *kv.Server) {
 		s.Fault = func(kv.Op, string) kv.Fault {
 			r.mu.Lock()
@@ -143,20 +140,7 @@
 	if err := r.fleet.AwaitReady(ctx); err != nil {
 		return err
 	}
-	return fleet.Await(ctx, "membership of all hosts", func() bool {
-		return !slices.ContainsFunc(r.fleet.Entries(), func(e *fleet.Entry) bool { return e.Process.Members() < r.Agents })
-	})
-}
-
-// bytes sums the control bytes of entries and of agents.
-func (r *controlling) bytes() (entries, agents int64) {
-	for _, e := range r.fleet.Entries() {
-		entries += e.Process.ControlBytes()
-	}
-	for _, host := range r.fleet.Hosts() {
-		agents += host.Agent.ControlBytes()
-	}
-	return entries, agents
+	return r.fleet.AwaitMembers(ctx, r.Agents)
 }
 
 // rest measures the fleet while nothing changes.
@@ -164,7 +148,7 @@
 	if err := wait(ctx, time.Second); err != nil {
 		return err
 	}
-	entriesBefore, agentsBefore := r.bytes()
+	entriesBefore, agentsBefore := controlBytes(r.fleet)
 	countsBefore := r.fleet.KV.Counts()
 	cpuBefore, started := cpuTime(), time.Now()
 	if err := wait(ctx, r.Rest); err != nil {
@@ -173,7 +157,7 @@
 	seconds := time.Since(started).Seconds()
 	cpu := cpuTime() - cpuBefore
 	counts := r.fleet.KV.Counts()
-	entries, agents := r.bytes()
+	entries, agents := controlBytes(r.fleet)
 	out := &r.result
 	out.EntryBytes = float64(entries-entriesBefore) / seconds / float64(out.Entries)
 	out.AgentBytes = float64(agents-agentsBefore) / seconds / float64(max(out.Agents, 1))
@@ -190,17 +174,6 @@
 	return nil
 }
 
-func wait(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // racers is the number of resources that are changed in turn, each through
 // another entry than the time before.
 const racers = 4
--- a/cli/internal/bench/distribute.go
+++ b/cli/internal/bench/distribute.go
@@ -109,13 +109,10 @@
 func (d *Distribute) fleetConfig() fleet.Config {
 	rateOf := func(copies int64) int64 { return int64(float64(copies*d.ModelBytes) / d.Unit.Seconds()) }
 	config := fleet.Config{
-		EntriesPerHall: 1, Agents: d.Hosts, LogOutput: d.LogOutput, HalfDuplex: d.HalfDuplex,
+		Halls: fleet.HallNames(d.Halls), EntriesPerHall: 1, Agents: d.Hosts, LogOutput: d.LogOutput, HalfDuplex: d.HalfDuplex,
 		OriginBytesPerSecond: rateOf(originCopies),
 		UploadBytesPerSecond: rateOf(hostCopies), DownloadBytesPerSecond: rateOf(hostCopies),
 	}
-	for i := range d.Halls {
-		config.Halls = append(config.Halls, fmt.Sprintf("hall-%d", i+1))
-	}
 	config.Entry.HostsEvery, config.Agent.HostsEvery = 200*time.Millisecond, 200*time.Millisecond
 	config.Agent.Policy = d.Policy
 	config.Agent.Uploads, config.Agent.Downloads, config.Agent.Neighbours = d.Uploads, d.Downloads, d.Neighbours
@@ -192,20 +189,8 @@
 	if err := r.fleet.AwaitReady(ctx); err != nil {
 		return err
 	}
-	return r.awaitMembers(ctx)
-}
-
-// awaitMembers waits until every entry knows every agent, so that the clock
-// starts on a fleet at rest.
-func (r *distribution) awaitMembers(ctx context.Context) error {
-	return fleet.Await(ctx, "membership of all hosts", func() bool {
-		for _, e := range r.fleet.Entries() {
-			if e.Process.Members() < r.Hosts {
-				return false
-			}
-		}
-		return true
-	})
+	// The clock starts on a fleet at rest.
+	return r.fleet.AwaitMembers(ctx, r.Hosts)
 }
 
 func (r *distribution) model() *api.Resource {
@@ -225,17 +210,6 @@
 // to rest, so that the service's declaration is not measured as one of a burst.
 const settleFor = 3 * time.Second
 
-func (r *distribution) settle(ctx context.Context) error {
-	timer := time.NewTimer(settleFor)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // sampleEvery is the interval of the ready count, and so the error of times.
 const sampleEvery = 10 * time.Millisecond
 
@@ -244,11 +218,11 @@
 		return nil, err
 	}
 	r.target = r.versions[0]
-	if err := r.settle(ctx); err != nil {
+	if err := wait(ctx, settleFor); err != nil {
 		return nil, err
 	}
 	usage := startUsage()
-	controlBefore := controlBytes(r.fleet)
+	entriesBefore, agentsBefore := controlBytes(r.fleet)
 	started := time.Now()
 	if err := r.fleet.Declare(ctx, r.service("v1")); err != nil {
 		return nil, err
@@ -256,7 +230,8 @@
 	series := r.sample(ctx, started)
 	result := r.result(series)
 	result.CPUShare, result.MaxRSSMB = usage.end()
-	result.ControlBytes = controlBytes(r.fleet) - controlBefore
+	entries, agents := controlBytes(r.fleet)
+	result.ControlBytes = entries + agents - entriesBefore - agentsBefore
 	if result.HostsCompleted < result.HostsExpected {
 		return result, fmt.Errorf("%d of %d hosts serve the version after %s", result.HostsCompleted, result.HostsExpected, r.Timeout)
 	}
--- a/cli/internal/bench/route.go
+++ b/cli/internal/bench/route.go
@@ -101,11 +101,10 @@
 	}
 	defer r.fleet.Kill()
 	direct := r.part(ctx, "direct", r.directTarget, func() {})
-	cpuDirect := direct.cpu
 	routed := r.part(ctx, "routed", r.entryTarget, func() { r.hit(ctx) })
 	r.judge(routed)
 	r.summarize(direct, routed)
-	perRequest := float64((routed.cpu - cpuDirect).Microseconds()) / float64(max(len(routed.answers), 1))
+	perRequest := float64((routed.cpu - direct.cpu).Microseconds()) / float64(max(len(routed.answers), 1))
 	r.result.CPUPerRequestUS = perRequest
 	r.result.CPUPerTokenUS = perRequest / float64(max(b.Tokens, 1))
 	r.result.CPUShare = routed.share
@@ -114,15 +113,12 @@
 
 func (r *routing) start(ctx context.Context) error {
 	config := fleet.Config{
-		EntriesPerHall: r.EntriesPerHall, Agents: r.Hosts, LogOutput: r.LogOutput, LogLevel: "error",
+		Halls: fleet.HallNames(r.Halls), EntriesPerHall: r.EntriesPerHall, Agents: r.Hosts, LogOutput: r.LogOutput, LogLevel: "error",
 		SetUpEngine: func(e *engine.Server) { e.Prefill, e.PerToken = r.Prefill, r.PerToken },
 	}
 	if r.LogOutput != nil {
 		config.LogLevel = "info"
 	}
-	for i := range r.Halls {
-		config.Halls = append(config.Halls, fmt.Sprintf("hall-%d", i+1))
-	}
 	config.Entry.HostsEvery, config.Agent.HostsEvery = 200*time.Millisecond, 200*time.Millisecond
 	var err error
 	if r.fleet, err = fleet.Start(config); err != nil {
--- a/cli/internal/bench/usage.go
+++ b/cli/internal/bench/usage.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"context"
 	"runtime"
 	"syscall"
 	"time"
@@ -34,14 +35,25 @@
 	return float64(cpuTime()-u.cpu) / float64(elapsed), float64(used.Maxrss) / 1024
 }
 
-// controlBytes sums the bytes of control messages at the fleet's processes.
-func controlBytes(f *fleet.Fleet) int64 {
-	total := int64(0)
+// controlBytes sums the bytes of control messages of entries and of agents.
+func controlBytes(f *fleet.Fleet) (entries, agents int64) {
 	for _, e := range f.Entries() {
-		total += e.Process.ControlBytes()
+		entries += e.Process.ControlBytes()
 	}
 	for _, host := range f.Hosts() {
-		total += host.Agent.ControlBytes()
+		agents += host.Agent.ControlBytes()
+	}
+	return entries, agents
+}
+
+// wait waits, or returns the context's error when that ends first.
+func wait(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
 	}
-	return total
 }
--- a/cli/internal/command/dev.go
+++ b/cli/internal/command/dev.go
@@ -119,12 +119,9 @@
 
 func (d *devRun) start(entries int, logOutput io.Writer) error {
 	config := fleet.Config{
-		EntriesPerHall: entries, Agents: d.hosts, LogOutput: logOutput,
+		Halls: fleet.HallNames(d.halls), EntriesPerHall: entries, Agents: d.hosts, LogOutput: logOutput,
 		SetUpEngine: func(e *engine.Server) { e.Prefill, e.PerToken = devPrefill, devPerToken },
 	}
-	for i := range d.halls {
-		config.Halls = append(config.Halls, fmt.Sprintf("hall-%d", i+1))
-	}
 	var err error
 	d.fleet, err = fleet.Start(config)
 	return err
--- a/cli/internal/fleet/fleet.go
+++ b/cli/internal/fleet/fleet.go
@@ -68,6 +68,15 @@
 	SetUpAgent  func(name string, options *agent.Options)
 }
 
+// HallNames returns the names of a number of data halls.
+func HallNames(count int) []string {
+	names := make([]string, count)
+	for i := range names {
+		names[i] = fmt.Sprintf("hall-%d", i+1)
+	}
+	return names
+}
+
 // Fleet is a running fleet.
 type Fleet struct {
 	Config Config
@@ -423,6 +432,18 @@
 	})
 }
 
+// AwaitMembers waits until every entry knows a number of agents.
+func (f *Fleet) AwaitMembers(ctx context.Context, agents int) error {
+	return Await(ctx, "membership of all hosts", func() bool {
+		for _, e := range f.Entries() {
+			if e.Process.Members() < agents {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // AwaitRevision waits until every entry has a configuration revision in force.
 func (f *Fleet) AwaitRevision(ctx context.Context, revision uint64) error {
 	return Await(ctx, fmt.Sprint("revision ", revision, " at every entry"), func() bool {
--- a/cli/internal/fleet/fleet_test.go
+++ b/cli/internal/fleet/fleet_test.go
@@ -31,10 +31,7 @@
 
 // quick returns a fleet whose waits are short.
 func quick(halls, entries, agents int) Config {
-	config := Config{EntriesPerHall: entries, Agents: agents, PlainServices: []string{"loans"}, PeerWait: 300 * time.Millisecond}
-	for i := range halls {
-		config.Halls = append(config.Halls, fmt.Sprintf("hall-%d", i+1))
-	}
+	config := Config{Halls: HallNames(halls), EntriesPerHall: entries, Agents: agents, PlainServices: []string{"loans"}, PeerWait: 300 * time.Millisecond}
 	config.Entry.Rearm, config.Entry.LameDuck = 10*time.Millisecond, 100*time.Millisecond
 	config.Entry.LeaseTTL, config.Entry.PlaceEvery, config.Entry.ReplaceAfter = time.Second, 20*time.Millisecond, time.Second
 	config.Entry.Silence = 1500 * time.Millisecond
--- a/daemon/internal/process/orders/orders.go
+++ b/daemon/internal/process/orders/orders.go
@@ -7,6 +7,7 @@
 package orders
 
 import (
+	"maps"
 	"slices"
 	"strings"
 
@@ -126,12 +127,7 @@
 			}
 		}
 	}
-	names := make([]string, 0, len(found))
-	for name := range found {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
+	return slices.Sorted(maps.Keys(found))
 }
 
 // takers returns the hosts of a hall that serve or fetch a version.
--- a/daemon/internal/process/resource/rollout.go
+++ b/daemon/internal/process/resource/rollout.go
@@ -2,8 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
-	"sort"
+	"slices"
 	"time"
 
 	"github.com/uptrace/bunrouter"
@@ -51,9 +52,7 @@
 // that names none is declared for every hall with agents.
 func hallsOf(view *tables.View, service *api.Resource, agents *members.View) []string {
 	if len(service.Service.Halls) > 0 {
-		halls := append([]string(nil), service.Service.Halls...)
-		sort.Strings(halls)
-		return halls
+		return slices.Sorted(slices.Values(service.Service.Halls))
 	}
 	found := map[string]bool{}
 	for _, agent := range agents.Agents {
@@ -62,12 +61,7 @@
 	for hall := range view.Placements {
 		found[hall] = true
 	}
-	halls := make([]string, 0, len(found))
-	for hall := range found {
-		halls = append(halls, hall)
-	}
-	sort.Strings(halls)
-	return halls
+	return slices.Sorted(maps.Keys(found))
 }
 
 // counting counts one hall's hosts of a service.
