--- a/cli/internal/command/settings.go
+++ b/cli/internal/command/settings.go
@@ -14,7 +14,7 @@
 		Name: "settings", Usage: "check settings files and print examples",
 		Commands: []*cli.Command{
 			{Name: "check", Usage: "check a settings file; exit 2 and a line for each fault", ArgsUsage: "FILE", Action: settingsCheck},
-			{Name: "example", Usage: "print a settings file to start from", ArgsUsage: "entry|agent", Action: settingsExample},
+			{Name: "example", Usage: "print a settings file to start from", ArgsUsage: "entry|agent|router|loader", Action: settingsExample},
 		},
 	}
 }
@@ -28,16 +28,12 @@
 	if err != nil {
 		return err
 	}
-	role := settings.RoleAgent
-	if file.Entry != nil {
-		role = settings.RoleEntry
-	}
-	_, _ = fmt.Fprintf(command.Root().Writer, "%s: good settings for role %s\n", path, role)
+	_, _ = fmt.Fprintf(command.Root().Writer, "%s: good settings for role %s\n", path, file.Role())
 	return nil
 }
 
 func settingsExample(_ context.Context, command *cli.Command) error {
-	role, err := oneArgument(command, "role: entry or agent")
+	role, err := oneArgument(command, "role: entry, agent, router or loader")
 	if err != nil {
 		return err
 	}
--- a/daemon/cmd/wheelcleatd/main.go
+++ b/daemon/cmd/wheelcleatd/main.go
@@ -3,6 +3,9 @@
 //
 // Exit codes: 0 after a clean stop, 1 when the process failed or had to cut
 // requests, 2 for a faulty command line or settings file.
+//
+// SIGTERM and SIGINT stop the process and let requests finish. SIGHUP, and a
+// settings file that changed without a signal, have it read its settings again.
 package main
 
 import (
@@ -18,9 +21,15 @@
 
 	"github.com/wheelcleat/wheelcleat/daemon/agent"
 	"github.com/wheelcleat/wheelcleat/daemon/entry"
+	"github.com/wheelcleat/wheelcleat/daemon/loader"
+	"github.com/wheelcleat/wheelcleat/daemon/router"
 	"github.com/wheelcleat/wheelcleat/daemon/settings"
+	"github.com/wheelcleat/wheelcleat/platform"
 )
 
+// settingsVariable names the settings file where the command line does not.
+const settingsVariable = "WHEELCLEAT_SETTINGS"
+
 const (
 	exitFailed = 1
 	exitUsage  = 2
@@ -29,8 +38,8 @@
 func main() {
 	command := &cli.Command{
 		Name:      "wheelcleatd",
-		Usage:     "run an entry or an agent from its settings file",
-		ArgsUsage: "SETTINGS.json",
+		Usage:     "run an entry, agent, router or loader from its settings file",
+		ArgsUsage: "[SETTINGS.json]",
 		Action:    run,
 		ExitErrHandler: func(_ context.Context, _ *cli.Command, err error) {
 			fmt.Fprintln(os.Stderr, err)
@@ -45,20 +54,24 @@
 	}
 }
 
-var errUsage = errors.New("usage: wheelcleatd SETTINGS.json; 'wheelcleat settings example entry' prints a file to start from")
+var errUsage = errors.New("usage: wheelcleatd [SETTINGS.json], or the file's path in " + settingsVariable +
+	"; 'wheelcleat settings example entry' prints a file to start from")
 
-// process is what both roles have.
+// process is what all roles have. A role without reload keeps its settings
+// until it is started again.
 type process struct {
-	start func() error
-	stop  func(context.Context) error
-	drain time.Duration
+	start  func() error
+	stop   func(context.Context) error
+	reload func(settings.File)
+	drain  time.Duration
 }
 
 func run(_ context.Context, command *cli.Command) error {
-	if command.Args().Len() != 1 {
-		return errUsage
+	path, err := settingsPath(command)
+	if err != nil {
+		return err
 	}
-	file, err := settings.Load(command.Args().First())
+	file, err := settings.Load(path)
 	if err != nil {
 		return err
 	}
@@ -67,27 +80,83 @@
 		return err
 	}
 	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	if err := p.start(); err != nil {
 		return err
 	}
-	<-signals
+	followSettings(path, p, signals)
 	ctx, cancel := context.WithTimeout(context.Background(), p.drain)
 	defer cancel()
 	return p.stop(ctx)
 }
 
+// settingsPath takes the path from the command line or the environment.
+func settingsPath(command *cli.Command) (string, error) {
+	switch path := os.Getenv(settingsVariable); {
+	case command.Args().Len() == 1:
+		return command.Args().First(), nil
+	case command.Args().Len() == 0 && path != "":
+		return path, nil
+	default:
+		return "", errUsage
+	}
+}
+
+// followSettings reads the settings again when told to or when the file has
+// changed, until the process is to stop.
+func followSettings(path string, p process, signals <-chan os.Signal) {
+	watcher := settings.NewWatcher(path)
+	defer watcher.Stop()
+	for {
+		select {
+		case received := <-signals:
+			if received != syscall.SIGHUP {
+				return
+			}
+			watcher.ReadAgain()
+		case result := <-watcher.Changed:
+			applySettings(p, result)
+		}
+	}
+}
+
+// applySettings hands changed settings on. Faulty ones are reported and the
+// last good ones stay in force.
+func applySettings(p process, changed settings.Changed) {
+	if changed.Err != nil {
+		fmt.Fprintf(os.Stderr, "settings not taken, the last good ones stay in force: %v\n", changed.Err)
+		return
+	}
+	if p.reload != nil {
+		p.reload(changed.File)
+	}
+}
+
 func prepare(file settings.File) (process, error) {
-	if file.Entry != nil {
+	switch file.Role() {
+	case settings.RoleEntry:
 		p, err := entry.New(*file.Entry, entry.Options{})
 		if err != nil {
 			return process{}, err
 		}
 		return process{start: p.Start, stop: p.Stop, drain: file.Entry.Drain.Std()}, nil
+	case settings.RoleRouter:
+		p, err := router.New(*file.Router, router.Options{Provider: platform.New, LogOutput: os.Stdout})
+		if err != nil {
+			return process{}, err
+		}
+		return process{start: p.Start, stop: p.Stop, reload: p.Reload, drain: file.Router.Drain.Std()}, nil
+	case settings.RoleLoader:
+		p, err := loader.New(*file.Loader, loader.Options{Provider: platform.New, LogOutput: os.Stdout})
+		if err != nil {
+			return process{}, err
+		}
+		return process{start: p.Start, stop: p.Stop, reload: p.Reload, drain: file.Loader.Drain.Std()}, nil
+	default:
+		p, err := agent.New(*file.Agent, agent.Options{})
+		if err != nil {
+			return process{}, err
+		}
+		return process{start: p.Start, stop: p.Stop, drain: file.Agent.Drain.Std()}, nil
 	}
-	p, err := agent.New(*file.Agent, agent.Options{})
-	if err != nil {
-		return process{}, err
-	}
-	return process{start: p.Start, stop: p.Stop, drain: file.Agent.Drain.Std()}, nil
 }
--- /dev/null
+++ b/daemon/internal/process/balance/balance.go
@@ -0,0 +1,286 @@
+// Package balance keeps what this process knows of each upstream's load and
+// soundness, and chooses one for a request.
+//
+// Soundness is judged only by outcomes of own requests: a health page may be
+// good while requests fail. Failures fade with time, so that an upstream comes
+// back by itself: first with a request now and then, as its penalty sinks, then
+// with its share. A hard ejection was rejected: a sound upstream of one service
+// fails one request in seven, and an ejection cannot tell that from a bad one
+// without a long history.
+package balance
+
+import (
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/wheelcleat/wheelcleat/daemon/provider"
+)
+
+const (
+	// fadeTime is the time in which past outcomes lose two thirds of their weight.
+	fadeTime = 3 * time.Second
+	// soundShare is the share of failures that sound upstreams show.
+	soundShare = 0.2
+	// failurePenalty is what a full share of failures counts, in places.
+	failurePenalty = 40.0
+	// priorWeight is the number of good outcomes that an unknown upstream has.
+	priorWeight = 4.0
+	// firstBlock and longestBlock bound the time in which an upstream that did
+	// not take a connection gets no request.
+	firstBlock   = 300 * time.Millisecond
+	longestBlock = 1500 * time.Millisecond
+	// fullBlock is the time in which an upstream that refused gets no request.
+	fullBlock = 60 * time.Millisecond
+	// forgetAfter is when the state of an upstream without requests is dropped.
+	forgetAfter = time.Minute
+)
+
+// Outcome is how a request at an upstream ended.
+type Outcome int
+
+// The outcomes.
+const (
+	// Served requests got an answer that an upstream gives when it is sound.
+	Served Outcome = iota
+	// Failed requests got an error, a broken answer or none.
+	Failed
+	// Full means that the upstream had no place.
+	Full
+	// Unreachable means that no connection was made.
+	Unreachable
+	// Moved means that the upstream or its version is not there any more.
+	Moved
+	// Abandoned requests say nothing: the caller left.
+	Abandoned
+)
+
+// Pool holds the state of upstreams by id. The zero value is ready to use.
+type Pool struct {
+	mu     sync.Mutex
+	states map[string]*state
+	swept  time.Time
+}
+
+// state is one upstream's; Pool.mu guards it.
+type state struct {
+	inFlight int
+	// failures and outcomes fade with fadeTime; faded is when they last did.
+	failures, outcomes float64
+	faded              time.Time
+	blockedUntil       time.Time
+	block              time.Duration
+	// told is what the upstream's host last told, and sentSince the requests
+	// sent there since, by this process.
+	told      Told
+	toldAt    time.Time
+	sentSince int
+	used      time.Time
+}
+
+// Told is what an upstream's host tells of it.
+type Told struct {
+	// Running and Waiting count its requests, of all routers.
+	Running, Waiting int
+	// Loading says that it takes a new version and serves nothing meanwhile.
+	Loading bool
+	// Models is what it holds.
+	Models []provider.Loaded
+}
+
+// Query says what a request needs.
+type Query struct {
+	// Tried are upstreams not to be chosen again.
+	Tried []string
+	// Service names the model that the upstream must hold, "" for none, and
+	// Version the lowest version of it.
+	Model   string
+	Version int
+}
+
+// Choice is a chosen upstream. Done must be called once.
+type Choice struct {
+	Upstream *provider.Upstream
+	// Version is the version of the model that the upstream says it holds.
+	Version int
+	// InFlight, Score and Candidates are what the choice was made by.
+	InFlight   int
+	Score      float64
+	Candidates int
+
+	pool *Pool
+}
+
+// Choose takes the upstream with the lowest score, or returns false where none
+// is fit. Blocked upstreams are taken only when no other is left.
+func (p *Pool) Choose(upstreams []*provider.Upstream, query Query) (Choice, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	p.sweep(now)
+	best := Choice{Score: math.Inf(1), pool: p}
+	for _, candidate := range upstreams {
+		s := p.state(candidate.ID, now)
+		if !s.fits(candidate, query, now) {
+			continue
+		}
+		score := s.score(candidate, now) + rand.Float64()*0.5
+		best.Candidates++
+		if score < best.Score {
+			best.Upstream, best.Score, best.InFlight = candidate, score, s.inFlight
+		}
+	}
+	if best.Upstream == nil {
+		return Choice{}, false
+	}
+	chosen := p.states[best.Upstream.ID]
+	chosen.inFlight++
+	chosen.sentSince++
+	best.Version = chosen.holds(best.Upstream, query.Model, now)
+	return best, true
+}
+
+// fits reports whether an upstream may get the request at all.
+func (s *state) fits(candidate *provider.Upstream, query Query, now time.Time) bool {
+	if candidate.Leaving {
+		return false
+	}
+	for _, id := range query.Tried {
+		if id == candidate.ID {
+			return false
+		}
+	}
+	if query.Model == "" {
+		return true
+	}
+	held := s.holds(candidate, query.Model, now)
+	return held > 0 && held >= query.Version
+}
+
+// holds returns the version that an upstream holds: what its host told, or what
+// its record says where the host told nothing of late.
+func (s *state) holds(candidate *provider.Upstream, model string, now time.Time) int {
+	if now.Sub(s.toldAt) > toldFor {
+		return candidate.Holds(model)
+	}
+	told := provider.Upstream{Models: s.told.Models}
+	return told.Holds(model)
+}
+
+// Places returns how many requests this process has at a service's upstreams
+// that fit, and how many places these have.
+func (p *Pool) Places(upstreams []*provider.Upstream, query Query) (inFlight, places int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	for _, candidate := range upstreams {
+		s := p.state(candidate.ID, now)
+		if s.fits(candidate, query, now) {
+			places += candidate.Places
+			inFlight += s.inFlight
+		}
+	}
+	return inFlight, places
+}
+
+func (p *Pool) state(id string, now time.Time) *state {
+	if p.states == nil {
+		p.states = map[string]*state{}
+	}
+	s := p.states[id]
+	if s == nil {
+		s = &state{faded: now}
+		p.states[id] = s
+	}
+	s.used = now
+	return s
+}
+
+// sweep drops the state of upstreams that are long gone.
+func (p *Pool) sweep(now time.Time) {
+	if now.Sub(p.swept) < forgetAfter {
+		return
+	}
+	p.swept = now
+	for id, s := range p.states {
+		if s.inFlight == 0 && now.Sub(s.used) > forgetAfter {
+			delete(p.states, id)
+		}
+	}
+}
+
+// blockedScore is above every score of an upstream that is not blocked.
+const blockedScore = 1e6
+
+func (s *state) score(candidate *provider.Upstream, now time.Time) float64 {
+	s.fade(now)
+	share := s.failures / (s.outcomes + priorWeight)
+	score := s.load(now)
+	if candidate.Places > 0 {
+		score *= referencePlaces / float64(candidate.Places)
+	}
+	score += failurePenalty * max(0, share-soundShare)
+	if now.Before(s.blockedUntil) || s.told.Loading && now.Sub(s.toldAt) <= toldFor {
+		score += blockedScore
+	}
+	return score
+}
+
+// referencePlaces scales loads of upstreams of different sizes.
+const referencePlaces = 16
+
+// toldFor is how long a told load is used.
+const toldFor = 800 * time.Millisecond
+
+// load is the number of requests that are likely to be there.
+func (s *state) load(now time.Time) float64 {
+	if now.Sub(s.toldAt) > toldFor {
+		return float64(s.inFlight)
+	}
+	return max(float64(s.told.Running+s.told.Waiting+s.sentSince), float64(s.inFlight))
+}
+
+// Tell takes what an upstream's host says of it.
+func (p *Pool) Tell(id string, told Told) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	s := p.state(id, now)
+	s.told, s.toldAt, s.sentSince = told, now, 0
+}
+
+func (s *state) fade(now time.Time) {
+	factor := math.Exp(-float64(now.Sub(s.faded)) / float64(fadeTime))
+	s.failures *= factor
+	s.outcomes *= factor
+	s.faded = now
+}
+
+// Done takes back the choice's place and counts its outcome.
+func (c Choice) Done(outcome Outcome) {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	now := time.Now()
+	s := c.pool.state(c.Upstream.ID, now)
+	s.inFlight--
+	s.fade(now)
+	switch outcome {
+	case Served:
+		s.outcomes++
+		s.block = 0
+	case Failed:
+		s.outcomes++
+		s.failures++
+	case Full:
+		s.blockedUntil = now.Add(fullBlock)
+	case Unreachable:
+		s.outcomes++
+		s.failures++
+		s.block = min(max(2*s.block, firstBlock), longestBlock)
+		s.blockedUntil = now.Add(s.block)
+	case Moved:
+		s.blockedUntil = now.Add(firstBlock)
+	case Abandoned:
+	}
+}
--- /dev/null
+++ b/daemon/internal/process/mirror/follower.go
@@ -0,0 +1,125 @@
+package mirror
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"gopkg.in/tomb.v2"
+
+	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
+	"github.com/wheelcleat/wheelcleat/daemon/provider"
+)
+
+const (
+	// watchWait is how long one watch waits. It bounds how long a watch that
+	// was cut in silence stays unnoticed, at the price of a call each time.
+	watchWait = 2500 * time.Millisecond
+	// watchSlack is what an answer may take beyond the wait.
+	watchSlack = 700 * time.Millisecond
+	// listTimeout bounds a list of all pages.
+	listTimeout = 5 * time.Second
+	// firstPause and longestPause bound the pause after a failed call. The
+	// pause is drawn at random below its bound, so that daemons that fail
+	// together do not come back together.
+	firstPause   = 50 * time.Millisecond
+	longestPause = 400 * time.Millisecond
+)
+
+// Follower keeps one prefix of a table in step with the store.
+type Follower struct {
+	Store  provider.Store
+	Prefix string
+	Table  *Table
+	// OnContact is called when the store answers after a failure, and the other
+	// way round, with the cause. It may be nil.
+	OnContact func(prefix string, lost error)
+
+	// at is the revision up to which the prefix is known; 0 means not at all.
+	at provider.Revision
+	// answered is when the store last answered, in nanoseconds of the steady
+	// clock since start; 0 means never.
+	answered atomic.Int64
+	start    time.Time
+	failing  bool
+	tomb     tomb.Tomb
+}
+
+// Start begins to follow; Stop ends it.
+func (f *Follower) Start() {
+	f.start = time.Now()
+	f.tomb.Go(f.run)
+}
+
+// Stop ends the follower and waits for it.
+func (f *Follower) Stop() {
+	f.tomb.Kill(nil)
+	_ = f.tomb.Wait()
+}
+
+// Age is the time since the store last answered, or since the start.
+func (f *Follower) Age() time.Duration {
+	return time.Since(f.start) - time.Duration(f.answered.Load())
+}
+
+// Known reports whether the prefix was ever read from the store.
+func (f *Follower) Known() bool { return f.answered.Load() != 0 }
+
+func (f *Follower) run() error {
+	pause := firstPause
+	for f.tomb.Alive() {
+		err := f.step(f.tomb.Context(nil)) //nolint:staticcheck // nil asks the tomb for its own context
+		f.note(err)
+		if err == nil || errors.Is(err, provider.ErrCompacted) {
+			pause = firstPause
+			continue
+		}
+		helpers.Pause(rand.N(pause), f.tomb.Dying())
+		pause = min(2*pause, longestPause)
+	}
+	return nil
+}
+
+// step makes one call: a list where nothing is known, a watch otherwise.
+func (f *Follower) step(ctx context.Context) error {
+	if f.at == 0 {
+		return f.list(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	defer cancel()
+	changes, err := f.Store.Watch(ctx, f.Prefix, f.at, watchWait)
+	if errors.Is(err, provider.ErrCompacted) {
+		f.at = 0
+	}
+	if err != nil {
+		return err
+	}
+	f.Table.Apply(changes.Entries)
+	f.at = max(f.at, changes.At)
+	return nil
+}
+
+func (f *Follower) list(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	listing, err := f.Store.List(ctx, f.Prefix)
+	if err != nil {
+		return err
+	}
+	f.Table.Replace(f.Prefix, listing)
+	f.at = listing.At
+	return nil
+}
+
+func (f *Follower) note(err error) {
+	if err == nil {
+		f.answered.Store(int64(time.Since(f.start)))
+	}
+	failing := err != nil && !errors.Is(err, provider.ErrCompacted) && f.tomb.Alive()
+	if failing != f.failing && f.OnContact != nil {
+		f.OnContact(f.Prefix, err)
+	}
+	f.failing = failing
+}
--- /dev/null
+++ b/daemon/internal/process/mirror/view.go
@@ -0,0 +1,165 @@
+package mirror
+
+import (
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/wheelcleat/wheelcleat/daemon/provider"
+)
+
+// View is what requests are decided by, compiled from one state of the table.
+// It never changes; a new state is a new view.
+type View struct {
+	// Configuration is nil while none is known.
+	Configuration *provider.Configuration
+	// ConfigurationRevision is the revision of the configuration's entry.
+	ConfigurationRevision provider.Revision
+	// Upstreams holds the upstreams of each service, leaving ones included.
+	Upstreams map[string][]*provider.Upstream
+	// Targets holds the declared version of each model.
+	Targets map[string]Declared
+	// Members holds the known routers by name.
+	Members map[string]*provider.Member
+
+	hosts    map[string][]*provider.Route // by host name
+	accounts map[string]*provider.Account // by key
+	services map[string]*provider.Service // by name
+}
+
+// Declared is a declared version and what this daemon knows of when.
+type Declared struct {
+	provider.Target
+	Revision provider.Revision
+	// Learned is when this daemon first heard of it.
+	Learned time.Time
+}
+
+// Route returns the route of the longest prefix that begins the path.
+func (v *View) Route(host, path string) *provider.Route {
+	var best *provider.Route
+	for _, route := range v.hosts[host] {
+		if strings.HasPrefix(path, route.Prefix) && (best == nil || len(route.Prefix) > len(best.Prefix)) {
+			best = route
+		}
+	}
+	return best
+}
+
+// Account returns the account that holds a key, or nil.
+func (v *View) Account(key string) *provider.Account { return v.accounts[key] }
+
+// HasAccounts reports whether requests need a key.
+func (v *View) HasAccounts() bool { return len(v.Configuration.Accounts) > 0 }
+
+// Service returns a declared service, or nil.
+func (v *View) Service(name string) *provider.Service { return v.services[name] }
+
+// Compiler turns changes of a table into views. The zero value has an empty
+// view; Decode must be set.
+type Compiler struct {
+	Decode func(provider.Entry) (provider.Record, error)
+	// OnBelief is called for each change of what is believed. It may be nil.
+	OnBelief func(Belief)
+
+	view atomic.Pointer[View]
+	// upstreams, targets and members are decoded entries by key; only Take
+	// touches them.
+	upstreams map[string]*provider.Upstream
+	targets   map[string]Declared
+	members   map[string]*provider.Member
+}
+
+// Belief is one change of what a daemon believes: the entry, what it was
+// decoded to, and the error where it was not taken.
+type Belief struct {
+	Entry  provider.Entry
+	Record provider.Record
+	Err    error
+}
+
+// View returns the newest view; it is never nil.
+func (c *Compiler) View() *View {
+	if view := c.view.Load(); view != nil {
+		return view
+	}
+	return &View{}
+}
+
+// Take compiles changed entries into a new view. A value that cannot be
+// decoded is reported and leaves the last good one in force.
+func (c *Compiler) Take(changed []provider.Entry) {
+	if c.upstreams == nil {
+		c.upstreams = map[string]*provider.Upstream{}
+		c.targets = map[string]Declared{}
+		c.members = map[string]*provider.Member{}
+	}
+	next := *c.View()
+	for _, entry := range changed {
+		c.takeEntry(&next, entry)
+	}
+	next.Upstreams = map[string][]*provider.Upstream{}
+	for _, upstream := range c.upstreams {
+		next.Upstreams[upstream.Service] = append(next.Upstreams[upstream.Service], upstream)
+	}
+	next.Targets = map[string]Declared{}
+	for _, target := range c.targets {
+		next.Targets[target.Model] = target
+	}
+	next.Members = map[string]*provider.Member{}
+	for _, member := range c.members {
+		next.Members[member.Name] = member
+	}
+	c.view.Store(&next)
+}
+
+func (c *Compiler) takeEntry(next *View, entry provider.Entry) {
+	if entry.Gone {
+		delete(c.upstreams, entry.Key)
+		delete(c.members, entry.Key)
+		c.believe(Belief{Entry: entry})
+		return
+	}
+	record, err := c.Decode(entry)
+	c.believe(Belief{Entry: entry, Record: record, Err: err})
+	if err != nil {
+		return
+	}
+	switch {
+	case record.Configuration != nil:
+		next.ConfigurationRevision = entry.Revision
+		next.takeConfiguration(record.Configuration)
+	case record.Upstream != nil:
+		c.upstreams[entry.Key] = record.Upstream
+	case record.Target != nil:
+		c.targets[entry.Key] = Declared{Target: *record.Target, Revision: entry.Revision, Learned: time.Now()}
+	case record.Member != nil:
+		c.members[entry.Key] = record.Member
+	}
+}
+
+func (c *Compiler) believe(belief Belief) {
+	if c.OnBelief != nil {
+		c.OnBelief(belief)
+	}
+}
+
+func (v *View) takeConfiguration(configuration *provider.Configuration) {
+	v.Configuration = configuration
+	v.hosts = map[string][]*provider.Route{}
+	for i := range configuration.Routes {
+		route := &configuration.Routes[i]
+		v.hosts[route.Host] = append(v.hosts[route.Host], route)
+	}
+	v.accounts = map[string]*provider.Account{}
+	for i := range configuration.Accounts {
+		account := &configuration.Accounts[i]
+		for _, key := range account.Keys {
+			v.accounts[key] = account
+		}
+	}
+	v.services = map[string]*provider.Service{}
+	for i := range configuration.Services {
+		v.services[configuration.Services[i].Name] = &configuration.Services[i]
+	}
+}
--- /dev/null
+++ b/daemon/internal/process/telemetry/bounded.go
@@ -0,0 +1,56 @@
+package telemetry
+
+import (
+	"fmt"
+	"io"
+	"sync/atomic"
+)
+
+// boundedLines is how many lines wait for a slow reader of the log.
+const boundedLines = 2048
+
+// Bounded is a writer of log lines that never blocks: lines wait in a bounded
+// queue, and what does not fit is dropped, counted and said so in a line of its
+// own once there is room. Blocking was rejected, because a reader of the log
+// that stops would stop requests.
+type Bounded struct {
+	lines   chan []byte
+	dropped atomic.Int64
+	done    chan struct{}
+}
+
+// NewBounded writes to output until Close.
+func NewBounded(output io.Writer) *Bounded {
+	b := &Bounded{lines: make(chan []byte, boundedLines), done: make(chan struct{})}
+	go b.run(output)
+	return b
+}
+
+// Write takes one line; it always reports success.
+func (b *Bounded) Write(line []byte) (int, error) {
+	select {
+	case b.lines <- append([]byte(nil), line...):
+	default:
+		b.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped returns how many lines were dropped and not yet told of.
+func (b *Bounded) Dropped() int64 { return b.dropped.Load() }
+
+// Close ends the writer once the waiting lines are written.
+func (b *Bounded) Close() {
+	close(b.lines)
+	<-b.done
+}
+
+func (b *Bounded) run(output io.Writer) {
+	defer close(b.done)
+	for line := range b.lines {
+		_, _ = output.Write(line)
+		if n := b.dropped.Swap(0); n > 0 {
+			_, _ = fmt.Fprintf(output, `{"level":"warn","message":"log lines dropped","fields":{"count":%d}}`+"\n", n)
+		}
+	}
+}
--- /dev/null
+++ b/daemon/internal/request/dispatch/answer.go
@@ -0,0 +1,163 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/wheelcleat/wheelcleat/daemon/internal/process/balance"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/exchange"
+	"github.com/wheelcleat/wheelcleat/daemon/provider"
+)
+
+const (
+	// shortestReturn and longestReturn bound when a refused caller is told to
+	// come back. The time is drawn at random, so that refused callers do not
+	// come back together.
+	shortestReturn = 150 * time.Millisecond
+	longestReturn  = 600 * time.Millisecond
+	// maxWhole bounds an answer that is held until it is whole.
+	maxWhole = 16 << 20
+)
+
+// answer passes an upstream's answer on. It reports false where nothing went
+// out and the budget was charged for another send.
+func (q *request) answer(ctx context.Context, choice balance.Choice, response *http.Response) bool {
+	if q.route.Mode == provider.ModeStream && response.StatusCode/100 == 2 {
+		return q.stream(ctx, choice, response)
+	}
+	return q.whole(choice, response)
+}
+
+// whole reads an answer to its end before a byte of it goes out, so that one
+// that breaks off is never taken for whole.
+func (q *request) whole(choice balance.Choice, response *http.Response) bool {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxWhole))
+	_ = response.Body.Close()
+	if err != nil {
+		choice.Done(q.outcomeOf(exchange.Unknown))
+		q.amendTry(fmt.Errorf("the answer broke off: %w", err))
+		if q.Context().Err() == nil && q.mayRepeat(exchange.Unknown) {
+			return false
+		}
+		q.giveUp(exchange.Result{Fate: exchange.Unknown, Err: err})
+		return true
+	}
+	if response.StatusCode >= http.StatusInternalServerError {
+		choice.Done(balance.Failed)
+		if q.mayRepeat(exchange.Unknown) {
+			q.amendTry(fmt.Errorf("status %d", response.StatusCode))
+			return false
+		}
+	} else {
+		choice.Done(balance.Served)
+	}
+	q.passHead(response)
+	q.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	q.writer.WriteHeader(response.StatusCode)
+	_, _ = q.writer.Write(body)
+	ending := EndServed
+	if response.StatusCode >= http.StatusBadRequest {
+		ending = EndFailed
+	}
+	q.end(ending, response.StatusCode, "")
+	return true
+}
+
+func (q *request) passHead(response *http.Response) {
+	header := q.writer.Header()
+	exchange.CutConnectionHeaders(response.Header)
+	for name, values := range response.Header {
+		header[name] = values
+	}
+	if _, ok := header["Date"]; !ok {
+		header["Date"] = nil
+	}
+	if _, ok := header["Content-Type"]; !ok {
+		header["Content-Type"] = nil
+	}
+	q.story.FirstByte = time.Now()
+}
+
+// giveUp ends a request that is not tried again.
+func (q *request) giveUp(result exchange.Result) {
+	cause := "no cause"
+	if result.Err != nil {
+		cause = result.Err.Error()
+	}
+	if result.Fate.NotRun() && q.neverRan() {
+		q.refuse(cause)
+		return
+	}
+	q.fail(http.StatusBadGateway, EndUnknown, cause)
+}
+
+// neverRan reports whether no send so far can have run.
+func (q *request) neverRan() bool {
+	for _, try := range q.story.Tries {
+		if try.Fate == exchange.Unknown.String() || try.Fate == exchange.Answered.String() {
+			return false
+		}
+	}
+	return true
+}
+
+// timeOut ends a request whose time is over.
+func (q *request) timeOut(result exchange.Result) {
+	cause := "the time is over"
+	if result.Err != nil {
+		cause += ": " + result.Err.Error()
+	}
+	if q.neverRan() {
+		q.refuse(cause)
+		return
+	}
+	q.fail(http.StatusGatewayTimeout, EndTimedOut, cause)
+}
+
+// refuse answers a request that has not run: it says so, and when to come back.
+func (q *request) refuse(cause string) {
+	if !q.neverRan() {
+		q.fail(http.StatusBadGateway, EndUnknown, cause)
+		return
+	}
+	wait := shortestReturn + rand.N(longestReturn-shortestReturn)
+	q.writer.Header().Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
+	q.fail(http.StatusServiceUnavailable, EndRefused, cause)
+}
+
+// reject answers a request that is wrong.
+func (q *request) reject(status int, cause string) {
+	q.fail(status, EndRejected, cause)
+}
+
+// fail writes an answer of our own. It never carries a signature.
+func (q *request) fail(status int, ending Ending, cause string) {
+	header := q.writer.Header()
+	if q.story.ID != "" {
+		header.Set(q.Headers.RequestID, q.story.ID)
+	}
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	body := string(ending) + "\n"
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	q.writer.WriteHeader(status)
+	_, _ = io.WriteString(q.writer, body)
+	q.end(ending, status, cause)
+}
+
+func (q *request) end(ending Ending, status int, cause string) {
+	q.story.Outcome, q.story.Status, q.story.Cause = ending, status, cause
+}
+
+// amendTry adds to the last try why its answer was not passed on.
+func (q *request) amendTry(err error) {
+	last := &q.story.Tries[len(q.story.Tries)-1]
+	if !errors.Is(err, io.EOF) {
+		last.Cause = err.Error()
+	}
+}
--- /dev/null
+++ b/daemon/internal/request/dispatch/stream.go
@@ -0,0 +1,161 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/wheelcleat/wheelcleat/daemon/internal/process/balance"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/exchange"
+)
+
+// stallTime is the longest pause between events before a stream goes on at
+// another upstream.
+const stallTime = 1200 * time.Millisecond
+
+var (
+	errGap     = errors.New("an event is missing")
+	errStalled = errors.New("no event came in time")
+)
+
+// stream passes events on as they come, whole ones only. Where an upstream
+// breaks off, the stream goes on at another after the last event that went out;
+// the head and its signature stay those of the first.
+func (q *request) stream(ctx context.Context, choice balance.Choice, response *http.Response) bool {
+	s := &stream{request: q}
+	s.last, s.hasLast = q.callersLast()
+	for {
+		err := s.copy(choice, response)
+		if err == nil {
+			choice.Done(balance.Served)
+			if !s.headSent {
+				s.sendHead(response)
+			}
+			q.end(EndServed, http.StatusOK, "")
+			return true
+		}
+		choice.Done(q.outcomeOf(exchange.Unknown))
+		q.amendTry(err)
+		choice, response = s.goOn(ctx)
+		if response == nil {
+			return s.cut(ctx, err)
+		}
+	}
+}
+
+// callersLast is the event after which the caller asks to go on.
+func (q *request) callersLast() (int64, bool) {
+	id, err := strconv.ParseInt(q.Header.Get(q.Headers.LastEvent), 10, 64)
+	return id, err == nil
+}
+
+// stream is one answer made of one or more upstreams' events.
+type stream struct {
+	*request
+	headSent bool
+	// last is the number of the last event that went out, if there was one.
+	last    int64
+	hasLast bool
+}
+
+// copy passes one upstream's events on until its end; nil means a good one.
+func (s *stream) copy(choice balance.Choice, response *http.Response) error {
+	defer func() { _ = response.Body.Close() }()
+	stalled := time.AfterFunc(stallTime, func() { _ = response.Body.Close() })
+	defer stalled.Stop()
+	events := exchange.NewEvents(response.Body)
+	for {
+		event, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil && !stalled.Stop() {
+			return fmt.Errorf("%w from %s: %w", errStalled, choice.Upstream.ID, err)
+		}
+		if err != nil {
+			return fmt.Errorf("stream from %s: %w", choice.Upstream.ID, err)
+		}
+		stalled.Reset(stallTime)
+		if err := s.pass(response, event); err != nil {
+			return err
+		}
+		if !events.Buffered() {
+			_ = http.NewResponseController(s.writer).Flush()
+		}
+	}
+}
+
+// pass sends one event on, unless it went out before.
+func (s *stream) pass(response *http.Response, event exchange.Event) error {
+	if event.HasID && s.hasLast {
+		if event.ID <= s.last {
+			return nil
+		}
+		if event.ID != s.last+1 {
+			return fmt.Errorf("%w: %d follows %d", errGap, event.ID, s.last)
+		}
+	}
+	if !s.headSent {
+		s.sendHead(response)
+	}
+	if _, err := s.writer.Write(event.Bytes); err != nil {
+		return fmt.Errorf("write to the caller: %w", err)
+	}
+	if event.HasID {
+		s.last, s.hasLast = event.ID, true
+	}
+	return nil
+}
+
+func (s *stream) sendHead(response *http.Response) {
+	s.passHead(response)
+	s.writer.WriteHeader(response.StatusCode)
+	s.headSent = true
+}
+
+// goOn finds another upstream; the response is nil where there is none.
+func (s *stream) goOn(ctx context.Context) (balance.Choice, *http.Response) {
+	fate := exchange.Unknown
+	for ctx.Err() == nil && s.mayRepeat(fate) {
+		lastEvent := ""
+		if s.hasLast {
+			lastEvent = strconv.FormatInt(s.last, 10)
+		}
+		choice, result, ok := s.try(ctx, lastEvent)
+		if !ok {
+			break
+		}
+		if result.Fate != exchange.Answered {
+			fate = result.Fate
+			continue
+		}
+		if result.Response.StatusCode/100 == 2 {
+			return choice, result.Response
+		}
+		_ = result.Response.Body.Close()
+		choice.Done(balance.Failed)
+		fate = exchange.Unknown
+	}
+	return balance.Choice{}, nil
+}
+
+// cut ends a stream that cannot go on, so that it does not look complete.
+func (s *stream) cut(ctx context.Context, cause error) bool {
+	switch {
+	case s.Context().Err() != nil:
+		s.end(EndLeft, 0, "the caller left")
+	case !s.headSent && ctx.Err() != nil:
+		s.timeOut(exchange.Result{Err: cause})
+		return true
+	case !s.headSent:
+		s.fail(http.StatusBadGateway, EndUnknown, cause.Error())
+		return true
+	default:
+		s.end(EndCut, 0, cause.Error())
+	}
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/daemon/internal/version/keep/keep.go
@@ -0,0 +1,339 @@
+// Package keep keeps an engine at the declared version of its model: it has the
+// version fetched, lays it beside the engine, checks it there, and orders the
+// engine to take it when its turn has come.
+//
+// Nothing it does depends on having seen an order's answer. Each round begins
+// with the engine's own report, so a lost answer, a restarted engine and a
+// restarted loader all lead to the same question: what does it hold, and what
+// is declared?
+package keep
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"gopkg.in/tomb.v2"
+
+	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/version/swarm"
+	"github.com/wheelcleat/wheelcleat/daemon/provider"
+)
+
+const (
+	// roundEvery is the interval of rounds.
+	roundEvery = 100 * time.Millisecond
+	// callTimeout bounds a call to the engine on this host.
+	callTimeout = time.Second
+	// manifestTimeout bounds a call for a manifest.
+	manifestTimeout = 1500 * time.Millisecond
+	// retryPause bounds the pause after a failed fetch, drawn at random.
+	retryPause = 400 * time.Millisecond
+	// orderAgain is the time after an order in which its effect must show in
+	// the engine's report before it is given again.
+	orderAgain = 500 * time.Millisecond
+)
+
+// Goal is what the engine should hold.
+type Goal struct {
+	Model   string
+	Version int
+	// Fence goes with the order, so that an older order is refused.
+	Fence provider.Revision
+	// Turn is when an engine that serves an older version may be ordered.
+	Turn time.Time
+}
+
+// Plan is what a loader knows of its part of the fleet.
+type Plan struct {
+	Goal Goal
+	// Origin is where the weights come from, unset while it is not known.
+	Origin netip.AddrPort
+	// Chunks and ChunkBytes are the declared sizes of a version.
+	Chunks, ChunkBytes int
+	// OriginTime is how long the origin takes to send one copy.
+	OriginTime time.Duration
+}
+
+// Keeper keeps one engine. The exported fields must be set.
+type Keeper struct {
+	Engine  provider.Engine
+	Origin  provider.Origin
+	Address netip.AddrPort // of the engine
+	Held    *swarm.Held
+	// Plan returns what is to be done, or false while that is not known.
+	Plan func() (Plan, bool)
+	// Peers returns the loaders that have, or are to have, the same versions.
+	Peers func() []netip.AddrPort
+	// NewFetch prepares a fetch of a copy; the keeper runs it.
+	NewFetch func(plan Plan, c *swarm.Copy) *swarm.Fetch
+	// AskPeer asks one peer for a manifest.
+	AskPeer func(ctx context.Context, peer netip.AddrPort, version int) (provider.Manifest, error)
+	// OnReport is called with each report of the engine.
+	OnReport func(report provider.EngineReport, err error)
+	// OnStep is called for each decision and its outcome.
+	OnStep func(step Step)
+
+	// fetching is the version under way, with what ends it; only run uses them.
+	fetching int
+	cancel   context.CancelFunc
+	fetched  chan struct{}
+	// prepared is the version that was laid beside the engine.
+	prepared int
+	ordered  time.Time
+	tomb     tomb.Tomb
+}
+
+// Step is one decision about weights.
+type Step struct {
+	Name    string
+	Version int
+	// Reason says why, Err what went wrong.
+	Reason string
+	Err    error
+	Took   time.Duration
+}
+
+// Start begins to keep the engine; Stop ends it.
+func (k *Keeper) Start() { k.tomb.Go(k.run) }
+
+// Stop ends the keeper and waits for it.
+func (k *Keeper) Stop() {
+	k.tomb.Kill(nil)
+	_ = k.tomb.Wait()
+}
+
+func (k *Keeper) run() error {
+	ctx := k.tomb.Context(nil) //nolint:staticcheck // nil asks the tomb for its own context
+	for helpers.Pause(roundEvery, k.tomb.Dying()) {
+		k.round(ctx)
+	}
+	k.stopFetch()
+	return nil
+}
+
+// round looks at the engine and does what is due.
+func (k *Keeper) round(ctx context.Context) {
+	report, err := k.report(ctx)
+	k.OnReport(report, err)
+	plan, ok := k.Plan()
+	if !ok {
+		return
+	}
+	k.keepFetching(ctx, plan)
+	if err != nil {
+		return
+	}
+	held := holds(report, plan.Goal.Model)
+	c := k.Held.Get(plan.Goal.Version)
+	if held >= plan.Goal.Version || c == nil || !c.Complete() {
+		return
+	}
+	if k.prepared != plan.Goal.Version && !report.Loading {
+		k.prepare(ctx, plan.Goal, c)
+	}
+	if report.Loading || time.Since(k.ordered) < orderAgain {
+		return
+	}
+	if held > 0 && time.Now().Before(plan.Goal.Turn) {
+		return
+	}
+	k.order(ctx, plan.Goal, c, report, held)
+}
+
+func (k *Keeper) report(ctx context.Context) (provider.EngineReport, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return k.Engine.Report(ctx, k.Address)
+}
+
+func holds(report provider.EngineReport, model string) int {
+	for _, loaded := range report.Models {
+		if loaded.Model == model {
+			return loaded.Version
+		}
+	}
+	return 0
+}
+
+// keepFetching has the goal's version under way, and no other.
+func (k *Keeper) keepFetching(ctx context.Context, plan Plan) {
+	if k.fetching == plan.Goal.Version {
+		return
+	}
+	k.stopFetch()
+	k.fetching = plan.Goal.Version
+	fetchCtx, cancel := context.WithCancel(ctx)
+	k.cancel = cancel
+	k.fetched = make(chan struct{})
+	go func(done chan<- struct{}) {
+		defer close(done)
+		k.fetch(fetchCtx, plan)
+	}(k.fetched)
+}
+
+func (k *Keeper) stopFetch() {
+	if k.cancel != nil {
+		k.cancel()
+		<-k.fetched
+		k.cancel = nil
+	}
+}
+
+// fetch brings a version to this host, over as many tries as it takes.
+func (k *Keeper) fetch(ctx context.Context, plan Plan) {
+	started := time.Now()
+	for ctx.Err() == nil {
+		err := k.tryFetch(ctx, plan)
+		if ctx.Err() != nil {
+			return
+		}
+		k.OnStep(Step{Name: "fetch", Version: plan.Goal.Version, Err: err, Took: time.Since(started)})
+		if err == nil || errors.Is(err, provider.ErrSuperseded) {
+			return
+		}
+		if errors.Is(err, swarm.ErrManifest) {
+			k.Held.Drop(plan.Goal.Version)
+		}
+		helpers.Pause(rand.N(retryPause), ctx.Done())
+		if newer, ok := k.Plan(); ok && newer.Goal.Version == plan.Goal.Version {
+			plan = newer
+		}
+	}
+}
+
+func (k *Keeper) tryFetch(ctx context.Context, plan Plan) error {
+	c := k.Held.Get(plan.Goal.Version)
+	if c == nil {
+		manifest, err := k.manifest(ctx, plan)
+		if err != nil {
+			return err
+		}
+		c = k.Held.Add(manifest)
+		k.takeStaged(ctx, plan, c)
+	}
+	if c.Complete() {
+		return nil
+	}
+	return k.NewFetch(plan, c).Run(ctx)
+}
+
+// manifest asks a few peers and then the origin.
+func (k *Keeper) manifest(ctx context.Context, plan Plan) (provider.Manifest, error) {
+	const asked = 2
+	peers := k.Peers()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for _, peer := range peers[:min(asked, len(peers))] {
+		manifest, err := k.askManifest(ctx, func(ctx context.Context) (provider.Manifest, error) {
+			return k.AskPeer(ctx, peer, plan.Goal.Version)
+		})
+		if err == nil && checkManifest(manifest, plan) == nil {
+			return manifest, nil
+		}
+	}
+	manifest, err := k.askManifest(ctx, func(ctx context.Context) (provider.Manifest, error) {
+		return k.Origin.Manifest(ctx, plan.Origin, plan.Goal.Model, plan.Goal.Version)
+	})
+	if err != nil {
+		return manifest, fmt.Errorf("manifest of version %d from the origin: %w", plan.Goal.Version, err)
+	}
+	return manifest, checkManifest(manifest, plan)
+}
+
+func (k *Keeper) askManifest(ctx context.Context, ask func(context.Context) (provider.Manifest, error)) (provider.Manifest, error) {
+	ctx, cancel := context.WithTimeout(ctx, manifestTimeout)
+	defer cancel()
+	return ask(ctx)
+}
+
+// checkManifest compares a manifest with what was declared and asked for.
+func checkManifest(manifest provider.Manifest, plan Plan) error {
+	switch {
+	case manifest.Version != plan.Goal.Version:
+		return fmt.Errorf("manifest: version: %d where %d was asked for", manifest.Version, plan.Goal.Version)
+	case len(manifest.Digests) != plan.Chunks:
+		return fmt.Errorf("manifest: digests: %d where the configuration declares %d chunks", len(manifest.Digests), plan.Chunks)
+	case manifest.ChunkBytes != plan.ChunkBytes:
+		return fmt.Errorf("manifest: chunk bytes: %d where the configuration declares %d", manifest.ChunkBytes, plan.ChunkBytes)
+	}
+	return nil
+}
+
+// takeStaged takes what already lies beside the engine and belongs to the
+// version: from before this loader or the engine was started.
+func (k *Keeper) takeStaged(ctx context.Context, plan Plan, c *swarm.Copy) {
+	const misses = 3 // an empty place is empty throughout
+	for index, missed := 0, 0; index < len(c.Manifest.Digests) && missed < misses; index++ {
+		chunk, err := k.staged(ctx, plan.Goal.Model, index)
+		if err == nil {
+			err = c.Put(index, chunk)
+		}
+		if err != nil {
+			missed++
+		}
+	}
+}
+
+func (k *Keeper) staged(ctx context.Context, model string, index int) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return k.Engine.Staged(ctx, k.Address, model, index)
+}
+
+// prepare lays a version beside the engine ahead of its turn.
+func (k *Keeper) prepare(ctx context.Context, goal Goal, c *swarm.Copy) {
+	started := time.Now()
+	_, err := k.stage(ctx, goal, c)
+	if err == nil {
+		k.prepared = goal.Version
+	}
+	k.OnStep(Step{Name: "stage", Version: goal.Version, Err: err, Took: time.Since(started)})
+}
+
+// stage reads back every chunk beside the engine and mends what is not right.
+func (k *Keeper) stage(ctx context.Context, goal Goal, c *swarm.Copy) (mended int, err error) {
+	for index := range c.Manifest.Digests {
+		if k.stagedRight(ctx, goal, c, index) {
+			continue
+		}
+		mended++
+		if err := k.putChunk(ctx, goal.Model, index, c.Chunk(index)); err != nil {
+			return mended, fmt.Errorf("stage chunk %d: %w", index, err)
+		}
+		if !k.stagedRight(ctx, goal, c, index) {
+			return mended, fmt.Errorf("stage chunk %d: it does not read back as written", index)
+		}
+	}
+	return mended, nil
+}
+
+func (k *Keeper) stagedRight(ctx context.Context, goal Goal, c *swarm.Copy, index int) bool {
+	chunk, err := k.staged(ctx, goal.Model, index)
+	return err == nil && c.Matches(index, chunk)
+}
+
+func (k *Keeper) putChunk(ctx context.Context, model string, index int, chunk []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return k.Engine.Stage(ctx, k.Address, model, index, chunk)
+}
+
+// order checks what lies beside the engine and has the engine take it.
+func (k *Keeper) order(ctx context.Context, goal Goal, c *swarm.Copy, report provider.EngineReport, held int) {
+	started := time.Now()
+	if _, err := k.stage(ctx, goal, c); err != nil {
+		k.OnStep(Step{Name: "stage", Version: goal.Version, Err: err, Took: time.Since(started)})
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	result, err := k.Engine.Start(ctx, k.Address, provider.Order{
+		Model: goal.Model, Version: goal.Version, Fence: goal.Fence, Sequence: report.Sequence,
+	})
+	k.ordered = time.Now()
+	reason := fmt.Sprintf("holds version %d, order %s", held, result)
+	k.OnStep(Step{Name: "order", Version: goal.Version, Reason: reason, Err: err, Took: time.Since(started)})
+}
--- /dev/null
+++ b/daemon/internal/version/swarm/peer.go
@@ -0,0 +1,75 @@
+package swarm
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+
+	"github.com/wheelcleat/wheelcleat/daemon/provider"
+)
+
+// maxPeerAnswer bounds an answer of a peer, in bytes.
+const maxPeerAnswer = 8 << 20
+
+// Peer is the calls to another loader.
+type Peer struct {
+	Address netip.AddrPort
+	Client  *http.Client
+}
+
+// Have asks which chunks the peer has, once that is more than known.
+func (p Peer) Have(ctx context.Context, version, known int) (Have, error) {
+	var have Have
+	data, err := p.get(ctx, fmt.Sprintf("%s?version=%d&known=%d", havePath, version, known))
+	if err != nil {
+		return have, err
+	}
+	return have, p.decode(data, &have)
+}
+
+// Manifest asks for a version's manifest.
+func (p Peer) Manifest(ctx context.Context, version int) (provider.Manifest, error) {
+	var manifest provider.Manifest
+	data, err := p.get(ctx, fmt.Sprintf("%s?version=%d", manifestPath, version))
+	if err != nil {
+		return manifest, err
+	}
+	return manifest, p.decode(data, &manifest)
+}
+
+// Chunk asks for a chunk; its bytes are not checked here.
+func (p Peer) Chunk(ctx context.Context, version, index int) ([]byte, error) {
+	return p.get(ctx, fmt.Sprintf("%s?version=%d&index=%d", chunkPath, version, index))
+}
+
+func (p Peer) get(ctx context.Context, path string) ([]byte, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s%s", p.Address, path), http.NoBody)
+	if err != nil {
+		return nil, fmt.Errorf("ask peer %s: %w", p.Address, err)
+	}
+	response, err := p.Client.Do(request)
+	if err != nil {
+		return nil, fmt.Errorf("ask peer %s: %w", p.Address, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxPeerAnswer))
+	switch {
+	case err != nil:
+		return nil, fmt.Errorf("read the answer of peer %s: %w", p.Address, err)
+	case response.StatusCode == http.StatusNotFound:
+		return nil, fmt.Errorf("ask peer %s: %w", p.Address, provider.ErrNotFound)
+	case response.StatusCode != http.StatusOK:
+		return nil, fmt.Errorf("ask peer %s: status %d", p.Address, response.StatusCode)
+	}
+	return data, nil
+}
+
+func (p Peer) decode(data []byte, target any) error {
+	if err := json.Unmarshal(data, target); err != nil {
+		return fmt.Errorf("decode the answer of peer %s: %w", p.Address, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/daemon/router/recorder.go
@@ -0,0 +1,151 @@
+package router
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/time/rate"
+
+	"github.com/wheelcleat/wheelcleat/daemon/internal/process/mirror"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/process/telemetry"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/dispatch"
+	"github.com/wheelcleat/wheelcleat/daemon/settings"
+)
+
+const (
+	// servedLines and failedLines bound the lines a second about requests.
+	// Failures have a bound of their own, so that success never hides them.
+	servedLines = 60
+	failedLines = 200
+)
+
+// recorder writes the router's log lines and metrics.
+type recorder struct {
+	log            *log.Entry
+	scope          tally.Scope
+	served, failed *rate.Limiter
+	latency        tally.Histogram
+}
+
+func newRecorder(t *telemetry.Telemetry) *recorder {
+	const buckets, first, factor = 16, 5 * time.Millisecond, 1.7
+	return &recorder{
+		log: t.Log, scope: t.Scope,
+		served:  rate.NewLimiter(servedLines, servedLines),
+		failed:  rate.NewLimiter(failedLines, failedLines),
+		latency: t.Scope.Histogram("request_first_byte_seconds", tally.MustMakeExponentialDurationBuckets(first, factor, buckets)),
+	}
+}
+
+// request writes one line for a request that ended.
+func (r *recorder) request(story *dispatch.Story) {
+	r.count(story)
+	limiter := r.failed
+	if story.Outcome == dispatch.EndServed && len(story.Tries) < 2 {
+		limiter = r.served
+	}
+	if !limiter.Allow() {
+		r.scope.Counter("request_lines_left_out").Inc(1)
+		return
+	}
+	fields := log.Fields{
+		"decision": "route", "request": story.ID, "route": story.Route, "service": story.Service, "account": story.Account,
+		"outcome": story.Outcome, "status": story.Status, "tries": story.Tries, "configuration": story.Configuration,
+		"took": time.Since(story.Started).Round(time.Microsecond).String(),
+	}
+	if !story.FirstByte.IsZero() {
+		fields["firstByte"] = story.FirstByte.Sub(story.Started).Round(time.Microsecond).String()
+	}
+	if story.Cause != "" {
+		fields["reason"] = story.Cause
+	}
+	if story.Stale {
+		fields["stale"] = true
+	}
+	r.log.WithFields(fields).Info("request ended")
+}
+
+func (r *recorder) count(story *dispatch.Story) {
+	r.scope.Tagged(map[string]string{"outcome": string(story.Outcome)}).Counter("requests").Inc(1)
+	if len(story.Tries) > 1 {
+		r.scope.Counter("second_sends").Inc(int64(len(story.Tries) - 1))
+	}
+	if !story.FirstByte.IsZero() {
+		r.latency.RecordDuration(story.FirstByte.Sub(story.Started))
+	}
+}
+
+// belief writes one line for a change of what this router believes.
+func (r *recorder) belief(belief mirror.Belief) {
+	fields := log.Fields{"decision": "believe", "key": belief.Entry.Key, "revision": belief.Entry.Revision}
+	record := belief.Record
+	switch {
+	case belief.Err != nil:
+		fields["reason"] = belief.Err.Error()
+		r.log.WithFields(fields).Error("entry not taken, the last good one stays")
+		return
+	case belief.Entry.Gone:
+		fields["gone"] = true
+	case record.Configuration != nil:
+		fields["version"] = record.Configuration.Version
+		fields["routes"] = len(record.Configuration.Routes)
+		fields["accounts"] = len(record.Configuration.Accounts)
+	case record.Upstream != nil:
+		fields["service"], fields["leaving"], fields["models"] = record.Upstream.Service, record.Upstream.Leaving, record.Upstream.Models
+	case record.Target != nil:
+		fields["model"], fields["version"] = record.Target.Model, record.Target.Version
+	case record.Member != nil:
+		fields["peers"] = record.Member.Peers
+	}
+	r.log.WithFields(fields).Info("belief changed")
+}
+
+// contact writes one line when the store is lost or answers again.
+func (r *recorder) contact(prefix string, lost error) {
+	fields := log.Fields{"dependency": "store", "prefix": prefix}
+	if lost != nil {
+		fields["reason"] = lost.Error()
+		r.log.WithFields(fields).Warn("dependency lost")
+		r.scope.Counter("store_lost").Inc(1)
+		return
+	}
+	r.log.WithFields(fields).Info("dependency regained")
+}
+
+// pulled writes one line when a peer had news, or could not be asked.
+func (r *recorder) pulled(peer netip.AddrPort, fresh int, err error) {
+	r.scope.Counter("peer_pulls").Inc(1)
+	fields := log.Fields{"dependency": "peer", "peer": peer, "entries": fresh}
+	if err != nil {
+		fields["reason"] = err.Error()
+		r.log.WithFields(fields).Warn("peer not asked")
+		return
+	}
+	if fresh > 0 {
+		r.log.WithFields(fields).Info("news from a peer")
+	}
+}
+
+func (r *recorder) started(s *settings.Router) {
+	r.log.WithFields(log.Fields{"callers": s.Listen.Callers, "peers": s.Listen.Peers, "store": s.Store}).Info("started")
+}
+
+func (r *recorder) stopping() { r.log.Info("stopping") }
+
+func (r *recorder) stopped(err error) {
+	if err != nil {
+		r.log.WithField("reason", err.Error()).Error("stopped, requests were cut")
+		return
+	}
+	r.log.Info("stopped")
+}
+
+func (r *recorder) reloaded(refused string, taken bool) {
+	if !taken {
+		r.log.WithField("reason", refused).Error("changed settings not taken, the last good ones stay")
+		return
+	}
+	r.log.Info("settings reloaded")
+}
--- /dev/null
+++ b/daemon/router/router.go
@@ -0,0 +1,342 @@
+// Package router assembles the process that takes callers' requests and sends
+// them straight to upstreams, where a store lists the upstreams and holds the
+// configuration.
+//
+// It differs from an entry in that there is no agent on the way: the upstreams
+// say themselves, truthfully, what they have not run. It keeps nothing that
+// cannot be read again from the store or from other routers.
+package router
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/uptrace/bunrouter"
+
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/dial"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/loadfeed"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/peering"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/process/balance"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/process/mirror"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/process/server"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/process/telemetry"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/dispatch"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/exchange"
+	"github.com/wheelcleat/wheelcleat/daemon/provider"
+	"github.com/wheelcleat/wheelcleat/daemon/settings"
+)
+
+const (
+	// silenceLimit is how long the store may be silent before peers are asked
+	// and before an unknown key or route is no longer a final no.
+	silenceLimit = 3500 * time.Millisecond
+	// lameDuck is how long a stopping router still serves while it is not
+	// ready, so that the balancer takes it off first.
+	lameDuck = 2500 * time.Millisecond
+	// upstreamIdle is how long a connection to an upstream rests at most. It is
+	// below every time that upstreams announce, in whole seconds.
+	upstreamIdle = 900 * time.Millisecond
+	// storeIdle is the same for connections to the store and to peers.
+	storeIdle = 30 * time.Second
+	// versionMargin is the part of the time for a new version in which older
+	// ones still get requests; what waits in an upstream's queue needs the rest.
+	versionMargin = 0.75
+	// maxHeaderBytes bounds a caller's headers.
+	maxHeaderBytes = 64 << 10
+)
+
+// Options vary a router. Provider must be set; the rest has working defaults.
+type Options struct {
+	// Provider makes the surroundings from the store's address and the clients
+	// for calls to the store and to hosts.
+	Provider func(store netip.AddrPort, storeClient, hostClient *http.Client) provider.Provider
+	// LogOutput takes the log lines; nil means standard error.
+	LogOutput io.Writer
+	// LameDuck varies the time in which a stopping router still serves; 0 takes
+	// the default.
+	LameDuck time.Duration
+	// Dial makes the connections to other hosts; nil means over the network.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Process is one router.
+type Process struct {
+	// current are the settings in force.
+	current   atomic.Pointer[settings.Router]
+	options   Options
+	provider  provider.Provider
+	telemetry *telemetry.Telemetry
+	output    *telemetry.Bounded
+	recorder  *recorder
+
+	table     *mirror.Table
+	compiler  *mirror.Compiler
+	followers []*mirror.Follower
+	puller    *peering.Puller
+	announcer *announcer
+	loads     *loadfeed.Reader
+	pool      *balance.Pool
+	budget    *dispatch.Budget
+
+	callers, ready, peers, metrics *server.Server
+	draining                       atomic.Bool
+	done                           chan struct{}
+}
+
+// New prepares a router; Start runs it.
+func New(s settings.Router, options Options) (*Process, error) {
+	if options.Provider == nil {
+		return nil, errors.New("router: no provider")
+	}
+	s.SetDefaults()
+	output := telemetry.NewBounded(helpers.OrDefault(options.LogOutput, io.Writer(io.Discard)))
+	t, err := telemetry.New(telemetry.Options{Role: string(s.Role), Name: s.Name, Hall: s.Hall, Level: s.Log.Level, Output: output})
+	if err != nil {
+		return nil, fmt.Errorf("router %s: %w", s.Name, err)
+	}
+	if options.Dial == nil {
+		options.Dial = dial.Watchful
+	}
+	p := &Process{
+		options: options, telemetry: t, output: output, recorder: newRecorder(t),
+		table: &mirror.Table{}, pool: &balance.Pool{}, done: make(chan struct{}),
+	}
+	p.current.Store(&s)
+	client := &http.Client{Transport: dial.NewHostTransport(options.Dial, storeIdle)}
+	p.provider = options.Provider(s.Store, client, client)
+	p.compiler = &mirror.Compiler{Decode: p.provider.Decode, OnBelief: p.recorder.belief}
+	p.table.OnChange = p.takeChanges
+	p.loads = &loadfeed.Reader{Client: client, OnLine: p.takeLoad}
+	p.addFollowers(client)
+	return p, nil
+}
+
+func (p *Process) addFollowers(client *http.Client) {
+	prefixes := p.provider.Prefixes
+	for _, prefix := range []string{prefixes.Declarations, prefixes.Upstreams, prefixes.Members} {
+		p.followers = append(p.followers, &mirror.Follower{
+			Store: p.provider.Store, Prefix: prefix, Table: p.table, OnContact: p.recorder.contact,
+		})
+	}
+	p.puller = &peering.Puller{
+		Client: client, Table: p.table, Peers: p.peerAddresses, Needed: p.silent, OnPull: p.recorder.pulled,
+	}
+	p.announcer = &announcer{
+		store: p.provider.Store, onContact: p.recorder.contact,
+		put: p.provider.EncodeMember(provider.Member{Name: p.current.Load().Name, Hall: p.current.Load().Hall, Peers: p.current.Load().Listen.Peers}),
+	}
+}
+
+// takeChanges compiles changes of the store's copy and follows the load of the
+// engines that it lists.
+func (p *Process) takeChanges(changed []provider.Entry) {
+	p.compiler.Take(changed)
+	port := p.current.Load().LoaderPort
+	if port == 0 {
+		return
+	}
+	var hosts []netip.AddrPort
+	for _, upstream := range p.engines() {
+		host := netip.AddrPortFrom(upstream.Address.Addr(), port)
+		if !slices.Contains(hosts, host) {
+			hosts = append(hosts, host)
+		}
+	}
+	p.loads.Follow(hosts)
+}
+
+// engines are the upstreams of services that run models.
+func (p *Process) engines() []*provider.Upstream {
+	view := p.compiler.View()
+	var engines []*provider.Upstream
+	for name, upstreams := range view.Upstreams {
+		if service := view.Service(name); service != nil && service.Engine != nil {
+			engines = append(engines, upstreams...)
+		}
+	}
+	return engines
+}
+
+// takeLoad hands on what a loader tells of the engine beside it.
+func (p *Process) takeLoad(host netip.AddrPort, line loadfeed.Line) {
+	for _, upstream := range p.engines() {
+		if upstream.Address.Addr() == host.Addr() {
+			p.pool.Tell(upstream.ID, balance.Told{
+				Running: line.Running, Waiting: line.Waiting, Loading: line.Loading, Models: line.Models,
+			})
+		}
+	}
+}
+
+// Start opens the ports and begins to follow the store.
+func (p *Process) Start() error {
+	if err := p.listen(); err != nil {
+		p.kill()
+		return fmt.Errorf("router %s: %w", p.current.Load().Name, err)
+	}
+	for _, follower := range p.followers {
+		follower.Start()
+	}
+	p.puller.Start()
+	p.announcer.start()
+	p.recorder.started(p.current.Load())
+	return nil
+}
+
+func (p *Process) listen() error {
+	listens := []struct {
+		server  **server.Server
+		options server.Options
+	}{
+		{&p.callers, server.Options{
+			Name: "callers", Address: p.current.Load().Listen.Callers, Handler: p.dispatcher(), MaxHeaderBytes: maxHeaderBytes,
+		}},
+		{&p.ready, server.Options{Name: "readiness", Address: p.current.Load().Listen.Ready, Handler: p.readyPages()}},
+		{&p.peers, server.Options{Name: "peers", Address: p.current.Load().Listen.Peers, Handler: p.peerPages()}},
+		{&p.metrics, server.Options{Name: "metrics", Address: p.current.Load().Listen.Metrics, Handler: p.metricsPages()}},
+	}
+	for _, l := range listens {
+		s, err := server.Listen(l.options)
+		if err != nil {
+			return err
+		}
+		*l.server = s
+	}
+	return nil
+}
+
+func (p *Process) dispatcher() *dispatch.Dispatcher {
+	bounds := p.current.Load().Bounds
+	p.budget = &dispatch.Budget{
+		Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, Window: bounds.RetryWindow.Std(),
+		Processes: func() int { return max(len(p.compiler.View().Members), len(p.current.Load().Seeds)) },
+	}
+	return &dispatch.Dispatcher{
+		Headers: p.provider.Headers,
+		Client: &exchange.Client{
+			Headers: p.provider.Headers,
+			Kept:    dial.NewHostTransport(p.options.Dial, upstreamIdle),
+			Fresh:   dial.NewHostTransport(p.options.Dial, 0),
+		},
+		Pool: p.pool, Budget: p.budget, View: p.compiler.View, Stale: p.silent,
+		VersionGrace: p.versionGrace,
+		Report:       p.recorder.request,
+	}
+}
+
+// versionGrace is the time in which a version older than the declared one may
+// still get requests.
+func (p *Process) versionGrace() time.Duration {
+	return time.Duration(versionMargin * float64(p.current.Load().Bounds.VersionApply.Std()))
+}
+
+// readyPages answers the balancer: ready while a configuration is known and no
+// stop has begun. The store's silence is no reason to leave, because then all
+// routers would.
+func (p *Process) readyPages() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if p.draining.Load() || p.compiler.View().Configuration == nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+}
+
+func (p *Process) peerPages() http.Handler {
+	pages := bunrouter.New()
+	pages.Compat().GET(peering.Path, peering.Handler(p.table))
+	return pages
+}
+
+func (p *Process) metricsPages() http.Handler {
+	mux := http.NewServeMux()
+	p.telemetry.Pages(mux)
+	return mux
+}
+
+// silent reports whether the store has not answered for too long.
+func (p *Process) silent() bool {
+	for _, follower := range p.followers {
+		if !follower.Known() || follower.Age() > silenceLimit {
+			return true
+		}
+	}
+	return false
+}
+
+// peerAddresses are the seeds and all members but this one.
+func (p *Process) peerAddresses() []netip.AddrPort {
+	own := p.current.Load().Listen.Peers
+	var peers []netip.AddrPort
+	for _, member := range p.compiler.View().Members {
+		peers = append(peers, member.Peers)
+	}
+	for _, seed := range p.current.Load().Seeds {
+		if !slices.Contains(peers, seed) {
+			peers = append(peers, seed)
+		}
+	}
+	return slices.DeleteFunc(peers, func(peer netip.AddrPort) bool { return peer == own })
+}
+
+// Stop takes this router off the balancer, finishes what is in flight and ends.
+// An error says that requests had to be cut.
+func (p *Process) Stop(ctx context.Context) error {
+	p.draining.Store(true)
+	p.telemetry.SetNotReady("stopping")
+	p.recorder.stopping()
+	p.callers.Closing()
+	helpers.Pause(helpers.OrDefault(p.options.LameDuck, lameDuck), ctx.Done())
+	err := p.callers.Shutdown(ctx)
+	p.announcer.stop()
+	p.loads.Stop()
+	p.puller.Stop()
+	for _, follower := range p.followers {
+		follower.Stop()
+	}
+	p.kill()
+	p.recorder.stopped(err)
+	p.telemetry.Close()
+	p.output.Close()
+	close(p.done)
+	return err
+}
+
+// Done is closed when the router has ended.
+func (p *Process) Done() <-chan struct{} { return p.done }
+
+func (p *Process) kill() {
+	for _, s := range []*server.Server{p.callers, p.ready, p.peers, p.metrics} {
+		if s != nil {
+			s.Kill()
+		}
+	}
+}
+
+// Reload takes changed settings. Seeds, bounds and the log level of new requests
+// apply at once; a changed address needs a new start and is reported.
+func (p *Process) Reload(file settings.File) {
+	if file.Router == nil {
+		p.recorder.reloaded("the file is for another role", false)
+		return
+	}
+	next := *file.Router
+	current := p.current.Load()
+	if next.Listen != current.Listen || next.Store != current.Store || next.Name != current.Name {
+		p.recorder.reloaded("a name or an address has changed, which needs a new start", false)
+		return
+	}
+	p.current.Store(&next)
+	p.budget.SetBounds(next.Bounds.RetryRatio, next.Bounds.RetrySlack, next.Bounds.RetryWindow.Std())
+	p.recorder.reloaded("", true)
+}
--- a/daemon/settings/check.go
+++ b/daemon/settings/check.go
@@ -28,8 +28,8 @@
 	if operators := e.Listen.Operators; len(e.OperatorKeyDigests) == 0 && operators.IsValid() && !operators.Addr().IsLoopback() {
 		c.add("operatorKeyDigests", "missing", "an operators' port off loopback needs at least one key digest")
 	}
-	c.atLeastZero("requests.maxBodyBytes", e.Requests.MaxBodyBytes)
-	c.atLeastZero("requests.maxHeaderBytes", int64(e.Requests.MaxHeaderBytes))
+	c.atLeastZero("requests.maxBodyBytes", float64(e.Requests.MaxBodyBytes))
+	c.atLeastZero("requests.maxHeaderBytes", float64(e.Requests.MaxHeaderBytes))
 	c.duration("drain", e.Drain)
 	c.level(e.Log)
 	return c.faults
@@ -58,9 +58,9 @@
 	default:
 		c.add("upstream.kind", fmt.Sprintf("unknown kind %q", a.Upstream.Kind), `use "engine" or "plain"`)
 	}
-	c.atLeastZero("weights.stagingBytes", a.Weights.StagingBytes)
-	c.atLeastZero("weights.uploadBytesPerSecond", a.Weights.UploadBytesPerSecond)
-	c.atLeastZero("weights.downloadBytesPerSecond", a.Weights.DownloadBytesPerSecond)
+	c.atLeastZero("weights.stagingBytes", float64(a.Weights.StagingBytes))
+	c.atLeastZero("weights.uploadBytesPerSecond", float64(a.Weights.UploadBytesPerSecond))
+	c.atLeastZero("weights.downloadBytesPerSecond", float64(a.Weights.DownloadBytesPerSecond))
 	c.duration("weights.peerWait", a.Weights.PeerWait)
 	c.duration("upstream.orderHold", a.Upstream.OrderHold)
 	c.duration("drain", a.Drain)
@@ -109,9 +109,9 @@
 	c.seen = append(c.seen, addressAt{path, address})
 }
 
-func (c *checker) atLeastZero(path string, value int64) {
+func (c *checker) atLeastZero(path string, value float64) {
 	if value < 0 {
-		c.add(path, fmt.Sprintf("%d is below 0", value), "leave the field out for the default")
+		c.add(path, fmt.Sprintf("%g is below 0", value), "leave the field out for the default")
 	}
 }
 
--- a/daemon/settings/decode.go
+++ b/daemon/settings/decode.go
@@ -29,10 +29,26 @@
 	return strings.Join(lines, "\n")
 }
 
-// File is a settings file of either role. Exactly one field is set.
+// File is a settings file of any role. Exactly one field is set.
 type File struct {
-	Entry *Entry
-	Agent *Agent
+	Entry  *Entry
+	Agent  *Agent
+	Router *Router
+	Loader *Loader
+}
+
+// Role returns the role that the file is for.
+func (f File) Role() Role {
+	switch {
+	case f.Entry != nil:
+		return RoleEntry
+	case f.Router != nil:
+		return RoleRouter
+	case f.Loader != nil:
+		return RoleLoader
+	default:
+		return RoleAgent
+	}
 }
 
 // Load reads and checks a settings file and fills in defaults. A faulty file
@@ -53,18 +69,19 @@
 		return file, &FileError{File: name, Faults: []api.FieldError{*fault}}
 	}
 	var faults []api.FieldError
-	if role == RoleEntry {
+	switch role {
+	case RoleEntry:
 		file.Entry = &Entry{}
-		if faults = decode(data, file.Entry); len(faults) == 0 {
-			faults = file.Entry.Check()
-			file.Entry.SetDefaults()
-		}
-	} else {
+		faults = parse(data, file.Entry)
+	case RoleRouter:
+		file.Router = &Router{}
+		faults = parse(data, file.Router)
+	case RoleLoader:
+		file.Loader = &Loader{}
+		faults = parse(data, file.Loader)
+	case RoleAgent:
 		file.Agent = &Agent{}
-		if faults = decode(data, file.Agent); len(faults) == 0 {
-			faults = file.Agent.Check()
-			file.Agent.SetDefaults()
-		}
+		faults = parse(data, file.Agent)
 	}
 	if len(faults) > 0 {
 		return File{}, &FileError{File: name, Faults: faults}
@@ -72,6 +89,22 @@
 	return file, nil
 }
 
+// roleSettings is what the settings of every role have.
+type roleSettings interface {
+	Check() []api.FieldError
+	SetDefaults()
+}
+
+// parse reads one role's settings, and fills in defaults where they are good.
+func parse(data []byte, target roleSettings) []api.FieldError {
+	if faults := decode(data, target); len(faults) > 0 {
+		return faults
+	}
+	faults := target.Check()
+	target.SetDefaults()
+	return faults
+}
+
 // findRole reads only the role, because it decides the shape of the rest.
 func findRole(data []byte) (Role, *api.FieldError) {
 	var head struct {
@@ -81,17 +114,17 @@
 		return "", &api.FieldError{Path: "$", Problem: "not a JSON object: " + err.Error(), Hint: "start from 'wheelcleat settings example entry'"}
 	}
 	switch head.Role {
-	case string(RoleEntry):
-		return RoleEntry, nil
-	case string(RoleAgent):
-		return RoleAgent, nil
+	case string(RoleEntry), string(RoleAgent), string(RoleRouter), string(RoleLoader):
+		return Role(fmt.Sprint(head.Role)), nil
 	case nil:
-		return "", &api.FieldError{Path: "role", Problem: "missing", Hint: `use "entry" or "agent"`}
+		return "", &api.FieldError{Path: "role", Problem: "missing", Hint: roleHint}
 	default:
-		return "", &api.FieldError{Path: "role", Problem: fmt.Sprintf("unknown role %v", head.Role), Hint: `use "entry" or "agent"`}
+		return "", &api.FieldError{Path: "role", Problem: fmt.Sprintf("unknown role %v", head.Role), Hint: roleHint}
 	}
 }
 
+const roleHint = `use "entry", "agent", "router" or "loader"`
+
 // decode reads data into target and returns a fault for each value that does
 // not fit, with its path.
 func decode(data []byte, target any) []api.FieldError {
--- a/daemon/settings/example.go
+++ b/daemon/settings/example.go
@@ -50,8 +50,12 @@
 		example = ExampleEntry()
 	case RoleAgent:
 		example = ExampleAgent()
+	case RoleRouter:
+		example = ExampleRouter()
+	case RoleLoader:
+		example = ExampleLoader()
 	default:
-		return nil, fmt.Errorf("no settings for role %q; use entry or agent", role)
+		return nil, fmt.Errorf("no settings for role %q; use entry, agent, router or loader", role)
 	}
 	data, err := json.MarshalIndent(example, "", "  ")
 	if err != nil {
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -20,8 +20,10 @@
 
 // The roles.
 const (
-	RoleEntry Role = "entry"
-	RoleAgent Role = "agent"
+	RoleEntry  Role = "entry"
+	RoleAgent  Role = "agent"
+	RoleRouter Role = "router"
+	RoleLoader Role = "loader"
 )
 
 // Entry is the settings file of an entry.
--- a/daemon/settings/settings_test.go
+++ b/daemon/settings/settings_test.go
@@ -40,7 +40,7 @@
 		assert.Equal(t, role == RoleAgent, file.Agent != nil)
 	}
 	_, err := Example("tracker")
-	require.ErrorContains(t, err, "use entry or agent")
+	require.ErrorContains(t, err, "use entry, agent, router or loader")
 }
 
 func TestFaultyFiles(t *testing.T) {
@@ -62,7 +62,7 @@
 		{"size with a unit", RoleAgent, func(d map[string]any) { section(d, "weights")["stagingBytes"] = "2GiB" }, []string{`f.json: weights.stagingBytes: "2GiB" is not a int64 (a whole number without a unit)`}},
 		{"object expected", RoleEntry, func(d map[string]any) { d["listen"] = "127.0.0.1:1" }, []string{"f.json: listen: 127.0.0.1:1 is not an object"}},
 		{"list expected", RoleAgent, func(d map[string]any) { section(d, "upstream")["services"] = "loans" }, []string{"f.json: upstream.services: loans is not a list"}},
-		{"unknown role", RoleEntry, func(d map[string]any) { d["role"] = "tracker" }, []string{`f.json: role: unknown role tracker (use "entry" or "agent")`}},
+		{"unknown role", RoleEntry, func(d map[string]any) { d["role"] = "tracker" }, []string{`f.json: role: unknown role tracker (use "entry", "agent", "router" or "loader")`}},
 		{"no role", RoleEntry, func(d map[string]any) { delete(d, "role") }, []string{"f.json: role: missing"}},
 		{"unknown level", RoleEntry, func(d map[string]any) { section(d, "log")["level"] = "loud" }, []string{`f.json: log.level: unknown level "loud"`}},
 		{"open operators' port", RoleEntry, func(d map[string]any) { section(d, "listen")["operators"] = "0.0.0.0:7001" }, []string{"f.json: operatorKeyDigests: missing"}},
