Tell routers of waiting requests, and let a chunk enter each hall once

Ruled out: bounding uploads (a chunk fits the socket's buffer, so the bound held nothing back); eight or four parallel downloads, no difference seen.

--- a/daemon/internal/process/balance/balance.go
+++ b/daemon/internal/process/balance/balance.go
@@ -216,11 +216,7 @@
 func (s *state) score(candidate *provider.Upstream, now time.Time) float64 {
 	s.fade(now)
 	share := s.failures / (s.outcomes + priorWeight)
-	score := s.load(now)
-	if candidate.Places > 0 {
-		score *= referencePlaces / float64(candidate.Places)
-	}
-	score += failurePenalty * max(0, share-soundShare)
+	score := s.load(candidate, now) + failurePenalty*max(0, share-soundShare)
 	if now.Before(s.blockedUntil) || s.told.Loading && now.Sub(s.toldAt) <= toldFor {
 		score += blockedScore
 	}
@@ -233,14 +229,31 @@
 // toldFor is how long a told load is used.
 const toldFor = 800 * time.Millisecond
 
-// load is the number of requests that are likely to be there.
-func (s *state) load(now time.Time) float64 {
+// load is how long a request is likely to wait for its first byte, in requests
+// ahead of it. Those that wait count whole, because an engine reads their
+// prompts first; those that run only make its steps a little longer, until all
+// places are taken.
+func (s *state) load(candidate *provider.Upstream, now time.Time) float64 {
 	if now.Sub(s.toldAt) > toldFor {
-		return float64(s.inFlight)
+		if candidate.Places == 0 {
+			return float64(s.inFlight)
+		}
+		return float64(s.inFlight) * referencePlaces / float64(candidate.Places)
 	}
-	return max(float64(s.told.Running+s.told.Waiting+s.sentSince), float64(s.inFlight))
+	waiting := float64(s.told.Waiting + s.sentSince)
+	total := waiting + float64(s.told.Running)
+	beyond := max(0, total+1-float64(candidate.Places))
+	return waiting + runningWeight*float64(s.told.Running) + beyondWeight*beyond
 }
 
+const (
+	// runningWeight is what a running request counts beside a waiting one.
+	runningWeight = 0.15
+	// beyondWeight is what a request beyond the places counts: it waits for
+	// another to end.
+	beyondWeight = 3.0
+)
+
 // Tell takes what an upstream's host says of it.
 func (p *Pool) Tell(id string, told Told) {
 	p.mu.Lock()
--- a/daemon/internal/process/mirror/follower.go
+++ b/daemon/internal/process/mirror/follower.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// watchWait is how long one watch waits. It bounds how long a watch that
+	// defaultWait is how long one watch waits. It bounds how long a watch that
 	// was cut in silence stays unnoticed, at the price of a call each time.
-	watchWait = 2500 * time.Millisecond
+	defaultWait = 2500 * time.Millisecond
 	// watchSlack is what an answer may take beyond the wait.
 	watchSlack = 700 * time.Millisecond
 	// listTimeout bounds a list of all pages.
@@ -33,6 +33,15 @@
 	Store  provider.Store
 	Prefix string
 	Table  *Table
+	// Wait is how long one watch waits; 0 means 2.5s.
+	Wait time.Duration
+	// Settle is the pause after a change before the next watch, so that changes
+	// that come together are heard together; 0 means none.
+	Settle time.Duration
+	// ListEvery, where it is not 0, has the follower list the prefix at this
+	// interval, from an answer that may be old, and never watch it. For what is
+	// not urgent that costs the store far less.
+	ListEvery time.Duration
 	// OnContact is called when the store answers after a failure, and the other
 	// way round, with the cause. It may be nil.
 	OnContact func(prefix string, lost error)
@@ -64,6 +73,14 @@
 	return time.Since(f.start) - time.Duration(f.answered.Load())
 }
 
+// Period is the longest time between two answers while the store is well.
+func (f *Follower) Period() time.Duration {
+	if f.ListEvery > 0 {
+		return f.ListEvery
+	}
+	return helpers.OrDefault(f.Wait, defaultWait) + f.Settle
+}
+
 // Known reports whether the prefix was ever read from the store.
 func (f *Follower) Known() bool { return f.answered.Load() != 0 }
 
@@ -84,12 +101,24 @@
 
 // step makes one call: a list where nothing is known, a watch otherwise.
 func (f *Follower) step(ctx context.Context) error {
+	if f.ListEvery > 0 {
+		err := f.list(ctx)
+		if err == nil {
+			helpers.Pause(f.ListEvery, f.tomb.Dying())
+		}
+		return err
+	}
 	if f.at == 0 {
 		return f.list(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	return f.watch(ctx)
+}
+
+func (f *Follower) watch(ctx context.Context) error {
+	wait := helpers.OrDefault(f.Wait, defaultWait)
+	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
-	changes, err := f.Store.Watch(ctx, f.Prefix, f.at, watchWait)
+	changes, err := f.Store.Watch(ctx, f.Prefix, f.at, wait)
 	if errors.Is(err, provider.ErrCompacted) {
 		f.at = 0
 	}
@@ -98,13 +127,20 @@
 	}
 	f.Table.Apply(changes.Entries)
 	f.at = max(f.at, changes.At)
+	if len(changes.Entries) > 0 {
+		helpers.Pause(f.Settle, f.tomb.Dying())
+	}
 	return nil
 }
 
 func (f *Follower) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	listing, err := f.Store.List(ctx, f.Prefix)
+	list := f.Store.List
+	if f.ListEvery > 0 && f.at > 0 {
+		list = f.Store.ListStale // the first one is to be right
+	}
+	listing, err := list(ctx, f.Prefix)
 	if err != nil {
 		return err
 	}
--- a/daemon/internal/process/mirror/view.go
+++ b/daemon/internal/process/mirror/view.go
@@ -33,6 +33,8 @@
 	Revision provider.Revision
 	// Learned is when this daemon first heard of it.
 	Learned time.Time
+	// Before is the declaration that this one replaced, if that was heard of.
+	Before *Declared
 }
 
 // Route returns the route of the longest prefix that begins the path.
@@ -132,12 +134,23 @@
 	case record.Upstream != nil:
 		c.upstreams[entry.Key] = record.Upstream
 	case record.Target != nil:
-		c.targets[entry.Key] = Declared{Target: *record.Target, Revision: entry.Revision, Learned: time.Now()}
+		c.targets[entry.Key] = c.declare(entry, *record.Target)
 	case record.Member != nil:
 		c.members[entry.Key] = record.Member
 	}
 }
 
+// declare keeps the declaration before the new one, because an engine may be on
+// the way to it, and no more than that.
+func (c *Compiler) declare(entry provider.Entry, target provider.Target) Declared {
+	declared := Declared{Target: target, Revision: entry.Revision, Learned: time.Now()}
+	if before, ok := c.targets[entry.Key]; ok {
+		before.Before = nil
+		declared.Before = &before
+	}
+	return declared
+}
+
 func (c *Compiler) believe(belief Belief) {
 	if c.OnBelief != nil {
 		c.OnBelief(belief)
--- a/daemon/internal/version/keep/keep.go
+++ b/daemon/internal/version/keep/keep.go
@@ -25,7 +25,7 @@
 
 const (
 	// roundEvery is the interval of rounds.
-	roundEvery = 100 * time.Millisecond
+	roundEvery = 50 * time.Millisecond
 	// callTimeout bounds a call to the engine on this host.
 	callTimeout = time.Second
 	// manifestTimeout bounds a call for a manifest.
@@ -49,9 +49,13 @@
 
 // Plan is what a loader knows of its part of the fleet.
 type Plan struct {
-	Goal Goal
-	// Origin is where the weights come from, unset while it is not known.
-	Origin netip.AddrPort
+	// Goal is the newest declared version, the one to fetch, and Earlier the
+	// ones declared before it, newest first.
+	Goal    Goal
+	Earlier []Goal
+	// Origin is where the weights come from, and OriginHall the hall it is in.
+	Origin     netip.AddrPort
+	OriginHall string
 	// Chunks and ChunkBytes are the declared sizes of a version.
 	Chunks, ChunkBytes int
 	// OriginTime is how long the origin takes to send one copy.
@@ -127,21 +131,40 @@
 	if err != nil {
 		return
 	}
-	held := holds(report, plan.Goal.Model)
-	c := k.Held.Get(plan.Goal.Version)
-	if held >= plan.Goal.Version || c == nil || !c.Complete() {
+	goal, c := k.next(plan, report)
+	if c == nil || report.Loading {
 		return
 	}
-	if k.prepared != plan.Goal.Version && !report.Loading {
-		k.prepare(ctx, plan.Goal, c)
+	if k.prepared != goal.Version {
+		k.prepare(ctx, goal, c)
 	}
-	if report.Loading || time.Since(k.ordered) < orderAgain {
+	held := holds(report, goal.Model)
+	if time.Since(k.ordered) < orderAgain || held > 0 && time.Now().Before(goal.Turn) {
 		return
 	}
-	if held > 0 && time.Now().Before(plan.Goal.Turn) {
-		return
+	k.order(ctx, goal, c, report, held)
+}
+
+// next chooses the version to order: the newest that is here whole and whose
+// turn has come, else the one whose turn comes first. It returns no copy where
+// there is nothing to order.
+func (k *Keeper) next(plan Plan, report provider.EngineReport) (Goal, *swarm.Copy) {
+	held := holds(report, plan.Goal.Model)
+	var best Goal
+	var copied *swarm.Copy
+	for _, goal := range append([]Goal{plan.Goal}, plan.Earlier...) {
+		c := k.Held.Get(goal.Version)
+		if goal.Version <= held || c == nil || !c.Complete() {
+			continue
+		}
+		if copied == nil || time.Now().Before(best.Turn) {
+			best, copied = goal, c
+		}
+		if held == 0 {
+			break // an empty engine takes the newest
+		}
 	}
-	k.order(ctx, plan.Goal, c, report, held)
+	return best, copied
 }
 
 func (k *Keeper) report(ctx context.Context) (provider.EngineReport, error) {
--- a/daemon/internal/version/swarm/fetch.go
+++ b/daemon/internal/version/swarm/fetch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -18,22 +19,35 @@
 )
 
 const (
-	// maxNeighbours is how many peers are asked for their chunks.
-	maxNeighbours = 14
-	// parallelPeers and parallelOrigin bound the chunks under way.
-	parallelPeers  = 4
+	// maxNear and maxFar are how many hosts of the own hall, and of each other
+	// one, are asked for their chunks.
+	maxNear = 16
+	maxFar  = 5
+	// parallelPeers and parallelOrigin bound the chunks under way, perPeer those
+	// from one peer.
+	parallelPeers  = 8
 	parallelOrigin = 1
+	perPeer        = 2
 	// chunkTimeout bounds one chunk, haveTimeout one question for news.
 	chunkTimeout = 2 * time.Second
 	haveTimeout  = 900 * time.Millisecond
 	// peerSilence is how long a peer may be silent before it is not counted as
 	// a host that brings its chunks.
 	peerSilence = 1200 * time.Millisecond
-	// askAgain is the pause after a failed question.
-	askAgain = 200 * time.Millisecond
-	// patience is how long a chunk may be nowhere before the next host in its
-	// ranking asks the origin for it, beyond the time the origin takes for all.
+	// settleTime is how long neighbours have to say what they have before chunks
+	// are brought from farther away.
+	settleTime = 250 * time.Millisecond
+	// askAgain is the pause after a failed question, farPause the pause between
+	// questions to other halls.
+	askAgain  = 200 * time.Millisecond
+	soonAgain = 60 * time.Millisecond
+	farPause  = 50 * time.Millisecond
+	// patience is how long a chunk may be missing in this hall before the next
+	// host in its ranking brings it, beyond the time the origin takes for all.
 	patience = 900 * time.Millisecond
+	// paceFloor is added to a peer's pace, so that one not yet asked is not
+	// taken for infinitely fast.
+	paceFloor = 30 * time.Millisecond
 	// idlePause is the wait of a worker that finds nothing to do.
 	idlePause = 25 * time.Millisecond
 	// maxMismatches is how many wrong chunks from the origin make its manifest
@@ -44,16 +58,29 @@
 // ErrManifest says that the manifest does not fit what the origin sends.
 var ErrManifest = errors.New("the chunks of the origin do not match the manifest")
 
+// Host is a loader as the others see it.
+type Host struct {
+	Address netip.AddrPort
+	Hall    string
+}
+
 // Fetch brings one version to this host. The exported fields must be set.
+//
+// For each chunk every hall has a ranking of its hosts, and the halls have one
+// too. The first host of the first hall asks the origin, the first hosts of the
+// other halls ask other halls, and everybody else asks within the hall. So a
+// chunk leaves the origin once and enters each hall once.
 type Fetch struct {
 	Copy   *Copy
 	Model  string
 	Origin netip.AddrPort
-	Source provider.Origin
-	// Own is this host's address among the loaders, and Peers all loaders that
-	// are to have the version, this one included or not.
-	Own    netip.AddrPort
-	Peers  func() []netip.AddrPort
+	// OriginHall is where the origin stands, "" where that is not known.
+	OriginHall string
+	Source     provider.Origin
+	// Own is this host, and Hosts all that are to have the version, this one
+	// included or not.
+	Own    Host
+	Hosts  func() []Host
 	Client *http.Client
 	// OriginTime is how long the origin takes to send one copy.
 	OriginTime time.Duration
@@ -66,18 +93,29 @@
 	known      map[netip.AddrPort]*neighbour
 	taken      map[int]bool
 	mismatches int
-	// places is this host's place in the ranking of each chunk among placeNames.
-	places     []int
-	placeNames []string
+	// duties are this host's for each chunk among rankedHosts.
+	duties      []duty
+	rankedHosts []Host
+}
+
+// duty is a host's part in bringing one chunk.
+type duty struct {
+	// place is the host's place in its hall's ranking.
+	place int
+	// hall is the hall's place among the halls.
+	hall int
 }
 
 // neighbour is a peer as this fetch knows it.
 type neighbour struct {
+	far   bool
 	have  Have
 	heard time.Time
 	// until is when a peer that failed may be asked for chunks again.
 	until time.Time
 	busy  int
+	// pace is how long a chunk from there takes, the last ones weighed most.
+	pace time.Duration
 }
 
 // Run fetches until the copy is complete, the context ends, or the manifest
@@ -139,65 +177,77 @@
 	defer asking.Wait()
 	asked := map[netip.AddrPort]bool{}
 	for ctx.Err() == nil {
-		for _, address := range f.neighbours() {
-			if !asked[address] {
-				asked[address] = true
-				asking.Go(func() { f.ask(ctx, Peer{Address: address, Client: f.Client}) })
+		for _, host := range f.neighbours() {
+			if !asked[host.Address] {
+				asked[host.Address] = true
+				asking.Go(func() { f.ask(ctx, host) })
 			}
 		}
 		helpers.Pause(askAgain, ctx.Done())
 	}
 }
 
-// neighbours are this host's peers in the order of a ranking of its own.
-func (f *Fetch) neighbours() []netip.AddrPort {
-	names, byName := f.hostNames()
-	ranked := rendezvous.Rank("neighbours of "+f.Own.String(), names)
-	var result []netip.AddrPort
-	for _, name := range ranked {
-		if address := byName[name]; address != f.Own && len(result) < maxNeighbours {
-			result = append(result, address)
+// neighbours are the hosts that this one asks, by a ranking of its own.
+func (f *Fetch) neighbours() []Host {
+	hosts := f.hosts()
+	byName := map[string]Host{}
+	names := make([]string, 0, len(hosts))
+	for _, host := range hosts {
+		byName[host.Address.String()] = host
+		names = append(names, host.Address.String())
+	}
+	var result []Host
+	counts := map[string]int{}
+	for _, name := range rendezvous.Rank("neighbours of "+f.Own.Address.String(), names) {
+		host := byName[name]
+		limit := maxFar
+		if host.Hall == f.Own.Hall {
+			limit = maxNear
+		}
+		if host.Address != f.Own.Address && counts[host.Hall] < limit {
+			counts[host.Hall]++
+			result = append(result, host)
 		}
 	}
 	return result
 }
 
-func (f *Fetch) hostNames() ([]string, map[string]netip.AddrPort) {
-	byName := map[string]netip.AddrPort{f.Own.String(): f.Own}
-	for _, peer := range f.Peers() {
-		byName[peer.String()] = peer
-	}
-	names := make([]string, 0, len(byName))
-	for name := range byName {
-		names = append(names, name)
-	}
-	return names, byName
+// hosts are all hosts, this one included, in the order of their addresses.
+func (f *Fetch) hosts() []Host {
+	hosts := append([]Host{f.Own}, f.Hosts()...)
+	slices.SortFunc(hosts, func(a, b Host) int { return a.Address.Compare(b.Address) })
+	return slices.CompactFunc(hosts, func(a, b Host) bool { return a.Address == b.Address })
 }
 
-func (f *Fetch) ask(ctx context.Context, peer Peer) {
+func (f *Fetch) ask(ctx context.Context, host Host) {
+	peer := Peer{Address: host.Address, Client: f.Client}
 	known := 0
 	for ctx.Err() == nil {
 		asking, cancel := context.WithTimeout(ctx, haveTimeout)
 		have, err := peer.Have(asking, f.Copy.Manifest.Version, known)
 		cancel()
 		if err == nil || errors.Is(err, provider.ErrNotFound) {
-			f.heard(peer.Address, have)
+			f.heard(host, have)
 			known = have.Count
 		}
 		complete := err == nil && have.Count == len(f.Copy.Manifest.Digests)
-		if err != nil || complete {
+		if errors.Is(err, provider.ErrNotFound) {
+			helpers.Pause(soonAgain, ctx.Done()) // it is about to learn of the version
+		} else if err != nil || complete {
 			helpers.Pause(askAgain+rand.N(askAgain), ctx.Done())
+		} else if host.Hall != f.Own.Hall {
+			helpers.Pause(farPause, ctx.Done())
 		}
 	}
 }
 
-func (f *Fetch) heard(address netip.AddrPort, have Have) {
+func (f *Fetch) heard(host Host, have Have) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	n := f.known[address]
+	n := f.known[host.Address]
 	if n == nil {
-		n = &neighbour{}
-		f.known[address] = n
+		n = &neighbour{far: host.Hall != f.Own.Hall}
+		f.known[host.Address] = n
 	}
 	n.have, n.heard = have, time.Now()
 }
@@ -211,11 +261,12 @@
 	defer f.release(index)
 	ctx, cancel := context.WithTimeout(ctx, chunkTimeout)
 	defer cancel()
+	started := time.Now()
 	chunk, err := Peer{Address: address, Client: f.Client}.Chunk(ctx, f.Copy.Manifest.Version, index)
 	if err == nil {
 		err = f.Copy.Put(index, chunk)
 	}
-	f.settle(address, err)
+	f.settle(address, time.Since(started), err)
 	if err != nil {
 		return true, err
 	}
@@ -224,48 +275,71 @@
 }
 
 // pickFromPeers chooses the rarest missing chunk among two drawn at random, and
-// the least busy of its holders.
+// one of its holders. Holders in other halls count only for chunks that it
+// falls to this host to bring into its hall.
 func (f *Fetch) pickFromPeers() (int, netip.AddrPort, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	holders := map[int][]netip.AddrPort{}
+	f.rank(f.liveHosts(now))
 	have := f.Copy.Have()
+	holders := map[int][]netip.AddrPort{}
 	for address, n := range f.known {
-		if now.Before(n.until) || n.busy > 0 {
+		if now.Before(n.until) || n.busy >= perPeer {
 			continue
 		}
-		for index, there := range n.have.Chunks {
-			if there && index < len(have) && !have[index] && !f.taken[index] {
+		for index := range have {
+			if n.have.Has(index) && !have[index] && !f.taken[index] && (!n.far || f.bringsFar(index, now)) {
 				holders[index] = append(holders[index], address)
 			}
 		}
 	}
-	best := -1
-	drawn := 0
-	for index := range holders { // the order of a map is random
-		if best < 0 || len(holders[index]) < len(holders[best]) {
-			best = index
-		}
-		if drawn++; drawn == 2 {
-			break
-		}
-	}
+	best := f.pickIndex(holders)
 	if best < 0 {
 		return 0, netip.AddrPort{}, false
 	}
-	address := holders[best][rand.IntN(len(holders[best]))]
+	address := f.pickHolder(holders[best])
 	f.taken[best] = true
 	f.known[address].busy++
 	return best, address, true
 }
 
-func (f *Fetch) settle(address netip.AddrPort, err error) {
+// pickHolder chooses the holder that is likely to be done first: the one with
+// the least under way for this host, weighed by how long its last chunks took.
+func (f *Fetch) pickHolder(holders []netip.AddrPort) netip.AddrPort {
+	best := holders[0]
+	lowest := math.Inf(1)
+	for _, address := range holders {
+		n := f.known[address]
+		cost := float64(n.busy+1) * (n.pace.Seconds() + paceFloor.Seconds()) * (1 + rand.Float64())
+		if cost < lowest {
+			best, lowest = address, cost
+		}
+	}
+	return best
+}
+
+// pickIndex prefers chunks that the hall waits for this host to bring.
+func (f *Fetch) pickIndex(holders map[int][]netip.AddrPort) int {
+	best, drawn := -1, 0
+	for index := range holders { // the order of a map is random
+		if f.duties[index].place == 0 {
+			return index
+		}
+		if drawn++; drawn <= 2 && (best < 0 || len(holders[index]) < len(holders[best])) {
+			best = index
+		}
+	}
+	return best
+}
+
+func (f *Fetch) settle(address netip.AddrPort, took time.Duration, err error) {
 	const rest = 500 * time.Millisecond
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := f.known[address]
 	n.busy--
+	n.pace = (n.pace + took) / 2
 	if err != nil {
 		n.until = time.Now().Add(rest)
 	}
@@ -307,80 +381,145 @@
 	return err
 }
 
-// pickForOrigin chooses a missing chunk that this host is the first live one to
-// bring, or that has been nowhere for so long that it is this host's turn.
+// pickForOrigin chooses a missing chunk that it falls to this host to ask the
+// origin for, and that no neighbour offers.
 func (f *Fetch) pickForOrigin() (int, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	f.rank(f.liveNames(now))
+	f.rank(f.liveHosts(now))
 	have := f.Copy.Have()
 	offset := rand.IntN(len(have) + 1)
 	for i := range have {
 		index := (i + offset) % len(have)
-		if have[index] || f.taken[index] || f.offered(index) {
+		if have[index] || f.taken[index] || f.offered(index) || !f.asksOrigin(index, now) {
 			continue
 		}
-		if f.myTurn(index, now) {
-			f.taken[index] = true
-			return index, true
-		}
+		f.taken[index] = true
+		return index, true
 	}
 	return 0, false
 }
 
-// liveNames are this host and the peers that are heard. Before the first
-// answers are due every peer counts as live.
-func (f *Fetch) liveNames(now time.Time) []string {
-	names, byName := f.hostNames()
+// liveHosts are this host and the hosts that are heard. Those that are not
+// asked, and all before the first answers are due, count as live.
+func (f *Fetch) liveHosts(now time.Time) []Host {
+	hosts := f.hosts()
 	if now.Sub(f.started) < peerSilence {
-		return names
+		return hosts
 	}
-	near := f.neighbours()
-	return slices.DeleteFunc(names, func(name string) bool {
-		address := byName[name]
-		if address == f.Own || !slices.Contains(near, address) {
-			return false
-		}
-		n := f.known[address]
-		return n == nil || now.Sub(n.heard) > peerSilence
+	asked := f.neighbours()
+	return slices.DeleteFunc(hosts, func(host Host) bool {
+		n := f.known[host.Address]
+		silent := n == nil || now.Sub(n.heard) > peerSilence
+		return silent && slices.Contains(asked, host)
 	})
 }
 
-// offered reports whether a neighbour that may be asked has the chunk.
+// offered reports whether a neighbour that is heard has the chunk.
 func (f *Fetch) offered(index int) bool {
 	for _, n := range f.known {
-		if index < len(n.have.Chunks) && n.have.Chunks[index] && time.Since(n.heard) < peerSilence {
+		if n.have.Has(index) && time.Since(n.heard) < peerSilence {
 			return true
 		}
 	}
 	return false
 }
 
-// rank works out this host's place for each chunk where the hosts have changed.
-func (f *Fetch) rank(names []string) {
-	slices.Sort(names)
-	if slices.Equal(names, f.placeNames) {
+// rank works out this host's duty for each chunk where the hosts have changed.
+func (f *Fetch) rank(hosts []Host) {
+	if slices.Equal(hosts, f.rankedHosts) {
 		return
 	}
-	f.placeNames = names
-	f.places = make([]int, len(f.Copy.Manifest.Digests))
-	for index := range f.places {
-		ranked := rendezvous.Rank(chunkKey(f.Model, f.Copy.Manifest.Version, index), names)
-		f.places[index] = slices.Index(ranked, f.Own.String())
+	f.rankedHosts = hosts
+	byHall := map[string][]string{}
+	for _, host := range hosts {
+		byHall[host.Hall] = append(byHall[host.Hall], host.Address.String())
+	}
+	halls := make([]string, 0, len(byHall))
+	for hall := range byHall {
+		halls = append(halls, hall)
+	}
+	f.duties = make([]duty, len(f.Copy.Manifest.Digests))
+	places := f.places(byHall[f.Own.Hall])
+	for index := range f.duties {
+		f.duties[index] = duty{place: places[index], hall: slices.Index(f.rankHalls(f.key(index), halls), f.Own.Hall)}
+	}
+}
+
+// places returns this host's place in the ranking of its hall for each chunk.
+// Rankings are by rendezvous, but no host is first for more than its share:
+// the last chunk of the busiest host would otherwise be late for all.
+func (f *Fetch) places(hall []string) []int {
+	share := (len(f.duties) + len(hall) - 1) / len(hall)
+	firsts := map[string]int{}
+	places := make([]int, len(f.duties))
+	for index := range places {
+		ranked := rendezvous.Rank(f.key(index), hall)
+		first := slices.IndexFunc(ranked, func(name string) bool { return firsts[name] < share })
+		name := ranked[first]
+		firsts[name]++
+		ranked = slices.Insert(slices.Delete(ranked, first, first+1), 0, name)
+		places[index] = slices.Index(ranked, f.Own.Address.String())
+	}
+	return places
+}
+
+func (f *Fetch) key(index int) string {
+	return f.Model + "/" + strconv.Itoa(f.Copy.Manifest.Version) + "/" + strconv.Itoa(index)
+}
+
+// rankHalls puts the origin's own hall first: its chunks then cross to each
+// other hall once.
+func (f *Fetch) rankHalls(key string, halls []string) []string {
+	ranked := rendezvous.Rank("halls of "+key, halls)
+	if at := slices.Index(ranked, f.OriginHall); at > 0 {
+		ranked = slices.Insert(slices.Delete(ranked, at, at+1), 0, f.OriginHall)
 	}
+	return ranked
 }
 
-// myTurn reports whether this host is the first to bring a chunk, or all before
-// it have had their time.
-func (f *Fetch) myTurn(index int, now time.Time) bool {
-	waited := now.Sub(f.started) - f.OriginTime
-	place := f.places[index]
-	return place == 0 || waited > time.Duration(place)*patience
+// bringsFar reports whether this host brings a chunk into its hall from another
+// one: the first of the ranking does, and the next ones when it takes too long.
+// A chunk that is in this hall already is not brought.
+func (f *Fetch) bringsFar(index int, now time.Time) bool {
+	if !f.settled(now) || f.offeredNear(index) {
+		return false
+	}
+	place := f.duties[index].place
+	return place == 0 || f.late(now) > time.Duration(place)*patience
+}
+
+// settled reports whether the neighbours have had time to say what they have.
+func (f *Fetch) settled(now time.Time) bool {
+	return now.Sub(f.started) > settleTime || len(f.known) >= len(f.neighbours())
+}
+
+// offeredNear reports whether a neighbour of this hall that is heard has the
+// chunk.
+func (f *Fetch) offeredNear(index int) bool {
+	for _, n := range f.known {
+		if !n.far && n.have.Has(index) && time.Since(n.heard) < peerSilence {
+			return true
+		}
+	}
+	return false
+}
+
+// asksOrigin reports whether this host asks the origin for a chunk. The first
+// hall's hosts do; the other halls' follow when that takes too long, because
+// the first hall may be cut off.
+func (f *Fetch) asksOrigin(index int, now time.Time) bool {
+	if !f.settled(now) {
+		return false
+	}
+	d := f.duties[index]
+	return d.place+d.hall == 0 || f.late(now) > time.Duration(d.place+2*d.hall)*patience
 }
 
-func chunkKey(model string, version, index int) string {
-	return model + "/" + strconv.Itoa(version) + "/" + strconv.Itoa(index)
+// late is how much longer the fetch has taken than the origin takes for a copy.
+func (f *Fetch) late(now time.Time) time.Duration {
+	return now.Sub(f.started) - f.OriginTime
 }
 
 func (f *Fetch) tell(index int, chunk []byte, from string) {
--- a/daemon/internal/version/swarm/held.go
+++ b/daemon/internal/version/swarm/held.go
@@ -19,8 +19,8 @@
 )
 
 // keptVersions is how many versions are held: the one in force, for hosts that
-// are behind, and the one to come.
-const keptVersions = 2
+// are behind, and up to two to come.
+const keptVersions = 3
 
 // errDigest says that a chunk's bytes are not those of the manifest.
 var errDigest = errors.New("the chunk does not match its digest")
--- a/daemon/internal/version/swarm/serve.go
+++ b/daemon/internal/version/swarm/serve.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/uptrace/bunrouter"
@@ -17,33 +18,58 @@
 )
 
 const (
-	// uploadSlots is how many chunks are sent at the same time. More would make
-	// each of them later without sending more.
-	uploadSlots = 6
-	// uploadWait is how long a request waits for a slot before it is refused.
-	uploadWait = 400 * time.Millisecond
 	// haveWait is how long a question for news waits, and haveBatch how long it
 	// waits at least, so that several chunks are told at once.
 	haveWait  = 500 * time.Millisecond
-	haveBatch = 60 * time.Millisecond
+	haveBatch = 30 * time.Millisecond
 )
 
-// Have is the answer to a question for news: which chunks a host has.
+// Have is the answer to a question for news: which chunks a host has, in
+// digits of base 16, four chunks each, the first chunk in the lowest bit.
 type Have struct {
 	Count  int    `json:"count"`
-	Chunks []bool `json:"chunks"`
+	Chunks string `json:"chunks"`
 }
 
-// Server gives other loaders what this host holds.
-type Server struct {
-	Held *Held
+const hexDigits = "0123456789abcdef"
+
+// bitsPerDigit is the number of chunks that one digit stands for.
+const bitsPerDigit = 4
+
+// NewHave packs which chunks there are.
+func NewHave(chunks []bool) Have {
+	have := Have{}
+	digits := make([]byte, (len(chunks)+bitsPerDigit-1)/bitsPerDigit)
+	for index, there := range chunks {
+		if there {
+			have.Count++
+			digits[index/bitsPerDigit] |= 1 << (index % bitsPerDigit)
+		}
+	}
+	for i, digit := range digits {
+		digits[i] = hexDigits[digit]
+	}
+	have.Chunks = string(digits)
+	return have
+}
 
-	slots chan struct{}
+// Has reports whether a chunk is there.
+func (h Have) Has(index int) bool {
+	if index/bitsPerDigit >= len(h.Chunks) {
+		return false
+	}
+	digit := strings.IndexByte(hexDigits, h.Chunks[index/bitsPerDigit])
+	return digit >= 0 && digit&(1<<(index%bitsPerDigit)) != 0
 }
 
+// Server gives other loaders what this host holds.
+//
+// The number of uploads is not bounded: a chunk fits in the connection's buffer,
+// so a bound here would hold nothing back. Askers bound what they ask for.
+type Server struct{ Held *Held }
+
 // Register adds the calls to a router.
 func (s *Server) Register(pages *bunrouter.Router) {
-	s.slots = make(chan struct{}, uploadSlots)
 	compat := pages.Compat()
 	compat.GET(havePath, s.have)
 	compat.GET(manifestPath, s.manifest)
@@ -70,9 +96,7 @@
 	if count, changed := c.Count(); count == known && !c.Complete() {
 		waitFor(r, changed)
 	}
-	have := c.Have()
-	count, _ := c.Count()
-	writeJSON(w, Have{Count: count, Chunks: have})
+	writeJSON(w, NewHave(c.Have()))
 }
 
 // waitFor waits for a change and then a little for more.
@@ -111,17 +135,6 @@
 		http.Error(w, "no such chunk here", http.StatusNotFound)
 		return
 	}
-	timeout := time.NewTimer(uploadWait)
-	defer timeout.Stop()
-	select {
-	case s.slots <- struct{}{}:
-		defer func() { <-s.slots }()
-	case <-timeout.C:
-		http.Error(w, "all upload slots are taken", http.StatusServiceUnavailable)
-		return
-	case <-r.Context().Done():
-		return
-	}
 	w.Header().Set("Content-Type", "application/octet-stream")
 	w.Header().Set("Content-Length", strconv.Itoa(len(chunk)))
 	_, _ = w.Write(chunk)
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -35,6 +35,11 @@
 )
 
 const (
+	// versionsWait is how long one watch for declared versions waits.
+	versionsWait = 4 * time.Second
+	// hostsEvery is the interval in which the list of hosts is read. It only
+	// says which hosts may have chunks.
+	hostsEvery = 2 * time.Second
 	// hostIdle is how long connections to other hosts rest.
 	hostIdle = 30 * time.Second
 	// lookEvery is the interval in which the configuration is looked for until
@@ -84,8 +89,9 @@
 
 // weights is the configuration as far as it concerns one engine.
 type weights struct {
-	engine provider.EngineSpec
-	origin netip.AddrPort
+	engine     provider.EngineSpec
+	origin     netip.AddrPort
+	originHall string
 }
 
 // New prepares a loader; Start runs it.
@@ -110,10 +116,9 @@
 	p.provider = options.Provider(s.Store, p.client, p.client)
 	p.compiler = &mirror.Compiler{Decode: p.provider.Decode, OnBelief: p.noteBelief}
 	p.table.OnChange = p.compiler.Take
-	for _, prefix := range []string{p.provider.Prefixes.Versions, p.provider.Prefixes.Upstreams} {
-		p.followers = append(p.followers, &mirror.Follower{
-			Store: p.provider.Store, Prefix: prefix, Table: p.table, OnContact: p.noteContact,
-		})
+	p.followers = []*mirror.Follower{
+		{Store: p.provider.Store, Prefix: p.provider.Prefixes.Versions, Table: p.table, OnContact: p.noteContact, Wait: versionsWait},
+		{Store: p.provider.Store, Prefix: p.provider.Prefixes.Upstreams, Table: p.table, OnContact: p.noteContact, ListEvery: hostsEvery},
 	}
 	p.keeper = &keep.Keeper{
 		Engine: p.provider.Engine, Origin: p.provider.Origin, Address: s.Engine, Held: p.held,
@@ -184,7 +189,7 @@
 			found.engine = *service.Engine
 		}
 		if service.Origin.IsValid() {
-			found.origin = service.Origin
+			found.origin, found.originHall = service.Origin, service.Hall
 		}
 	}
 	if found.engine.Model == "" || !found.origin.IsValid() {
@@ -204,18 +209,27 @@
 	if known == nil || !p.followers[0].Known() {
 		return keep.Plan{}, false
 	}
-	view := p.compiler.View()
 	model := known.engine.Model
-	goal := keep.Goal{Model: model, Version: firstVersion, Fence: p.table.Newest()}
-	if declared, ok := view.Targets[model]; ok {
-		spread := p.settings.Bounds.VersionApply.Std()
-		goal.Version = declared.Version
-		goal.Turn = declared.Learned.Add(turn.Wait(fmt.Sprintf("%s/%d", model, declared.Version), p.own().String(), p.loaderNames(), spread))
-	}
-	return keep.Plan{
-		Goal: goal, Origin: known.origin, Chunks: known.engine.Chunks, ChunkBytes: known.engine.ChunkBytes,
+	plan := keep.Plan{
+		Goal:   keep.Goal{Model: model, Version: firstVersion, Fence: p.table.Newest()},
+		Origin: known.origin, OriginHall: known.originHall,
+		Chunks: known.engine.Chunks, ChunkBytes: known.engine.ChunkBytes,
 		OriginTime: p.linkTime(known.engine.Chunks * known.engine.ChunkBytes),
-	}, true
+	}
+	if declared, ok := p.compiler.View().Targets[model]; ok {
+		plan.Goal = p.goal(declared)
+		if declared.Before != nil {
+			plan.Earlier = []keep.Goal{p.goal(*declared.Before)}
+		}
+	}
+	return plan, true
+}
+
+// goal works out when this host's engine may take a declared version.
+func (p *Process) goal(declared mirror.Declared) keep.Goal {
+	key := fmt.Sprintf("%s/%d", declared.Model, declared.Version)
+	wait := turn.Wait(key, p.own().Address.String(), p.hostNames(), p.settings.Bounds.VersionApply.Std())
+	return keep.Goal{Model: declared.Model, Version: declared.Version, Fence: p.table.Newest(), Turn: declared.Learned.Add(wait)}
 }
 
 // linkTime is how long a link like this host's takes for some bytes.
@@ -228,27 +242,36 @@
 	return time.Duration(8 * float64(bytes) / rate * float64(time.Second))
 }
 
-// own is this loader's address; all loaders listen on the same port.
-func (p *Process) own() netip.AddrPort { return p.settings.Listen.Peers }
+// own is this loader; all loaders listen on the same port.
+func (p *Process) own() swarm.Host {
+	return swarm.Host{Address: p.settings.Listen.Peers, Hall: p.settings.Hall}
+}
 
-// loaders are the addresses of all loaders of this service's engines.
-func (p *Process) loaders() []netip.AddrPort {
-	var result []netip.AddrPort
+// hosts are the loaders of all engines of this service, by the hosts' addresses.
+func (p *Process) hosts() []swarm.Host {
+	var result []swarm.Host
 	for _, upstream := range p.compiler.View().Upstreams[p.settings.Service] {
-		address := netip.AddrPortFrom(upstream.Address.Addr(), p.own().Port())
-		if !slices.Contains(result, address) {
-			result = append(result, address)
+		address := netip.AddrPortFrom(upstream.Address.Addr(), p.own().Address.Port())
+		host := swarm.Host{Address: address, Hall: upstream.Hall}
+		if !slices.Contains(result, host) {
+			result = append(result, host)
 		}
 	}
 	return result
 }
 
 func (p *Process) otherLoaders() []netip.AddrPort {
-	return slices.DeleteFunc(p.loaders(), func(address netip.AddrPort) bool { return address == p.own() })
+	var result []netip.AddrPort
+	for _, host := range p.hosts() {
+		if host.Address != p.own().Address {
+			result = append(result, host.Address)
+		}
+	}
+	return result
 }
 
-func (p *Process) loaderNames() []string {
-	names := []string{p.own().String()}
+func (p *Process) hostNames() []string {
+	names := []string{p.own().Address.String()}
 	for _, address := range p.otherLoaders() {
 		names = append(names, address.String())
 	}
@@ -257,8 +280,8 @@
 
 func (p *Process) newFetch(plan keep.Plan, c *swarm.Copy) *swarm.Fetch {
 	return &swarm.Fetch{
-		Copy: c, Model: plan.Goal.Model, Origin: plan.Origin, Source: p.provider.Origin,
-		Own: p.own(), Peers: p.loaders, Client: p.client, OriginTime: plan.OriginTime, OnChunk: p.noteChunk,
+		Copy: c, Model: plan.Goal.Model, Origin: plan.Origin, OriginHall: plan.OriginHall, Source: p.provider.Origin,
+		Own: p.own(), Hosts: p.hosts, Client: p.client, OriginTime: plan.OriginTime, OnChunk: p.noteChunk,
 	}
 }
 
--- a/daemon/provider/configuration.go
+++ b/daemon/provider/configuration.go
@@ -74,8 +74,10 @@
 	MaxConnections int
 	// Engine is set for services whose upstreams run a model.
 	Engine *EngineSpec
-	// Origin is set for the service that weights come from.
+	// Origin is set for the service that weights come from, and Hall is where
+	// that stands, "" where it is not known.
 	Origin netip.AddrPort
+	Hall   string
 }
 
 // EngineSpec describes the engines of a service.
--- a/daemon/provider/provider.go
+++ b/daemon/provider/provider.go
@@ -63,6 +63,9 @@
 	// List reads every entry under a prefix, over as many pages as it takes.
 	// At is the revision of the first page: pages are no snapshot.
 	List func(ctx context.Context, prefix string) (Listing, error)
+	// ListStale is List from an answer that may be seconds old, which costs the
+	// store far less.
+	ListStale func(ctx context.Context, prefix string) (Listing, error)
 	// Watch waits up to wait for changes under a prefix after a revision. An
 	// empty listing means that there was none.
 	Watch func(ctx context.Context, prefix string, after Revision, wait time.Duration) (Listing, error)
@@ -77,6 +80,8 @@
 
 // Prefixes are the parts of the store that the daemons follow.
 type Prefixes struct {
+	// All begins every key.
+	All string
 	// Declarations holds the configuration and the declared versions.
 	Declarations string
 	// Versions is the part of Declarations that holds declared versions only.
--- a/daemon/router/recorder.go
+++ b/daemon/router/recorder.go
@@ -17,7 +17,7 @@
 const (
 	// servedLines and failedLines bound the lines a second about requests.
 	// Failures have a bound of their own, so that success never hides them.
-	servedLines = 60
+	servedLines = 600
 	failedLines = 200
 )
 
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -36,9 +36,14 @@
 )
 
 const (
-	// silenceLimit is how long the store may be silent before peers are asked
-	// and before an unknown key or route is no longer a final no.
-	silenceLimit = 3500 * time.Millisecond
+	// storeWait is how long one watch of the store waits, and storeSettle the
+	// pause after a change: together they bound how old the copy is.
+	storeWait   = 2500 * time.Millisecond
+	storeSettle = 150 * time.Millisecond
+	// silenceSlack is how much later than due an answer of the store may be
+	// before peers are asked, and before an unknown key or route is no longer a
+	// final no.
+	silenceSlack = 400 * time.Millisecond
 	// lameDuck is how long a stopping router still serves while it is not
 	// ready, so that the balancer takes it off first.
 	lameDuck = 2500 * time.Millisecond
@@ -80,7 +85,7 @@
 
 	table     *mirror.Table
 	compiler  *mirror.Compiler
-	followers []*mirror.Follower
+	follower  *mirror.Follower
 	puller    *peering.Puller
 	announcer *announcer
 	loads     *loadfeed.Reader
@@ -121,11 +126,9 @@
 }
 
 func (p *Process) addFollowers(client *http.Client) {
-	prefixes := p.provider.Prefixes
-	for _, prefix := range []string{prefixes.Declarations, prefixes.Upstreams, prefixes.Members} {
-		p.followers = append(p.followers, &mirror.Follower{
-			Store: p.provider.Store, Prefix: prefix, Table: p.table, OnContact: p.recorder.contact,
-		})
+	p.follower = &mirror.Follower{
+		Store: p.provider.Store, Prefix: p.provider.Prefixes.All, Table: p.table, OnContact: p.recorder.contact,
+		Wait: storeWait, Settle: storeSettle,
 	}
 	p.puller = &peering.Puller{
 		Client: client, Table: p.table, Peers: p.peerAddresses, Needed: p.silent, OnPull: p.recorder.pulled,
@@ -183,9 +186,7 @@
 		p.kill()
 		return fmt.Errorf("router %s: %w", p.current.Load().Name, err)
 	}
-	for _, follower := range p.followers {
-		follower.Start()
-	}
+	p.follower.Start()
 	p.puller.Start()
 	p.announcer.start()
 	p.recorder.started(p.current.Load())
@@ -266,12 +267,7 @@
 
 // silent reports whether the store has not answered for too long.
 func (p *Process) silent() bool {
-	for _, follower := range p.followers {
-		if !follower.Known() || follower.Age() > silenceLimit {
-			return true
-		}
-	}
-	return false
+	return !p.follower.Known() || p.follower.Age() > storeWait+storeSettle+silenceSlack
 }
 
 // peerAddresses are the seeds and all members but this one.
@@ -301,9 +297,7 @@
 	p.announcer.stop()
 	p.loads.Stop()
 	p.puller.Stop()
-	for _, follower := range p.followers {
-		follower.Stop()
-	}
+	p.follower.Stop()
 	p.kill()
 	p.recorder.stopped(err)
 	p.telemetry.Close()
