Take what lies beside an engine before fetching, and wait for the engine for it

Cause: at the start loaders ran before their engines answered, took the place beside them for empty and fetched version 1 again: 96 chunks from the origin. Now an engine that does not answer is waited for, and a host that does not know a version does not count as one that brings its chunks.

--- a/daemon/internal/version/keep/keep.go
+++ b/daemon/internal/version/keep/keep.go
@@ -235,8 +235,11 @@
 		if err != nil {
 			return err
 		}
-		c = k.Held.Add(manifest)
-		k.takeStaged(ctx, plan, c)
+		c = swarm.NewCopy(manifest)
+		if err := k.takeStaged(ctx, plan, c); err != nil {
+			return err
+		}
+		k.Held.Add(c)
 	}
 	if c.Complete() {
 		return nil
@@ -286,18 +289,22 @@
 }
 
 // takeStaged takes what already lies beside the engine and belongs to the
-// version: from before this loader or the engine was started.
-func (k *Keeper) takeStaged(ctx context.Context, plan Plan, c *swarm.Copy) {
+// version: from before this loader or the engine was started. An engine that
+// does not answer is waited for, because what lies there saves the whole fetch,
+// and without the engine there is nothing to fetch for.
+func (k *Keeper) takeStaged(ctx context.Context, plan Plan, c *swarm.Copy) error {
 	const misses = 3 // an empty place is empty throughout
 	for index, missed := 0, 0; index < len(c.Manifest.Digests) && missed < misses; index++ {
 		chunk, err := k.staged(ctx, plan.Goal.Model, index)
-		if err == nil {
-			err = c.Put(index, chunk)
-		}
-		if err != nil {
+		switch {
+		case err == nil && c.Put(index, chunk) == nil:
+		case err == nil || errors.Is(err, provider.ErrNotFound):
 			missed++
+		default:
+			return fmt.Errorf("read what lies beside the engine: %w", err)
 		}
 	}
+	return nil
 }
 
 func (k *Keeper) staged(ctx context.Context, model string, index int) ([]byte, error) {
--- a/daemon/internal/version/swarm/fetch.go
+++ b/daemon/internal/version/swarm/fetch.go
@@ -111,6 +111,8 @@
 	far   bool
 	have  Have
 	heard time.Time
+	// absent says that the peer does not know the version.
+	absent bool
 	// until is when a peer that failed may be asked for chunks again.
 	until time.Time
 	busy  int
@@ -227,7 +229,7 @@
 		have, err := peer.Have(asking, f.Copy.Manifest.Version, known)
 		cancel()
 		if err == nil || errors.Is(err, provider.ErrNotFound) {
-			f.heard(host, have)
+			f.heard(host, have, err != nil)
 			known = have.Count
 		}
 		complete := err == nil && have.Count == len(f.Copy.Manifest.Digests)
@@ -241,7 +243,7 @@
 	}
 }
 
-func (f *Fetch) heard(host Host, have Have) {
+func (f *Fetch) heard(host Host, have Have, absent bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := f.known[host.Address]
@@ -249,7 +251,7 @@
 		n = &neighbour{far: host.Hall != f.Own.Hall}
 		f.known[host.Address] = n
 	}
-	n.have, n.heard = have, time.Now()
+	n.have, n.absent, n.heard = have, absent, time.Now()
 }
 
 // fromPeer fetches one chunk that a neighbour has.
@@ -401,7 +403,7 @@
 	return 0, false
 }
 
-// liveHosts are this host and the hosts that are heard. Those that are not
+// liveHosts are this host and the hosts that are heard and know the version. Those that are not
 // asked, and all before the first answers are due, count as live.
 func (f *Fetch) liveHosts(now time.Time) []Host {
 	hosts := f.hosts()
@@ -411,7 +413,7 @@
 	asked := f.neighbours()
 	return slices.DeleteFunc(hosts, func(host Host) bool {
 		n := f.known[host.Address]
-		silent := n == nil || now.Sub(n.heard) > peerSilence
+		silent := n == nil || n.absent || now.Sub(n.heard) > peerSilence
 		return silent && slices.Contains(asked, host)
 	})
 }
--- a/daemon/internal/version/swarm/held.go
+++ b/daemon/internal/version/swarm/held.go
@@ -108,23 +108,18 @@
 	return h.copies[version]
 }
 
-// Add takes a manifest and returns the version's copy, new or known. Versions
-// beyond keptVersions are dropped, oldest first.
-func (h *Held) Add(manifest provider.Manifest) *Copy {
+// Add takes a version's copy. Versions beyond keptVersions are dropped, oldest
+// first.
+func (h *Held) Add(c *Copy) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if c := h.copies[manifest.Version]; c != nil {
-		return c
-	}
 	if h.copies == nil {
 		h.copies = map[int]*Copy{}
 	}
-	c := NewCopy(manifest)
-	h.copies[manifest.Version] = c
+	h.copies[c.Manifest.Version] = c
 	for len(h.copies) > keptVersions {
 		h.dropOldest()
 	}
-	return c
 }
 
 // Drop forgets a version, whose manifest turned out to be wrong.
