Keep older declarations' time, clear engines before orders, and choose by the current list

Now each try reads the current view, declarations stay linked, an engine is cleared before its order, versions are preferred before they are required, and a host that fell silent gets requests last. Chunks are news in streams of lines.

--- a/daemon/internal/connection/loadfeed/loadfeed.go
+++ b/daemon/internal/connection/loadfeed/loadfeed.go
@@ -7,7 +7,6 @@
 package loadfeed
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -17,6 +16,7 @@
 	"sync"
 	"time"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/lines"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
@@ -25,11 +25,8 @@
 const Path = "/load"
 
 const (
-	// lineEvery is the longest time between two lines, so that a feed that was
-	// cut in silence is noticed.
-	lineEvery = 400 * time.Millisecond
-	// silence is how long a feed may say nothing before it is opened again.
-	silence = 1500 * time.Millisecond
+	// linePause is the time within which changes are told together.
+	linePause = 20 * time.Millisecond
 	// reopen bounds the pause before a feed is opened again, drawn at random.
 	reopen = 500 * time.Millisecond
 )
@@ -77,23 +74,7 @@
 
 // ServeHTTP streams lines until the caller leaves.
 func (f *Feed) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set("Content-Type", "application/x-ndjson")
-	controller := http.NewResponseController(w)
-	for {
-		line, changed := f.state()
-		if line != nil {
-			_, err := w.Write(append(append([]byte(nil), line...), '\n'))
-			if err != nil || controller.Flush() != nil {
-				return
-			}
-		}
-		select {
-		case <-changed:
-		case <-time.After(lineEvery):
-		case <-r.Context().Done():
-			return
-		}
-	}
+	lines.Serve(w, r, linePause, f.state)
 }
 
 // Reader follows the feeds of many hosts. The exported fields must be set.
@@ -139,34 +120,18 @@
 }
 
 func (r *Reader) follow(ctx context.Context, host netip.AddrPort) {
+	url := fmt.Sprintf("http://%s%s", host, Path)
 	for ctx.Err() == nil {
-		_ = r.read(ctx, host)
+		_ = lines.Read(ctx, r.Client, url, func(data []byte) error { return r.take(host, data) })
 		helpers.Pause(rand.N(reopen), ctx.Done())
 	}
 }
 
-func (r *Reader) read(ctx context.Context, host netip.AddrPort) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	silent := time.AfterFunc(silence, cancel)
-	defer silent.Stop()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s%s", host, Path), http.NoBody)
-	if err != nil {
-		return fmt.Errorf("follow the load of %s: %w", host, err)
-	}
-	response, err := r.Client.Do(request)
-	if err != nil {
-		return fmt.Errorf("follow the load of %s: %w", host, err)
-	}
-	defer func() { _ = response.Body.Close() }()
-	lines := bufio.NewScanner(response.Body)
-	for lines.Scan() {
-		silent.Reset(silence)
-		var line Line
-		if err := json.Unmarshal(lines.Bytes(), &line); err != nil {
-			return fmt.Errorf("load of %s: %w", host, err)
-		}
-		r.OnLine(host, line)
+func (r *Reader) take(host netip.AddrPort, data []byte) error {
+	var line Line
+	if err := json.Unmarshal(data, &line); err != nil {
+		return fmt.Errorf("load of %s: %w", host, err)
 	}
-	return lines.Err()
+	r.OnLine(host, line)
+	return nil
 }
--- a/daemon/internal/process/balance/balance.go
+++ b/daemon/internal/process/balance/balance.go
@@ -93,10 +93,13 @@
 type Query struct {
 	// Tried are upstreams not to be chosen again.
 	Tried []string
-	// Service names the model that the upstream must hold, "" for none, and
-	// Version the lowest version of it.
+	// Model is what the upstream must hold, "" for none, and Version the lowest
+	// version of it.
 	Model   string
 	Version int
+	// Preferred is the version below which an upstream is taken only when
+	// newer ones are loaded.
+	Preferred int
 }
 
 // Choice is a chosen upstream. Done must be called once.
@@ -126,6 +129,9 @@
 			continue
 		}
 		score := s.score(candidate, now) + rand.Float64()*0.5
+		if query.Preferred > 0 && s.holds(candidate, query.Model, now) < query.Preferred {
+			score += oldScore
+		}
 		best.Candidates++
 		if score < best.Score {
 			best.Upstream, best.Score, best.InFlight = candidate, score, s.inFlight
@@ -210,6 +216,14 @@
 	}
 }
 
+// oldScore is what an upstream with a version that is about to be outdated
+// counts more, in requests.
+const oldScore = 6.0
+
+// silentScore puts an upstream whose host fell silent behind those that are
+// full, and before those that are blocked.
+const silentScore = 1e3
+
 // blockedScore is above every score of an upstream that is not blocked.
 const blockedScore = 1e6
 
@@ -220,9 +234,26 @@
 	if now.Before(s.blockedUntil) || s.told.Loading && now.Sub(s.toldAt) <= toldFor {
 		score += blockedScore
 	}
+	if s.silent(now) {
+		score += silentScore
+	}
 	return score
 }
 
+// silent reports whether the upstream's host has told of it, but not of late.
+func (s *state) silent(now time.Time) bool {
+	return !s.toldAt.IsZero() && now.Sub(s.toldAt) > toldFor
+}
+
+// Silent reports whether the host of an upstream has fallen silent: it is cut
+// off, frozen or overloaded, or only its loader is gone.
+func (p *Pool) Silent(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.states[id]
+	return s != nil && s.silent(time.Now())
+}
+
 // referencePlaces scales loads of upstreams of different sizes.
 const referencePlaces = 16
 
--- a/daemon/internal/process/mirror/view.go
+++ b/daemon/internal/process/mirror/view.go
@@ -33,10 +33,39 @@
 	Revision provider.Revision
 	// Learned is when this daemon first heard of it.
 	Learned time.Time
+	// Found says that it was there when this daemon first heard anything, so
+	// that it may have been declared long before.
+	Found bool
 	// Before is the declaration that this one replaced, if that was heard of.
+	// At most keptDeclarations are linked.
 	Before *Declared
 }
 
+// keptDeclarations is how many declarations of a model are remembered, one
+// after the other.
+const keptDeclarations = 4
+
+// Since returns when the declaration was made, as far as this daemon can tell:
+// of one that was found it takes a part of the time that it has as passed.
+func (d *Declared) Since(apply time.Duration) time.Time {
+	const passed = 0.6
+	if d.Found {
+		return d.Learned.Add(-time.Duration(passed * float64(apply)))
+	}
+	return d.Learned
+}
+
+// Required returns the lowest version that must serve now: the newest whose
+// declaration is older than grace. Apply is the time that a declaration has.
+func (d *Declared) Required(now time.Time, grace, apply time.Duration) int {
+	for declared := d; declared != nil; declared = declared.Before {
+		if now.Sub(declared.Since(apply)) > grace {
+			return declared.Version
+		}
+	}
+	return 0
+}
+
 // Route returns the route of the longest prefix that begins the path.
 func (v *View) Route(host, path string) *provider.Route {
 	var best *provider.Route
@@ -70,6 +99,8 @@
 	upstreams map[string]*provider.Upstream
 	targets   map[string]Declared
 	members   map[string]*provider.Member
+	// taken is set once any entry was taken.
+	taken bool
 }
 
 // Belief is one change of what a daemon believes: the entry, what it was
@@ -100,6 +131,7 @@
 	for _, entry := range changed {
 		c.takeEntry(&next, entry)
 	}
+	c.taken = c.taken || len(changed) > 0
 	next.Upstreams = map[string][]*provider.Upstream{}
 	for _, upstream := range c.upstreams {
 		next.Upstreams[upstream.Service] = append(next.Upstreams[upstream.Service], upstream)
@@ -140,14 +172,25 @@
 	}
 }
 
-// declare keeps the declaration before the new one, because an engine may be on
-// the way to it, and no more than that.
+// declare links a declaration to those before it, because an engine may be on
+// the way to one of them, and their time runs on.
 func (c *Compiler) declare(entry provider.Entry, target provider.Target) Declared {
-	declared := Declared{Target: target, Revision: entry.Revision, Learned: time.Now()}
-	if before, ok := c.targets[entry.Key]; ok {
-		before.Before = nil
-		declared.Before = &before
+	declared := Declared{Target: target, Revision: entry.Revision, Learned: time.Now(), Found: !c.taken}
+	before, ok := c.targets[entry.Key]
+	if !ok {
+		return declared
+	}
+	declared.Before = &before
+	last := &declared
+	for range keptDeclarations - 1 {
+		if last.Before == nil {
+			return declared
+		}
+		copied := *last.Before
+		last.Before = &copied
+		last = &copied
 	}
+	last.Before = nil
 	return declared
 }
 
--- a/daemon/internal/request/dispatch/dispatch.go
+++ b/daemon/internal/request/dispatch/dispatch.go
@@ -11,11 +11,13 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/balance"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/mirror"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/exchange"
@@ -31,9 +33,9 @@
 	// View returns what is in force, Stale whether it may be out of date.
 	View  func() *mirror.View
 	Stale func() bool
-	// VersionGrace is the time after a version was declared in which older ones
-	// may still get requests.
-	VersionGrace func() time.Duration
+	// Required returns the lowest version that a request may run on, and the one
+	// that it should run on, 0 for any.
+	Required func(declared *mirror.Declared) (lowest, preferred int)
 	// Report is told once of each request that ended.
 	Report func(*Story)
 }
@@ -145,17 +147,25 @@
 // try chooses an upstream and sends the request there. It reports false where
 // there is none. lastEvent is the event after which a stream goes on.
 func (q *request) try(ctx context.Context, lastEvent string) (balance.Choice, exchange.Result, bool) {
-	query, expected := q.query()
-	choice, ok := q.Pool.Choose(q.view.Upstreams[q.service.Name], query)
+	query := q.query()
+	// The newest view counts here: an upstream may have left since the request
+	// came in.
+	choice, ok := q.Pool.Choose(q.View().Upstreams[q.service.Name], query)
 	if !ok {
 		return choice, exchange.Result{}, false
 	}
+	expected := 0
+	if query.Version > 0 {
+		expected = choice.Version // an engine that is not what it seems refuses
+	}
 	started := time.Now()
-	result := q.Client.Do(ctx, exchange.Send{
+	sendCtx, stop := q.impatient(ctx, choice)
+	result := q.Client.Do(sendCtx, exchange.Send{
 		Incoming: q.Request, Body: q.body, Upstream: choice.Upstream, Account: q.accountName(),
 		Left: time.Until(q.deadline), Priority: q.priority, Version: expected, LastEvent: lastEvent,
 		Fresh: q.route.Mode == provider.ModeUnsafe || q.route.Mode == provider.ModeStream && !q.route.Resumable,
 	})
+	stop()
 	q.tried = append(q.tried, choice.Upstream.ID)
 	if result.Fate != exchange.Unsent {
 		q.sent++
@@ -167,19 +177,62 @@
 	return choice, result, true
 }
 
-// query says what the upstream must hold. Once the grace of a declared version
-// is over only that version will do, and the upstream is told so.
-func (q *request) query() (query balance.Query, expected int) {
-	query = balance.Query{Tried: q.tried}
+const (
+	// headPatience is how long the head of an answer may take before the
+	// request is tried elsewhere, and silentPatience the same where the
+	// upstream's host has fallen silent.
+	headPatience   = 1500 * time.Millisecond
+	silentPatience = 300 * time.Millisecond
+	// patienceStep is the interval in which that is looked at.
+	patienceStep = 100 * time.Millisecond
+)
+
+var errImpatient = errors.New("no head of an answer in time, tried elsewhere")
+
+// impatient returns a context that ends when a request that may be repeated
+// waits too long for its head, or waits at an engine whose version is no longer
+// to be used. Stop must be called once the head is there: it leaves the context
+// alive, because the answer's body is read under it.
+func (q *request) impatient(ctx context.Context, choice balance.Choice) (_ context.Context, stop func()) {
+	again := q.repeatable() && q.sent+1 < q.route.MaxAttempts
+	if !again && choice.Version == 0 {
+		return ctx, func() {}
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	headThere := make(chan struct{})
+	go func() {
+		started := time.Now()
+		for helpers.Pause(patienceStep, headThere) {
+			if again && q.slow(choice, time.Since(started)) || q.outdated(choice) {
+				cancel(errImpatient)
+				return
+			}
+		}
+	}()
+	return ctx, func() { close(headThere) }
+}
+
+func (q *request) slow(choice balance.Choice, waited time.Duration) bool {
+	return waited > headPatience || waited > silentPatience && q.Pool.Silent(choice.Upstream.ID)
+}
+
+// outdated reports whether a request that has not begun must not begin any more
+// on the version that the upstream held.
+func (q *request) outdated(choice balance.Choice) bool {
+	return choice.Version > 0 && choice.Version < q.query().Version
+}
+
+// query says what the upstream must hold.
+func (q *request) query() balance.Query {
+	query := balance.Query{Tried: q.tried}
 	if q.service.Engine == nil {
-		return query, 0
+		return query
 	}
 	query.Model = q.service.Engine.Model
-	declared, ok := q.view.Targets[query.Model]
-	if ok && time.Since(declared.Learned) > q.VersionGrace() {
-		query.Version, expected = declared.Version, declared.Version
+	if declared, ok := q.View().Targets[query.Model]; ok {
+		query.Version, query.Preferred = q.Required(&declared)
 	}
-	return query, expected
+	return query
 }
 
 func (q *request) outcomeOf(fate exchange.Fate) balance.Outcome {
--- a/daemon/internal/version/keep/keep.go
+++ b/daemon/internal/version/keep/keep.go
@@ -14,6 +14,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"sync"
 	"time"
 
 	"gopkg.in/tomb.v2"
@@ -28,10 +29,19 @@
 	roundEvery = 50 * time.Millisecond
 	// callTimeout bounds a call to the engine on this host.
 	callTimeout = time.Second
-	// manifestTimeout bounds a call for a manifest.
-	manifestTimeout = 1500 * time.Millisecond
+	// manifestTimeout bounds a call for a manifest, manifestPatience the time in
+	// which the host to ask first is asked again, each manifestAgain.
+	manifestTimeout  = 700 * time.Millisecond
+	manifestPatience = 800 * time.Millisecond
+	manifestAgain    = 60 * time.Millisecond
 	// retryPause bounds the pause after a failed fetch, drawn at random.
 	retryPause = 400 * time.Millisecond
+	// clearLeast is the time in which routers hear that nothing more is to be
+	// sent, and clearMost the longest that an order waits for what waits.
+	clearLeast = 150 * time.Millisecond
+	clearMost  = 2 * time.Second
+	// fetchMost is the longest that a fetch is not given up for a newer version.
+	fetchMost = 6 * time.Second
 	// orderAgain is the time after an order in which its effect must show in
 	// the engine's report before it is given again.
 	orderAgain = 500 * time.Millisecond
@@ -53,9 +63,8 @@
 	// ones declared before it, newest first.
 	Goal    Goal
 	Earlier []Goal
-	// Origin is where the weights come from, and OriginHall the hall it is in.
-	Origin     netip.AddrPort
-	OriginHall string
+	// Origin is where the weights come from.
+	Origin netip.AddrPort
 	// Chunks and ChunkBytes are the declared sizes of a version.
 	Chunks, ChunkBytes int
 	// OriginTime is how long the origin takes to send one copy.
@@ -68,10 +77,13 @@
 	Origin  provider.Origin
 	Address netip.AddrPort // of the engine
 	Held    *swarm.Held
-	// Plan returns what is to be done, or false while that is not known.
-	Plan func() (Plan, bool)
-	// Peers returns the loaders that have, or are to have, the same versions.
-	Peers func() []netip.AddrPort
+	// Plan returns what is to be done for an engine that holds some version, 0
+	// for none, or false while that is not known.
+	Plan func(held int) (Plan, bool)
+	// Own is this loader, and First a few loaders to ask for a version's
+	// manifest; the first of them asks the origin.
+	Own   netip.AddrPort
+	First func(Goal) []netip.AddrPort
 	// NewFetch prepares a fetch of a copy; the keeper runs it.
 	NewFetch func(plan Plan, c *swarm.Copy) *swarm.Fetch
 	// AskPeer asks one peer for a manifest.
@@ -82,12 +94,15 @@
 	OnStep func(step Step)
 
 	// fetching is the version under way, with what ends it; only run uses them.
-	fetching int
-	cancel   context.CancelFunc
-	fetched  chan struct{}
+	fetching   int
+	fetchSince time.Time
+	cancel     context.CancelFunc
+	fetched    chan struct{}
 	// prepared is the version that was laid beside the engine.
 	prepared int
 	ordered  time.Time
+	// clearing is when routers were told to send nothing more, zero if not.
+	clearing time.Time
 	tomb     tomb.Tomb
 }
 
@@ -123,7 +138,7 @@
 func (k *Keeper) round(ctx context.Context) {
 	report, err := k.report(ctx)
 	k.OnReport(report, err)
-	plan, ok := k.Plan()
+	plan, ok := k.Plan(holds(report))
 	if !ok {
 		return
 	}
@@ -133,23 +148,50 @@
 	}
 	goal, c := k.next(plan, report)
 	if c == nil || report.Loading {
+		k.clearing = time.Time{}
 		return
 	}
 	if k.prepared != goal.Version {
 		k.prepare(ctx, goal, c)
 	}
-	held := holds(report, goal.Model)
-	if time.Since(k.ordered) < orderAgain || held > 0 && time.Now().Before(goal.Turn) {
+	held := holds(report)
+	if time.Since(k.ordered) < orderAgain {
 		return
 	}
-	k.order(ctx, goal, c, report, held)
+	if held == 0 && k.check(ctx, goal, c) || held > 0 && k.cleared(ctx, goal, c, report) {
+		k.order(ctx, goal, report)
+	}
+}
+
+// cleared reports whether an engine that serves may be ordered: its turn has
+// come, what lies beside it was checked, the routers were told to send nothing
+// more, and what waited has begun. What waits at an order may begin on the old
+// version much later, when the engine stands still meanwhile.
+func (k *Keeper) cleared(ctx context.Context, goal Goal, c *swarm.Copy, report provider.EngineReport) bool {
+	now := time.Now()
+	if now.Before(goal.Turn) {
+		k.clearing = time.Time{}
+		return false
+	}
+	if k.clearing.IsZero() {
+		if k.check(ctx, goal, c) {
+			k.clearing = now
+		}
+		return false
+	}
+	waited := now.Sub(k.clearing)
+	return waited > clearMost || waited > clearLeast && report.Waiting == 0
 }
 
+// Clearing reports whether the engine is to get no new requests because an
+// order is about to be given.
+func (k *Keeper) Clearing() bool { return !k.clearing.IsZero() }
+
 // next chooses the version to order: the newest that is here whole and whose
 // turn has come, else the one whose turn comes first. It returns no copy where
 // there is nothing to order.
 func (k *Keeper) next(plan Plan, report provider.EngineReport) (Goal, *swarm.Copy) {
-	held := holds(report, plan.Goal.Model)
+	held := holds(report)
 	var best Goal
 	var copied *swarm.Copy
 	for _, goal := range append([]Goal{plan.Goal}, plan.Earlier...) {
@@ -173,22 +215,22 @@
 	return k.Engine.Report(ctx, k.Address)
 }
 
-func holds(report provider.EngineReport, model string) int {
-	for _, loaded := range report.Models {
-		if loaded.Model == model {
-			return loaded.Version
-		}
+// holds is the version that an engine holds whole, or 0. An engine serves one
+// model.
+func holds(report provider.EngineReport) int {
+	if len(report.Models) == 0 {
+		return 0
 	}
-	return 0
+	return report.Models[0].Version
 }
 
 // keepFetching has the goal's version under way, and no other.
 func (k *Keeper) keepFetching(ctx context.Context, plan Plan) {
-	if k.fetching == plan.Goal.Version {
+	if k.fetching == plan.Goal.Version || k.nearlyThere() {
 		return
 	}
 	k.stopFetch()
-	k.fetching = plan.Goal.Version
+	k.fetching, k.fetchSince = plan.Goal.Version, time.Now()
 	fetchCtx, cancel := context.WithCancel(ctx)
 	k.cancel = cancel
 	k.fetched = make(chan struct{})
@@ -198,6 +240,18 @@
 	}(k.fetched)
 }
 
+// nearlyThere reports whether the version under way is so far that it is worth
+// its end although a newer one was declared: engines have to reach it earlier.
+func (k *Keeper) nearlyThere() bool {
+	const worthIt = 0.6
+	c := k.Held.Get(k.fetching)
+	if c == nil || c.Complete() {
+		return false
+	}
+	count, _ := c.Count()
+	return float64(count) >= worthIt*float64(len(c.Manifest.Digests)) && time.Since(k.fetchSince) < fetchMost
+}
+
 func (k *Keeper) stopFetch() {
 	if k.cancel != nil {
 		k.cancel()
@@ -222,7 +276,7 @@
 			k.Held.Drop(plan.Goal.Version)
 		}
 		helpers.Pause(rand.N(retryPause), ctx.Done())
-		if newer, ok := k.Plan(); ok && newer.Goal.Version == plan.Goal.Version {
+		if newer, ok := k.Plan(0); ok && newer.Goal.Version == plan.Goal.Version {
 			plan = newer
 		}
 	}
@@ -236,29 +290,39 @@
 			return err
 		}
 		c = swarm.NewCopy(manifest)
-		if err := k.takeStaged(ctx, plan, c); err != nil {
-			return err
-		}
 		k.Held.Add(c)
 	}
 	if c.Complete() {
 		return nil
 	}
-	return k.NewFetch(plan, c).Run(ctx)
+	fetch := k.NewFetch(plan, c)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var looking sync.WaitGroup
+	defer looking.Wait()
+	looked := make(chan struct{})
+	looking.Go(func() {
+		k.takeStaged(ctx, plan, c)
+		close(looked)
+	})
+	fetch.AfterOthers = looked
+	defer cancel()
+	return fetch.Run(ctx)
 }
 
-// manifest asks a few peers and then the origin.
+// manifest asks the origin where it falls to this host, and otherwise the host
+// to which it falls, for a while, before the origin.
 func (k *Keeper) manifest(ctx context.Context, plan Plan) (provider.Manifest, error) {
-	const asked = 2
-	peers := k.Peers()
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	for _, peer := range peers[:min(asked, len(peers))] {
+	first := k.First(plan.Goal)
+	until := time.Now().Add(manifestPatience)
+	for try := 0; first[0] != k.Own && time.Now().Before(until) && ctx.Err() == nil; try++ {
 		manifest, err := k.askManifest(ctx, func(ctx context.Context) (provider.Manifest, error) {
-			return k.AskPeer(ctx, peer, plan.Goal.Version)
+			return k.AskPeer(ctx, first[try%len(first)], plan.Goal.Version)
 		})
 		if err == nil && checkManifest(manifest, plan) == nil {
 			return manifest, nil
 		}
+		helpers.Pause(manifestAgain, ctx.Done())
 	}
 	manifest, err := k.askManifest(ctx, func(ctx context.Context) (provider.Manifest, error) {
 		return k.Origin.Manifest(ctx, plan.Origin, plan.Goal.Model, plan.Goal.Version)
@@ -289,10 +353,15 @@
 }
 
 // takeStaged takes what already lies beside the engine and belongs to the
-// version: from before this loader or the engine was started. An engine that
-// does not answer is waited for, because what lies there saves the whole fetch,
-// and without the engine there is nothing to fetch for.
-func (k *Keeper) takeStaged(ctx context.Context, plan Plan, c *swarm.Copy) error {
+// version: from before this loader or the engine was started. It waits for an
+// engine that does not answer yet.
+func (k *Keeper) takeStaged(ctx context.Context, plan Plan, c *swarm.Copy) {
+	for ctx.Err() == nil && k.tryStaged(ctx, plan, c) != nil {
+		helpers.Pause(roundEvery, ctx.Done())
+	}
+}
+
+func (k *Keeper) tryStaged(ctx context.Context, plan Plan, c *swarm.Copy) error {
 	const misses = 3 // an empty place is empty throughout
 	for index, missed := 0, 0; index < len(c.Manifest.Digests) && missed < misses; index++ {
 		chunk, err := k.staged(ctx, plan.Goal.Model, index)
@@ -313,10 +382,14 @@
 	return k.Engine.Staged(ctx, k.Address, model, index)
 }
 
-// prepare lays a version beside the engine ahead of its turn.
+// prepare lays a version beside the engine ahead of its turn. It is read back
+// right before the order, so not here.
 func (k *Keeper) prepare(ctx context.Context, goal Goal, c *swarm.Copy) {
 	started := time.Now()
-	_, err := k.stage(ctx, goal, c)
+	var err error
+	for index := 0; index < len(c.Manifest.Digests) && err == nil; index++ {
+		err = k.putChunk(ctx, goal.Model, index, c.Chunk(index))
+	}
 	if err == nil {
 		k.prepared = goal.Version
 	}
@@ -351,19 +424,27 @@
 	return k.Engine.Stage(ctx, k.Address, model, index, chunk)
 }
 
-// order checks what lies beside the engine and has the engine take it.
-func (k *Keeper) order(ctx context.Context, goal Goal, c *swarm.Copy, report provider.EngineReport, held int) {
+// check reads back what lies beside the engine, just before an order.
+func (k *Keeper) check(ctx context.Context, goal Goal, c *swarm.Copy) bool {
 	started := time.Now()
-	if _, err := k.stage(ctx, goal, c); err != nil {
-		k.OnStep(Step{Name: "stage", Version: goal.Version, Err: err, Took: time.Since(started)})
-		return
+	mended, err := k.stage(ctx, goal, c)
+	if mended > 0 || err != nil {
+		reason := fmt.Sprintf("%d chunks had turned bad", mended)
+		k.OnStep(Step{Name: "check", Version: goal.Version, Reason: reason, Err: err, Took: time.Since(started)})
 	}
+	return err == nil
+}
+
+// order has the engine take what lies beside it.
+func (k *Keeper) order(ctx context.Context, goal Goal, report provider.EngineReport) {
+	started := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	result, err := k.Engine.Start(ctx, k.Address, provider.Order{
 		Model: goal.Model, Version: goal.Version, Fence: goal.Fence, Sequence: report.Sequence,
 	})
 	k.ordered = time.Now()
-	reason := fmt.Sprintf("holds version %d, order %s", held, result)
+	k.clearing = time.Time{}
+	reason := fmt.Sprintf("holds version %d, order %s", holds(report), result)
 	k.OnStep(Step{Name: "order", Version: goal.Version, Reason: reason, Err: err, Took: time.Since(started)})
 }
--- a/daemon/internal/version/swarm/fetch.go
+++ b/daemon/internal/version/swarm/fetch.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/lines"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/rendezvous"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
@@ -22,29 +23,34 @@
 	// maxNear and maxFar are how many hosts of the own hall, and of each other
 	// one, are asked for their chunks.
 	maxNear = 16
-	maxFar  = 5
+	maxFar  = 8
 	// parallelPeers and parallelOrigin bound the chunks under way, perPeer those
 	// from one peer.
-	parallelPeers  = 8
-	parallelOrigin = 1
+	parallelPeers  = 6
+	parallelOrigin = 2
 	perPeer        = 2
-	// chunkTimeout bounds one chunk, haveTimeout one question for news.
+	// originAhead is how many chunks are asked of the origin at the same time
+	// while it keeps its pace.
+	originAhead = 5
+	// chunkTimeout bounds one chunk.
 	chunkTimeout = 2 * time.Second
-	haveTimeout  = 900 * time.Millisecond
 	// peerSilence is how long a peer may be silent before it is not counted as
 	// a host that brings its chunks.
 	peerSilence = 1200 * time.Millisecond
 	// settleTime is how long neighbours have to say what they have before chunks
 	// are brought from farther away.
 	settleTime = 250 * time.Millisecond
-	// askAgain is the pause after a failed question, farPause the pause between
-	// questions to other halls.
+	// askAgain is the least pause before a peer that failed is asked again, and
+	// soonAgain the pause before one that does not know the version yet.
 	askAgain  = 200 * time.Millisecond
 	soonAgain = 60 * time.Millisecond
-	farPause  = 50 * time.Millisecond
 	// patience is how long a chunk may be missing in this hall before the next
 	// host in its ranking brings it, beyond the time the origin takes for all.
 	patience = 900 * time.Millisecond
+	// slowChunk and quickChunk are the times at which fewer and more chunks are
+	// fetched at the same time.
+	slowChunk  = 700 * time.Millisecond
+	quickChunk = 250 * time.Millisecond
 	// paceFloor is added to a peer's pace, so that one not yet asked is not
 	// taken for infinitely fast.
 	paceFloor = 30 * time.Millisecond
@@ -68,15 +74,15 @@
 //
 // For each chunk every hall has a ranking of its hosts, and the halls have one
 // too. The first host of the first hall asks the origin, the first hosts of the
-// other halls ask other halls, and everybody else asks within the hall. So a
-// chunk leaves the origin once and enters each hall once.
+// other halls ask any hall, and everybody else asks within the hall. So a chunk
+// leaves the origin once and enters each hall once. Which hall is first differs
+// by chunk: the origin's own hall would save a crossing, but its hosts would
+// send more than others, and the whole would be as late as they are.
 type Fetch struct {
 	Copy   *Copy
 	Model  string
 	Origin netip.AddrPort
-	// OriginHall is where the origin stands, "" where that is not known.
-	OriginHall string
-	Source     provider.Origin
+	Source provider.Origin
 	// Own is this host, and Hosts all that are to have the version, this one
 	// included or not.
 	Own    Host
@@ -84,6 +90,9 @@
 	Client *http.Client
 	// OriginTime is how long the origin takes to send one copy.
 	OriginTime time.Duration
+	// AfterOthers is closed once all that costs no transfer was looked at; only
+	// then is the origin asked. Nil means at once.
+	AfterOthers <-chan struct{}
 	// OnChunk is called with each new chunk. It may be nil.
 	OnChunk func(index int, chunk []byte, from string)
 
@@ -93,6 +102,9 @@
 	known      map[netip.AddrPort]*neighbour
 	taken      map[int]bool
 	mismatches int
+	// allowed is how many chunks may be under way from peers. It sinks while
+	// chunks are slow, because requests and answers share the hosts' links.
+	allowed int
 	// duties are this host's for each chunk among rankedHosts.
 	duties      []duty
 	rankedHosts []Host
@@ -130,8 +142,11 @@
 	defer cancel(nil)
 	var workers sync.WaitGroup
 	workers.Go(func() { f.keepNeighbours(ctx) })
-	for range parallelPeers {
-		workers.Go(func() { f.work(ctx, cancel, f.fromPeer) })
+	f.allowed = parallelPeers
+	for place := range parallelPeers {
+		workers.Go(func() {
+			f.work(ctx, cancel, func(ctx context.Context) (bool, error) { return f.fromPeer(ctx, place) })
+		})
 	}
 	for range parallelOrigin {
 		workers.Go(func() { f.work(ctx, cancel, f.fromOrigin) })
@@ -221,25 +236,18 @@
 	return slices.CompactFunc(hosts, func(a, b Host) bool { return a.Address == b.Address })
 }
 
+// ask follows what one host has, again and again.
 func (f *Fetch) ask(ctx context.Context, host Host) {
 	peer := Peer{Address: host.Address, Client: f.Client}
-	known := 0
+	far := host.Hall != f.Own.Hall
 	for ctx.Err() == nil {
-		asking, cancel := context.WithTimeout(ctx, haveTimeout)
-		have, err := peer.Have(asking, f.Copy.Manifest.Version, known)
-		cancel()
-		if err == nil || errors.Is(err, provider.ErrNotFound) {
-			f.heard(host, have, err != nil)
-			known = have.Count
-		}
-		complete := err == nil && have.Count == len(f.Copy.Manifest.Digests)
-		if errors.Is(err, provider.ErrNotFound) {
-			helpers.Pause(soonAgain, ctx.Done()) // it is about to learn of the version
-		} else if err != nil || complete {
-			helpers.Pause(askAgain+rand.N(askAgain), ctx.Done())
-		} else if host.Hall != f.Own.Hall {
-			helpers.Pause(farPause, ctx.Done())
+		err := peer.Follow(ctx, f.Copy.Manifest.Version, far, func(have Have) { f.heard(host, have, false) })
+		pause := askAgain + rand.N(askAgain)
+		if errors.Is(err, lines.ErrNotServed) {
+			f.heard(host, "", true)
+			pause = soonAgain // it is about to learn of the version
 		}
+		helpers.Pause(pause, ctx.Done())
 	}
 }
 
@@ -254,9 +262,10 @@
 	n.have, n.absent, n.heard = have, absent, time.Now()
 }
 
-// fromPeer fetches one chunk that a neighbour has.
-func (f *Fetch) fromPeer(ctx context.Context) (bool, error) {
-	index, address, ok := f.pickFromPeers()
+// fromPeer fetches one chunk that a neighbour has. Place is the worker's: those
+// beyond what the links bear do nothing.
+func (f *Fetch) fromPeer(ctx context.Context, place int) (bool, error) {
+	index, address, ok := f.pickFromPeers(place)
 	if !ok {
 		return false, nil
 	}
@@ -279,10 +288,13 @@
 // pickFromPeers chooses the rarest missing chunk among two drawn at random, and
 // one of its holders. Holders in other halls count only for chunks that it
 // falls to this host to bring into its hall.
-func (f *Fetch) pickFromPeers() (int, netip.AddrPort, bool) {
+func (f *Fetch) pickFromPeers(place int) (int, netip.AddrPort, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
+	if place >= f.allowed {
+		return 0, netip.AddrPort{}, false
+	}
 	f.rank(f.liveHosts(now))
 	have := f.Copy.Have()
 	holders := map[int][]netip.AddrPort{}
@@ -342,8 +354,15 @@
 	n := f.known[address]
 	n.busy--
 	n.pace = (n.pace + took) / 2
-	if err != nil {
+	switch {
+	case err != nil:
 		n.until = time.Now().Add(rest)
+		f.allowed = max(1, f.allowed/2)
+	case took > slowChunk:
+		n.until = time.Now().Add(took)
+		f.allowed = max(1, f.allowed-1)
+	case took < quickChunk:
+		f.allowed = min(parallelPeers, f.allowed+1)
 	}
 }
 
@@ -391,9 +410,7 @@
 	now := time.Now()
 	f.rank(f.liveHosts(now))
 	have := f.Copy.Have()
-	offset := rand.IntN(len(have) + 1)
-	for i := range have {
-		index := (i + offset) % len(have)
+	for index := range have[:f.due(now)] {
 		if have[index] || f.taken[index] || f.offered(index) || !f.asksOrigin(index, now) {
 			continue
 		}
@@ -403,6 +420,19 @@
 	return 0, false
 }
 
+// due is how many chunks may have been asked of the origin by now. All hosts ask
+// for chunks in the order of their places, at the pace of the origin's link: if
+// each asked for all of its chunks at once, the link would be shared among all
+// of them and even the first chunk would be late.
+func (f *Fetch) due(now time.Time) int {
+	chunks := len(f.Copy.Manifest.Digests)
+	if f.OriginTime <= 0 {
+		return chunks
+	}
+	passed := float64(now.Sub(f.started)) / float64(f.OriginTime)
+	return min(chunks, int(passed*float64(chunks))+originAhead)
+}
+
 // liveHosts are this host and the hosts that are heard and know the version. Those that are not
 // asked, and all before the first answers are due, count as live.
 func (f *Fetch) liveHosts(now time.Time) []Host {
@@ -445,7 +475,8 @@
 	f.duties = make([]duty, len(f.Copy.Manifest.Digests))
 	places := f.places(byHall[f.Own.Hall])
 	for index := range f.duties {
-		f.duties[index] = duty{place: places[index], hall: slices.Index(f.rankHalls(f.key(index), halls), f.Own.Hall)}
+		ranked := rendezvous.Rank("halls of "+f.key(index), halls)
+		f.duties[index] = duty{place: places[index], hall: slices.Index(ranked, f.Own.Hall)}
 	}
 }
 
@@ -471,16 +502,6 @@
 	return f.Model + "/" + strconv.Itoa(f.Copy.Manifest.Version) + "/" + strconv.Itoa(index)
 }
 
-// rankHalls puts the origin's own hall first: its chunks then cross to each
-// other hall once.
-func (f *Fetch) rankHalls(key string, halls []string) []string {
-	ranked := rendezvous.Rank("halls of "+key, halls)
-	if at := slices.Index(ranked, f.OriginHall); at > 0 {
-		ranked = slices.Insert(slices.Delete(ranked, at, at+1), 0, f.OriginHall)
-	}
-	return ranked
-}
-
 // bringsFar reports whether this host brings a chunk into its hall from another
 // one: the first of the ranking does, and the next ones when it takes too long.
 // A chunk that is in this hall already is not brought.
@@ -512,13 +533,25 @@
 // hall's hosts do; the other halls' follow when that takes too long, because
 // the first hall may be cut off.
 func (f *Fetch) asksOrigin(index int, now time.Time) bool {
-	if !f.settled(now) {
+	if !f.settled(now) || !f.othersDone() {
 		return false
 	}
 	d := f.duties[index]
 	return d.place+d.hall == 0 || f.late(now) > time.Duration(d.place+2*d.hall)*patience
 }
 
+func (f *Fetch) othersDone() bool {
+	if f.AfterOthers == nil {
+		return true
+	}
+	select {
+	case <-f.AfterOthers:
+		return true
+	default:
+		return false
+	}
+}
+
 // late is how much longer the fetch has taken than the origin takes for a copy.
 func (f *Fetch) late(now time.Time) time.Duration {
 	return now.Sub(f.started) - f.OriginTime
--- a/daemon/internal/version/swarm/peer.go
+++ b/daemon/internal/version/swarm/peer.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/lines"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
@@ -20,14 +21,18 @@
 	Client  *http.Client
 }
 
-// Have asks which chunks the peer has, once that is more than known.
-func (p Peer) Have(ctx context.Context, version, known int) (Have, error) {
-	var have Have
-	data, err := p.get(ctx, fmt.Sprintf("%s?version=%d&known=%d", havePath, version, known))
-	if err != nil {
-		return have, err
+// Follow calls onHave with which chunks the peer has, at each change, until the
+// peer is silent, leaves, or turns out not to know the version, which is
+// lines.ErrNotServed.
+func (p Peer) Follow(ctx context.Context, version int, far bool, onHave func(Have)) error {
+	url := fmt.Sprintf("http://%s%s?version=%d", p.Address, havePath, version)
+	if far {
+		url += "&far"
 	}
-	return have, p.decode(data, &have)
+	return lines.Read(ctx, p.Client, url, func(line []byte) error {
+		onHave(Have(line))
+		return nil
+	})
 }
 
 // Manifest asks for a version's manifest.
--- a/daemon/internal/version/swarm/serve.go
+++ b/daemon/internal/version/swarm/serve.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/uptrace/bunrouter"
+
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/lines"
 )
 
 // Paths of the calls between loaders.
@@ -18,18 +20,15 @@
 )
 
 const (
-	// haveWait is how long a question for news waits, and haveBatch how long it
-	// waits at least, so that several chunks are told at once.
-	haveWait  = 500 * time.Millisecond
-	haveBatch = 30 * time.Millisecond
+	// nearPause and farPause are the times within which new chunks are told
+	// together, to hosts of the own hall and of others.
+	nearPause = 40 * time.Millisecond
+	farPause  = 80 * time.Millisecond
 )
 
-// Have is the answer to a question for news: which chunks a host has, in
-// digits of base 16, four chunks each, the first chunk in the lowest bit.
-type Have struct {
-	Count  int    `json:"count"`
-	Chunks string `json:"chunks"`
-}
+// Have is which chunks a host has, in digits of base 16: four chunks each, the
+// first chunk in the lowest bit.
+type Have string
 
 const hexDigits = "0123456789abcdef"
 
@@ -38,27 +37,24 @@
 
 // NewHave packs which chunks there are.
 func NewHave(chunks []bool) Have {
-	have := Have{}
 	digits := make([]byte, (len(chunks)+bitsPerDigit-1)/bitsPerDigit)
 	for index, there := range chunks {
 		if there {
-			have.Count++
 			digits[index/bitsPerDigit] |= 1 << (index % bitsPerDigit)
 		}
 	}
 	for i, digit := range digits {
 		digits[i] = hexDigits[digit]
 	}
-	have.Chunks = string(digits)
-	return have
+	return Have(digits)
 }
 
 // Has reports whether a chunk is there.
 func (h Have) Has(index int) bool {
-	if index/bitsPerDigit >= len(h.Chunks) {
+	if index/bitsPerDigit >= len(h) {
 		return false
 	}
-	digit := strings.IndexByte(hexDigits, h.Chunks[index/bitsPerDigit])
+	digit := strings.IndexByte(hexDigits, h[index/bitsPerDigit])
 	return digit >= 0 && digit&(1<<(index%bitsPerDigit)) != 0
 }
 
@@ -87,35 +83,20 @@
 	return c
 }
 
+// have streams which chunks there are.
 func (s *Server) have(w http.ResponseWriter, r *http.Request) {
 	c := s.find(w, r)
 	if c == nil {
 		return
 	}
-	known, _ := strconv.Atoi(r.URL.Query().Get("known"))
-	if count, changed := c.Count(); count == known && !c.Complete() {
-		waitFor(r, changed)
-	}
-	writeJSON(w, NewHave(c.Have()))
-}
-
-// waitFor waits for a change and then a little for more.
-func waitFor(r *http.Request, changed <-chan struct{}) {
-	timeout := time.NewTimer(haveWait)
-	defer timeout.Stop()
-	select {
-	case <-changed:
-	case <-timeout.C:
-		return
-	case <-r.Context().Done():
-		return
-	}
-	batch := time.NewTimer(haveBatch)
-	defer batch.Stop()
-	select {
-	case <-batch.C:
-	case <-r.Context().Done():
+	pause := nearPause
+	if r.URL.Query().Has("far") {
+		pause = farPause
 	}
+	lines.Serve(w, r, pause, func() ([]byte, <-chan struct{}) {
+		_, changed := c.Count()
+		return []byte(NewHave(c.Have())), changed
+	})
 }
 
 func (s *Server) manifest(w http.ResponseWriter, r *http.Request) {
--- a/daemon/internal/version/turn/turn.go
+++ b/daemon/internal/version/turn/turn.go
@@ -1,7 +1,7 @@
 // Package turn spreads the loads of a new version over time.
 //
 // An engine that takes a version serves nothing while it does. Each host works
-// out its own time from what all hosts know, the declaration and the list of
+// out its own time from what all hosts know, the declarations and the list of
 // hosts, so no one gives turns and nothing waits for a dead host. A token that
 // goes round was rejected: it stops with the host that holds it.
 package turn
@@ -17,18 +17,38 @@
 	// firstPart and lastPart are the parts of the time for a version between
 	// which turns lie: before the first the chunks are on their way, and what
 	// is after the last is for the load itself.
-	firstPart = 0.36
-	lastPart  = 0.72
+	firstPart = 0.42
+	lastPart  = 0.74
 )
 
-// Wait returns how long after a version was declared this host's turn is.
-// Spread is the time in which the version must serve everywhere.
-func Wait(key, own string, hosts []string, spread time.Duration) time.Duration {
+// Window is the time in which the turns of a version lie.
+type Window struct{ First, Last time.Time }
+
+// NewWindow returns the window of a version declared at some time that must
+// serve everywhere within apply. Due is when an older version that engines have
+// not reached must serve, zero if there is none: reaching the newer one by then
+// saves a load.
+func NewWindow(declared time.Time, apply time.Duration, due time.Time) Window {
+	w := Window{First: declared.Add(part(firstPart, apply)), Last: declared.Add(part(lastPart, apply))}
+	if earlier := due.Add(-part(1-lastPart, apply)); !due.IsZero() && earlier.Before(w.Last) {
+		w.Last = earlier
+	}
+	if w.Last.Before(w.First) {
+		w.Last = w.First
+	}
+	return w
+}
+
+// Of returns this host's turn, by its place in a ranking of the hosts.
+func (w Window) Of(key, own string, hosts []string) time.Time {
 	ranked := rendezvous.Rank("turn of "+key, hosts)
 	place := max(slices.Index(ranked, own), 0)
-	part := firstPart
-	if len(ranked) > 1 {
-		part += (lastPart - firstPart) * float64(place) / float64(len(ranked)-1)
+	if len(ranked) < 2 {
+		return w.First
 	}
-	return time.Duration(part * float64(spread))
+	return w.First.Add(w.Last.Sub(w.First) * time.Duration(place) / time.Duration(len(ranked)-1))
+}
+
+func part(share float64, whole time.Duration) time.Duration {
+	return time.Duration(share * float64(whole))
 }
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -27,6 +27,7 @@
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/mirror"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/server"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/telemetry"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/rendezvous"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/version/keep"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/version/swarm"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/version/turn"
@@ -89,9 +90,8 @@
 
 // weights is the configuration as far as it concerns one engine.
 type weights struct {
-	engine     provider.EngineSpec
-	origin     netip.AddrPort
-	originHall string
+	engine provider.EngineSpec
+	origin netip.AddrPort
 }
 
 // New prepares a loader; Start runs it.
@@ -122,7 +122,7 @@
 	}
 	p.keeper = &keep.Keeper{
 		Engine: p.provider.Engine, Origin: p.provider.Origin, Address: s.Engine, Held: p.held,
-		Plan: p.plan, Peers: p.otherLoaders, NewFetch: p.newFetch, AskPeer: p.askPeer,
+		Own: s.Listen.Peers, First: p.firstAskers, Plan: p.plan, NewFetch: p.newFetch, AskPeer: p.askPeer,
 		OnReport: p.noteReport, OnStep: p.noteStep,
 	}
 	return p, nil
@@ -189,7 +189,7 @@
 			found.engine = *service.Engine
 		}
 		if service.Origin.IsValid() {
-			found.origin, found.originHall = service.Origin, service.Hall
+			found.origin = service.Origin
 		}
 	}
 	if found.engine.Model == "" || !found.origin.IsValid() {
@@ -203,8 +203,8 @@
 	return nil
 }
 
-// plan says what the engine should hold.
-func (p *Process) plan() (keep.Plan, bool) {
+// plan says what an engine that holds some version should hold.
+func (p *Process) plan(held int) (keep.Plan, bool) {
 	known := p.weights.Load()
 	if known == nil || !p.followers[0].Known() {
 		return keep.Plan{}, false
@@ -212,24 +212,32 @@
 	model := known.engine.Model
 	plan := keep.Plan{
 		Goal:   keep.Goal{Model: model, Version: firstVersion, Fence: p.table.Newest()},
-		Origin: known.origin, OriginHall: known.originHall,
+		Origin: known.origin,
 		Chunks: known.engine.Chunks, ChunkBytes: known.engine.ChunkBytes,
 		OriginTime: p.linkTime(known.engine.Chunks * known.engine.ChunkBytes),
 	}
 	if declared, ok := p.compiler.View().Targets[model]; ok {
-		plan.Goal = p.goal(declared)
-		if declared.Before != nil {
-			plan.Earlier = []keep.Goal{p.goal(*declared.Before)}
+		plan.Goal = p.goal(&declared, held)
+		for before := declared.Before; before != nil; before = before.Before {
+			plan.Earlier = append(plan.Earlier, p.goal(before, held))
 		}
 	}
 	return plan, true
 }
 
 // goal works out when this host's engine may take a declared version.
-func (p *Process) goal(declared mirror.Declared) keep.Goal {
+func (p *Process) goal(declared *mirror.Declared, held int) keep.Goal {
+	apply := p.settings.Bounds.VersionApply.Std()
+	due := time.Time{}
+	for before := declared.Before; before != nil && before.Version > held; before = before.Before {
+		due = before.Since(apply).Add(apply)
+	}
+	window := turn.NewWindow(declared.Since(apply), apply, due)
 	key := fmt.Sprintf("%s/%d", declared.Model, declared.Version)
-	wait := turn.Wait(key, p.own().Address.String(), p.hostNames(), p.settings.Bounds.VersionApply.Std())
-	return keep.Goal{Model: declared.Model, Version: declared.Version, Fence: p.table.Newest(), Turn: declared.Learned.Add(wait)}
+	return keep.Goal{
+		Model: declared.Model, Version: declared.Version, Fence: p.table.Newest(),
+		Turn: window.Of(key, p.own().Address.String(), p.hostNames()),
+	}
 }
 
 // linkTime is how long a link like this host's takes for some bytes.
@@ -260,27 +268,36 @@
 	return result
 }
 
-func (p *Process) otherLoaders() []netip.AddrPort {
-	var result []netip.AddrPort
+// hostNames are the loaders' addresses as text, this one's included.
+func (p *Process) hostNames() []string {
+	names := []string{p.own().Address.String()}
 	for _, host := range p.hosts() {
 		if host.Address != p.own().Address {
-			result = append(result, host.Address)
+			names = append(names, host.Address.String())
 		}
 	}
-	return result
+	return names
 }
 
-func (p *Process) hostNames() []string {
-	names := []string{p.own().Address.String()}
-	for _, address := range p.otherLoaders() {
-		names = append(names, address.String())
+// manifestHosts is how many loaders are asked for a manifest. More than one,
+// because the first may be as new as this one.
+const manifestHosts = 4
+
+// firstAskers are the loaders to ask for a manifest; it falls to the first to
+// ask the origin.
+func (p *Process) firstAskers(goal keep.Goal) []netip.AddrPort {
+	key := fmt.Sprintf("manifest of %s/%d", goal.Model, goal.Version)
+	ranked := rendezvous.Rank(key, p.hostNames())
+	var first []netip.AddrPort
+	for _, name := range ranked[:min(manifestHosts, len(ranked))] {
+		first = append(first, netip.MustParseAddrPort(name))
 	}
-	return names
+	return first
 }
 
 func (p *Process) newFetch(plan keep.Plan, c *swarm.Copy) *swarm.Fetch {
 	return &swarm.Fetch{
-		Copy: c, Model: plan.Goal.Model, Origin: plan.Origin, OriginHall: plan.OriginHall, Source: p.provider.Origin,
+		Copy: c, Model: plan.Goal.Model, Origin: plan.Origin, Source: p.provider.Origin,
 		Own: p.own(), Hosts: p.hosts, Client: p.client, OriginTime: plan.OriginTime, OnChunk: p.noteChunk,
 	}
 }
--- a/daemon/loader/notes.go
+++ b/daemon/loader/notes.go
@@ -42,7 +42,7 @@
 	}
 	p.telemetry.SetReady()
 	p.feed.Publish(loadfeed.Line{
-		Running: report.Running, Waiting: report.Waiting, Loading: report.Loading, Models: report.Models,
+		Running: report.Running, Waiting: report.Waiting, Loading: report.Loading || p.keeper.Clearing(), Models: report.Models,
 	})
 }
 
--- a/daemon/provider/configuration.go
+++ b/daemon/provider/configuration.go
@@ -74,10 +74,8 @@
 	MaxConnections int
 	// Engine is set for services whose upstreams run a model.
 	Engine *EngineSpec
-	// Origin is set for the service that weights come from, and Hall is where
-	// that stands, "" where it is not known.
+	// Origin is set for the service that weights come from.
 	Origin netip.AddrPort
-	Hall   string
 }
 
 // EngineSpec describes the engines of a service.
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -52,9 +52,11 @@
 	upstreamIdle = 900 * time.Millisecond
 	// storeIdle is the same for connections to the store and to peers.
 	storeIdle = 30 * time.Second
-	// versionMargin is the part of the time for a new version in which older
-	// ones still get requests; what waits in an upstream's queue needs the rest.
-	versionMargin = 0.75
+	// versionGrace is the part of the time for a new version in which older ones
+	// still get requests; what waits in an upstream's queue needs the rest. After
+	// versionPreferred they get them only where newer ones are loaded.
+	versionGrace     = 0.8
+	versionPreferred = 0.6
 	// maxHeaderBytes bounds a caller's headers.
 	maxHeaderBytes = 64 << 10
 )
@@ -229,15 +231,18 @@
 			Fresh:   dial.NewHostTransport(p.options.Dial, 0),
 		},
 		Pool: p.pool, Budget: p.budget, View: p.compiler.View, Stale: p.silent,
-		VersionGrace: p.versionGrace,
-		Report:       p.recorder.request,
+		Required: p.requiredVersion, Report: p.recorder.request,
 	}
 }
 
-// versionGrace is the time in which a version older than the declared one may
-// still get requests.
-func (p *Process) versionGrace() time.Duration {
-	return time.Duration(versionMargin * float64(p.current.Load().Bounds.VersionApply.Std()))
+// requiredVersion is the lowest version that a request may run on, and the one
+// that it should run on.
+func (p *Process) requiredVersion(declared *mirror.Declared) (lowest, preferred int) {
+	apply := p.current.Load().Bounds.VersionApply.Std()
+	after := func(share float64) int {
+		return declared.Required(time.Now(), time.Duration(share*float64(apply)), apply)
+	}
+	return after(versionGrace), after(versionPreferred)
 }
 
 // readyPages answers the balancer: ready while a configuration is known and no
