--- a/daemon/internal/version/swarm/fetch.go
+++ b/daemon/internal/version/swarm/fetch.go
@@ -29,6 +29,8 @@
 	parallelPeers  = 6
 	parallelOrigin = 2
 	perPeer        = 2
+	// parallelFirst is parallelPeers of the host that is to be done first.
+	parallelFirst = 14
 	// originAhead is how many chunks are asked of the origin at the same time
 	// while it keeps its pace.
 	originAhead = 5
@@ -90,6 +92,9 @@
 	Client *http.Client
 	// OriginTime is how long the origin takes to send one copy.
 	OriginTime time.Duration
+	// First says that this host is to be done before all others: it takes chunks
+	// from every hall and more of them at the same time.
+	First bool
 	// AfterOthers is closed once all that costs no transfer was looked at; only
 	// then is the origin asked. Nil means at once.
 	AfterOthers <-chan struct{}
@@ -102,9 +107,10 @@
 	known      map[netip.AddrPort]*neighbour
 	taken      map[int]bool
 	mismatches int
-	// allowed is how many chunks may be under way from peers. It sinks while
+	// allowed is how many chunks may be under way from peers, most its bound. It
+	// sinks while
 	// chunks are slow, because requests and answers share the hosts' links.
-	allowed int
+	allowed, most int
 	// duties are this host's for each chunk among rankedHosts.
 	duties      []duty
 	rankedHosts []Host
@@ -142,8 +148,12 @@
 	defer cancel(nil)
 	var workers sync.WaitGroup
 	workers.Go(func() { f.keepNeighbours(ctx) })
-	f.allowed = parallelPeers
-	for place := range parallelPeers {
+	f.most = parallelPeers
+	if f.First {
+		f.most = parallelFirst
+	}
+	f.allowed = f.most
+	for place := range f.most {
 		workers.Go(func() {
 			f.work(ctx, cancel, func(ctx context.Context) (bool, error) { return f.fromPeer(ctx, place) })
 		})
@@ -362,7 +372,7 @@
 		n.until = time.Now().Add(took)
 		f.allowed = max(1, f.allowed-1)
 	case took < quickChunk:
-		f.allowed = min(parallelPeers, f.allowed+1)
+		f.allowed = min(f.most, f.allowed+1)
 	}
 }
 
@@ -510,7 +520,7 @@
 		return false
 	}
 	place := f.duties[index].place
-	return place == 0 || f.late(now) > time.Duration(place)*patience
+	return place == 0 || f.First || f.late(now) > time.Duration(place)*patience
 }
 
 // settled reports whether the neighbours have had time to say what they have.
--- a/daemon/internal/version/turn/turn.go
+++ b/daemon/internal/version/turn/turn.go
@@ -39,14 +39,17 @@
 	return w
 }
 
-// Of returns this host's turn, by its place in a ranking of the hosts.
-func (w Window) Of(key, own string, hosts []string) time.Time {
-	ranked := rendezvous.Rank("turn of "+key, hosts)
-	place := max(slices.Index(ranked, own), 0)
-	if len(ranked) < 2 {
+// Of returns the turn of the host at a place among some hosts.
+func (w Window) Of(place, hosts int) time.Time {
+	if hosts < 2 {
 		return w.First
 	}
-	return w.First.Add(w.Last.Sub(w.First) * time.Duration(place) / time.Duration(len(ranked)-1))
+	return w.First.Add(w.Last.Sub(w.First) * time.Duration(place) / time.Duration(hosts-1))
+}
+
+// Place returns a host's place among all hosts in the order of their turns.
+func Place(key, own string, hosts []string) int {
+	return max(slices.Index(rendezvous.Rank("turn of "+key, hosts), own), 0)
 }
 
 func part(share float64, whole time.Duration) time.Duration {
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -233,11 +233,14 @@
 		due = before.Since(apply).Add(apply)
 	}
 	window := turn.NewWindow(declared.Since(apply), apply, due)
-	key := fmt.Sprintf("%s/%d", declared.Model, declared.Version)
-	return keep.Goal{
-		Model: declared.Model, Version: declared.Version, Fence: p.table.Newest(),
-		Turn: window.Of(key, p.own().Address.String(), p.hostNames()),
-	}
+	place, hosts := p.place(declared.Model, declared.Version)
+	return keep.Goal{Model: declared.Model, Version: declared.Version, Fence: p.table.Newest(), Turn: window.Of(place, hosts)}
+}
+
+// place is this host's place among some hosts in the order of their turns.
+func (p *Process) place(model string, version int) (place, hosts int) {
+	names := p.hostNames()
+	return turn.Place(fmt.Sprintf("%s/%d", model, version), p.own().Address.String(), names), len(names)
 }
 
 // linkTime is how long a link like this host's takes for some bytes.
@@ -296,8 +299,10 @@
 }
 
 func (p *Process) newFetch(plan keep.Plan, c *swarm.Copy) *swarm.Fetch {
+	place, _ := p.place(plan.Goal.Model, plan.Goal.Version)
 	return &swarm.Fetch{
-		Copy: c, Model: plan.Goal.Model, Origin: plan.Origin, Source: p.provider.Origin,
+		First: place == 0,
+		Copy:  c, Model: plan.Goal.Model, Origin: plan.Origin, Source: p.provider.Origin,
 		Own: p.own(), Hosts: p.hosts, Client: p.client, OriginTime: plan.OriginTime, OnChunk: p.noteChunk,
 	}
 }
