--- a/daemon/internal/request/dispatch/stream.go
+++ b/daemon/internal/request/dispatch/stream.go
@@ -67,7 +67,8 @@
 	defer func() { _ = response.Body.Close() }()
 	stalled := time.AfterFunc(stallTime, func() { _ = response.Body.Close() })
 	defer stalled.Stop()
-	events := exchange.NewEvents(response.Body)
+	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+	events := exchange.NewEvents(response.Body, framed)
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
--- a/daemon/internal/request/exchange/events.go
+++ b/daemon/internal/request/exchange/events.go
@@ -25,16 +25,20 @@
 // Events splits a stream into whole events. It holds no more than one event
 // and what arrived with it.
 type Events struct {
-	body   io.Reader
+	body io.Reader
+	// framed says that the answer's own framing tells where it ends, so that
+	// bytes behind the last event are part of it.
+	framed bool
 	buffer []byte
 	start  int // of what was not handed out yet
 	err    error
 }
 
-// NewEvents reads from the body of an answer.
-func NewEvents(body io.Reader) *Events {
+// NewEvents reads from the body of an answer. Framed answers have a length or
+// come in chunks; the others end with their connection.
+func NewEvents(body io.Reader, framed bool) *Events {
 	const firstBuffer = 4 << 10
-	return &Events{body: body, buffer: make([]byte, 0, firstBuffer)}
+	return &Events{body: body, framed: framed, buffer: make([]byte, 0, firstBuffer)}
 }
 
 // Next returns the next whole event; its bytes hold until the next call. The
@@ -46,10 +50,16 @@
 			e.start += end
 			return event, nil
 		}
-		if e.err != nil {
-			return Event{}, e.ending()
+		if e.err == nil {
+			e.fill()
+			continue
+		}
+		if e.framed && errors.Is(e.err, io.EOF) && e.start < len(e.buffer) {
+			rest := Event{Bytes: e.buffer[e.start:]}
+			e.start = len(e.buffer)
+			return rest, nil
 		}
-		e.fill()
+		return Event{}, e.ending()
 	}
 }
 
--- /dev/null
+++ b/daemon/router/router_test.go
@@ -0,0 +1,355 @@
+package router_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wheelcleat/wheelcleat/daemon/provider"
+)
+
+// wholeAnswer is an answer to another request, as a whole.
+const wholeAnswer = "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nSignature: sig\r\nContent-Length: 5\r\n\r\nwrong"
+
+func TestRequestGoesOnUntouched(t *testing.T) {
+	s := &surroundings{}
+	s.configure(basic(1))
+	u := startUpstream(t, "u1", good)
+	s.list(u.record())
+	_, set := startRouter(t, s, "r1")
+	await(t, "ready", func() bool { return ready(set) })
+
+	target := "/unsafe//a/../b%2Fc/?q=%20x&;y"
+	got := call(t, set, "id-1", "POST", target, "the body", "Account", "forged", "X-Own", "kept", "Connection", "X-Hop", "X-Hop", "cut")
+	require.NoError(t, got.err)
+	assert.Equal(t, http.StatusOK, got.status)
+	assert.Equal(t, "answer to id-1", got.body)
+	assert.Equal(t, "sig", got.header.Get("Signature"))
+
+	seen := u.last()
+	assert.Equal(t, target, seen.RequestURI)
+	assert.Equal(t, "h.example", seen.Host)
+	assert.Equal(t, "u1", seen.Header.Get("Expect-Upstream"))
+	assert.Equal(t, "library", seen.Header.Get("Account"), "the account is the key's, whatever the caller says")
+	assert.Empty(t, seen.Header.Get("Authorization"), "the key goes nowhere")
+	assert.Equal(t, "kept", seen.Header.Get("X-Own"))
+	assert.Empty(t, seen.Header.Get("X-Hop"), "what concerns one connection stays there")
+	assert.Empty(t, seen.Header.Get("User-Agent"), "nothing is added")
+}
+
+// TestFates is the table of what becomes of a request when the first upstream
+// misbehaves and the second one is good.
+func TestFates(t *testing.T) {
+	faults := map[string]upstreamFunc{
+		"refused": refusing,
+		"cut":     cutting,
+		"other answer": func(_ *http.Request, connection net.Conn) {
+			_, _ = connection.Write([]byte(wholeAnswer))
+		},
+		"unsigned": func(request *http.Request, connection net.Conn) {
+			_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: 1\r\n\r\nx", request.Header.Get("Request-Id"))
+		},
+		"broken off": func(request *http.Request, connection net.Conn) {
+			_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nSignature: s\r\nContent-Length: 10\r\n\r\nhalf", request.Header.Get("Request-Id"))
+			_ = connection.Close()
+		},
+		"bare 503": func(request *http.Request, connection net.Conn) {
+			_, _ = fmt.Fprintf(connection, "HTTP/1.1 503 X\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n", request.Header.Get("Request-Id"))
+		},
+		"elsewhere": func(request *http.Request, connection net.Conn) {
+			_, _ = fmt.Fprintf(connection, "HTTP/1.1 421 X\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n", request.Header.Get("Request-Id"))
+		},
+		"not HTTP": func(_ *http.Request, connection net.Conn) {
+			_, _ = connection.Write([]byte("garbage\r\n\r\n"))
+			_ = connection.Close()
+		},
+	}
+	notRun := map[string]bool{"refused": true, "elsewhere": true}
+	for name, fault := range faults {
+		for _, route := range []string{"unsafe", "unsafe2", "safe", "stream"} {
+			t.Run(name+" "+route, func(t *testing.T) {
+				s := &surroundings{}
+				s.configure(basic(1))
+				bad := startUpstream(t, "bad", fault)
+				s.list(bad.record())
+				_, set := startRouter(t, s, "r1")
+				await(t, "ready", func() bool { return ready(set) })
+				// The good one comes once the bad one is known to be asked first.
+				sound := startUpstream(t, "good", good)
+				var listed provider.Upstream
+				listed = sound.record()
+				before := fault
+				relist := upstreamFunc(func(request *http.Request, connection net.Conn) {
+					s.list(listed)
+					awaitListed(set, "u/good")
+					before(request, connection)
+				})
+				bad.answer.Store(&relist)
+
+				got := call(t, set, "id-1", "POST", "/"+route+"/x", "body")
+				repeatable := route == "safe" || route == "stream"
+				twoAttempts := route != "unsafe"
+				switch {
+				case repeatable || notRun[name] && twoAttempts:
+					require.NoError(t, got.err)
+					assert.Equal(t, http.StatusOK, got.status)
+					assert.Equal(t, "answer to id-1", got.body)
+					assert.Equal(t, int64(1), sound.ran.Load())
+				case notRun[name]:
+					assert.Equal(t, http.StatusServiceUnavailable, got.status)
+					assert.NotEmpty(t, got.header.Get("Retry-After"))
+					assert.Zero(t, sound.ran.Load())
+				default:
+					assert.Equal(t, http.StatusBadGateway, got.status, "it may have run: no promise")
+					assert.Empty(t, got.header.Get("Signature"))
+					assert.Zero(t, sound.ran.Load(), "it must not run twice")
+				}
+				assert.Equal(t, int64(1), bad.ran.Load(), "nothing is sent twice to one upstream")
+			})
+		}
+	}
+}
+
+// awaitListed waits until a router's copy of the store has a key.
+func awaitListed(set settingsRouter, key string) {
+	for range 2000 {
+		if strings.Contains(copyOf(set), `"`+key+`"`) {
+			return
+		}
+		pause()
+	}
+}
+
+func TestSurplusAnswerBelongsToNobody(t *testing.T) {
+	s := &surroundings{}
+	s.configure(basic(1))
+	u := startUpstream(t, "u1", func(request *http.Request, connection net.Conn) {
+		whole(request, connection, http.StatusOK, "answer to "+request.Header.Get("Request-Id"), wholeAnswer)
+	})
+	s.list(u.record())
+	_, set := startRouter(t, s, "r1")
+	await(t, "ready", func() bool { return ready(set) })
+	for i := range 20 {
+		id := fmt.Sprintf("id-%d", i)
+		got := call(t, set, id, "POST", "/unsafe/x", "body")
+		require.NoError(t, got.err)
+		assert.Equal(t, "answer to "+id, got.body, "unsafe requests have a connection each, so nothing stale is in it")
+	}
+}
+
+// events returns a stream answer; from is its first event, to its last, and
+// whole tells whether it ends well.
+func events(from, to int, ends bool, torn string) upstreamFunc {
+	return func(request *http.Request, connection net.Conn) {
+		first := from
+		if last := request.Header.Get("Last-Event-Id"); last != "" {
+			_, _ = fmt.Sscanf(last, "%d", &first)
+			first++
+		}
+		_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nSignature: sig\r\nTransfer-Encoding: chunked\r\n\r\n", request.Header.Get("Request-Id"))
+		for id := first; id <= to; id++ {
+			event := fmt.Sprintf("id: %d\ndata: token\n\n", id)
+			_, _ = fmt.Fprintf(connection, "%x\r\n%s\r\n", len(event), event)
+		}
+		if ends {
+			_, _ = connection.Write([]byte("0\r\n\r\n"))
+			return
+		}
+		if torn != "" {
+			_, _ = fmt.Fprintf(connection, "%x\r\n%s\r\n", len(torn), torn)
+		}
+		_ = connection.Close()
+	}
+}
+
+func wantEvents(to int) string {
+	text := ""
+	for id := 1; id <= to; id++ {
+		text += fmt.Sprintf("id: %d\ndata: token\n\n", id)
+	}
+	return text
+}
+
+func TestStreamGoesOnAfterTheLastWholeEvent(t *testing.T) {
+	for name, torn := range map[string]string{"between events": "", "within an event": "id: 4\nda"} {
+		t.Run(name, func(t *testing.T) {
+			s := &surroundings{}
+			s.configure(basic(1))
+			first := startUpstream(t, "first", events(1, 3, false, torn))
+			s.list(first.record())
+			_, set := startRouter(t, s, "r1")
+			await(t, "ready", func() bool { return ready(set) })
+			second := startUpstream(t, "second", events(1, 6, true, ""))
+			original := events(1, 3, false, torn)
+			relist := upstreamFunc(func(request *http.Request, connection net.Conn) {
+				s.list(second.record())
+				awaitListed(set, "u/second")
+				original(request, connection)
+			})
+			first.answer.Store(&relist)
+
+			got := call(t, set, "id-1", "POST", "/stream/x", "body")
+			require.NoError(t, got.err)
+			assert.Equal(t, wantEvents(6), got.body)
+			assert.Equal(t, "3", second.last().Header.Get("Last-Event-Id"))
+		})
+	}
+}
+
+func TestStreamThatCannotGoOnLooksCut(t *testing.T) {
+	s := &surroundings{}
+	s.configure(basic(1))
+	u := startUpstream(t, "only", events(1, 3, false, "id: 4\nda"))
+	s.list(u.record())
+	_, set := startRouter(t, s, "r1")
+	await(t, "ready", func() bool { return ready(set) })
+	got := call(t, set, "id-1", "POST", "/stream/x", "body")
+	require.Error(t, got.err, "an answer that ends early must not look complete")
+	assert.Equal(t, wantEvents(3), got.body)
+}
+
+func TestNoRouteNoKeyNoConfiguration(t *testing.T) {
+	s := &surroundings{}
+	_, set := startRouter(t, s, "r1")
+	assert.False(t, ready(set))
+	got := call(t, set, "id-1", "GET", "/safe/x", "")
+	assert.Equal(t, http.StatusServiceUnavailable, got.status, "no configuration is no reason for a final no")
+	assert.NotEmpty(t, got.header.Get("Retry-After"))
+
+	s.configure(basic(1))
+	await(t, "ready", func() bool { return ready(set) })
+	assert.Equal(t, http.StatusNotFound, call(t, set, "id-2", "GET", "/nowhere/x", "").status)
+	without := basic(2)
+	without.Accounts = []provider.Account{{Name: "library", Keys: []string{"key-2"}}}
+	s.configure(without)
+	await(t, "the key is gone", func() bool {
+		return call(t, set, "id-3", "GET", "/safe/x", "").status == http.StatusUnauthorized
+	})
+}
+
+// TestPeersCarryNewsWhileTheStoreIsSilent: one router cannot reach the store
+// while a key is removed; it learns that from the other one.
+func TestPeersCarryNewsWhileTheStoreIsSilent(t *testing.T) {
+	s := &surroundings{}
+	s.configure(basic(1))
+	u := startUpstream(t, "u1", good)
+	s.list(u.record())
+	_, first := startRouter(t, s, "first")
+	_, second := startRouter(t, s, "second", first.Listen.Peers)
+	await(t, "ready", func() bool { return ready(first) && ready(second) })
+	require.Equal(t, http.StatusOK, call(t, second, "id-1", "GET", "/safe/x", "").status)
+
+	s.down.Store("second", true)
+	without := basic(2)
+	without.Accounts = []provider.Account{{Name: "library", Keys: []string{"key-2"}}}
+	s.configure(without)
+	await(t, "the removed key is known without the store", func() bool {
+		return call(t, second, "id-2", "GET", "/safe/x", "").status != http.StatusOK
+	})
+	got := call(t, second, "id-3", "GET", "/safe/x", "")
+	assert.Equal(t, http.StatusServiceUnavailable, got.status, "a copy that may be out of date gives no final no")
+}
+
+// TestRestartWithoutTheStore: a router that starts while the store turns it
+// away takes its first copy from a seed.
+func TestRestartWithoutTheStore(t *testing.T) {
+	s := &surroundings{}
+	s.configure(basic(1))
+	u := startUpstream(t, "u1", good)
+	s.list(u.record())
+	_, first := startRouter(t, s, "first")
+	await(t, "ready", func() bool { return ready(first) })
+	s.down.Store("second", true)
+	_, second := startRouter(t, s, "second", first.Listen.Peers)
+	await(t, "ready", func() bool { return ready(second) })
+	assert.Equal(t, http.StatusOK, call(t, second, "id-1", "GET", "/safe/x", "").status)
+}
+
+// TestLeavingUpstreamGetsNothingNew also covers a request that is tried again
+// after the upstream left: each try reads the newest list.
+func TestLeavingUpstreamGetsNothingNew(t *testing.T) {
+	s := &surroundings{}
+	s.configure(basic(1))
+	leaving, staying := startUpstream(t, "leaving", good), startUpstream(t, "staying", good)
+	s.list(leaving.record())
+	_, set := startRouter(t, s, "r1")
+	await(t, "ready", func() bool { return ready(set) })
+	require.Equal(t, http.StatusOK, call(t, set, "id-0", "GET", "/safe/x", "").status)
+	record := leaving.record()
+	record.Leaving = true
+	s.list(record)
+	s.list(staying.record())
+	awaitListed(set, "u/staying")
+	before := leaving.ran.Load()
+	for i := range 10 {
+		require.Equal(t, http.StatusOK, call(t, set, fmt.Sprintf("id-%d", i), "GET", "/safe/x", "").status)
+	}
+	assert.Equal(t, before, leaving.ran.Load())
+}
+
+// TestTriesAgainByTheNewestList: while a stream runs, the only other upstream
+// leaves; when the stream breaks it must not go on there.
+func TestTriesAgainByTheNewestList(t *testing.T) {
+	s := &surroundings{}
+	s.configure(basic(1))
+	other := startUpstream(t, "other", events(1, 6, true, ""))
+	var set settingsRouter
+	breaking := events(1, 3, false, "")
+	first := startUpstream(t, "first", func(request *http.Request, connection net.Conn) {
+		s.remove("u/other")
+		for range 2000 {
+			if strings.Contains(copyOf(set), `"key":"u/other","revision"`) {
+				break
+			}
+			pause()
+		}
+		breaking(request, connection)
+	})
+	s.list(first.record())
+	record := other.record()
+	record.Places = 1 // far less likely to be chosen first
+	s.list(record)
+	_, set = startRouter(t, s, "r1")
+	await(t, "ready", func() bool { return ready(set) })
+	for i := 0; first.ran.Load() == 0 && i < 50; i++ {
+		_ = call(t, set, fmt.Sprintf("id-%d", i), "POST", "/stream/x", "body")
+	}
+	require.Positive(t, first.ran.Load())
+	assert.NotContains(t, lastIDs(other), "3", "nothing goes on at an upstream that has left")
+}
+
+func lastIDs(u *upstream) string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	text := ""
+	for _, request := range u.seen {
+		text += request.Header.Get("Last-Event-Id") + ";"
+	}
+	return text
+}
+
+func TestTimeoutIsKept(t *testing.T) {
+	s := &surroundings{}
+	configuration := basic(1)
+	for i := range configuration.Routes {
+		configuration.Routes[i].Timeout = 200 * time.Millisecond
+	}
+	s.configure(configuration)
+	release := make(chan struct{})
+	u := startUpstream(t, "u1", func(*http.Request, net.Conn) { <-release })
+	t.Cleanup(func() { close(release) })
+	s.list(u.record())
+	_, set := startRouter(t, s, "r1")
+	await(t, "ready", func() bool { return ready(set) })
+	got := call(t, set, "id-1", "POST", "/unsafe/x", "body")
+	assert.Equal(t, http.StatusGatewayTimeout, got.status, "it may have run: no promise")
+	var left int
+	_, _ = fmt.Sscanf(u.last().Header.Get("Deadline"), "%d", &left)
+	assert.LessOrEqual(t, left, 200, "the upstream gets no more than the route allows")
+}
