--- a/daemon/internal/version/swarm/fetch.go
+++ b/daemon/internal/version/swarm/fetch.go
@@ -111,6 +111,8 @@
 	// sinks while
 	// chunks are slow, because requests and answers share the hosts' links.
 	allowed, most int
+	// progressed is when the last chunk came.
+	progressed time.Time
 	// duties are this host's for each chunk among rankedHosts.
 	duties      []duty
 	rankedHosts []Host
@@ -124,6 +126,9 @@
 	hall int
 }
 
+// first reports whether it falls to this host to ask the origin.
+func (d duty) first() bool { return d.place+d.hall == 0 }
+
 // neighbour is a peer as this fetch knows it.
 type neighbour struct {
 	far   bool
@@ -420,14 +425,26 @@
 	now := time.Now()
 	f.rank(f.liveHosts(now))
 	have := f.Copy.Have()
+	backup := -1
+	drawn := 0
 	for index := range have[:f.due(now)] {
 		if have[index] || f.taken[index] || f.offered(index) || !f.asksOrigin(index, now) {
 			continue
 		}
-		f.taken[index] = true
-		return index, true
+		if f.duties[index].first() {
+			f.taken[index] = true
+			return index, true
+		}
+		// Hosts that stand in for others draw, or all would ask for the same.
+		if drawn++; rand.IntN(drawn) == 0 {
+			backup = index
+		}
 	}
-	return 0, false
+	if backup < 0 {
+		return 0, false
+	}
+	f.taken[backup] = true
+	return backup, true
 }
 
 // due is how many chunks may have been asked of the origin by now. All hosts ask
@@ -547,7 +564,7 @@
 		return false
 	}
 	d := f.duties[index]
-	return d.place+d.hall == 0 || f.late(now) > time.Duration(d.place+2*d.hall)*patience
+	return d.first() || f.late(now) > time.Duration(d.place+2*d.hall)*patience
 }
 
 func (f *Fetch) othersDone() bool {
@@ -562,12 +579,20 @@
 	}
 }
 
-// late is how much longer the fetch has taken than the origin takes for a copy.
+// late is for how long no chunk has come, beyond the time that the origin takes
+// for a copy. While chunks come, those that are missing are on their way.
 func (f *Fetch) late(now time.Time) time.Duration {
-	return now.Sub(f.started) - f.OriginTime
+	expected := f.started.Add(f.OriginTime)
+	if f.progressed.After(expected) {
+		expected = f.progressed
+	}
+	return now.Sub(expected)
 }
 
 func (f *Fetch) tell(index int, chunk []byte, from string) {
+	f.mu.Lock()
+	f.progressed = time.Now()
+	f.mu.Unlock()
 	if f.OnChunk != nil {
 		f.OnChunk(index, chunk, from)
 	}
