Judge overdue chunks by their own due time, and spoilt ones by chunk

Nobody stood in for the squeezed hosts while other chunks came (first engine at 26.9 and 27.9 s instead of 25.9), and four spoilt chunks of any place made the whole manifest suspect.

--- a/daemon/internal/version/swarm/fetch.go
+++ b/daemon/internal/version/swarm/fetch.go
@@ -46,9 +46,11 @@
 	// soonAgain the pause before one that does not know the version yet.
 	askAgain  = 200 * time.Millisecond
 	soonAgain = 60 * time.Millisecond
-	// patience is how long a chunk may be missing in this hall before the next
-	// host in its ranking brings it, beyond the time the origin takes for all.
+	// patience is how long a chunk may be overdue before the next host in its
+	// ranking brings it.
 	patience = 900 * time.Millisecond
+	// standstill is the longest pause between chunks that is no standstill.
+	standstill = 400 * time.Millisecond
 	// slowChunk and quickChunk are the times at which fewer and more chunks are
 	// fetched at the same time.
 	slowChunk  = 700 * time.Millisecond
@@ -58,8 +60,8 @@
 	paceFloor = 30 * time.Millisecond
 	// idlePause is the wait of a worker that finds nothing to do.
 	idlePause = 25 * time.Millisecond
-	// maxMismatches is how many wrong chunks from the origin make its manifest
-	// suspect.
+	// maxMismatches is how often one chunk from the origin must be wrong for its
+	// manifest to be suspect: an origin spoils a chunk now and then.
 	maxMismatches = 4
 )
 
@@ -104,15 +106,18 @@
 	started time.Time
 	mu      sync.Mutex
 	// known is what each neighbour has; taken are chunks under way.
-	known      map[netip.AddrPort]*neighbour
-	taken      map[int]bool
-	mismatches int
+	known map[netip.AddrPort]*neighbour
+	taken map[int]bool
+	// mismatches counts wrong chunks from the origin, by chunk.
+	mismatches map[int]int
 	// allowed is how many chunks may be under way from peers, most its bound. It
 	// sinks while
 	// chunks are slow, because requests and answers share the hosts' links.
 	allowed, most int
-	// progressed is when the last chunk came.
+	// progressed is when the last chunk came, and stood the time in which none
+	// did although more are missing.
 	progressed time.Time
+	stood      time.Duration
 	// duties are this host's for each chunk among rankedHosts.
 	duties      []duty
 	rankedHosts []Host
@@ -147,8 +152,10 @@
 // turns out to be wrong.
 func (f *Fetch) Run(ctx context.Context) error {
 	f.started = time.Now()
+	f.progressed = f.started
 	f.known = map[netip.AddrPort]*neighbour{}
 	f.taken = map[int]bool{}
+	f.mismatches = map[int]int{}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	var workers sync.WaitGroup
@@ -402,16 +409,16 @@
 		return true, err
 	}
 	if err := f.Copy.Put(index, chunk); err != nil {
-		return true, f.mismatch(err)
+		return true, f.mismatch(index, err)
 	}
 	f.tell(index, chunk, "origin")
 	return true, nil
 }
 
-func (f *Fetch) mismatch(err error) error {
+func (f *Fetch) mismatch(index int, err error) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.mismatches++; f.mismatches >= maxMismatches {
+	if f.mismatches[index]++; f.mismatches[index] >= maxMismatches {
 		return fmt.Errorf("%w: %w", ErrManifest, err)
 	}
 	return err
@@ -537,7 +544,7 @@
 		return false
 	}
 	place := f.duties[index].place
-	return place == 0 || f.First || f.late(now) > time.Duration(place)*patience
+	return place == 0 || f.First || f.late(index, now) > time.Duration(place)*patience
 }
 
 // settled reports whether the neighbours have had time to say what they have.
@@ -564,7 +571,7 @@
 		return false
 	}
 	d := f.duties[index]
-	return d.first() || f.late(now) > time.Duration(d.place+2*d.hall)*patience
+	return d.first() || f.late(index, now) > time.Duration(d.place+2*d.hall)*patience
 }
 
 func (f *Fetch) othersDone() bool {
@@ -579,19 +586,21 @@
 	}
 }
 
-// late is for how long no chunk has come, beyond the time that the origin takes
-// for a copy. While chunks come, those that are missing are on their way.
-func (f *Fetch) late(now time.Time) time.Duration {
-	expected := f.started.Add(f.OriginTime)
-	if f.progressed.After(expected) {
-		expected = f.progressed
-	}
-	return now.Sub(expected)
+// late is for how long a chunk is overdue: the origin sends chunks in the order
+// of their places, each at its time, and all of them later where it stood still.
+func (f *Fetch) late(index int, now time.Time) time.Duration {
+	chunks := len(f.Copy.Manifest.Digests)
+	due := f.OriginTime * time.Duration(index+1) / time.Duration(chunks)
+	return now.Sub(f.started) - due - f.stood
 }
 
 func (f *Fetch) tell(index int, chunk []byte, from string) {
 	f.mu.Lock()
-	f.progressed = time.Now()
+	now := time.Now()
+	if pause := now.Sub(f.progressed); pause > standstill {
+		f.stood += pause - standstill
+	}
+	f.progressed = now
 	f.mu.Unlock()
 	if f.OnChunk != nil {
 		f.OnChunk(index, chunk, from)
