--- a/Makefile
+++ b/Makefile
@@ -1,16 +1,16 @@
 # The entry to everything. `make run` runs the main job, `make test` every check.
 SHELL := /bin/bash
-MODULES := api cli daemon standin
+MODULES := api cli daemon platform standin
 PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 TOOLS := $(CURDIR)/.tools
 LINT_VERSION := v2.15.0
 LINT := $(TOOLS)/golangci-lint
 # The race detector runs where tests share memory between processes' parts.
-RACE := ./daemon/... ./cli/internal/fleet/... ./standin/...
+RACE := ./daemon/... ./cli/internal/fleet/... ./platform/... ./standin/...
 
 FUZZTIME := 20s
 # Package and target of each fuzz test.
-FUZZ := ./api:FuzzResource ./api/manifest:FuzzDecode ./daemon/settings:FuzzParse
+FUZZ := ./api:FuzzResource ./api/manifest:FuzzDecode ./daemon/settings:FuzzParse ./platform:FuzzDecode
 
 .PHONY: run test check build format lint vet unit race fuzz generate clean
 
--- a/daemon/internal/process/balance/balance.go
+++ b/daemon/internal/process/balance/balance.go
@@ -22,11 +22,11 @@
 	// fadeTime is the time in which past outcomes lose two thirds of their weight.
 	fadeTime = 3 * time.Second
 	// soundShare is the share of failures that sound upstreams show.
-	soundShare = 0.2
+	soundShare = 0.25
 	// failurePenalty is what a full share of failures counts, in places.
 	failurePenalty = 40.0
 	// priorWeight is the number of good outcomes that an unknown upstream has.
-	priorWeight = 4.0
+	priorWeight = 6.0
 	// firstBlock and longestBlock bound the time in which an upstream that did
 	// not take a connection gets no request.
 	firstBlock   = 300 * time.Millisecond
--- /dev/null
+++ b/daemon/internal/process/balance/balance_test.go
@@ -0,0 +1,156 @@
+package balance_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wheelcleat/wheelcleat/daemon/internal/process/balance"
+	"github.com/wheelcleat/wheelcleat/daemon/provider"
+)
+
+func upstreams(count int) []*provider.Upstream {
+	var result []*provider.Upstream
+	for i := range count {
+		result = append(result, &provider.Upstream{
+			ID: fmt.Sprintf("u%d", i), Address: netip.MustParseAddrPort(fmt.Sprintf("127.0.0.1:%d", i+1)), Places: 16,
+			Models: []provider.Loaded{{Model: "m", Version: 1}},
+		})
+	}
+	return result
+}
+
+// shares counts how many of some requests each upstream gets, while a few are
+// always in flight.
+func shares(t *testing.T, pool *balance.Pool, candidates []*provider.Upstream, requests int, outcome func(id string) balance.Outcome) map[string]int {
+	t.Helper()
+	const inFlight = 12
+	counts := map[string]int{}
+	var flying []balance.Choice
+	for range requests {
+		choice, ok := pool.Choose(candidates, balance.Query{})
+		require.True(t, ok)
+		counts[choice.Upstream.ID]++
+		if flying = append(flying, choice); len(flying) > inFlight {
+			flying[0].Done(outcome(flying[0].Upstream.ID))
+			flying = flying[1:]
+		}
+	}
+	for _, choice := range flying {
+		choice.Done(outcome(choice.Upstream.ID))
+	}
+	return counts
+}
+
+func served(string) balance.Outcome { return balance.Served }
+
+func TestRequestsInFlightSpread(t *testing.T) {
+	pool := &balance.Pool{}
+	candidates := upstreams(4)
+	counts := map[string]int{}
+	for range 40 {
+		choice, ok := pool.Choose(candidates, balance.Query{})
+		require.True(t, ok)
+		counts[choice.Upstream.ID]++
+	}
+	for id, count := range counts {
+		assert.InDelta(t, 10, count, 1, id)
+	}
+}
+
+func TestLeavingTriedAndOutdatedAreNotChosen(t *testing.T) {
+	pool := &balance.Pool{}
+	candidates := upstreams(3)
+	candidates[0].Leaving = true
+	candidates[1].Models = nil
+	choice, ok := pool.Choose(candidates, balance.Query{Model: "m"})
+	require.True(t, ok)
+	assert.Equal(t, "u2", choice.Upstream.ID)
+	assert.Equal(t, 1, choice.Version)
+	_, ok = pool.Choose(candidates, balance.Query{Model: "m", Tried: []string{"u2"}})
+	assert.False(t, ok)
+	_, ok = pool.Choose(candidates, balance.Query{Model: "m", Version: 2})
+	assert.False(t, ok)
+}
+
+func TestFailingUpstreamIsLeftAndComesBack(t *testing.T) {
+	pool := &balance.Pool{}
+	candidates := upstreams(4)
+	counts := shares(t, pool, candidates, 400, func(id string) balance.Outcome {
+		if id == "u0" {
+			return balance.Failed
+		}
+		return balance.Served
+	})
+	assert.Less(t, counts["u0"], 50, "an upstream that fails is left soon")
+	counts = shares(t, pool, candidates, 400, served)
+	assert.Positive(t, counts["u1"])
+}
+
+// TestUsualFailuresAreNoReason: one service's sound upstreams fail one request
+// in seven.
+func TestUsualFailuresAreNoReason(t *testing.T) {
+	pool := &balance.Pool{}
+	candidates := upstreams(4)
+	calls := 0
+	counts := shares(t, pool, candidates, 700, func(string) balance.Outcome {
+		if calls++; calls%7 == 0 {
+			return balance.Failed
+		}
+		return balance.Served
+	})
+	for id, count := range counts {
+		assert.Greater(t, count, 50, id)
+	}
+}
+
+func TestToldLoadCounts(t *testing.T) {
+	pool := &balance.Pool{}
+	candidates := upstreams(3)
+	pool.Tell("u0", balance.Told{Waiting: 3, Models: candidates[0].Models})
+	pool.Tell("u1", balance.Told{Running: 4, Models: candidates[1].Models})
+	pool.Tell("u2", balance.Told{Loading: true, Models: candidates[2].Models})
+	choice, ok := pool.Choose(candidates, balance.Query{Model: "m"})
+	require.True(t, ok)
+	assert.Equal(t, "u1", choice.Upstream.ID, "what runs counts less than what waits, and a loading one comes last")
+}
+
+// TestToldVersionGoesBeforeTheRecord: the record in the store is older.
+func TestToldVersionGoesBeforeTheRecord(t *testing.T) {
+	pool := &balance.Pool{}
+	candidates := upstreams(2)
+	pool.Tell("u1", balance.Told{Models: []provider.Loaded{{Model: "m", Version: 2}}})
+	choice, ok := pool.Choose(candidates, balance.Query{Model: "m", Version: 2})
+	require.True(t, ok)
+	assert.Equal(t, "u1", choice.Upstream.ID)
+	choice.Done(balance.Served)
+	counts := map[string]int{}
+	for range 20 {
+		pool.Tell("u1", balance.Told{Models: []provider.Loaded{{Model: "m", Version: 2}}})
+		preferred, ok := pool.Choose(candidates, balance.Query{Model: "m", Preferred: 2})
+		require.True(t, ok)
+		counts[preferred.Upstream.ID]++
+		preferred.Done(balance.Served)
+	}
+	assert.Equal(t, 20, counts["u1"], "the preferred version as long as there is room")
+}
+
+func TestUnreachableIsLastChoice(t *testing.T) {
+	pool := &balance.Pool{}
+	candidates := upstreams(2)
+	for {
+		choice, ok := pool.Choose(candidates, balance.Query{})
+		require.True(t, ok)
+		if choice.Upstream.ID == "u0" {
+			choice.Done(balance.Unreachable)
+			break
+		}
+		choice.Done(balance.Served)
+	}
+	assert.Equal(t, map[string]int{"u1": 20}, shares(t, pool, candidates, 20, served))
+	_, ok := pool.Choose(candidates[:1], balance.Query{})
+	assert.True(t, ok, "one that is blocked is better than none")
+}
--- /dev/null
+++ b/daemon/internal/request/dispatch/budget_test.go
@@ -0,0 +1,46 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/dispatch"
+)
+
+func TestBudgetOfNothingIsNothing(t *testing.T) {
+	assert.False(t, (&dispatch.Budget{}).Take("s"))
+}
+
+// TestBudgetHoldsForAllProcesses: whatever each process sees, all of them
+// together stay within the ratio and the slack.
+func TestBudgetHoldsForAllProcesses(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		processes := rapid.IntRange(1, 12).Draw(t, "processes")
+		requests, taken := 0, 0
+		for range processes {
+			budget := &dispatch.Budget{Ratio: 0.2, Slack: 100, Window: time.Hour, Processes: func() int { return processes }}
+			own := rapid.IntRange(0, 300).Draw(t, "requests")
+			requests += own
+			for range own {
+				budget.Request("s")
+			}
+			for range rapid.IntRange(0, 200).Draw(t, "tries") {
+				if budget.Take("s") {
+					taken++
+				}
+			}
+			assert.False(t, budget.Left("s") < -1e-9)
+		}
+		assert.LessOrEqual(t, float64(taken), 0.2*float64(requests)+100)
+	})
+}
+
+func TestServicesHaveTheirOwn(t *testing.T) {
+	budget := &dispatch.Budget{Slack: 2, Window: time.Hour}
+	assert.True(t, budget.Take("a"))
+	assert.False(t, budget.Take("a"))
+	assert.True(t, budget.Take("b"))
+}
--- a/daemon/internal/request/dispatch/stream.go
+++ b/daemon/internal/request/dispatch/stream.go
@@ -40,7 +40,7 @@
 		}
 		choice.Done(q.outcomeOf(exchange.Unknown))
 		q.amendTry(err)
-		choice, response = s.goOn(ctx)
+		choice, response = s.goOn(ctx) //nolint:bodyclose // copy closes each body
 		if response == nil {
 			return s.cut(ctx, err)
 		}
--- a/daemon/internal/version/keep/keep.go
+++ b/daemon/internal/version/keep/keep.go
@@ -38,7 +38,7 @@
 	retryPause = 400 * time.Millisecond
 	// clearLeast is the time in which routers hear that nothing more is to be
 	// sent, and clearMost the longest that an order waits for what waits.
-	clearLeast = 150 * time.Millisecond
+	clearLeast = 200 * time.Millisecond
 	clearMost  = 2 * time.Second
 	// fetchMost is the longest that a fetch is not given up for a newer version.
 	fetchMost = 6 * time.Second
@@ -184,7 +184,7 @@
 }
 
 // Clearing reports whether the engine is to get no new requests because an
-// order is about to be given.
+// order is about to be given. Only OnReport may call it.
 func (k *Keeper) Clearing() bool { return !k.clearing.IsZero() }
 
 // next chooses the version to order: the newest that is here whole and whose
--- a/daemon/internal/version/swarm/serve.go
+++ b/daemon/internal/version/swarm/serve.go
@@ -118,7 +118,7 @@
 	}
 	w.Header().Set("Content-Type", "application/octet-stream")
 	w.Header().Set("Content-Length", strconv.Itoa(len(chunk)))
-	_, _ = w.Write(chunk)
+	_, _ = w.Write(chunk) //nolint:gosec // weights, sent as such to another loader
 }
 
 func writeJSON(w http.ResponseWriter, message any) {
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -237,6 +237,10 @@
 	return keep.Goal{Model: declared.Model, Version: declared.Version, Fence: p.table.Newest(), Turn: window.Of(place, hosts)}
 }
 
+// firstHosts is how many hosts are to be done with a version before the others:
+// more than one, because one may be slow or gone.
+const firstHosts = 2
+
 // place is this host's place among some hosts in the order of their turns.
 func (p *Process) place(model string, version int) (place, hosts int) {
 	names := p.hostNames()
@@ -301,7 +305,7 @@
 func (p *Process) newFetch(plan keep.Plan, c *swarm.Copy) *swarm.Fetch {
 	place, _ := p.place(plan.Goal.Model, plan.Goal.Version)
 	return &swarm.Fetch{
-		First: place == 0,
+		First: place < firstHosts,
 		Copy:  c, Model: plan.Goal.Model, Origin: plan.Origin, Source: p.provider.Origin,
 		Own: p.own(), Hosts: p.hosts, Client: p.client, OriginTime: plan.OriginTime, OnChunk: p.noteChunk,
 	}
--- a/daemon/router/fixture_test.go
+++ b/daemon/router/fixture_test.go
@@ -255,7 +255,7 @@
 func cutting(_ *http.Request, connection net.Conn) { _ = connection.Close() }
 
 // startRouter starts a router and waits until it is ready.
-func startRouter(t *testing.T, s *surroundings, name string, seeds ...netip.AddrPort) (*router.Process, settings.Router) {
+func startRouter(t *testing.T, s *surroundings, name string, seeds ...netip.AddrPort) settings.Router {
 	t.Helper()
 	ports := freePorts(t, 4)
 	set := settings.Router{
@@ -274,7 +274,7 @@
 		defer cancel()
 		_ = p.Stop(ctx)
 	})
-	return p, set
+	return set
 }
 
 func freePorts(t *testing.T, count int) []netip.AddrPort {
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -105,7 +105,7 @@
 		return nil, errors.New("router: no provider")
 	}
 	s.SetDefaults()
-	output := telemetry.NewBounded(helpers.OrDefault(options.LogOutput, io.Writer(io.Discard)))
+	output := telemetry.NewBounded(helpers.OrDefault(options.LogOutput, io.Discard))
 	t, err := telemetry.New(telemetry.Options{Role: string(s.Role), Name: s.Name, Hall: s.Hall, Level: s.Log.Level, Output: output})
 	if err != nil {
 		return nil, fmt.Errorf("router %s: %w", s.Name, err)
--- a/daemon/router/router_test.go
+++ b/daemon/router/router_test.go
@@ -22,7 +22,7 @@
 	s.configure(basic(1))
 	u := startUpstream(t, "u1", good)
 	s.list(u.record())
-	_, set := startRouter(t, s, "r1")
+	set := startRouter(t, s, "r1")
 	await(t, "ready", func() bool { return ready(set) })
 
 	target := "/unsafe//a/../b%2Fc/?q=%20x&;y"
@@ -78,12 +78,11 @@
 				s.configure(basic(1))
 				bad := startUpstream(t, "bad", fault)
 				s.list(bad.record())
-				_, set := startRouter(t, s, "r1")
+				set := startRouter(t, s, "r1")
 				await(t, "ready", func() bool { return ready(set) })
 				// The good one comes once the bad one is known to be asked first.
 				sound := startUpstream(t, "good", good)
-				var listed provider.Upstream
-				listed = sound.record()
+				listed := sound.record()
 				before := fault
 				relist := upstreamFunc(func(request *http.Request, connection net.Conn) {
 					s.list(listed)
@@ -133,7 +132,7 @@
 		whole(request, connection, http.StatusOK, "answer to "+request.Header.Get("Request-Id"), wholeAnswer)
 	})
 	s.list(u.record())
-	_, set := startRouter(t, s, "r1")
+	set := startRouter(t, s, "r1")
 	await(t, "ready", func() bool { return ready(set) })
 	for i := range 20 {
 		id := fmt.Sprintf("id-%d", i)
@@ -143,11 +142,11 @@
 	}
 }
 
-// events returns a stream answer; from is its first event, to its last, and
-// whole tells whether it ends well.
-func events(from, to int, ends bool, torn string) upstreamFunc {
+// events returns a stream answer; to is its last event, ends tells whether it
+// ends well, and torn is what follows the last event where it does not.
+func events(to int, ends bool, torn string) upstreamFunc {
 	return func(request *http.Request, connection net.Conn) {
-		first := from
+		first := 1
 		if last := request.Header.Get("Last-Event-Id"); last != "" {
 			_, _ = fmt.Sscanf(last, "%d", &first)
 			first++
@@ -181,12 +180,12 @@
 		t.Run(name, func(t *testing.T) {
 			s := &surroundings{}
 			s.configure(basic(1))
-			first := startUpstream(t, "first", events(1, 3, false, torn))
+			first := startUpstream(t, "first", events(3, false, torn))
 			s.list(first.record())
-			_, set := startRouter(t, s, "r1")
+			set := startRouter(t, s, "r1")
 			await(t, "ready", func() bool { return ready(set) })
-			second := startUpstream(t, "second", events(1, 6, true, ""))
-			original := events(1, 3, false, torn)
+			second := startUpstream(t, "second", events(6, true, ""))
+			original := events(3, false, torn)
 			relist := upstreamFunc(func(request *http.Request, connection net.Conn) {
 				s.list(second.record())
 				awaitListed(set, "u/second")
@@ -205,9 +204,9 @@
 func TestStreamThatCannotGoOnLooksCut(t *testing.T) {
 	s := &surroundings{}
 	s.configure(basic(1))
-	u := startUpstream(t, "only", events(1, 3, false, "id: 4\nda"))
+	u := startUpstream(t, "only", events(3, false, "id: 4\nda"))
 	s.list(u.record())
-	_, set := startRouter(t, s, "r1")
+	set := startRouter(t, s, "r1")
 	await(t, "ready", func() bool { return ready(set) })
 	got := call(t, set, "id-1", "POST", "/stream/x", "body")
 	require.Error(t, got.err, "an answer that ends early must not look complete")
@@ -216,7 +215,7 @@
 
 func TestNoRouteNoKeyNoConfiguration(t *testing.T) {
 	s := &surroundings{}
-	_, set := startRouter(t, s, "r1")
+	set := startRouter(t, s, "r1")
 	assert.False(t, ready(set))
 	got := call(t, set, "id-1", "GET", "/safe/x", "")
 	assert.Equal(t, http.StatusServiceUnavailable, got.status, "no configuration is no reason for a final no")
@@ -240,8 +239,8 @@
 	s.configure(basic(1))
 	u := startUpstream(t, "u1", good)
 	s.list(u.record())
-	_, first := startRouter(t, s, "first")
-	_, second := startRouter(t, s, "second", first.Listen.Peers)
+	first := startRouter(t, s, "first")
+	second := startRouter(t, s, "second", first.Listen.Peers)
 	await(t, "ready", func() bool { return ready(first) && ready(second) })
 	require.Equal(t, http.StatusOK, call(t, second, "id-1", "GET", "/safe/x", "").status)
 
@@ -263,10 +262,10 @@
 	s.configure(basic(1))
 	u := startUpstream(t, "u1", good)
 	s.list(u.record())
-	_, first := startRouter(t, s, "first")
+	first := startRouter(t, s, "first")
 	await(t, "ready", func() bool { return ready(first) })
 	s.down.Store("second", true)
-	_, second := startRouter(t, s, "second", first.Listen.Peers)
+	second := startRouter(t, s, "second", first.Listen.Peers)
 	await(t, "ready", func() bool { return ready(second) })
 	assert.Equal(t, http.StatusOK, call(t, second, "id-1", "GET", "/safe/x", "").status)
 }
@@ -278,7 +277,7 @@
 	s.configure(basic(1))
 	leaving, staying := startUpstream(t, "leaving", good), startUpstream(t, "staying", good)
 	s.list(leaving.record())
-	_, set := startRouter(t, s, "r1")
+	set := startRouter(t, s, "r1")
 	await(t, "ready", func() bool { return ready(set) })
 	require.Equal(t, http.StatusOK, call(t, set, "id-0", "GET", "/safe/x", "").status)
 	record := leaving.record()
@@ -298,9 +297,9 @@
 func TestTriesAgainByTheNewestList(t *testing.T) {
 	s := &surroundings{}
 	s.configure(basic(1))
-	other := startUpstream(t, "other", events(1, 6, true, ""))
+	other := startUpstream(t, "other", events(6, true, ""))
 	var set settingsRouter
-	breaking := events(1, 3, false, "")
+	breaking := events(3, false, "")
 	first := startUpstream(t, "first", func(request *http.Request, connection net.Conn) {
 		s.remove("u/other")
 		for range 2000 {
@@ -315,7 +314,7 @@
 	record := other.record()
 	record.Places = 1 // far less likely to be chosen first
 	s.list(record)
-	_, set = startRouter(t, s, "r1")
+	set = startRouter(t, s, "r1")
 	await(t, "ready", func() bool { return ready(set) })
 	for i := 0; first.ran.Load() == 0 && i < 50; i++ {
 		_ = call(t, set, fmt.Sprintf("id-%d", i), "POST", "/stream/x", "body")
@@ -345,7 +344,7 @@
 	u := startUpstream(t, "u1", func(*http.Request, net.Conn) { <-release })
 	t.Cleanup(func() { close(release) })
 	s.list(u.record())
-	_, set := startRouter(t, s, "r1")
+	set := startRouter(t, s, "r1")
 	await(t, "ready", func() bool { return ready(set) })
 	got := call(t, set, "id-1", "POST", "/unsafe/x", "body")
 	assert.Equal(t, http.StatusGatewayTimeout, got.status, "it may have run: no promise")
--- a/daemon/settings/direct.go
+++ b/daemon/settings/direct.go
@@ -150,7 +150,7 @@
 // ExampleRouter returns settings that pass the check.
 func ExampleRouter() Router {
 	r := Router{
-		Role: RoleRouter, Name: "router-1", Hall: "recife",
+		Role: RoleRouter, Name: "router-1", Hall: exampleHall,
 		Listen: RouterListen{Callers: loopback(7200), Ready: loopback(7201), Peers: loopback(7202), Metrics: loopback(7203)},
 		Store:  loopback(7900), Seeds: []netip.AddrPort{loopback(7212)},
 	}
@@ -161,7 +161,7 @@
 // ExampleLoader returns settings that pass the check.
 func ExampleLoader() Loader {
 	l := Loader{
-		Role: RoleLoader, Name: "host-1", Hall: "recife",
+		Role: RoleLoader, Name: "host-1", Hall: exampleHall,
 		Listen: LoaderListen{Peers: loopback(7302), Metrics: loopback(7303)},
 		Store:  loopback(7900), Engine: loopback(7903), Service: "assistant",
 	}
--- a/daemon/settings/example.go
+++ b/daemon/settings/example.go
@@ -9,6 +9,9 @@
 	"github.com/wheelcleat/wheelcleat/api"
 )
 
+// exampleHall is the data hall of all examples.
+const exampleHall = "recife"
+
 func loopback(port uint16) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), port)
 }
@@ -18,7 +21,7 @@
 	return Entry{
 		Role:     RoleEntry,
 		Name:     "entry-1",
-		Hall:     "recife",
+		Hall:     exampleHall,
 		Listen:   EntryListen{Callers: loopback(7000), Operators: loopback(7001), Peers: loopback(7002)},
 		Platform: EntryPlatform{KeyValue: loopback(7900), HostList: loopback(7901)},
 		Requests: Requests{MaxBodyBytes: DefaultMaxBodyBytes, MaxHeaderBytes: DefaultMaxHeaderBytes},
@@ -32,7 +35,7 @@
 	return Agent{
 		Role:     RoleAgent,
 		Name:     "host-1",
-		Hall:     "recife",
+		Hall:     exampleHall,
 		Listen:   AgentListen{Peers: loopback(7102)},
 		Platform: AgentPlatform{HostList: loopback(7901)},
 		Weights:  Weights{Origin: loopback(7902), StagingBytes: DefaultStagingBytes, PeerWait: api.Duration(2 * time.Second)},
