--- a/daemon/internal/version/swarm/fetch.go
+++ b/daemon/internal/version/swarm/fetch.go
@@ -26,11 +26,11 @@
 	maxFar  = 8
 	// parallelPeers and parallelOrigin bound the chunks under way, perPeer those
 	// from one peer.
-	parallelPeers  = 6
+	parallelPeers  = 2
 	parallelOrigin = 2
-	perPeer        = 2
+	perPeer        = 1
 	// parallelFirst is parallelPeers of the host that is to be done first.
-	parallelFirst = 14
+	parallelFirst = 6
 	// originAhead is how many chunks are asked of the origin at the same time
 	// while it keeps its pace.
 	originAhead = 5
