--- a/daemon/internal/version/turn/turn.go
+++ b/daemon/internal/version/turn/turn.go
@@ -17,8 +17,8 @@
 	// firstPart and lastPart are the parts of the time for a version between
 	// which turns lie: before the first the chunks are on their way, and what
 	// is after the last is for the load itself.
-	firstPart = 0.42
-	lastPart  = 0.74
+	firstPart = 0.45
+	lastPart  = 0.80
 )
 
 // Window is the time in which the turns of a version lie.
