Keep no connections to the origin

The loaders' logs say why: the origin reset every call. It takes 48 connections and goes on counting those that hosts kept when they lost their power; 20 loaders kept up to three each for 30 s.

Now they rest 0.3 s and each loader asks the origin for one chunk at a time.

--- a/daemon/internal/version/swarm/fetch.go
+++ b/daemon/internal/version/swarm/fetch.go
@@ -27,7 +27,7 @@
 	// parallelPeers and parallelOrigin bound the chunks under way, perPeer those
 	// from one peer.
 	parallelPeers  = 2
-	parallelOrigin = 2
+	parallelOrigin = 1
 	perPeer        = 1
 	// parallelFirst is parallelPeers of the host that is to be done first.
 	parallelFirst = 6
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -41,8 +41,11 @@
 	// hostsEvery is the interval in which the list of hosts is read. It only
 	// says which hosts may have chunks.
 	hostsEvery = 2 * time.Second
-	// hostIdle is how long connections to other hosts rest.
+	// hostIdle is how long connections to the store and other loaders rest.
 	hostIdle = 30 * time.Second
+	// originIdle is the same for the origin, which takes few connections from
+	// all hosts together and counts those whose host has lost its power.
+	originIdle = 300 * time.Millisecond
 	// lookEvery is the interval in which the configuration is looked for until
 	// it is known, and lookAgain the one after that: an origin seldom moves.
 	lookEvery = 300 * time.Millisecond
@@ -113,7 +116,8 @@
 		table: &mirror.Table{}, held: &swarm.Held{}, feed: loadfeed.NewFeed(), done: make(chan struct{}),
 		client: &http.Client{Transport: dial.NewHostTransport(options.Dial, hostIdle)},
 	}
-	p.provider = options.Provider(s.Store, p.client, p.client)
+	calls := &http.Client{Transport: dial.NewHostTransport(options.Dial, originIdle)}
+	p.provider = options.Provider(s.Store, p.client, calls)
 	p.compiler = &mirror.Compiler{Decode: p.provider.Decode, OnBelief: p.noteBelief}
 	p.table.OnChange = p.compiler.Take
 	p.followers = []*mirror.Follower{
