--- a/daemon/internal/process/balance/balance.go
+++ b/daemon/internal/process/balance/balance.go
@@ -174,22 +174,6 @@
 	return told.Holds(model)
 }
 
-// Places returns how many requests this process has at a service's upstreams
-// that fit, and how many places these have.
-func (p *Pool) Places(upstreams []*provider.Upstream, query Query) (inFlight, places int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := time.Now()
-	for _, candidate := range upstreams {
-		s := p.state(candidate.ID, now)
-		if s.fits(candidate, query, now) {
-			places += candidate.Places
-			inFlight += s.inFlight
-		}
-	}
-	return inFlight, places
-}
-
 func (p *Pool) state(id string, now time.Time) *state {
 	if p.states == nil {
 		p.states = map[string]*state{}
--- a/daemon/internal/process/mirror/follower.go
+++ b/daemon/internal/process/mirror/follower.go
@@ -73,14 +73,6 @@
 	return time.Since(f.start) - time.Duration(f.answered.Load())
 }
 
-// Period is the longest time between two answers while the store is well.
-func (f *Follower) Period() time.Duration {
-	if f.ListEvery > 0 {
-		return f.ListEvery
-	}
-	return helpers.OrDefault(f.Wait, defaultWait) + f.Settle
-}
-
 // Known reports whether the prefix was ever read from the store.
 func (f *Follower) Known() bool { return f.answered.Load() != 0 }
 
--- a/daemon/internal/request/dispatch/dispatch.go
+++ b/daemon/internal/request/dispatch/dispatch.go
@@ -50,9 +50,12 @@
 	Outcome   Ending
 	Cause     string
 	Tries     []Try
-	// Configuration is the revision that the request was decided by.
+	// Configuration is the revision that the request was decided by, and Stale
+	// says that it may have been out of date.
 	Configuration provider.Revision
 	Stale         bool
+	// BudgetLeft is how many second sends this process had left for the service.
+	BudgetLeft float64
 }
 
 // Try is one send.
@@ -113,6 +116,7 @@
 	defer cancel()
 	d.Budget.Request(q.service.Name)
 	q.run(ctx)
+	q.story.BudgetLeft = d.Budget.Left(q.service.Name)
 }
 
 // run sends the request until it has an answer.
--- a/daemon/provider/provider.go
+++ b/daemon/provider/provider.go
@@ -82,9 +82,7 @@
 type Prefixes struct {
 	// All begins every key.
 	All string
-	// Declarations holds the configuration and the declared versions.
-	Declarations string
-	// Versions is the part of Declarations that holds declared versions only.
+	// Versions holds the declared versions.
 	Versions string
 	// Upstreams holds the upstreams' own records.
 	Upstreams string
@@ -135,11 +133,8 @@
 	RequestID, Deadline, LastEvent, Signature, Account string
 	ExpectedUpstream, ExpectedVersion, Priority        string
 	// NotRun stands in an upstream's answer that promises that the request has
-	// not run. Upstream names the upstream that answered.
-	NotRun, Upstream string
+	// not run.
+	NotRun string
 	// Tokens is "prompt,most out", LengthHint the caller's guess of tokens out.
 	Tokens, LengthHint string
-	// VersionLine is the name, in lower case, of the line before an event at
-	// which the upstream's version changes.
-	VersionLine string
 }
--- a/daemon/router/fixture_test.go
+++ b/daemon/router/fixture_test.go
@@ -38,7 +38,7 @@
 var testHeaders = provider.Headers{
 	RequestID: "Request-Id", Deadline: "Deadline", LastEvent: "Last-Event-Id", Signature: "Signature", Account: "Account",
 	ExpectedUpstream: "Expect-Upstream", ExpectedVersion: "Expect-Version", Priority: "Priority", NotRun: "Not-Run",
-	Upstream: "Upstream", Tokens: "Tokens", LengthHint: "Length", VersionLine: "version",
+	Tokens: "Tokens", LengthHint: "Length",
 }
 
 // provider returns the surroundings as the named router sees them.
--- a/daemon/router/recorder.go
+++ b/daemon/router/recorder.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -60,6 +61,7 @@
 	}
 	if story.Cause != "" {
 		fields["reason"] = story.Cause
+		fields["budgetLeft"] = math.Round(story.BudgetLeft)
 	}
 	if story.Stale {
 		fields["stale"] = true
