--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -69,7 +69,8 @@
 
 // Process is one loader.
 type Process struct {
-	settings  settings.Loader
+	// current are the settings in force.
+	current   atomic.Pointer[settings.Loader]
 	provider  provider.Provider
 	telemetry *telemetry.Telemetry
 	output    *telemetry.Bounded
@@ -112,10 +113,11 @@
 		options.Dial = dial.Watchful
 	}
 	p := &Process{
-		settings: s, telemetry: t, output: output, log: t.Log,
+		telemetry: t, output: output, log: t.Log,
 		table: &mirror.Table{}, held: &swarm.Held{}, feed: loadfeed.NewFeed(), done: make(chan struct{}),
 		client: &http.Client{Transport: dial.NewHostTransport(options.Dial, hostIdle)},
 	}
+	p.current.Store(&s)
 	calls := &http.Client{Transport: dial.NewHostTransport(options.Dial, originIdle)}
 	p.provider = options.Provider(s.Store, p.client, calls)
 	p.compiler = &mirror.Compiler{Decode: p.provider.Decode, OnBelief: p.noteBelief}
@@ -138,23 +140,23 @@
 	(&swarm.Server{Held: p.held}).Register(pages)
 	pages.Compat().GET(loadfeed.Path, p.feed.ServeHTTP)
 	var err error
-	p.peers, err = server.Listen(server.Options{Name: "peers", Address: p.settings.Listen.Peers, Handler: pages})
+	p.peers, err = server.Listen(server.Options{Name: "peers", Address: p.current.Load().Listen.Peers, Handler: pages})
 	if err != nil {
-		return fmt.Errorf("loader %s: %w", p.settings.Name, err)
+		return fmt.Errorf("loader %s: %w", p.current.Load().Name, err)
 	}
 	mux := http.NewServeMux()
 	p.telemetry.Pages(mux)
-	p.metrics, err = server.Listen(server.Options{Name: "metrics", Address: p.settings.Listen.Metrics, Handler: mux})
+	p.metrics, err = server.Listen(server.Options{Name: "metrics", Address: p.current.Load().Listen.Metrics, Handler: mux})
 	if err != nil {
 		p.peers.Kill()
-		return fmt.Errorf("loader %s: %w", p.settings.Name, err)
+		return fmt.Errorf("loader %s: %w", p.current.Load().Name, err)
 	}
 	for _, follower := range p.followers {
 		follower.Start()
 	}
 	p.tomb.Go(p.lookForWeights)
 	p.keeper.Start()
-	p.log.WithFields(log.Fields{"peers": p.settings.Listen.Peers, "engine": p.settings.Engine, "store": p.settings.Store}).Info("started")
+	p.log.WithFields(log.Fields{"peers": p.current.Load().Listen.Peers, "engine": p.current.Load().Engine, "store": p.current.Load().Store}).Info("started")
 	return nil
 }
 
@@ -189,7 +191,7 @@
 	}
 	found := weights{}
 	for _, service := range record.Configuration.Services {
-		if service.Engine != nil && service.Name == p.settings.Service {
+		if service.Engine != nil && service.Name == p.current.Load().Service {
 			found.engine = *service.Engine
 		}
 		if service.Origin.IsValid() {
@@ -231,7 +233,7 @@
 
 // goal works out when this host's engine may take a declared version.
 func (p *Process) goal(declared *mirror.Declared, held int) keep.Goal {
-	apply := p.settings.Bounds.VersionApply.Std()
+	apply := p.current.Load().Bounds.VersionApply.Std()
 	due := time.Time{}
 	for before := declared.Before; before != nil && before.Version > held; before = before.Before {
 		due = before.Since(apply).Add(apply)
@@ -254,7 +256,7 @@
 // linkTime is how long a link like this host's takes for some bytes.
 func (p *Process) linkTime(bytes int) time.Duration {
 	const bitsPerMegabit = 1e6
-	rate := p.settings.Bounds.LinkMbps * bitsPerMegabit
+	rate := p.current.Load().Bounds.LinkMbps * bitsPerMegabit
 	if rate <= 0 {
 		return 0
 	}
@@ -263,13 +265,13 @@
 
 // own is this loader; all loaders listen on the same port.
 func (p *Process) own() swarm.Host {
-	return swarm.Host{Address: p.settings.Listen.Peers, Hall: p.settings.Hall}
+	return swarm.Host{Address: p.current.Load().Listen.Peers, Hall: p.current.Load().Hall}
 }
 
 // hosts are the loaders of all engines of this service, by the hosts' addresses.
 func (p *Process) hosts() []swarm.Host {
 	var result []swarm.Host
-	for _, upstream := range p.compiler.View().Upstreams[p.settings.Service] {
+	for _, upstream := range p.compiler.View().Upstreams[p.current.Load().Service] {
 		address := netip.AddrPortFrom(upstream.Address.Addr(), p.own().Address.Port())
 		host := swarm.Host{Address: address, Hall: upstream.Hall}
 		if !slices.Contains(result, host) {
@@ -341,11 +343,15 @@
 // Done is closed when the loader has ended.
 func (p *Process) Done() <-chan struct{} { return p.done }
 
-// Reload takes changed settings; a loader's addresses need a new start.
+// Reload takes changed settings. Bounds apply at once; a changed name or address
+// needs a new start and is reported.
 func (p *Process) Reload(file settings.File) {
-	if file.Loader == nil || file.Loader.Listen != p.settings.Listen || file.Loader.Engine != p.settings.Engine {
-		p.log.WithField("reason", "a role or an address has changed, which needs a new start").Error("changed settings not taken, the last good ones stay")
+	current := p.current.Load()
+	if file.Loader == nil || file.Loader.Listen != current.Listen || file.Loader.Engine != current.Engine ||
+		file.Loader.Store != current.Store || file.Loader.Name != current.Name {
+		p.log.WithField("reason", "a role, name or address has changed, which needs a new start").Error("changed settings not taken, the last good ones stay")
 		return
 	}
+	p.current.Store(file.Loader)
 	p.log.Info("settings reloaded")
 }
--- a/daemon/loader/loader_test.go
+++ b/daemon/loader/loader_test.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -47,3 +49,39 @@
 		t.Fatal("the connection is kept")
 	}
 }
+
+// TestReloadTakesBounds and refuses what needs a new start.
+func TestReloadTakesBounds(t *testing.T) {
+	var lines lockedBuffer
+	p, err := loader.New(settings.ExampleLoader(), loader.Options{
+		LogOutput: &lines,
+		Provider:  func(netip.AddrPort, *http.Client, *http.Client) provider.Provider { return provider.Provider{} },
+	})
+	require.NoError(t, err)
+	changed := settings.ExampleLoader()
+	changed.Bounds.VersionApply *= 2
+	p.Reload(settings.File{Loader: &changed})
+	require.Eventually(t, func() bool { return lines.contains("settings reloaded") }, 5*time.Second, time.Millisecond)
+	moved := changed
+	moved.Engine = netip.MustParseAddrPort("127.0.0.1:1")
+	p.Reload(settings.File{Loader: &moved})
+	require.Eventually(t, func() bool { return lines.contains("needs a new start") }, 5*time.Second, time.Millisecond)
+}
+
+// lockedBuffer is a buffer that is written and read at the same time.
+type lockedBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *lockedBuffer) contains(part string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return strings.Contains(b.text.String(), part)
+}
