--- a/daemon/internal/process/mirror/table.go
+++ b/daemon/internal/process/mirror/table.go
@@ -33,6 +33,8 @@
 	mu       sync.Mutex
 	// entries holds the newest known state of each key, removals included.
 	entries map[string]kept
+	// newest is the highest revision of any entry taken.
+	newest provider.Revision
 }
 
 type kept struct {
@@ -84,6 +86,7 @@
 			continue
 		}
 		t.entries[entry.Key] = kept{entry, now}
+		t.newest = max(t.newest, entry.Revision)
 		fresh = append(fresh, entry)
 	}
 	for key, entry := range t.entries {
@@ -109,7 +112,9 @@
 	return listing
 }
 
-// Newest returns the highest revision of any entry, or 0.
+// Newest returns the highest revision of any entry taken, or 0.
 func (t *Table) Newest() provider.Revision {
-	return t.Since(0).At
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.newest
 }
--- a/daemon/internal/request/dispatch/admit.go
+++ b/daemon/internal/request/dispatch/admit.go
@@ -29,7 +29,11 @@
 		q.refuse("no configuration is known yet")
 		return false
 	}
-	if !q.findRoute() || !q.findAccount() || !q.findService() || !q.readBody() {
+	if !q.findRoute() || !q.findAccount() {
+		return false
+	}
+	q.findService()
+	if !q.readBody() {
 		return false
 	}
 	q.deadline = q.story.Started.Add(min(q.callerPatience(), q.routePatience()))
@@ -81,7 +85,7 @@
 }
 
 // findService draws one of the route's services by weight.
-func (q *request) findService() bool {
+func (q *request) findService() {
 	total := 0
 	for _, share := range q.route.Shares {
 		total += max(share.Weight, 0)
@@ -100,7 +104,6 @@
 	if q.service == nil {
 		q.service = &provider.Service{Name: name} // known by its upstreams only
 	}
-	return true
 }
 
 func (q *request) readBody() bool {
--- a/daemon/internal/version/swarm/fetch.go
+++ b/daemon/internal/version/swarm/fetch.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"net/netip"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -111,8 +110,7 @@
 	// mismatches counts wrong chunks from the origin, by chunk.
 	mismatches map[int]int
 	// allowed is how many chunks may be under way from peers, most its bound. It
-	// sinks while
-	// chunks are slow, because requests and answers share the hosts' links.
+	// sinks while chunks are slow: requests and answers share the hosts' links.
 	allowed, most int
 	// progressed is when the last chunk came, and stood the time in which none
 	// did although more are missing.
@@ -123,17 +121,6 @@
 	rankedHosts []Host
 }
 
-// duty is a host's part in bringing one chunk.
-type duty struct {
-	// place is the host's place in its hall's ranking.
-	place int
-	// hall is the hall's place among the halls.
-	hall int
-}
-
-// first reports whether it falls to this host to ask the origin.
-func (d duty) first() bool { return d.place+d.hall == 0 }
-
 // neighbour is a peer as this fetch knows it.
 type neighbour struct {
 	far   bool
@@ -454,146 +441,6 @@
 	return backup, true
 }
 
-// due is how many chunks may have been asked of the origin by now. All hosts ask
-// for chunks in the order of their places, at the pace of the origin's link: if
-// each asked for all of its chunks at once, the link would be shared among all
-// of them and even the first chunk would be late.
-func (f *Fetch) due(now time.Time) int {
-	chunks := len(f.Copy.Manifest.Digests)
-	if f.OriginTime <= 0 {
-		return chunks
-	}
-	passed := float64(now.Sub(f.started)) / float64(f.OriginTime)
-	return min(chunks, int(passed*float64(chunks))+originAhead)
-}
-
-// liveHosts are this host and the hosts that are heard and know the version. Those that are not
-// asked, and all before the first answers are due, count as live.
-func (f *Fetch) liveHosts(now time.Time) []Host {
-	hosts := f.hosts()
-	if now.Sub(f.started) < peerSilence {
-		return hosts
-	}
-	asked := f.neighbours()
-	return slices.DeleteFunc(hosts, func(host Host) bool {
-		n := f.known[host.Address]
-		silent := n == nil || n.absent || now.Sub(n.heard) > peerSilence
-		return silent && slices.Contains(asked, host)
-	})
-}
-
-// offered reports whether a neighbour that is heard has the chunk.
-func (f *Fetch) offered(index int) bool {
-	for _, n := range f.known {
-		if n.have.Has(index) && time.Since(n.heard) < peerSilence {
-			return true
-		}
-	}
-	return false
-}
-
-// rank works out this host's duty for each chunk where the hosts have changed.
-func (f *Fetch) rank(hosts []Host) {
-	if slices.Equal(hosts, f.rankedHosts) {
-		return
-	}
-	f.rankedHosts = hosts
-	byHall := map[string][]string{}
-	for _, host := range hosts {
-		byHall[host.Hall] = append(byHall[host.Hall], host.Address.String())
-	}
-	halls := make([]string, 0, len(byHall))
-	for hall := range byHall {
-		halls = append(halls, hall)
-	}
-	f.duties = make([]duty, len(f.Copy.Manifest.Digests))
-	places := f.places(byHall[f.Own.Hall])
-	for index := range f.duties {
-		ranked := rendezvous.Rank("halls of "+f.key(index), halls)
-		f.duties[index] = duty{place: places[index], hall: slices.Index(ranked, f.Own.Hall)}
-	}
-}
-
-// places returns this host's place in the ranking of its hall for each chunk.
-// Rankings are by rendezvous, but no host is first for more than its share:
-// the last chunk of the busiest host would otherwise be late for all.
-func (f *Fetch) places(hall []string) []int {
-	share := (len(f.duties) + len(hall) - 1) / len(hall)
-	firsts := map[string]int{}
-	places := make([]int, len(f.duties))
-	for index := range places {
-		ranked := rendezvous.Rank(f.key(index), hall)
-		first := slices.IndexFunc(ranked, func(name string) bool { return firsts[name] < share })
-		name := ranked[first]
-		firsts[name]++
-		ranked = slices.Insert(slices.Delete(ranked, first, first+1), 0, name)
-		places[index] = slices.Index(ranked, f.Own.Address.String())
-	}
-	return places
-}
-
-func (f *Fetch) key(index int) string {
-	return f.Model + "/" + strconv.Itoa(f.Copy.Manifest.Version) + "/" + strconv.Itoa(index)
-}
-
-// bringsFar reports whether this host brings a chunk into its hall from another
-// one: the first of the ranking does, and the next ones when it takes too long.
-// A chunk that is in this hall already is not brought.
-func (f *Fetch) bringsFar(index int, now time.Time) bool {
-	if !f.settled(now) || f.offeredNear(index) {
-		return false
-	}
-	place := f.duties[index].place
-	return place == 0 || f.First || f.late(index, now) > time.Duration(place)*patience
-}
-
-// settled reports whether the neighbours have had time to say what they have.
-func (f *Fetch) settled(now time.Time) bool {
-	return now.Sub(f.started) > settleTime || len(f.known) >= len(f.neighbours())
-}
-
-// offeredNear reports whether a neighbour of this hall that is heard has the
-// chunk.
-func (f *Fetch) offeredNear(index int) bool {
-	for _, n := range f.known {
-		if !n.far && n.have.Has(index) && time.Since(n.heard) < peerSilence {
-			return true
-		}
-	}
-	return false
-}
-
-// asksOrigin reports whether this host asks the origin for a chunk. The first
-// hall's hosts do; the other halls' follow when that takes too long, because
-// the first hall may be cut off.
-func (f *Fetch) asksOrigin(index int, now time.Time) bool {
-	if !f.settled(now) || !f.othersDone() {
-		return false
-	}
-	d := f.duties[index]
-	return d.first() || f.late(index, now) > time.Duration(d.place+2*d.hall)*patience
-}
-
-func (f *Fetch) othersDone() bool {
-	if f.AfterOthers == nil {
-		return true
-	}
-	select {
-	case <-f.AfterOthers:
-		return true
-	default:
-		return false
-	}
-}
-
-// late is for how long a chunk is overdue: the origin sends chunks in the order
-// of their places, each at its time, and all of them later where it stood still.
-func (f *Fetch) late(index int, now time.Time) time.Duration {
-	chunks := len(f.Copy.Manifest.Digests)
-	due := f.OriginTime * time.Duration(index+1) / time.Duration(chunks)
-	return now.Sub(f.started) - due - f.stood
-}
-
 func (f *Fetch) tell(index int, chunk []byte, from string) {
 	f.mu.Lock()
 	now := time.Now()
