--- a/daemon/router/recorder.go
+++ b/daemon/router/recorder.go
@@ -18,7 +18,7 @@
 const (
 	// servedLines and failedLines bound the lines a second about requests.
 	// Failures have a bound of their own, so that success never hides them.
-	servedLines = 600
+	servedLines = 100
 	failedLines = 200
 )
 
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -145,6 +145,9 @@
 // engines that it lists.
 func (p *Process) takeChanges(changed []provider.Entry) {
 	p.compiler.Take(changed)
+	if p.compiler.View().Configuration != nil && !p.draining.Load() {
+		p.telemetry.SetReady()
+	}
 	port := p.current.Load().LoaderPort
 	if port == 0 {
 		return
--- a/daemon/router/router_test.go
+++ b/daemon/router/router_test.go
@@ -223,6 +223,10 @@
 
 	s.configure(basic(1))
 	await(t, "ready", func() bool { return ready(set) })
+	response, err := http.Get("http://" + set.Listen.Metrics.String() + "/readyz")
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	assert.Equal(t, http.StatusOK, response.StatusCode, "the operators' page says the same as the balancer's")
 	assert.Equal(t, http.StatusNotFound, call(t, set, "id-2", "GET", "/nowhere/x", "").status)
 	without := basic(2)
 	without.Accounts = []provider.Account{{Name: "library", Keys: []string{"key-2"}}}
