Count the bytes of the weights' stand-in before the caller can read them

Cause: the stand-in counted a piece after writing it, so a caller that had read the last piece could ask for the count first. It counts first now and takes back what could not be written.

--- a/standin/weights/weights.go
+++ b/standin/weights/weights.go
@@ -162,10 +162,12 @@
 		if s.link != nil && s.link.WaitN(r.Context(), len(piece)) != nil {
 			return
 		}
+		// Counted first: who has read a piece must find it counted.
+		s.sent.Add(int64(len(piece)))
 		if _, err := w.Write(piece); err != nil {
+			s.sent.Add(-int64(len(piece)))
 			return
 		}
-		s.sent.Add(int64(len(piece)))
 	}
 	if fault.Stall {
 		_ = http.NewResponseController(w).Flush()
--- a/standin/weights/weights_test.go
+++ b/standin/weights/weights_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -79,3 +80,26 @@
 	_, _, err = fetch(stalled, url, "bytes=0-29999")
 	require.ErrorIs(t, err, context.Canceled)
 }
+
+// watchingWriter checks, as the caller would, that what it is given was counted.
+type watchingWriter struct {
+	*httptest.ResponseRecorder
+	t       *testing.T
+	server  *Server
+	written int64
+}
+
+func (w *watchingWriter) Write(p []byte) (int, error) {
+	w.written += int64(len(p))
+	assert.GreaterOrEqual(w.t, w.server.SentBytes(), w.written, "bytes reached the caller before they were counted")
+	return w.ResponseRecorder.Write(p)
+}
+
+func TestBytesAreCountedBeforeTheyAreRead(t *testing.T) {
+	s := &Server{}
+	id, err := s.Add(Generate(7, 100_000), 30_000)
+	require.NoError(t, err)
+	w := &watchingWriter{ResponseRecorder: httptest.NewRecorder(), t: t, server: s}
+	s.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/weights/"+id.String(), nil))
+	assert.Equal(t, int64(100_000), w.written)
+}
