--- a/daemon/router/router_test.go
+++ b/daemon/router/router_test.go
@@ -86,7 +86,7 @@
 				before := fault
 				relist := upstreamFunc(func(request *http.Request, connection net.Conn) {
 					s.list(listed)
-					awaitListed(set, "u/good")
+					awaitListed(s, set, "u/good")
 					before(request, connection)
 				})
 				bad.answer.Store(&relist)
@@ -115,10 +115,20 @@
 	}
 }
 
-// awaitListed waits until a router's copy of the store has a key.
-func awaitListed(set settingsRouter, key string) {
-	for range 2000 {
-		if strings.Contains(copyOf(set), `"`+key+`"`) {
+// awaitListed waits until a router chooses by a list that has a key. The copy
+// shows a change before the view of it is compiled, and changes are taken one
+// after the other: once a later change shows, the view of the earlier is there.
+func awaitListed(s *surroundings, set settingsRouter, key string) {
+	awaitCopy(set, `"`+key+`"`)
+	marker := "after/" + key
+	s.put(marker, encodeRecord(provider.Record{}))
+	awaitCopy(set, `"`+marker+`"`)
+}
+
+// awaitCopy waits until a router's copy of the store has a text.
+func awaitCopy(set settingsRouter, text string) {
+	for range 5000 {
+		if strings.Contains(copyOf(set), text) {
 			return
 		}
 		pause()
@@ -188,7 +198,7 @@
 			original := events(3, false, torn)
 			relist := upstreamFunc(func(request *http.Request, connection net.Conn) {
 				s.list(second.record())
-				awaitListed(set, "u/second")
+				awaitListed(s, set, "u/second")
 				original(request, connection)
 			})
 			first.answer.Store(&relist)
@@ -288,7 +298,7 @@
 	record.Leaving = true
 	s.list(record)
 	s.list(staying.record())
-	awaitListed(set, "u/staying")
+	awaitListed(s, set, "u/staying")
 	before := leaving.ran.Load()
 	for i := range 10 {
 		require.Equal(t, http.StatusOK, call(t, set, fmt.Sprintf("id-%d", i), "GET", "/safe/x", "").status)
