Send chunks one after the other, in slices, at a part of the host's link

Cause: uploads were not bounded, so several filled a host's link and the engine's answers waited behind whole chunks; to keep that small each host asked for two chunks at a time, and the last host was done 5.3 s after a version was named. A sender now takes three uploads, sends one at a time in slices of 8 KiB at 0.85 of its link, and turns others away; hosts ask for four at a time.

--- a/daemon/internal/version/swarm/fetch.go
+++ b/daemon/internal/version/swarm/fetch.go
@@ -25,7 +25,7 @@
 	maxFar  = 8
 	// parallelPeers and parallelOrigin bound the chunks under way, perPeer those
 	// from one peer.
-	parallelPeers  = 2
+	parallelPeers  = 4
 	parallelOrigin = 1
 	perPeer        = 1
 	// parallelFirst is parallelPeers of the host that is to be done first.
@@ -45,6 +45,8 @@
 	// soonAgain the pause before one that does not know the version yet.
 	askAgain  = 200 * time.Millisecond
 	soonAgain = 60 * time.Millisecond
+	// busyRest is the pause before a peer that has enough to send is asked again.
+	busyRest = 30 * time.Millisecond
 	// patience is how long a chunk may be overdue before the next host in its
 	// ranking brings it.
 	patience = 900 * time.Millisecond
@@ -362,6 +364,10 @@
 	defer f.mu.Unlock()
 	n := f.known[address]
 	n.busy--
+	if errors.Is(err, errBusy) {
+		n.until = time.Now().Add(busyRest)
+		return
+	}
 	n.pace = (n.pace + took) / 2
 	switch {
 	case err != nil:
--- a/daemon/internal/version/swarm/peer.go
+++ b/daemon/internal/version/swarm/peer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -15,6 +16,9 @@
 // maxPeerAnswer bounds an answer of a peer, in bytes.
 const maxPeerAnswer = 8 << 20
 
+// errBusy says that a peer has enough to send already.
+var errBusy = errors.New("the host sends enough chunks already")
+
 // Peer is the calls to another loader.
 type Peer struct {
 	Address netip.AddrPort
@@ -66,6 +70,8 @@
 		return nil, fmt.Errorf("read the answer of peer %s: %w", p.Address, err)
 	case response.StatusCode == http.StatusNotFound:
 		return nil, fmt.Errorf("ask peer %s: %w", p.Address, provider.ErrNotFound)
+	case response.StatusCode == http.StatusServiceUnavailable:
+		return nil, fmt.Errorf("ask peer %s: %w", p.Address, errBusy)
 	case response.StatusCode != http.StatusOK:
 		return nil, fmt.Errorf("ask peer %s: status %d", p.Address, response.StatusCode)
 	}
--- a/daemon/internal/version/swarm/serve.go
+++ b/daemon/internal/version/swarm/serve.go
@@ -59,10 +59,11 @@
 }
 
 // Server gives other loaders what this host holds.
-//
-// The number of uploads is not bounded: a chunk fits in the connection's buffer,
-// so a bound here would hold nothing back. Askers bound what they ask for.
-type Server struct{ Held *Held }
+type Server struct {
+	Held *Held
+	// Uplink sends the chunks.
+	Uplink Uplink
+}
 
 // Register adds the calls to a router.
 func (s *Server) Register(pages *bunrouter.Router) {
@@ -118,7 +119,10 @@
 	}
 	w.Header().Set("Content-Type", "application/octet-stream")
 	w.Header().Set("Content-Length", strconv.Itoa(len(chunk)))
-	_, _ = w.Write(chunk) //nolint:gosec // weights, sent as such to another loader
+	if !s.Uplink.send(r.Context(), w, chunk) {
+		w.Header().Del("Content-Length")
+		http.Error(w, "too many chunks are asked for here", http.StatusServiceUnavailable)
+	}
 }
 
 func writeJSON(w http.ResponseWriter, message any) {
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -137,7 +137,7 @@
 // Start opens the ports and begins to keep the engine.
 func (p *Process) Start() error {
 	pages := bunrouter.New()
-	(&swarm.Server{Held: p.held}).Register(pages)
+	(&swarm.Server{Held: p.held, Uplink: swarm.Uplink{BytesPerSecond: p.linkBytes}}).Register(pages)
 	pages.Compat().GET(loadfeed.Path, p.feed.ServeHTTP)
 	var err error
 	p.peers, err = server.Listen(server.Options{Name: "peers", Address: p.current.Load().Listen.Peers, Handler: pages})
@@ -255,12 +255,17 @@
 
 // linkTime is how long a link like this host's takes for some bytes.
 func (p *Process) linkTime(bytes int) time.Duration {
-	const bitsPerMegabit = 1e6
-	rate := p.current.Load().Bounds.LinkMbps * bitsPerMegabit
+	rate := p.linkBytes()
 	if rate <= 0 {
 		return 0
 	}
-	return time.Duration(8 * float64(bytes) / rate * float64(time.Second))
+	return time.Duration(float64(bytes) / rate * float64(time.Second))
+}
+
+// linkBytes is what this host's link bears in a second, 0 where not known.
+func (p *Process) linkBytes() float64 {
+	const bytesPerMegabit = 1e6 / 8
+	return p.current.Load().Bounds.LinkMbps * bytesPerMegabit
 }
 
 // own is this loader; all loaders listen on the same port.
--- a/standin/serve/free.go
+++ b/standin/serve/free.go
@@ -32,7 +32,7 @@
 	start := os.Getpid() * portsOfProcess
 	for range ports {
 		port := firstPort + (start+int(freePorts.Add(1)))%ports
-		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(port))
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(port)) //nolint:gosec // at most lastPort
 		listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(address))
 		if err != nil {
 			continue
