Spread requests by chance among equals, cut what still runs at an order, widen the turns

All routers are told the same loads, some ten milliseconds old, and all chose the one upstream that ran least until the next news: a third of the streams were late for their first event while half of the engines had nothing to read. Requests that run no longer count before the places are taken, and equals are drawn by chance. Shown by a test with 200 routers. 2. An engine that waited for its longest stream served next to nothing for two seconds; now it is ordered when two requests or less run, or after 0.8 s, and what runs goes on elsewhere. Only where every route allows it. 3. Turns lay within 0.35 of the time of a version; now 0.43.

--- a/daemon/internal/process/balance/balance.go
+++ b/daemon/internal/process/balance/balance.go
@@ -7,6 +7,12 @@
 // with its share. A hard ejection was rejected: a sound upstream of one service
 // fails one request in seven, and an ejection cannot tell that from a bad one
 // without a long history.
+//
+// What upstreams tell is some ten milliseconds old and the same for all routers.
+// A finer measure of it than "a request waits there" sends all routers to the
+// one upstream that looks best until the next news, so requests that run do not
+// count before the places are taken, and the rest is left to chance. Measured
+// in docs/ROUTING.md.
 package balance
 
 import (
@@ -128,7 +134,7 @@
 		if !s.fits(candidate, query, now) {
 			continue
 		}
-		score := s.score(candidate, now) + rand.Float64()*0.5
+		score := s.score(candidate, now) + rand.Float64()*chance
 		if query.Preferred > 0 && s.holds(candidate, query.Model, now) < query.Preferred {
 			score += oldScore
 		}
@@ -200,6 +206,10 @@
 	}
 }
 
+// chance bounds what is added at random to a score, in requests: upstreams at
+// which as many requests wait are alike.
+const chance = 1.0
+
 // oldScore is what an upstream with a version that is about to be outdated
 // counts more, in requests.
 const oldScore = 6.0
@@ -238,6 +248,15 @@
 	return s != nil && s.silent(time.Now())
 }
 
+// Loading reports whether the host of an upstream has told that it takes a new
+// version, or is about to: what breaks off there is no fault of the upstream.
+func (p *Pool) Loading(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.states[id]
+	return s != nil && s.told.Loading && time.Since(s.toldAt) <= toldFor
+}
+
 // referencePlaces scales loads of upstreams of different sizes.
 const referencePlaces = 16
 
@@ -245,9 +264,8 @@
 const toldFor = 800 * time.Millisecond
 
 // load is how long a request is likely to wait for its first byte, in requests
-// ahead of it. Those that wait count whole, because an engine reads their
-// prompts first; those that run only make its steps a little longer, until all
-// places are taken.
+// ahead of it. Those that wait count, because an engine reads their prompts
+// first; those that run do not, until all places are taken.
 func (s *state) load(candidate *provider.Upstream, now time.Time) float64 {
 	if now.Sub(s.toldAt) > toldFor {
 		if candidate.Places == 0 {
@@ -258,16 +276,12 @@
 	waiting := float64(s.told.Waiting + s.sentSince)
 	total := waiting + float64(s.told.Running)
 	beyond := max(0, total+1-float64(candidate.Places))
-	return waiting + runningWeight*float64(s.told.Running) + beyondWeight*beyond
+	return waiting + beyondWeight*beyond
 }
 
-const (
-	// runningWeight is what a running request counts beside a waiting one.
-	runningWeight = 0.15
-	// beyondWeight is what a request beyond the places counts: it waits for
-	// another to end.
-	beyondWeight = 3.0
-)
+// beyondWeight is what a request beyond the places counts: it waits for another
+// to end.
+const beyondWeight = 3.0
 
 // Tell takes what an upstream's host says of it.
 func (p *Pool) Tell(id string, told Told) {
--- a/daemon/internal/process/balance/balance_test.go
+++ b/daemon/internal/process/balance/balance_test.go
@@ -107,6 +107,39 @@
 	}
 }
 
+// TestRoutersDoNotFollowOneAnother: many routers are told the same, that some
+// upstreams run more than others, and must not all choose the same one until
+// the next news.
+func TestRoutersDoNotFollowOneAnother(t *testing.T) {
+	const routers, upstreamCount = 200, 20
+	candidates := upstreams(upstreamCount)
+	counts := map[string]int{}
+	for range routers {
+		pool := &balance.Pool{}
+		for i, candidate := range candidates {
+			pool.Tell(candidate.ID, balance.Told{Running: i % 8, Models: candidate.Models})
+		}
+		choice, ok := pool.Choose(candidates, balance.Query{Model: "m"})
+		require.True(t, ok)
+		counts[choice.Upstream.ID]++
+	}
+	const fair = routers / upstreamCount
+	for id, count := range counts {
+		assert.Less(t, count, 4*fair, id)
+	}
+}
+
+// TestLoadingIsToldForAWhile: what breaks off at an upstream that loads is no
+// fault of it.
+func TestLoadingIsToldForAWhile(t *testing.T) {
+	pool := &balance.Pool{}
+	assert.False(t, pool.Loading("u0"), "unknown")
+	pool.Tell("u0", balance.Told{})
+	assert.False(t, pool.Loading("u0"))
+	pool.Tell("u0", balance.Told{Loading: true})
+	assert.True(t, pool.Loading("u0"))
+}
+
 func TestToldLoadCounts(t *testing.T) {
 	pool := &balance.Pool{}
 	candidates := upstreams(3)
--- a/daemon/internal/request/dispatch/stream.go
+++ b/daemon/internal/request/dispatch/stream.go
@@ -38,7 +38,7 @@
 			q.end(EndServed, http.StatusOK, "")
 			return true
 		}
-		choice.Done(q.outcomeOf(exchange.Unknown))
+		choice.Done(q.brokenOff(choice))
 		q.amendTry(err)
 		choice, response = s.goOn(ctx) //nolint:bodyclose // copy closes each body
 		if response == nil {
@@ -47,6 +47,14 @@
 	}
 }
 
+// brokenOff is what a stream that broke off says of its upstream.
+func (q *request) brokenOff(choice balance.Choice) balance.Outcome {
+	if q.Pool.Loading(choice.Upstream.ID) {
+		return balance.Abandoned
+	}
+	return q.outcomeOf(exchange.Unknown)
+}
+
 // callersLast is the event after which the caller asks to go on.
 func (q *request) callersLast() (int64, bool) {
 	id, err := strconv.ParseInt(q.Header.Get(q.Headers.LastEvent), 10, 64)
--- a/daemon/internal/version/keep/keep.go
+++ b/daemon/internal/version/keep/keep.go
@@ -40,6 +40,11 @@
 	// sent, and clearMost the longest that an order waits for what waits.
 	clearLeast = 200 * time.Millisecond
 	clearMost  = 2 * time.Second
+	// cutRunning is how many running requests an order may cut at once, and
+	// cutAfter when it cuts all that still run: most streams end before, and an
+	// engine that waits for the longest serves next to nothing meanwhile.
+	cutRunning = 2
+	cutAfter   = 800 * time.Millisecond
 	// fetchMost is the longest that a fetch is not given up for a newer version.
 	fetchMost = 6 * time.Second
 	// orderAgain is the time after an order in which its effect must show in
@@ -55,6 +60,9 @@
 	Fence provider.Revision
 	// Turn is when an engine that serves an older version may be ordered.
 	Turn time.Time
+	// Cut says that requests that run may be cut by the order, because they can
+	// go on elsewhere.
+	Cut bool
 }
 
 // Plan is what a loader knows of its part of the fleet.
@@ -180,7 +188,14 @@
 		return false
 	}
 	waited := now.Sub(k.clearing)
-	return waited > clearMost || waited > clearLeast && report.Waiting == 0
+	switch {
+	case waited > clearMost:
+		return true
+	case waited <= clearLeast || report.Waiting > 0:
+		return false
+	default:
+		return !goal.Cut || report.Running <= cutRunning || waited > cutAfter
+	}
 }
 
 // Clearing reports whether the engine is to get no new requests because an
@@ -441,10 +456,10 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	result, err := k.Engine.Start(ctx, k.Address, provider.Order{
-		Model: goal.Model, Version: goal.Version, Fence: goal.Fence, Sequence: report.Sequence,
+		Model: goal.Model, Version: goal.Version, Fence: goal.Fence, Sequence: report.Sequence, Cut: goal.Cut,
 	})
 	k.ordered = time.Now()
 	k.clearing = time.Time{}
-	reason := fmt.Sprintf("holds version %d, order %s", holds(report), result)
+	reason := fmt.Sprintf("holds version %d, %d requests run, cut %t, order %s", holds(report), report.Running, goal.Cut, result)
 	k.OnStep(Step{Name: "order", Version: goal.Version, Reason: reason, Err: err, Took: time.Since(started)})
 }
--- a/daemon/internal/version/keep/keep_test.go
+++ b/daemon/internal/version/keep/keep_test.go
@@ -46,7 +46,10 @@
 	held     int
 	sequence uint64
 	waiting  int
+	running  int
 	orders   int
+	// cut is how many running requests orders have cut.
+	cut int
 	// loseAnswers is how many orders are taken without an answer.
 	loseAnswers int
 	// cleared is set once a report came while the routers were told to send
@@ -59,7 +62,7 @@
 		Report: func(context.Context, netip.AddrPort) (provider.EngineReport, error) {
 			e.mu.Lock()
 			defer e.mu.Unlock()
-			report := provider.EngineReport{Sequence: e.sequence, Waiting: e.waiting}
+			report := provider.EngineReport{Sequence: e.sequence, Waiting: e.waiting, Running: e.running}
 			if e.held > 0 {
 				report.Models = []provider.Loaded{{Model: "m", Version: e.held}}
 			}
@@ -93,6 +96,9 @@
 		assert.Equal(e.t, chunkOf(order.Version, index), e.staged[index], "ordered to take what is not whole")
 	}
 	assert.Zero(e.t, e.waiting, "ordered while requests wait")
+	if order.Cut {
+		e.cut += e.running
+	}
 	e.held = order.Version
 	e.sequence++
 	e.orders++
@@ -187,6 +193,47 @@
 	await(t, "version 2", func() bool { return e.version() == 2 })
 }
 
+// TestFewRunningRequestsAreCut: an order that may cut waits until few requests
+// run, and one that may not cuts none.
+func TestFewRunningRequestsAreCut(t *testing.T) {
+	tests := []struct {
+		name         string
+		mayCut       bool
+		running, cut int
+	}{
+		{"few", true, 2, 2},
+		{"few, but they cannot go on elsewhere", false, 2, 0},
+		{"many, after a while", true, 9, 9},
+		{"many, but they cannot go on elsewhere", false, 9, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			e := &engine{t: t, staged: map[int][]byte{}, held: 1, running: test.running}
+			next := goal(2, time.Now().Add(-time.Second))
+			next.Cut = test.mayCut
+			k := start(t, e, func() keep.Plan { return planOf(next) })
+			await(t, "version 2", func() bool { return e.version() == 2 })
+			k.Stop()
+			assert.Equal(t, test.cut, e.cut)
+		})
+	}
+}
+
+// TestManyRunningRequestsAreGivenTime: the order comes as soon as few run.
+func TestManyRunningRequestsAreGivenTime(t *testing.T) {
+	e := &engine{t: t, staged: map[int][]byte{}, held: 1, running: 9}
+	next := goal(2, time.Now().Add(-time.Second))
+	next.Cut = true
+	k := start(t, e, func() keep.Plan { return planOf(next) })
+	await(t, "routers are told", e.cleared.Load)
+	e.mu.Lock()
+	e.running = 1
+	e.mu.Unlock()
+	await(t, "version 2", func() bool { return e.version() == 2 })
+	k.Stop()
+	assert.Equal(t, 1, e.cut)
+}
+
 func TestLostAnswerIsNoSecondLoad(t *testing.T) {
 	e := &engine{t: t, staged: map[int][]byte{}, loseAnswers: 1}
 	k := start(t, e, func() keep.Plan { return planOf(goal(2, time.Time{})) })
--- a/daemon/internal/version/swarm/fetch.go
+++ b/daemon/internal/version/swarm/fetch.go
@@ -364,7 +364,7 @@
 	defer f.mu.Unlock()
 	n := f.known[address]
 	n.busy--
-	if errors.Is(err, errBusy) {
+	if IsBusy(err) {
 		n.until = time.Now().Add(busyRest)
 		return
 	}
--- a/daemon/internal/version/swarm/peer.go
+++ b/daemon/internal/version/swarm/peer.go
@@ -19,6 +19,10 @@
 // errBusy says that a peer has enough to send already.
 var errBusy = errors.New("the host sends enough chunks already")
 
+// IsBusy reports whether a peer turned a question away because it sends enough
+// chunks already.
+func IsBusy(err error) bool { return errors.Is(err, errBusy) }
+
 // Peer is the calls to another loader.
 type Peer struct {
 	Address netip.AddrPort
--- a/daemon/internal/version/swarm/serve_test.go
+++ b/daemon/internal/version/swarm/serve_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -103,3 +104,71 @@
 	assert.NotNil(t, held.Get(3))
 	assert.NotNil(t, held.Get(5))
 }
+
+// TestUploadsBeyondAFewAreTurnedAway: the asker hears so at once and asks another
+// host; nothing is lost when the uploads under way are done.
+func TestUploadsBeyondAFewAreTurnedAway(t *testing.T) {
+	data, manifest := sample(2, 9)
+	c := swarm.NewCopy(manifest)
+	require.NoError(t, c.Put(1, data[1]))
+	held := &swarm.Held{}
+	held.Add(c)
+	pages := bunrouter.New()
+	entered, goOn := make(chan struct{}, 8), make(chan struct{})
+	slow := func() float64 { // called for each slice, before it is written
+		entered <- struct{}{}
+		<-goOn
+		return 0
+	}
+	(&swarm.Server{Held: held, Uplink: swarm.Uplink{BytesPerSecond: slow}}).Register(pages)
+	server := httptest.NewServer(pages)
+	t.Cleanup(server.Close)
+	peer := swarm.Peer{Address: netip.MustParseAddrPort(server.Listener.Addr().String()), Client: server.Client()}
+
+	results := make(chan error, 3)
+	for range 3 {
+		go func() {
+			_, err := peer.Chunk(context.Background(), 2, 1)
+			results <- err
+		}()
+	}
+	<-entered // one is being sent, and two wait for it or are on their way
+	require.Eventually(t, func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		_, err := peer.Chunk(ctx, 2, 1)
+		return swarm.IsBusy(err)
+	}, 10*time.Second, time.Millisecond)
+	close(goOn)
+	served := 0
+	for range 3 {
+		if err := <-results; err == nil {
+			served++
+		}
+	}
+	assert.Positive(t, served)
+	_, err := peer.Chunk(context.Background(), 2, 1)
+	require.NoError(t, err, "a place is free again")
+}
+
+// TestChunksTakeAPartOfTheLink: a chunk is written in slices, none before the
+// link has sent the one before.
+func TestChunksTakeAPartOfTheLink(t *testing.T) {
+	const bytesPerSecond, chunkBytes = 400e3, 24 << 10
+	chunk := []byte(strings.Repeat("x", chunkBytes))
+	c := swarm.NewCopy(provider.Manifest{Version: 2, ChunkBytes: chunkBytes, Digests: [][32]byte{sha256.Sum256(chunk)}})
+	require.NoError(t, c.Put(0, chunk))
+	held := &swarm.Held{}
+	held.Add(c)
+	pages := bunrouter.New()
+	(&swarm.Server{Held: held, Uplink: swarm.Uplink{BytesPerSecond: func() float64 { return bytesPerSecond }}}).Register(pages)
+	server := httptest.NewServer(pages)
+	t.Cleanup(server.Close)
+	peer := swarm.Peer{Address: netip.MustParseAddrPort(server.Listener.Addr().String()), Client: server.Client()}
+	started := time.Now()
+	got, err := peer.Chunk(context.Background(), 2, 0)
+	require.NoError(t, err)
+	assert.Equal(t, chunk, got)
+	// The last third is written when the link has sent the first two.
+	assert.Greater(t, time.Since(started).Seconds(), chunkBytes*2/3/bytesPerSecond)
+}
--- a/daemon/internal/version/swarm/uplink.go
+++ b/daemon/internal/version/swarm/uplink.go
@@ -81,7 +81,7 @@
 		chunk = chunk[len(slice):]
 		u.await(ctx, len(slice))
 		_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
-		if _, err := w.Write(slice); err != nil {
+		if _, err := w.Write(slice); err != nil { //nolint:gosec // weights, sent as such to another loader
 			return true
 		}
 		_ = control.Flush()
--- a/daemon/internal/version/turn/turn.go
+++ b/daemon/internal/version/turn/turn.go
@@ -18,7 +18,7 @@
 	// which turns lie: before the first the chunks are on their way, and what
 	// is after the last is for the load itself.
 	firstPart = 0.45
-	lastPart  = 0.80
+	lastPart  = 0.88
 )
 
 // Window is the time in which the turns of a version lie.
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -96,6 +96,8 @@
 type weights struct {
 	engine provider.EngineSpec
 	origin netip.AddrPort
+	// resumable says that all requests for the engine may go on elsewhere.
+	resumable bool
 }
 
 // New prepares a loader; Start runs it.
@@ -198,6 +200,7 @@
 			found.origin = service.Origin
 		}
 	}
+	found.resumable = resumable(record.Configuration.Routes, p.current.Load().Service)
 	if found.engine.Model == "" || !found.origin.IsValid() {
 		return errNoEngine
 	}
@@ -209,6 +212,19 @@
 	return nil
 }
 
+// resumable reports whether every route to a service is one whose requests may
+// go on, or run again, at another upstream.
+func resumable(routes []provider.Route, service string) bool {
+	for _, route := range routes {
+		leads := slices.ContainsFunc(route.Shares, func(share provider.Share) bool { return share.Service == service })
+		again := route.Mode == provider.ModeSafe || route.Mode == provider.ModeStream && route.Resumable
+		if leads && (!again || route.MaxAttempts < 2) {
+			return false
+		}
+	}
+	return true
+}
+
 // plan says what an engine that holds some version should hold.
 func (p *Process) plan(held int) (keep.Plan, bool) {
 	known := p.weights.Load()
@@ -240,7 +256,12 @@
 	}
 	window := turn.NewWindow(declared.Since(apply), apply, due)
 	place, hosts := p.place(declared.Model, declared.Version)
-	return keep.Goal{Model: declared.Model, Version: declared.Version, Fence: p.table.Newest(), Turn: window.Of(place, hosts)}
+	known := p.weights.Load()
+	return keep.Goal{
+		Model: declared.Model, Version: declared.Version, Fence: p.table.Newest(), Turn: window.Of(place, hosts),
+		// The first hosts are ordered as early as can be, so they cut nothing.
+		Cut: known != nil && known.resumable && place >= firstHosts,
+	}
 }
 
 // firstHosts is how many hosts are to be done with a version before the others:
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -55,8 +55,8 @@
 	// versionGrace is the part of the time for a new version in which older ones
 	// still get requests; what waits in an upstream's queue needs the rest. After
 	// versionPreferred they get them only where newer ones are loaded.
-	versionGrace     = 0.85
-	versionPreferred = 0.75
+	versionGrace     = 0.90
+	versionPreferred = 0.84
 	// maxHeaderBytes bounds a caller's headers.
 	maxHeaderBytes = 64 << 10
 )
