--- a/daemon/internal/connection/loadfeed/loadfeed.go
+++ b/daemon/internal/connection/loadfeed/loadfeed.go
@@ -26,7 +26,7 @@
 
 const (
 	// linePause is the time within which changes are told together.
-	linePause = 20 * time.Millisecond
+	linePause = 8 * time.Millisecond
 	// reopen bounds the pause before a feed is opened again, drawn at random.
 	reopen = 500 * time.Millisecond
 )
--- a/daemon/internal/process/balance/balance.go
+++ b/daemon/internal/process/balance/balance.go
@@ -64,6 +64,10 @@
 
 // Pool holds the state of upstreams by id. The zero value is ready to use.
 type Pool struct {
+	// Hall is this process's own data hall: upstreams elsewhere are taken when
+	// those of the hall are busier, "" for no difference.
+	Hall string
+
 	mu     sync.Mutex
 	states map[string]*state
 	swept  time.Time
@@ -117,6 +121,13 @@
 	InFlight   int
 	Score      float64
 	Candidates int
+	// Waiting is how many requests are read before this one, and Beyond how many
+	// must end first, as far as the upstream's host has told of late; 0 where it
+	// has not.
+	Waiting, Beyond int
+	// Running is how many requests the host told of last, Age how long ago.
+	Running int
+	Age     time.Duration
 
 	pool *Pool
 }
@@ -138,6 +149,9 @@
 		if query.Preferred > 0 && s.holds(candidate, query.Model, now) < query.Preferred {
 			score += oldScore
 		}
+		if p.Hall != "" && candidate.Hall != p.Hall {
+			score += farScore
+		}
 		best.Candidates++
 		if score < best.Score {
 			best.Upstream, best.Score, best.InFlight = candidate, score, s.inFlight
@@ -147,6 +161,8 @@
 		return Choice{}, false
 	}
 	chosen := p.states[best.Upstream.ID]
+	best.Waiting, best.Beyond = chosen.ahead(best.Upstream, now)
+	best.Running, best.Age = chosen.told.Running, now.Sub(chosen.toldAt)
 	chosen.inFlight++
 	chosen.sentSince++
 	best.Version = chosen.holds(best.Upstream, query.Model, now)
@@ -210,6 +226,11 @@
 // which as many requests wait are alike.
 const chance = 1.0
 
+// farScore is what an upstream in another hall counts more, in requests. It
+// keeps most requests and answers within their hall, and lets routers of
+// different halls follow the same news to different upstreams.
+const farScore = 0.7
+
 // oldScore is what an upstream with a version that is about to be outdated
 // counts more, in requests.
 const oldScore = 6.0
@@ -273,10 +294,23 @@
 		}
 		return float64(s.inFlight) * referencePlaces / float64(candidate.Places)
 	}
-	waiting := float64(s.told.Waiting + s.sentSince)
-	total := waiting + float64(s.told.Running)
-	beyond := max(0, total+1-float64(candidate.Places))
-	return waiting + beyondWeight*beyond
+	waiting, beyond := s.ahead(candidate, now)
+	return float64(waiting) + beyondWeight*float64(beyond)
+}
+
+// keptFree is how many places are counted as taken already: by requests that
+// other routers send before this one hears of them.
+const keptFree = 2
+
+// ahead is how many requests are read before the next one, and how many must
+// end first for want of places, by what the upstream's host told; 0 where it
+// told nothing of late.
+func (s *state) ahead(candidate *provider.Upstream, now time.Time) (waiting, beyond int) {
+	if now.Sub(s.toldAt) > toldFor {
+		return 0, 0
+	}
+	waiting = s.told.Waiting + s.sentSince
+	return waiting, max(0, s.told.Running+waiting+1+keptFree-candidate.Places)
 }
 
 // beyondWeight is what a request beyond the places counts: it waits for another
--- a/daemon/internal/process/balance/balance_test.go
+++ b/daemon/internal/process/balance/balance_test.go
@@ -140,6 +140,48 @@
 	assert.True(t, pool.Loading("u0"))
 }
 
+// TestOwnHallGoesFirst while its upstreams are not busier.
+func TestOwnHallGoesFirst(t *testing.T) {
+	candidates := upstreams(4)
+	candidates[0].Hall, candidates[1].Hall = "own", "own"
+	candidates[2].Hall, candidates[3].Hall = "other", "other"
+	chosen := func(tell func(*balance.Pool)) (own int) {
+		for range 200 {
+			pool := &balance.Pool{Hall: "own"}
+			for _, candidate := range candidates {
+				pool.Tell(candidate.ID, balance.Told{Models: candidate.Models})
+			}
+			tell(pool)
+			choice, ok := pool.Choose(candidates, balance.Query{Model: "m"})
+			require.True(t, ok)
+			if choice.Upstream.Hall == "own" {
+				own++
+			}
+		}
+		return own
+	}
+	assert.Greater(t, chosen(func(*balance.Pool) {}), 150)
+	assert.Less(t, chosen(func(pool *balance.Pool) {
+		pool.Tell("u0", balance.Told{Waiting: 3, Models: candidates[0].Models})
+		pool.Tell("u1", balance.Told{Waiting: 3, Models: candidates[1].Models})
+	}), 50)
+}
+
+// TestChoiceSaysWhatIsAhead, by what was told of late and the own sends since.
+func TestChoiceSaysWhatIsAhead(t *testing.T) {
+	candidates := upstreams(1)
+	pool := &balance.Pool{}
+	choice, ok := pool.Choose(candidates, balance.Query{Model: "m"})
+	require.True(t, ok)
+	assert.Zero(t, choice.Waiting+choice.Beyond, "nothing was told")
+	pool.Tell("u0", balance.Told{Running: 15, Waiting: 1, Models: candidates[0].Models})
+	first, _ := pool.Choose(candidates, balance.Query{Model: "m"})
+	second, _ := pool.Choose(candidates, balance.Query{Model: "m"})
+	assert.Equal(t, []int{1, 2}, []int{first.Waiting, second.Waiting})
+	assert.Equal(t, first.Beyond+1, second.Beyond)
+	assert.Equal(t, 15, first.Running)
+}
+
 func TestToldLoadCounts(t *testing.T) {
 	pool := &balance.Pool{}
 	candidates := upstreams(3)
--- a/daemon/internal/request/dispatch/dispatch.go
+++ b/daemon/internal/request/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -30,6 +31,7 @@
 	Client  *exchange.Client
 	Pool    *balance.Pool
 	Budget  *Budget
+	Pace    *Pace
 	// View returns what is in force, Stale whether it may be out of date.
 	View  func() *mirror.View
 	Stale func() bool
@@ -68,6 +70,12 @@
 	Version    int           `json:"version,omitempty"`
 	InFlight   int           `json:"inFlight"`
 	Candidates int           `json:"candidates"`
+	// Waiting, Beyond and Running are the load that the upstream was chosen by,
+	// of all routers, and Age how old that was.
+	Waiting int           `json:"waiting"`
+	Beyond  int           `json:"beyond"`
+	Running int           `json:"running"`
+	Age     time.Duration `json:"age"`
 }
 
 // Ending is how a request ended for its caller.
@@ -122,9 +130,9 @@
 // run sends the request until it has an answer.
 func (q *request) run(ctx context.Context) {
 	for {
-		choice, result, ok := q.try(ctx, "")
-		if !ok {
-			q.refuse("no upstream is fit")
+		choice, result, err := q.try(ctx, "")
+		if err != nil {
+			q.refuse(err.Error())
 			return
 		}
 		if result.Fate == exchange.Answered {
@@ -148,15 +156,25 @@
 	}
 }
 
-// try chooses an upstream and sends the request there. It reports false where
-// there is none. lastEvent is the event after which a stream goes on.
-func (q *request) try(ctx context.Context, lastEvent string) (balance.Choice, exchange.Result, bool) {
+var (
+	errNoneFit    = errors.New("no upstream is fit")
+	errOverloaded = errors.New("every upstream is so loaded that the answer would be late")
+)
+
+// try chooses an upstream and sends the request there. Where there is none, or
+// none that could begin in time, it sends nothing and returns why. lastEvent is
+// the event after which a stream goes on.
+func (q *request) try(ctx context.Context, lastEvent string) (balance.Choice, exchange.Result, error) {
 	query := q.query()
 	// The newest view counts here: an upstream may have left since the request
 	// came in.
 	choice, ok := q.Pool.Choose(q.View().Upstreams[q.service.Name], query)
 	if !ok {
-		return choice, exchange.Result{}, false
+		return choice, exchange.Result{}, errNoneFit
+	}
+	if q.overloaded(choice) {
+		choice.Done(balance.Abandoned)
+		return choice, exchange.Result{}, fmt.Errorf("%w: at the best, %s, %d wait and %d must end first", errOverloaded, choice.Upstream.ID, choice.Waiting, choice.Beyond)
 	}
 	expected := 0
 	if query.Version > 0 {
@@ -178,9 +196,34 @@
 	if result.Fate != exchange.Answered {
 		choice.Done(q.outcomeOf(result.Fate))
 	}
-	return choice, result, true
+	return choice, result, nil
 }
 
+// overloaded reports whether a request that was not sent yet would wait so long
+// at the best upstream that its first byte would be late. Refused at once it may
+// come back in time; let in it would be late itself and delay others. A request
+// that was sent before is not refused: what was done for it would be lost.
+func (q *request) overloaded(choice balance.Choice) bool {
+	if q.service.Engine == nil || q.sent > 0 || q.route.Objective <= 0 || choice.Upstream.Places == 0 {
+		return false
+	}
+	read := time.Duration(0)
+	if rate := q.service.Engine.PromptRate; rate > 0 {
+		read = time.Duration(usualPrompt / rate * float64(time.Second))
+	}
+	free := q.Pace.Occupied(q.service.Name) / time.Duration(choice.Upstream.Places)
+	wait := time.Duration(choice.Waiting)*read + time.Duration(choice.Beyond)*free
+	return wait > time.Duration(waitShare*float64(q.route.Objective))
+}
+
+const (
+	// waitShare is the part of a route's objective that a request may wait
+	// before it begins.
+	waitShare = 0.2
+	// usualPrompt stands for the prompts that wait, in tokens.
+	usualPrompt = 900.0
+)
+
 const (
 	// headPatience is how long the head of an answer may take before the
 	// request is tried elsewhere, and silentPatience the same where the
@@ -294,6 +337,7 @@
 	try := Try{
 		Upstream: choice.Upstream.ID, At: started.Sub(q.story.Started), Took: time.Since(started), Fate: result.Fate.String(),
 		Version: choice.Version, InFlight: choice.InFlight, Candidates: choice.Candidates,
+		Waiting: choice.Waiting, Beyond: choice.Beyond, Running: choice.Running, Age: choice.Age,
 	}
 	if result.Err != nil {
 		try.Cause = result.Err.Error()
--- a/daemon/internal/request/dispatch/stream.go
+++ b/daemon/internal/request/dispatch/stream.go
@@ -35,6 +35,7 @@
 			if !s.headSent {
 				s.sendHead(response)
 			}
+			s.Pace.Ended(s.service.Name, time.Since(s.story.FirstByte))
 			q.end(EndServed, http.StatusOK, "")
 			return true
 		}
@@ -134,8 +135,8 @@
 		if s.hasLast {
 			lastEvent = strconv.FormatInt(s.last, 10)
 		}
-		choice, result, ok := s.try(ctx, lastEvent)
-		if !ok {
+		choice, result, err := s.try(ctx, lastEvent)
+		if err != nil {
 			break
 		}
 		if result.Fate != exchange.Answered {
--- a/daemon/internal/version/keep/keep.go
+++ b/daemon/internal/version/keep/keep.go
@@ -26,7 +26,7 @@
 
 const (
 	// roundEvery is the interval of rounds.
-	roundEvery = 50 * time.Millisecond
+	roundEvery = 20 * time.Millisecond
 	// callTimeout bounds a call to the engine on this host.
 	callTimeout = time.Second
 	// manifestTimeout bounds a call for a manifest, manifestPatience the time in
--- a/daemon/internal/version/swarm/fetch.go
+++ b/daemon/internal/version/swarm/fetch.go
@@ -32,7 +32,7 @@
 	parallelFirst = 6
 	// originAhead is how many chunks are asked of the origin at the same time
 	// while it keeps its pace.
-	originAhead = 5
+	originAhead = 12
 	// chunkTimeout bounds one chunk.
 	chunkTimeout = 2 * time.Second
 	// peerSilence is how long a peer may be silent before it is not counted as
@@ -284,7 +284,7 @@
 	ctx, cancel := context.WithTimeout(ctx, chunkTimeout)
 	defer cancel()
 	started := time.Now()
-	chunk, err := Peer{Address: address, Client: f.Client}.Chunk(ctx, f.Copy.Manifest.Version, index)
+	chunk, err := Peer{Address: address, Client: f.Client, Urgent: f.First}.Chunk(ctx, f.Copy.Manifest.Version, index)
 	if err == nil {
 		err = f.Copy.Put(index, chunk)
 	}
--- a/daemon/internal/version/swarm/peer.go
+++ b/daemon/internal/version/swarm/peer.go
@@ -27,6 +27,8 @@
 type Peer struct {
 	Address netip.AddrPort
 	Client  *http.Client
+	// Urgent asks for chunks before all others.
+	Urgent bool
 }
 
 // Follow calls onHave with which chunks the peer has, at each change, until the
@@ -55,7 +57,11 @@
 
 // Chunk asks for a chunk; its bytes are not checked here.
 func (p Peer) Chunk(ctx context.Context, version, index int) ([]byte, error) {
-	return p.get(ctx, fmt.Sprintf("%s?version=%d&index=%d", chunkPath, version, index))
+	path := fmt.Sprintf("%s?version=%d&index=%d", chunkPath, version, index)
+	if p.Urgent {
+		path += "&" + urgentQuery
+	}
+	return p.get(ctx, path)
 }
 
 func (p Peer) get(ctx context.Context, path string) ([]byte, error) {
--- a/daemon/internal/version/swarm/serve.go
+++ b/daemon/internal/version/swarm/serve.go
@@ -19,6 +19,10 @@
 	chunkPath    = "/chunk"
 )
 
+// urgentQuery asks for a chunk before others, for the hosts that are to have a
+// version first.
+const urgentQuery = "urgent"
+
 const (
 	// nearPause and farPause are the times within which new chunks are told
 	// together, to hosts of the own hall and of others.
@@ -119,7 +123,7 @@
 	}
 	w.Header().Set("Content-Type", "application/octet-stream")
 	w.Header().Set("Content-Length", strconv.Itoa(len(chunk)))
-	if !s.Uplink.send(r.Context(), w, chunk) {
+	if !s.Uplink.send(r.Context(), w, chunk, r.URL.Query().Has(urgentQuery)) {
 		w.Header().Del("Content-Length")
 		http.Error(w, "too many chunks are asked for here", http.StatusServiceUnavailable)
 	}
--- a/daemon/internal/version/swarm/serve_test.go
+++ b/daemon/internal/version/swarm/serve_test.go
@@ -125,8 +125,9 @@
 	t.Cleanup(server.Close)
 	peer := swarm.Peer{Address: netip.MustParseAddrPort(server.Listener.Addr().String()), Client: server.Client()}
 
-	results := make(chan error, 3)
-	for range 3 {
+	const taken = 3 // one that is sent, two that wait
+	results := make(chan error, taken)
+	for range taken {
 		go func() {
 			_, err := peer.Chunk(context.Background(), 2, 1)
 			results <- err
@@ -141,7 +142,7 @@
 	}, 10*time.Second, time.Millisecond)
 	close(goOn)
 	served := 0
-	for range 3 {
+	for range taken {
 		if err := <-results; err == nil {
 			served++
 		}
--- a/daemon/internal/version/swarm/uplink.go
+++ b/daemon/internal/version/swarm/uplink.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,9 +16,9 @@
 	uplinkShare = 0.85
 	// sliceBytes is what is written at once: an answer waits behind no more.
 	sliceBytes = 8 << 10
-	// maxUploads is how many uploads are taken, the one that is sent included.
-	// Whoever is turned away asks another host.
-	maxUploads = 3
+	// maxWaiting is how many uploads may wait. Whoever is turned away asks
+	// another host.
+	maxWaiting = 2
 	// writeTimeout bounds the write of a slice to a host that does not read.
 	writeTimeout = 500 * time.Millisecond
 )
@@ -33,48 +34,84 @@
 	BytesPerSecond func() float64
 
 	mu sync.Mutex
-	// taken is how many uploads were admitted and are not over.
-	taken int
+	// sending is set while an upload has its turn, and waiting holds those that
+	// wait for theirs, in that order; each channel is closed when its turn comes.
+	sending bool
+	waiting []waitingUpload
 	// free is when the link has sent all that was written so far.
 	free time.Time
-	// turn holds the token of the upload that is being sent.
-	turn chan struct{}
 }
 
-// enter admits an upload, or reports false where too many wait.
-func (u *Uplink) enter() (turn chan struct{}, ok bool) {
+type waitingUpload struct {
+	turn   chan struct{}
+	urgent bool
+}
+
+// enter admits an upload and returns what is closed when its turn has come, or
+// reports false where too many wait. Urgent uploads are always admitted, and go
+// before the others.
+func (u *Uplink) enter(urgent bool) (turn chan struct{}, ok bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.turn == nil {
-		u.turn = make(chan struct{}, 1)
-	}
-	if u.taken >= maxUploads {
+	turn = make(chan struct{})
+	switch {
+	case !u.sending:
+		u.sending = true
+		close(turn)
+		return turn, true
+	case !urgent && len(u.waiting) >= maxWaiting:
 		return nil, false
 	}
-	u.taken++
-	return u.turn, true
+	place := len(u.waiting)
+	if urgent {
+		place = slices.IndexFunc(u.waiting, func(other waitingUpload) bool { return !other.urgent })
+		if place < 0 {
+			place = len(u.waiting)
+		}
+	}
+	u.waiting = slices.Insert(u.waiting, place, waitingUpload{turn: turn, urgent: urgent})
+	return turn, true
 }
 
+// leave gives the turn to the next upload.
 func (u *Uplink) leave() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.taken--
+	if len(u.waiting) == 0 {
+		u.sending = false
+		return
+	}
+	close(u.waiting[0].turn)
+	u.waiting = u.waiting[1:]
+}
+
+// giveUp takes back an upload whose asker left while it waited.
+func (u *Uplink) giveUp(turn chan struct{}) {
+	u.mu.Lock()
+	place := slices.IndexFunc(u.waiting, func(other waitingUpload) bool { return other.turn == turn })
+	if place >= 0 {
+		u.waiting = slices.Delete(u.waiting, place, place+1)
+	}
+	u.mu.Unlock()
+	if place < 0 {
+		u.leave() // its turn has come meanwhile
+	}
 }
 
 // send writes a chunk when its turn has come, and reports false where too many
 // wait: nothing is written then.
-func (u *Uplink) send(ctx context.Context, w http.ResponseWriter, chunk []byte) bool {
-	turn, ok := u.enter()
+func (u *Uplink) send(ctx context.Context, w http.ResponseWriter, chunk []byte, urgent bool) bool {
+	turn, ok := u.enter(urgent)
 	if !ok {
 		return false
 	}
-	defer u.leave()
 	select {
-	case turn <- struct{}{}:
+	case <-turn:
 	case <-ctx.Done():
+		u.giveUp(turn)
 		return true
 	}
-	defer func() { <-turn }()
+	defer u.leave()
 	control := http.NewResponseController(w)
 	for len(chunk) > 0 && ctx.Err() == nil {
 		slice := chunk[:min(len(chunk), sliceBytes)]
--- a/daemon/internal/version/turn/turn.go
+++ b/daemon/internal/version/turn/turn.go
@@ -19,17 +19,35 @@
 	// is after the last is for the load itself.
 	firstPart = 0.45
 	lastPart  = 0.88
+	// earlyPart is before any host can have the chunks: the early hosts' turn
+	// has come once they do.
+	earlyPart = 0.25
+	// earlyHosts is how many hosts are to be done with a version before the
+	// others. The rest then knows that it can be loaded, and a host that gives
+	// out while it serves the old version does so as late as can be. More than
+	// one, because one may be slow or gone.
+	earlyHosts = 2
 )
 
 // Window is the time in which the turns of a version lie.
-type Window struct{ First, Last time.Time }
+type Window struct {
+	// Early is the turn of the early hosts, and the others' lie from First to
+	// Last.
+	Early, First, Last time.Time
+}
+
+// IsEarly reports whether the host at a place is one of the early ones.
+func IsEarly(place int) bool { return place < earlyHosts }
 
 // NewWindow returns the window of a version declared at some time that must
 // serve everywhere within apply. Due is when an older version that engines have
 // not reached must serve, zero if there is none: reaching the newer one by then
 // saves a load.
 func NewWindow(declared time.Time, apply time.Duration, due time.Time) Window {
-	w := Window{First: declared.Add(part(firstPart, apply)), Last: declared.Add(part(lastPart, apply))}
+	w := Window{
+		Early: declared.Add(part(earlyPart, apply)),
+		First: declared.Add(part(firstPart, apply)), Last: declared.Add(part(lastPart, apply)),
+	}
 	if earlier := due.Add(-part(1-lastPart, apply)); !due.IsZero() && earlier.Before(w.Last) {
 		w.Last = earlier
 	}
@@ -41,10 +59,11 @@
 
 // Of returns the turn of the host at a place among some hosts.
 func (w Window) Of(place, hosts int) time.Time {
-	if hosts < 2 {
-		return w.First
+	if IsEarly(place) {
+		return w.Early
 	}
-	return w.First.Add(w.Last.Sub(w.First) * time.Duration(place) / time.Duration(hosts-1))
+	steps := max(hosts-1-earlyHosts, 1)
+	return w.First.Add(w.Last.Sub(w.First) * time.Duration(place-earlyHosts) / time.Duration(steps))
 }
 
 // Place returns a host's place among all hosts in the order of their turns.
--- a/daemon/internal/version/turn/turn_test.go
+++ b/daemon/internal/version/turn/turn_test.go
@@ -18,9 +18,19 @@
 	w := turn.NewWindow(declared, apply, time.Time{})
 	assert.True(t, w.First.After(declared))
 	assert.True(t, w.Last.Before(declared.Add(apply)))
-	assert.Equal(t, w.First, w.Of(0, 10))
+	assert.True(t, w.Early.Before(w.First))
+	for place := range 10 {
+		switch at := w.Of(place, 10); {
+		case turn.IsEarly(place):
+			assert.Equal(t, w.Early, at, "as soon as the chunks are there")
+		default:
+			assert.True(t, at.After(w.Of(place-1, 10)), "place %d", place)
+		}
+	}
+	assert.Equal(t, w.First, w.Of(2, 10))
 	assert.Equal(t, w.Last, w.Of(9, 10))
-	assert.Equal(t, w.First, w.Of(0, 1))
+	assert.Equal(t, w.Early, w.Of(0, 1))
+	assert.Equal(t, w.First, w.Of(2, 3))
 }
 
 // TestEarlierDeclarationHurries: engines that have not reached an older version
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -259,15 +259,11 @@
 	known := p.weights.Load()
 	return keep.Goal{
 		Model: declared.Model, Version: declared.Version, Fence: p.table.Newest(), Turn: window.Of(place, hosts),
-		// The first hosts are ordered as early as can be, so they cut nothing.
-		Cut: known != nil && known.resumable && place >= firstHosts,
+		// The early hosts are ordered as soon as can be, so they cut nothing.
+		Cut: known != nil && known.resumable && !turn.IsEarly(place),
 	}
 }
 
-// firstHosts is how many hosts are to be done with a version before the others:
-// more than one, because one may be slow or gone.
-const firstHosts = 2
-
 // place is this host's place among some hosts in the order of their turns.
 func (p *Process) place(model string, version int) (place, hosts int) {
 	names := p.hostNames()
@@ -337,7 +333,7 @@
 func (p *Process) newFetch(plan keep.Plan, c *swarm.Copy) *swarm.Fetch {
 	place, _ := p.place(plan.Goal.Model, plan.Goal.Version)
 	return &swarm.Fetch{
-		First: place < firstHosts,
+		First: turn.IsEarly(place),
 		Copy:  c, Model: plan.Goal.Model, Origin: plan.Origin, Source: p.provider.Origin,
 		Own: p.own(), Hosts: p.hosts, Client: p.client, OriginTime: plan.OriginTime, OnChunk: p.noteChunk,
 	}
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -115,7 +115,7 @@
 	}
 	p := &Process{
 		options: options, telemetry: t, output: output, recorder: newRecorder(t),
-		table: &mirror.Table{}, pool: &balance.Pool{}, done: make(chan struct{}),
+		table: &mirror.Table{}, pool: &balance.Pool{Hall: s.Hall}, done: make(chan struct{}),
 	}
 	p.current.Store(&s)
 	client := &http.Client{Transport: dial.NewHostTransport(options.Dial, storeIdle)}
@@ -233,7 +233,7 @@
 			Kept:    dial.NewHostTransport(p.options.Dial, upstreamIdle),
 			Fresh:   dial.NewHostTransport(p.options.Dial, 0),
 		},
-		Pool: p.pool, Budget: p.budget, View: p.compiler.View, Stale: p.silent,
+		Pool: p.pool, Budget: p.budget, Pace: &dispatch.Pace{}, View: p.compiler.View, Stale: p.silent,
 		Required: p.requiredVersion, Report: p.recorder.request,
 	}
 }
