--- a/daemon/internal/process/balance/balance.go
+++ b/daemon/internal/process/balance/balance.go
@@ -107,6 +107,9 @@
 	// version of it.
 	Model   string
 	Version int
+	// Reserve is how many places of each upstream are left to more urgent
+	// requests.
+	Reserve int
 	// Preferred is the version below which an upstream is taken only when
 	// newer ones are loaded.
 	Preferred int
@@ -145,7 +148,7 @@
 		if !s.fits(candidate, query, now) {
 			continue
 		}
-		score := s.score(candidate, now) + rand.Float64()*chance
+		score := s.score(candidate, query, now) + rand.Float64()*chance
 		if query.Preferred > 0 && s.holds(candidate, query.Model, now) < query.Preferred {
 			score += oldScore
 		}
@@ -161,7 +164,7 @@
 		return Choice{}, false
 	}
 	chosen := p.states[best.Upstream.ID]
-	best.Waiting, best.Beyond = chosen.ahead(best.Upstream, now)
+	best.Waiting, best.Beyond = chosen.ahead(best.Upstream, query.Reserve, now)
 	best.Running, best.Age = chosen.told.Running, now.Sub(chosen.toldAt)
 	chosen.inFlight++
 	chosen.sentSince++
@@ -242,10 +245,10 @@
 // blockedScore is above every score of an upstream that is not blocked.
 const blockedScore = 1e6
 
-func (s *state) score(candidate *provider.Upstream, now time.Time) float64 {
+func (s *state) score(candidate *provider.Upstream, query Query, now time.Time) float64 {
 	s.fade(now)
 	share := s.failures / (s.outcomes + priorWeight)
-	score := s.load(candidate, now) + failurePenalty*max(0, share-soundShare)
+	score := s.load(candidate, query.Reserve, now) + failurePenalty*max(0, share-soundShare)
 	if now.Before(s.blockedUntil) || s.told.Loading && now.Sub(s.toldAt) <= toldFor {
 		score += blockedScore
 	}
@@ -287,14 +290,14 @@
 // load is how long a request is likely to wait for its first byte, in requests
 // ahead of it. Those that wait count, because an engine reads their prompts
 // first; those that run do not, until all places are taken.
-func (s *state) load(candidate *provider.Upstream, now time.Time) float64 {
+func (s *state) load(candidate *provider.Upstream, reserve int, now time.Time) float64 {
 	if now.Sub(s.toldAt) > toldFor {
 		if candidate.Places == 0 {
 			return float64(s.inFlight)
 		}
 		return float64(s.inFlight) * referencePlaces / float64(candidate.Places)
 	}
-	waiting, beyond := s.ahead(candidate, now)
+	waiting, beyond := s.ahead(candidate, reserve, now)
 	return float64(waiting) + beyondWeight*float64(beyond)
 }
 
@@ -305,12 +308,12 @@
 // ahead is how many requests are read before the next one, and how many must
 // end first for want of places, by what the upstream's host told; 0 where it
 // told nothing of late.
-func (s *state) ahead(candidate *provider.Upstream, now time.Time) (waiting, beyond int) {
+func (s *state) ahead(candidate *provider.Upstream, reserve int, now time.Time) (waiting, beyond int) {
 	if now.Sub(s.toldAt) > toldFor {
 		return 0, 0
 	}
 	waiting = s.told.Waiting + s.sentSince
-	return waiting, max(0, s.told.Running+waiting+1+keptFree-candidate.Places)
+	return waiting, max(0, s.told.Running+waiting+1+keptFree+reserve-candidate.Places)
 }
 
 // beyondWeight is what a request beyond the places counts: it waits for another
--- a/daemon/internal/process/balance/balance_test.go
+++ b/daemon/internal/process/balance/balance_test.go
@@ -180,6 +180,12 @@
 	assert.Equal(t, []int{1, 2}, []int{first.Waiting, second.Waiting})
 	assert.Equal(t, first.Beyond+1, second.Beyond)
 	assert.Equal(t, 15, first.Running)
+	pool.Tell("u0", balance.Told{Running: 12, Models: candidates[0].Models})
+	urgent, _ := pool.Choose(candidates, balance.Query{Model: "m"})
+	urgent.Done(balance.Served)
+	pool.Tell("u0", balance.Told{Running: 12, Models: candidates[0].Models})
+	less, _ := pool.Choose(candidates, balance.Query{Model: "m", Reserve: 4})
+	assert.Equal(t, []int{0, 3}, []int{urgent.Beyond, less.Beyond}, "places are left to more urgent requests")
 }
 
 func TestToldLoadCounts(t *testing.T) {
--- a/daemon/internal/process/mirror/follower.go
+++ b/daemon/internal/process/mirror/follower.go
@@ -48,12 +48,13 @@
 
 	// at is the revision up to which the prefix is known; 0 means not at all.
 	at provider.Revision
-	// answered is when the store last answered, in nanoseconds of the steady
-	// clock since start; 0 means never.
-	answered atomic.Int64
-	start    time.Time
-	failing  bool
-	tomb     tomb.Tomb
+	// answered is when the store last answered, and regained when it last did
+	// so after a failure, in nanoseconds of the steady clock since start; 0 means
+	// never.
+	answered, regained atomic.Int64
+	start              time.Time
+	failing            bool
+	tomb               tomb.Tomb
 }
 
 // Start begins to follow; Stop ends it.
@@ -73,6 +74,13 @@
 	return time.Since(f.start) - time.Duration(f.answered.Load())
 }
 
+// Regained is the time since the store last answered after a failure; false
+// where it never failed, or fails now.
+func (f *Follower) Regained() (time.Duration, bool) {
+	at := f.regained.Load()
+	return time.Since(f.start) - time.Duration(at), at != 0
+}
+
 // Known reports whether the prefix was ever read from the store.
 func (f *Follower) Known() bool { return f.answered.Load() != 0 }
 
@@ -117,6 +125,7 @@
 	if err != nil {
 		return err
 	}
+	f.hear()
 	f.Table.Apply(changes.Entries)
 	f.at = max(f.at, changes.At)
 	if len(changes.Entries) > 0 {
@@ -136,15 +145,23 @@
 	if err != nil {
 		return err
 	}
+	f.hear()
 	f.Table.Replace(f.Prefix, listing)
 	f.at = listing.At
 	return nil
 }
 
-func (f *Follower) note(err error) {
-	if err == nil {
-		f.answered.Store(int64(time.Since(f.start)))
+// hear notes an answer of the store before what it says is taken: that depends
+// on whether the store was away.
+func (f *Follower) hear() {
+	now := int64(time.Since(f.start))
+	f.answered.Store(now)
+	if f.failing {
+		f.regained.Store(now)
 	}
+}
+
+func (f *Follower) note(err error) {
 	failing := err != nil && !errors.Is(err, provider.ErrCompacted) && f.tomb.Alive()
 	if failing != f.failing && f.OnContact != nil {
 		f.OnContact(f.Prefix, err)
--- a/daemon/internal/process/mirror/table.go
+++ b/daemon/internal/process/mirror/table.go
@@ -54,6 +54,16 @@
 	return len(fresh)
 }
 
+// Recompile calls OnChange without news, for what is worked out from the table
+// and changes with time.
+func (t *Table) Recompile() {
+	t.applying.Lock()
+	defer t.applying.Unlock()
+	if t.OnChange != nil {
+		t.OnChange(nil)
+	}
+}
+
 // Replace takes a whole list of a prefix: what it lacks and was not changed
 // after it is gone.
 func (t *Table) Replace(prefix string, listing provider.Listing) int {
--- /dev/null
+++ b/daemon/internal/process/mirror/urgency.go
@@ -0,0 +1,43 @@
+package mirror
+
+import (
+	"slices"
+
+	"github.com/wheelcleat/wheelcleat/daemon/provider"
+)
+
+// urgencies returns, for each service, the priorities that its requests have,
+// most urgent first: those of its routes and, since an account's goes before
+// them, those of all accounts.
+func urgencies(configuration *provider.Configuration) map[string][]int {
+	var ofAccounts []int
+	for _, account := range configuration.Accounts {
+		if account.Priority != nil {
+			ofAccounts = append(ofAccounts, *account.Priority)
+		}
+	}
+	found := map[string][]int{}
+	for _, route := range configuration.Routes {
+		for _, share := range route.Shares {
+			found[share.Service] = append(found[share.Service], route.Priority)
+		}
+	}
+	for service, priorities := range found {
+		priorities = append(priorities, ofAccounts...)
+		slices.Sort(priorities)
+		found[service] = slices.Compact(priorities)
+	}
+	return found
+}
+
+// Rank returns the place of a request's priority among those of its service, 0
+// for the most urgent, and how many there are.
+func (v *View) Rank(service string, route *provider.Route, account *provider.Account) (rank, ranks int) {
+	priority := route.Priority
+	if account != nil && account.Priority != nil {
+		priority = *account.Priority
+	}
+	priorities := v.priorities[service]
+	place, _ := slices.BinarySearch(priorities, priority)
+	return place, max(len(priorities), 1)
+}
--- a/daemon/internal/process/mirror/view.go
+++ b/daemon/internal/process/mirror/view.go
@@ -25,6 +25,8 @@
 	hosts    map[string][]*provider.Route // by host name
 	accounts map[string]*provider.Account // by key
 	services map[string]*provider.Service // by name
+	// priorities are those of each service's requests, most urgent first.
+	priorities map[string][]int
 }
 
 // Declared is a declared version and what this daemon knows of when.
@@ -92,6 +94,13 @@
 	Decode func(provider.Entry) (provider.Record, error)
 	// OnBelief is called for each change of what is believed. It may be nil.
 	OnBelief func(Belief)
+	// Lapses reports whether an entry that goes now may have lapsed only because
+	// its upstream could not reach the store. Nil means never. Such upstreams are
+	// used for lapseKept more, and whoever keeps the compiler is to call Take
+	// again then.
+	Lapses func() bool
+	// Now is the clock; nil means time.Now.
+	Now func() time.Time
 
 	view atomic.Pointer[View]
 	// upstreams, targets and members are decoded entries by key; only Take
@@ -99,10 +108,23 @@
 	upstreams map[string]*provider.Upstream
 	targets   map[string]Declared
 	members   map[string]*provider.Member
+	// lapsed holds, by key, upstreams whose entry lapsed a short time ago.
+	lapsed map[string]lapsed
 	// taken is set once any entry was taken.
 	taken bool
 }
 
+// lapseKept is how long an upstream is used on after its entry lapsed. Those that
+// live are back about two seconds after the store is; whoever leaves serves as
+// long after its entry is gone.
+const lapseKept = 1500 * time.Millisecond
+
+// lapsed is an upstream whose entry lapsed, and until when it is used.
+type lapsed struct {
+	upstream *provider.Upstream
+	until    time.Time
+}
+
 // Belief is one change of what a daemon believes: the entry, what it was
 // decoded to, and the error where it was not taken.
 type Belief struct {
@@ -126,6 +148,7 @@
 		c.upstreams = map[string]*provider.Upstream{}
 		c.targets = map[string]Declared{}
 		c.members = map[string]*provider.Member{}
+		c.lapsed = map[string]lapsed{}
 	}
 	next := *c.View()
 	for _, entry := range changed {
@@ -136,6 +159,13 @@
 	for _, upstream := range c.upstreams {
 		next.Upstreams[upstream.Service] = append(next.Upstreams[upstream.Service], upstream)
 	}
+	for key, kept := range c.lapsed {
+		if c.upstreams[key] != nil || !c.now().Before(kept.until) {
+			delete(c.lapsed, key)
+			continue
+		}
+		next.Upstreams[kept.upstream.Service] = append(next.Upstreams[kept.upstream.Service], kept.upstream)
+	}
 	next.Targets = map[string]Declared{}
 	for _, target := range c.targets {
 		next.Targets[target.Model] = target
@@ -149,6 +179,7 @@
 
 func (c *Compiler) takeEntry(next *View, entry provider.Entry) {
 	if entry.Gone {
+		c.keepLapsed(entry.Key)
 		delete(c.upstreams, entry.Key)
 		delete(c.members, entry.Key)
 		c.believe(Belief{Entry: entry})
@@ -172,6 +203,25 @@
 	}
 }
 
+// keepLapsed keeps an upstream whose entry goes, where that says little.
+func (c *Compiler) keepLapsed(key string) {
+	upstream := c.upstreams[key]
+	if upstream != nil && !upstream.Leaving && c.Lapses != nil && c.Lapses() {
+		c.lapsed[key] = lapsed{upstream: upstream, until: c.now().Add(lapseKept)}
+	}
+}
+
+func (c *Compiler) now() time.Time {
+	if c.Now != nil {
+		return c.Now()
+	}
+	return time.Now()
+}
+
+// Lapsed reports whether upstreams are kept whose entries lapsed. It is to be
+// called between calls of Take, and not beside them.
+func (c *Compiler) Lapsed() bool { return len(c.lapsed) > 0 }
+
 // declare links a declaration to those before it, because an engine may be on
 // the way to one of them, and their time runs on.
 func (c *Compiler) declare(entry provider.Entry, target provider.Target) Declared {
@@ -214,6 +264,7 @@
 			v.accounts[key] = account
 		}
 	}
+	v.priorities = urgencies(configuration)
 	v.services = map[string]*provider.Service{}
 	for i := range configuration.Services {
 		v.services[configuration.Services[i].Name] = &configuration.Services[i]
--- a/daemon/internal/request/dispatch/dispatch.go
+++ b/daemon/internal/request/dispatch/dispatch.go
@@ -105,6 +105,10 @@
 	body    []byte
 	// deadline is when the caller or the route gives up, whichever is first.
 	deadline time.Time
+	// rank is the place of the request's priority among the ranks of its service,
+	// 0 for the most urgent.
+	rank, ranks int
+	// priority is the class in an upstream's queue; below 0 means none.
 	priority int
 	// sent is the number of upstreams that have been given the request.
 	sent  int
@@ -269,6 +273,13 @@
 	return choice.Version > 0 && choice.Version < q.query().Version
 }
 
+const (
+	// reservePerRank is how many places of an engine are left to the next more
+	// urgent requests, and maxReserve how many at most.
+	reservePerRank = 2
+	maxReserve     = 4
+)
+
 // query says what the upstream must hold.
 func (q *request) query() balance.Query {
 	query := balance.Query{Tried: q.tried}
@@ -276,6 +287,7 @@
 		return query
 	}
 	query.Model = q.service.Engine.Model
+	query.Reserve = min(q.rank*reservePerRank, maxReserve)
 	if declared, ok := q.View().Targets[query.Model]; ok {
 		query.Version, query.Preferred = q.Required(&declared)
 	}
@@ -345,11 +357,10 @@
 	q.story.Tries = append(q.story.Tries, try)
 }
 
-// priorityOf ranks a request in an upstream's queue, 0 first. Requests to
-// engines are ranked by the time that they are likely to take, short ones
-// first: it lets most requests begin early, and the queue itself ages.
+// priorityOf is the class of a request in an upstream's queue, 0 first. The more
+// urgent go first, and among those that are as urgent, those that are likely to
+// be done soon: it lets most requests begin early, and the queue itself ages.
 func (q *request) priorityOf() int {
-	const lowest = 9
 	if q.service.Engine == nil || q.service.Engine.PromptRate <= 0 {
 		return -1
 	}
@@ -363,10 +374,21 @@
 		hint = usualLength
 	}
 	estimate := promptTokens/q.service.Engine.PromptRate + hint*hintWeight.Seconds()
-	return min(int(estimate/priorityStep.Seconds()), lowest)
+	size := min(int(estimate/priorityStep.Seconds()), classes-1)
+	return classOf(q.rank, q.ranks, size)
+}
+
+// classOf divides the classes among the ranks, and those of a rank by size.
+func classOf(rank, ranks, size int) int {
+	ranks = min(ranks, classes)
+	rank = min(rank, ranks-1)
+	each := classes / ranks
+	return rank*each + size*each/classes
 }
 
 const (
+	// classes is the number of classes in an upstream's queue.
+	classes = 10
 	// usualLength stands for a missing hint, in tokens.
 	usualLength = 92.0
 	// hintWeight is what one hinted token counts beside the time of reading the
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -57,6 +57,11 @@
 	// versionPreferred they get them only where newer ones are loaded.
 	versionGrace     = 0.90
 	versionPreferred = 0.84
+	// lapseAfter is how long after the store is back entries may still be gone
+	// that lapsed meanwhile, and lapseAgain the pause after which upstreams that
+	// were kept for that are looked at again.
+	lapseAfter = 2 * time.Second
+	lapseAgain = 500 * time.Millisecond
 	// maxHeaderBytes bounds a caller's headers.
 	maxHeaderBytes = 64 << 10
 )
@@ -120,7 +125,7 @@
 	p.current.Store(&s)
 	client := &http.Client{Transport: dial.NewHostTransport(options.Dial, storeIdle)}
 	p.provider = options.Provider(s.Store, client, client)
-	p.compiler = &mirror.Compiler{Decode: p.provider.Decode, OnBelief: p.recorder.belief}
+	p.compiler = &mirror.Compiler{Decode: p.provider.Decode, OnBelief: p.recorder.belief, Lapses: p.lapses}
 	p.table.OnChange = p.takeChanges
 	p.loads = &loadfeed.Reader{Client: client, OnLine: p.takeLoad}
 	p.addFollowers(client)
@@ -145,6 +150,9 @@
 // engines that it lists.
 func (p *Process) takeChanges(changed []provider.Entry) {
 	p.compiler.Take(changed)
+	if p.compiler.Lapsed() {
+		time.AfterFunc(lapseAgain, p.table.Recompile)
+	}
 	if p.compiler.View().Configuration != nil && !p.draining.Load() {
 		p.telemetry.SetReady()
 	}
@@ -162,6 +170,13 @@
 	p.loads.Follow(hosts)
 }
 
+// lapses reports whether entries of upstreams may go only because the store was
+// away: it is for this router, or was a moment ago.
+func (p *Process) lapses() bool {
+	ago, ever := p.follower.Regained()
+	return p.silent() || ever && ago < lapseAfter
+}
+
 // engines are the upstreams of services that run models.
 func (p *Process) engines() []*provider.Upstream {
 	view := p.compiler.View()
