Avoid old versions more and more, and read engines often only while they are busy

Upstreams that lack a version are now avoided more and more from 0.72 of its time on, by 2 requests at most, and get nothing after 0.88. Engines are read each 20 ms from 0.6 of their places, else each 50.

--- a/daemon/internal/process/balance/balance.go
+++ b/daemon/internal/process/balance/balance.go
@@ -110,9 +110,10 @@
 	// Reserve is how many places of each upstream are left to more urgent
 	// requests.
 	Reserve int
-	// Preferred is the version below which an upstream is taken only when
-	// newer ones are loaded.
+	// Preferred is the version below which upstreams are avoided, and Avoid how
+	// much, from 0 to 1.
 	Preferred int
+	Avoid     float64
 }
 
 // Choice is a chosen upstream. Done must be called once.
@@ -151,7 +152,7 @@
 		}
 		score := s.score(candidate, query, now) + rand.Float64()*chance
 		if query.Preferred > 0 && s.holds(candidate, query.Model, now) < query.Preferred {
-			score += oldScore
+			score += oldScore * query.Avoid
 		}
 		if p.Hall != "" && candidate.Hall != p.Hall {
 			score += farScore
@@ -237,9 +238,9 @@
 // different halls follow the same news to different upstreams.
 const farScore = 0.7
 
-// oldScore is what an upstream with a version that is about to be outdated
+// oldScore is what an upstream with a version that is to be avoided altogether
 // counts more, in requests.
-const oldScore = 6.0
+const oldScore = 2.0
 
 // silentScore puts an upstream whose host fell silent behind those that are
 // full, and before those that are blocked.
--- a/daemon/internal/process/balance/balance_test.go
+++ b/daemon/internal/process/balance/balance_test.go
@@ -211,7 +211,7 @@
 	counts := map[string]int{}
 	for range 20 {
 		pool.Tell("u1", balance.Told{Models: []provider.Loaded{{Model: "m", Version: 2}}})
-		preferred, ok := pool.Choose(candidates, balance.Query{Model: "m", Preferred: 2})
+		preferred, ok := pool.Choose(candidates, balance.Query{Model: "m", Preferred: 2, Avoid: 1})
 		require.True(t, ok)
 		counts[preferred.Upstream.ID]++
 		preferred.Done(balance.Served)
--- a/daemon/internal/request/dispatch/dispatch.go
+++ b/daemon/internal/request/dispatch/dispatch.go
@@ -35,9 +35,8 @@
 	// View returns what is in force, Stale whether it may be out of date.
 	View  func() *mirror.View
 	Stale func() bool
-	// Required returns the lowest version that a request may run on, and the one
-	// that it should run on, 0 for any.
-	Required func(declared *mirror.Declared) (lowest, preferred int)
+	// Demand says on which versions of a model requests may run.
+	Demand func(declared *mirror.Declared) mirror.Demand
 	// Report is told once of each request that ended.
 	Report func(*Story)
 }
@@ -289,7 +288,8 @@
 	query.Model = q.service.Engine.Model
 	query.Reserve = min(q.rank*reservePerRank, maxReserve)
 	if declared, ok := q.View().Targets[query.Model]; ok {
-		query.Version, query.Preferred = q.Required(&declared)
+		demand := q.Demand(&declared)
+		query.Version, query.Preferred, query.Avoid = demand.Lowest, demand.Preferred, demand.Avoid
 	}
 	return query
 }
--- /dev/null
+++ b/daemon/internal/version/keep/busy_test.go
@@ -0,0 +1,19 @@
+package keep
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/wheelcleat/wheelcleat/daemon/provider"
+)
+
+// TestBusyEngines: what waits counts too, and an engine of unknown size is never
+// busy.
+func TestBusyEngines(t *testing.T) {
+	assert.False(t, isBusy(provider.EngineReport{}, 16))
+	assert.False(t, isBusy(provider.EngineReport{Running: 9}, 16))
+	assert.True(t, isBusy(provider.EngineReport{Running: 9, Waiting: 1}, 16))
+	assert.True(t, isBusy(provider.EngineReport{Running: 16, Waiting: 30}, 16))
+	assert.False(t, isBusy(provider.EngineReport{Running: 5}, 0))
+}
--- a/daemon/internal/version/keep/keep.go
+++ b/daemon/internal/version/keep/keep.go
@@ -25,8 +25,13 @@
 )
 
 const (
-	// roundEvery is the interval of rounds.
-	roundEvery = 20 * time.Millisecond
+	// roundEvery is the interval of rounds, and busyEvery the one while the engine
+	// is busy: routers then need its report the fresher, and each report costs
+	// processor time on this host and on theirs.
+	roundEvery = 50 * time.Millisecond
+	busyEvery  = 20 * time.Millisecond
+	// busyShare is the part of an engine's places from which it is busy.
+	busyShare = 0.6
 	// callTimeout bounds a call to the engine on this host.
 	callTimeout = time.Second
 	// manifestTimeout bounds a call for a manifest, manifestPatience the time in
@@ -73,6 +78,8 @@
 	Earlier []Goal
 	// Origin is where the weights come from.
 	Origin netip.AddrPort
+	// Places is how many requests the engine runs at once.
+	Places int
 	// Chunks and ChunkBytes are the declared sizes of a version.
 	Chunks, ChunkBytes int
 	// OriginTime is how long the origin takes to send one copy.
@@ -135,25 +142,42 @@
 
 func (k *Keeper) run() error {
 	ctx := k.tomb.Context(nil) //nolint:staticcheck // nil asks the tomb for its own context
-	for helpers.Pause(roundEvery, k.tomb.Dying()) {
-		k.round(ctx)
+	pause := roundEvery
+	for helpers.Pause(pause, k.tomb.Dying()) {
+		pause = roundEvery
+		if k.round(ctx) {
+			pause = busyEvery
+		}
 	}
 	k.stopFetch()
 	return nil
 }
 
-// round looks at the engine and does what is due.
-func (k *Keeper) round(ctx context.Context) {
+// round looks at the engine, does what is due, and reports whether the engine is
+// busy.
+func (k *Keeper) round(ctx context.Context) (busy bool) {
 	report, err := k.report(ctx)
 	k.OnReport(report, err)
 	plan, ok := k.Plan(holds(report))
 	if !ok {
-		return
+		return false
 	}
 	k.keepFetching(ctx, plan)
 	if err != nil {
-		return
+		return false
 	}
+	k.bringUp(ctx, plan, report)
+	return isBusy(report, plan.Places)
+}
+
+// isBusy reports whether an engine's places are taken so far that routers need
+// to know soon which are free.
+func isBusy(report provider.EngineReport, places int) bool {
+	return places > 0 && float64(report.Running+report.Waiting) >= busyShare*float64(places)
+}
+
+// bringUp brings the engine nearer to the version that it should hold.
+func (k *Keeper) bringUp(ctx context.Context, plan Plan, report provider.EngineReport) {
 	goal, c := k.next(plan, report)
 	if c == nil || report.Loading {
 		k.clearing = time.Time{}
--- a/daemon/internal/version/turn/turn.go
+++ b/daemon/internal/version/turn/turn.go
@@ -18,7 +18,7 @@
 	// which turns lie: before the first the chunks are on their way, and what
 	// is after the last is for the load itself.
 	firstPart = 0.45
-	lastPart  = 0.88
+	lastPart  = 0.86
 	// earlyPart is before any host can have the chunks: the early hosts' turn
 	// has come once they do.
 	earlyPart = 0.25
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -234,7 +234,7 @@
 	model := known.engine.Model
 	plan := keep.Plan{
 		Goal:   keep.Goal{Model: model, Version: firstVersion, Fence: p.table.Newest()},
-		Origin: known.origin,
+		Origin: known.origin, Places: known.engine.Places,
 		Chunks: known.engine.Chunks, ChunkBytes: known.engine.ChunkBytes,
 		OriginTime: p.linkTime(known.engine.Chunks * known.engine.ChunkBytes),
 	}
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -52,11 +52,6 @@
 	upstreamIdle = 900 * time.Millisecond
 	// storeIdle is the same for connections to the store and to peers.
 	storeIdle = 30 * time.Second
-	// versionGrace is the part of the time for a new version in which older ones
-	// still get requests; what waits in an upstream's queue needs the rest. After
-	// versionPreferred they get them only where newer ones are loaded.
-	versionGrace     = 0.90
-	versionPreferred = 0.84
 	// lapseAfter is how long after the store is back entries may still be gone
 	// that lapsed meanwhile, and lapseAgain the pause after which upstreams that
 	// were kept for that are looked at again.
@@ -249,18 +244,13 @@
 			Fresh:   dial.NewHostTransport(p.options.Dial, 0),
 		},
 		Pool: p.pool, Budget: p.budget, Pace: &dispatch.Pace{}, View: p.compiler.View, Stale: p.silent,
-		Required: p.requiredVersion, Report: p.recorder.request,
+		Demand: p.demand, Report: p.recorder.request,
 	}
 }
 
-// requiredVersion is the lowest version that a request may run on, and the one
-// that it should run on.
-func (p *Process) requiredVersion(declared *mirror.Declared) (lowest, preferred int) {
-	apply := p.current.Load().Bounds.VersionApply.Std()
-	after := func(share float64) int {
-		return declared.Required(time.Now(), time.Duration(share*float64(apply)), apply)
-	}
-	return after(versionGrace), after(versionPreferred)
+// demand says on which versions of a model requests may run.
+func (p *Process) demand(declared *mirror.Declared) mirror.Demand {
+	return declared.Demand(time.Now(), p.current.Load().Bounds.VersionApply.Std())
 }
 
 // readyPages answers the balancer: ready while a configuration is known and no
