Be patient with short peaks and strict in lasting overload

The places that admission keeps free counted in the choice too, so an engine with two free places looked worse than one where two requests waited; and at 95 % of what engines bear a seventh of the requests was refused and came back late. The choice now counts all places. Admission waits for up to the whole objective while places are seldom all taken, and for a fifth of it when they were taken for 0.6 of the last seconds.

--- a/daemon/internal/process/balance/balance.go
+++ b/daemon/internal/process/balance/balance.go
@@ -305,10 +305,6 @@
 	return float64(waiting) + beyondWeight*float64(beyond)
 }
 
-// keptFree is how many places are counted as taken already: by requests that
-// other routers send before this one hears of them.
-const keptFree = 2
-
 // ahead is how many requests are read before the next one, and how many must
 // end first for want of places, by what the upstream's host told; 0 where it
 // told nothing of late.
@@ -317,7 +313,7 @@
 		return 0, 0
 	}
 	waiting = s.told.Waiting + s.sentSince
-	return waiting, max(0, s.told.Running+waiting+1+keptFree+reserve-candidate.Places)
+	return waiting, max(0, s.told.Running+waiting+1+reserve-candidate.Places)
 }
 
 // beyondWeight is what a request beyond the places counts: it waits for another
--- a/daemon/internal/request/dispatch/answer.go
+++ b/daemon/internal/request/dispatch/answer.go
@@ -19,7 +19,7 @@
 	// shortestReturn and longestReturn bound when a refused caller is told to
 	// come back. The time is drawn at random, so that refused callers do not
 	// come back together.
-	shortestReturn = 600 * time.Millisecond
+	shortestReturn = 1200 * time.Millisecond
 	longestReturn  = 1900 * time.Millisecond
 	// maxWhole bounds an answer that is held until it is whole.
 	maxWhole = 16 << 20
--- a/daemon/internal/request/dispatch/dispatch.go
+++ b/daemon/internal/request/dispatch/dispatch.go
@@ -204,8 +204,10 @@
 
 // overloaded reports whether a request that was not sent yet would wait so long
 // at the best upstream that its first byte would be late. Refused at once it may
-// come back in time; let in it would be late itself and delay others. A request
-// that was sent before is not refused: what was done for it would be lost.
+// come back in time; let in it would be late itself and delay others. While
+// places are seldom all taken more patience costs little, and a request that
+// came back and is refused again is the worst off. A request that was sent
+// before is not refused: what was done for it would be lost.
 func (q *request) overloaded(choice balance.Choice) bool {
 	if q.service.Engine == nil || q.sent > 0 || q.route.Objective <= 0 || choice.Upstream.Places == 0 {
 		return false
@@ -214,15 +216,29 @@
 	if rate := q.service.Engine.PromptRate; rate > 0 {
 		read = time.Duration(usualPrompt / rate * float64(time.Second))
 	}
+	taken := choice.Running + choice.Waiting + 1
+	beyond := max(0, taken+keptFree+q.reserve()-choice.Upstream.Places)
 	free := q.Pace.Occupied(q.service.Name) / time.Duration(choice.Upstream.Places)
-	wait := time.Duration(choice.Waiting)*read + time.Duration(choice.Beyond)*free
-	return wait > time.Duration(waitShare*float64(q.route.Objective))
+	wait := time.Duration(choice.Waiting)*read + time.Duration(beyond)*free
+	share := patience(q.Pace.Full(q.service.Name, taken > choice.Upstream.Places))
+	return wait > time.Duration(share*float64(q.route.Objective))
+}
+
+// patience is the part of a route's objective that a request may wait before it
+// begins, where places were all taken for some share of the time.
+func patience(full float64) float64 {
+	part := (full - seldomFull) / (oftenFull - seldomFull)
+	return mostPatience - (mostPatience-leastPatience)*min(max(part, 0), 1)
 }
 
 const (
-	// waitShare is the part of a route's objective that a request may wait
-	// before it begins.
-	waitShare = 0.2
+	// mostPatience holds up to seldomFull, leastPatience from oftenFull on.
+	mostPatience, leastPatience = 1.0, 0.2
+	seldomFull, oftenFull       = 0.2, 0.6
+	// keptFree is how many places are counted as taken already: by requests that
+	// other routers send before this one hears of them. The choice of an upstream
+	// counts all places: a free one is better than none.
+	keptFree = 2
 	// usualPrompt stands for the prompts that wait, in tokens.
 	usualPrompt = 900.0
 )
@@ -286,7 +302,7 @@
 		return query
 	}
 	query.Model = q.service.Engine.Model
-	query.Reserve = min(q.rank*reservePerRank, maxReserve)
+	query.Reserve = q.reserve()
 	if declared, ok := q.View().Targets[query.Model]; ok {
 		demand := q.Demand(&declared)
 		query.Version, query.Preferred, query.Avoid = demand.Lowest, demand.Preferred, demand.Avoid
@@ -294,6 +310,10 @@
 	return query
 }
 
+// reserve is how many places of each engine the request leaves to more urgent
+// ones.
+func (q *request) reserve() int { return min(q.rank*reservePerRank, maxReserve) }
+
 func (q *request) outcomeOf(fate exchange.Fate) balance.Outcome {
 	switch {
 	case q.Context().Err() != nil:
