Bound what loads cost: a feed's lines in all, and the loaders that a router follows

Rejected: one line for several engines by one host a hall, which would have to be chosen and would be one more hop for the news.

An engine that runs and holds nothing back is ordered at once.

--- a/daemon/internal/connection/lines/lines.go
+++ b/daemon/internal/connection/lines/lines.go
@@ -29,9 +29,9 @@
 var ErrNotServed = errors.New("the other daemon does not serve this")
 
 // Serve streams states until the caller leaves. State returns the present line,
-// nil for none, and a channel that closes at the next change. Changes within
-// pause of each other are told together.
-func Serve(w http.ResponseWriter, r *http.Request, pause time.Duration, state func() ([]byte, <-chan struct{})) {
+// nil for none, and a channel that closes at the next change. Changes within the
+// time that pause returns are told together.
+func Serve(w http.ResponseWriter, r *http.Request, pause func() time.Duration, state func() ([]byte, <-chan struct{})) {
 	w.Header().Set("Content-Type", "application/x-ndjson")
 	controller := http.NewResponseController(w)
 	timer := time.NewTimer(lineEvery)
@@ -47,7 +47,7 @@
 		timer.Reset(lineEvery)
 		select {
 		case <-changed:
-			helpers.Pause(pause, r.Context().Done())
+			helpers.Pause(pause(), r.Context().Done())
 		case <-timer.C:
 		case <-r.Context().Done():
 			return
--- a/daemon/internal/connection/loadfeed/loadfeed.go
+++ b/daemon/internal/connection/loadfeed/loadfeed.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/lines"
@@ -25,8 +26,11 @@
 const Path = "/load"
 
 const (
-	// linePause is the time within which changes are told together.
-	linePause = 8 * time.Millisecond
+	// linesPerSecond bounds the lines that a feed writes to all who read it, and
+	// leastPause the pause between two lines to one of them: however many read,
+	// a feed costs its host no more.
+	linesPerSecond = 800
+	leastPause     = 8 * time.Millisecond
 	// reopen bounds the pause before a feed is opened again, drawn at random.
 	reopen = 500 * time.Millisecond
 )
@@ -42,6 +46,9 @@
 // Feed holds the newest state and gives it to all who ask. The zero value is
 // not ready; use NewFeed.
 type Feed struct {
+	// readers counts those who read.
+	readers atomic.Int64
+
 	mu      sync.Mutex
 	line    []byte
 	changed chan struct{}
@@ -74,7 +81,14 @@
 
 // ServeHTTP streams lines until the caller leaves.
 func (f *Feed) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	lines.Serve(w, r, linePause, f.state)
+	f.readers.Add(1)
+	defer f.readers.Add(-1)
+	lines.Serve(w, r, f.pause, f.state)
+}
+
+// pause is the time within which changes are told together.
+func (f *Feed) pause() time.Duration {
+	return max(leastPause, time.Duration(f.readers.Load())*time.Second/linesPerSecond)
 }
 
 // Reader follows the feeds of many hosts. The exported fields must be set.
--- a/daemon/internal/version/keep/keep.go
+++ b/daemon/internal/version/keep/keep.go
@@ -206,9 +206,13 @@
 		return false
 	}
 	if k.clearing.IsZero() {
-		if k.check(ctx, goal, c) {
-			k.clearing = now
+		if !k.check(ctx, goal, c) {
+			return false
 		}
+		if report.Running+report.Waiting == 0 {
+			return true // as when routers send nothing to old versions any more
+		}
+		k.clearing = now
 		return false
 	}
 	waited := now.Sub(k.clearing)
--- a/daemon/internal/version/keep/keep_test.go
+++ b/daemon/internal/version/keep/keep_test.go
@@ -164,7 +164,7 @@
 }
 
 func TestServingEngineWaitsForItsTurn(t *testing.T) {
-	e := &engine{t: t, staged: map[int][]byte{}, held: 1}
+	e := &engine{t: t, staged: map[int][]byte{}, held: 1, running: 1}
 	var mu sync.Mutex
 	turn := time.Now().Add(time.Hour)
 	k := start(t, e, func() keep.Plan {
@@ -219,6 +219,14 @@
 	}
 }
 
+// TestIdleEngineIsOrderedAtOnce: there is nothing to wait for.
+func TestIdleEngineIsOrderedAtOnce(t *testing.T) {
+	e := &engine{t: t, staged: map[int][]byte{}, held: 1}
+	start(t, e, func() keep.Plan { return planOf(goal(2, time.Now().Add(-time.Second))) })
+	await(t, "version 2", func() bool { return e.version() == 2 })
+	assert.False(t, e.cleared.Load(), "routers were not told to send nothing more")
+}
+
 // TestManyRunningRequestsAreGivenTime: the order comes as soon as few run.
 func TestManyRunningRequestsAreGivenTime(t *testing.T) {
 	e := &engine{t: t, staged: map[int][]byte{}, held: 1, running: 9}
--- a/daemon/internal/version/swarm/serve.go
+++ b/daemon/internal/version/swarm/serve.go
@@ -98,7 +98,7 @@
 	if r.URL.Query().Has("far") {
 		pause = farPause
 	}
-	lines.Serve(w, r, pause, func() ([]byte, <-chan struct{}) {
+	lines.Serve(w, r, func() time.Duration { return pause }, func() ([]byte, <-chan struct{}) {
 		_, changed := c.Count()
 		return []byte(NewHave(c.Have())), changed
 	})
--- /dev/null
+++ b/daemon/router/followed_test.go
@@ -0,0 +1,40 @@
+package router
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/wheelcleat/wheelcleat/daemon/provider"
+)
+
+func enginesOf(hall string, network byte, count int) []*provider.Upstream {
+	var engines []*provider.Upstream
+	for i := range count {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, network, byte(i / 200), byte(i % 200)}), uint16(8000+i%3))
+		engines = append(engines, &provider.Upstream{ID: fmt.Sprint(hall, i), Hall: hall, Address: address})
+	}
+	return engines
+}
+
+// TestLoadsAreFollowedWithinBounds: all loaders of a small fleet, and of a large
+// one all of the own hall and others up to the bound, which differ by router.
+func TestLoadsAreFollowedWithinBounds(t *testing.T) {
+	small := append(enginesOf("own", 1, 12), enginesOf("other", 2, 12)...)
+	small = append(small, small[0]) // a second engine at the same host
+	assert.Len(t, followed(small, "own", "r1", 7000), 24)
+
+	large := append(enginesOf("own", 1, 60), enginesOf("other", 2, 500)...)
+	first := followed(large, "own", "r1", 7000)
+	assert.Len(t, first, maxFollowed)
+	for _, engine := range large[:60] {
+		assert.Contains(t, first, netip.AddrPortFrom(engine.Address.Addr(), 7000))
+	}
+	assert.ElementsMatch(t, first, followed(large, "own", "r1", 7000), "the same each time")
+	assert.NotSubset(t, first, followed(large, "own", "r2", 7000))
+
+	huge := enginesOf("own", 1, 2*maxFollowed)
+	assert.Len(t, followed(huge, "own", "r1", 7000), 2*maxFollowed, "the own hall is never cut")
+}
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -155,14 +155,7 @@
 	if port == 0 {
 		return
 	}
-	var hosts []netip.AddrPort
-	for _, upstream := range p.engines() {
-		host := netip.AddrPortFrom(upstream.Address.Addr(), port)
-		if !slices.Contains(hosts, host) {
-			hosts = append(hosts, host)
-		}
-	}
-	p.loads.Follow(hosts)
+	p.loads.Follow(followed(p.engines(), p.current.Load().Hall, p.current.Load().Name, port))
 }
 
 // lapses reports whether entries of upstreams may go only because the store was
