Read the usual sizes of requests from the configuration, and drop what nothing reads

The estimate of what waits used a constant of 900 prompt tokens where the configuration declares the mean. MaxConnections and StepTime were decoded and read by nothing, loader and router made their bounded logs alike, and a fetch looked twice at the same count.

--- a/daemon/internal/process/mirror/demand.go
+++ b/daemon/internal/process/mirror/demand.go
@@ -9,9 +9,9 @@
 	// version's time is over.
 	preferFrom = 0.72
 	preferFull = 0.85
-	// graceShare is the part after which they get nothing more: what waits in
+	// oldShare is the part after which they get nothing more: what waits in
 	// their queues, or on the way, needs the rest.
-	graceShare = 0.88
+	oldShare = 0.88
 )
 
 // Demand says on which versions of a model requests may run.
@@ -28,7 +28,7 @@
 // before it. Apply is the time that a declaration has.
 func (d *Declared) Demand(now time.Time, apply time.Duration) Demand {
 	part := func(share float64) time.Duration { return time.Duration(share * float64(apply)) }
-	demand := Demand{Lowest: d.Required(now, part(graceShare), apply)}
+	demand := Demand{Lowest: d.Required(now, part(oldShare), apply)}
 	for declared := d; declared != nil; declared = declared.Before {
 		passed := float64(now.Sub(declared.Since(apply))) / float64(apply)
 		if passed > preferFrom {
--- a/daemon/internal/process/telemetry/bounded.go
+++ b/daemon/internal/process/telemetry/bounded.go
@@ -26,6 +26,22 @@
 	return b
 }
 
+// NewWithBounded starts a telemetry whose lines go to the options' output through
+// a bounded writer. Close the telemetry first, then the writer.
+func NewWithBounded(options Options) (*Telemetry, *Bounded, error) {
+	if options.Output == nil {
+		options.Output = io.Discard
+	}
+	output := NewBounded(options.Output)
+	options.Output = output
+	t, err := New(options)
+	if err != nil {
+		output.Close()
+		return nil, nil, err
+	}
+	return t, output, nil
+}
+
 // Write takes one line; it always reports success.
 func (b *Bounded) Write(line []byte) (int, error) {
 	select {
--- a/daemon/internal/request/dispatch/dispatch.go
+++ b/daemon/internal/request/dispatch/dispatch.go
@@ -214,7 +214,8 @@
 	}
 	read := time.Duration(0)
 	if rate := q.service.Engine.PromptRate; rate > 0 {
-		read = time.Duration(usualPrompt / rate * float64(time.Second))
+		prompt := helpers.OrDefault(q.service.Engine.UsualPrompt, usualPrompt)
+		read = time.Duration(prompt / rate * float64(time.Second))
 	}
 	taken := choice.Running + choice.Waiting + 1
 	beyond := max(0, taken+keptFree+q.reserve()-choice.Upstream.Places)
@@ -239,7 +240,8 @@
 	// other routers send before this one hears of them. The choice of an upstream
 	// counts all places: a free one is better than none.
 	keptFree = 2
-	// usualPrompt stands for the prompts that wait, in tokens.
+	// usualPrompt stands for the prompts that wait, in tokens, where the
+	// configuration does not tell.
 	usualPrompt = 900.0
 )
 
@@ -391,7 +393,7 @@
 	}
 	hint, err := strconv.ParseFloat(q.Header.Get(q.Headers.LengthHint), 64)
 	if err != nil {
-		hint = usualLength
+		hint = helpers.OrDefault(q.service.Engine.UsualAnswer, usualLength)
 	}
 	estimate := promptTokens/q.service.Engine.PromptRate + hint*hintWeight.Seconds()
 	size := min(int(estimate/priorityStep.Seconds()), classes-1)
@@ -409,7 +411,8 @@
 const (
 	// classes is the number of classes in an upstream's queue.
 	classes = 10
-	// usualLength stands for a missing hint, in tokens.
+	// usualLength stands for a missing hint, in tokens, where the configuration
+	// does not tell.
 	usualLength = 92.0
 	// hintWeight is what one hinted token counts beside the time of reading the
 	// prompt: less than it takes, because hints are often far off.
--- a/daemon/internal/version/swarm/fetch.go
+++ b/daemon/internal/version/swarm/fetch.go
@@ -172,9 +172,9 @@
 }
 
 func (f *Fetch) awaitComplete(ctx context.Context) {
-	for !f.Copy.Complete() {
-		_, changed := f.Copy.Count()
-		if f.Copy.Complete() {
+	for {
+		count, changed := f.Copy.Count()
+		if count == len(f.Copy.Manifest.Digests) {
 			return
 		}
 		select {
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -106,8 +106,9 @@
 		return nil, errors.New("loader: no provider")
 	}
 	s.SetDefaults()
-	output := telemetry.NewBounded(helpers.OrDefault(options.LogOutput, io.Discard))
-	t, err := telemetry.New(telemetry.Options{Role: string(s.Role), Name: s.Name, Hall: s.Hall, Level: s.Log.Level, Output: output})
+	t, output, err := telemetry.NewWithBounded(telemetry.Options{
+		Role: string(s.Role), Name: s.Name, Hall: s.Hall, Level: s.Log.Level, Output: options.LogOutput,
+	})
 	if err != nil {
 		return nil, fmt.Errorf("loader %s: %w", s.Name, err)
 	}
--- a/daemon/provider/configuration.go
+++ b/daemon/provider/configuration.go
@@ -70,8 +70,6 @@
 // Service is a set of upstreams that are alike.
 type Service struct {
 	Name string
-	// MaxConnections is what one upstream takes from all callers together.
-	MaxConnections int
 	// Engine is set for services whose upstreams run a model.
 	Engine *EngineSpec
 	// Origin is set for the service that weights come from.
@@ -84,9 +82,10 @@
 	Model string
 	// Places is how many requests an engine runs at once.
 	Places int
-	// StepTime is the time of one token, PromptRate the prompt tokens read a second.
-	StepTime   time.Duration
-	PromptRate float64
+	// PromptRate is the prompt tokens read a second; UsualPrompt and UsualAnswer
+	// are the mean tokens of a request, 0 where not declared.
+	PromptRate               float64
+	UsualPrompt, UsualAnswer float64
 	// Chunks is the number of chunks of a version, ChunkBytes the size of each.
 	Chunks, ChunkBytes int
 }
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -105,8 +105,9 @@
 		return nil, errors.New("router: no provider")
 	}
 	s.SetDefaults()
-	output := telemetry.NewBounded(helpers.OrDefault(options.LogOutput, io.Discard))
-	t, err := telemetry.New(telemetry.Options{Role: string(s.Role), Name: s.Name, Hall: s.Hall, Level: s.Log.Level, Output: output})
+	t, output, err := telemetry.NewWithBounded(telemetry.Options{
+		Role: string(s.Role), Name: s.Name, Hall: s.Hall, Level: s.Log.Level, Output: options.LogOutput,
+	})
 	if err != nil {
 		return nil, fmt.Errorf("router %s: %w", s.Name, err)
 	}
