--- a/daemon/internal/version/swarm/duty.go
+++ b/daemon/internal/version/swarm/duty.go
@@ -135,13 +135,18 @@
 
 // asksOrigin reports whether this host asks the origin for a chunk. The first
 // hall's hosts do; the other halls' follow when that takes too long, because
-// the first hall may be cut off.
+// the first hall may be cut off. A host that is to be done first does not wait
+// for each of them in turn.
 func (f *Fetch) asksOrigin(index int, now time.Time) bool {
 	if !f.settled(now) || !f.othersDone() {
 		return false
 	}
 	d := f.duties[index]
-	return d.first() || f.late(index, now) > time.Duration(d.place+2*d.hall)*patience
+	wait := time.Duration(d.place+2*d.hall) * patience
+	if f.First {
+		wait = min(wait, earlyPatience)
+	}
+	return d.first() || f.late(index, now) > wait
 }
 
 func (f *Fetch) othersDone() bool {
--- a/daemon/internal/version/swarm/fetch.go
+++ b/daemon/internal/version/swarm/fetch.go
@@ -50,6 +50,8 @@
 	// patience is how long a chunk may be overdue before the next host in its
 	// ranking brings it.
 	patience = 900 * time.Millisecond
+	// earlyPatience is the same for a host that is to be done first.
+	earlyPatience = 250 * time.Millisecond
 	// standstill is the longest pause between chunks that is no standstill.
 	standstill = 400 * time.Millisecond
 	// slowChunk and quickChunk are the times at which fewer and more chunks are
