--- a/daemon/internal/process/mirror/follower.go
+++ b/daemon/internal/process/mirror/follower.go
@@ -36,8 +36,8 @@
 	// Wait is how long one watch waits; 0 means 2.5s.
 	Wait time.Duration
 	// Settle is the pause after a change before the next watch, so that changes
-	// that come together are heard together; 0 means none.
-	Settle time.Duration
+	// that come together are heard together. Nil means none.
+	Settle func() time.Duration
 	// ListEvery, where it is not 0, has the follower list the prefix at this
 	// interval, from an answer that may be old, and never watch it. For what is
 	// not urgent that costs the store far less.
@@ -128,8 +128,8 @@
 	f.hear()
 	f.Table.Apply(changes.Entries)
 	f.at = max(f.at, changes.At)
-	if len(changes.Entries) > 0 {
-		helpers.Pause(f.Settle, f.tomb.Dying())
+	if len(changes.Entries) > 0 && f.Settle != nil {
+		helpers.Pause(f.Settle(), f.tomb.Dying())
 	}
 	return nil
 }
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -36,8 +36,9 @@
 )
 
 const (
-	// versionsWait is how long one watch for declared versions waits.
-	versionsWait = 4 * time.Second
+	// versionsWait is how long one watch for declared versions waits. A cut in
+	// silence is noticed sooner, by the connection.
+	versionsWait = 10 * time.Second
 	// hostsEvery is the interval in which the list of hosts is read. It only
 	// says which hosts may have chunks.
 	hostsEvery = 2 * time.Second
@@ -183,7 +184,7 @@
 func (p *Process) readWeights() error {
 	ctx, cancel := context.WithTimeout(p.tomb.Context(nil), lookTimeout) //nolint:staticcheck // nil asks the tomb for its own context
 	defer cancel()
-	entry, err := p.provider.Store.Get(ctx, p.provider.Prefixes.Configuration)
+	entry, err := p.provider.Store.GetStale(ctx, p.provider.Prefixes.Configuration)
 	if err != nil {
 		return err
 	}
--- a/daemon/provider/provider.go
+++ b/daemon/provider/provider.go
@@ -69,8 +69,8 @@
 	// Watch waits up to wait for changes under a prefix after a revision. An
 	// empty listing means that there was none.
 	Watch func(ctx context.Context, prefix string, after Revision, wait time.Duration) (Listing, error)
-	// Get reads one entry.
-	Get func(ctx context.Context, key string) (Entry, error)
+	// GetStale reads one entry from an answer that may be seconds old.
+	GetStale func(ctx context.Context, key string) (Entry, error)
 	// Write writes entries without a condition.
 	Write func(ctx context.Context, puts []Put) (Revision, error)
 	// Grant makes a lease and Renew prolongs it.
--- a/daemon/router/announcer.go
+++ b/daemon/router/announcer.go
@@ -14,9 +14,9 @@
 
 const (
 	// announceTTL is how long the record of a router that died stays.
-	announceTTL = 20 * time.Second
+	announceTTL = 40 * time.Second
 	// renewEvery is the interval of renewals.
-	renewEvery = 6 * time.Second
+	renewEvery = 12 * time.Second
 	// announceRetry is the pause after a failed call, drawn at random below it.
 	announceRetry = time.Second
 	// announceTimeout bounds a call.
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -36,10 +36,14 @@
 )
 
 const (
-	// storeWait is how long one watch of the store waits, and storeSettle the
-	// pause after a change: together they bound how old the copy is.
-	storeWait   = 2500 * time.Millisecond
-	storeSettle = 150 * time.Millisecond
+	// storeWait is how long one watch of the store waits.
+	storeWait = 2500 * time.Millisecond
+	// settleEach is the pause after a change for each router that there is, and
+	// settleLeast and settleMost its bounds. Each change of one upstream has all
+	// routers call the store, so that the calls would grow with the fleet's square.
+	settleEach  = 15 * time.Millisecond
+	settleLeast = 150 * time.Millisecond
+	settleMost  = 500 * time.Millisecond
 	// silenceSlack is how much later than due an answer of the store may be
 	// before peers are asked, and before an unknown key or route is no longer a
 	// final no.
@@ -131,7 +135,7 @@
 func (p *Process) addFollowers(client *http.Client) {
 	p.follower = &mirror.Follower{
 		Store: p.provider.Store, Prefix: p.provider.Prefixes.All, Table: p.table, OnContact: p.recorder.contact,
-		Wait: storeWait, Settle: storeSettle,
+		Wait: storeWait, Settle: p.settle,
 	}
 	p.puller = &peering.Puller{
 		Client: client, Table: p.table, Peers: p.peerAddresses, Needed: p.silent, OnPull: p.recorder.pulled,
@@ -159,6 +163,12 @@
 	p.loads.Follow(followed(p.engines(), p.current.Load().Hall, p.current.Load().Name, port))
 }
 
+// settle is the pause after a change in the store.
+func (p *Process) settle() time.Duration {
+	routers := len(p.compiler.View().Members)
+	return min(max(time.Duration(routers)*settleEach, settleLeast), settleMost)
+}
+
 // lapses reports whether entries of upstreams may go only because the store was
 // away: it is for this router, or was a moment ago.
 func (p *Process) lapses() bool {
@@ -274,7 +284,7 @@
 
 // silent reports whether the store has not answered for too long.
 func (p *Process) silent() bool {
-	return !p.follower.Known() || p.follower.Age() > storeWait+storeSettle+silenceSlack
+	return !p.follower.Known() || p.follower.Age() > storeWait+p.settle()+silenceSlack
 }
 
 // peerAddresses are the seeds and all members but this one.
