--- a/daemon/internal/version/keep/keep.go
+++ b/daemon/internal/version/keep/keep.go
@@ -103,6 +103,8 @@
 	NewFetch func(plan Plan, c *swarm.Copy) *swarm.Fetch
 	// AskPeer asks one peer for a manifest.
 	AskPeer func(ctx context.Context, peer netip.AddrPort, version int) (provider.Manifest, error)
+	// Now is the clock by which orders are given; nil means time.Now.
+	Now func() time.Time
 	// OnReport is called with each report of the engine.
 	OnReport func(report provider.EngineReport, err error)
 	// OnStep is called for each decision and its outcome.
@@ -187,7 +189,7 @@
 		k.prepare(ctx, goal, c)
 	}
 	held := holds(report)
-	if time.Since(k.ordered) < orderAgain {
+	if k.now().Sub(k.ordered) < orderAgain {
 		return
 	}
 	if held == 0 && k.check(ctx, goal, c) || held > 0 && k.cleared(ctx, goal, c, report) {
@@ -200,7 +202,7 @@
 // more, and what waited has begun. What waits at an order may begin on the old
 // version much later, when the engine stands still meanwhile.
 func (k *Keeper) cleared(ctx context.Context, goal Goal, c *swarm.Copy, report provider.EngineReport) bool {
-	now := time.Now()
+	now := k.now()
 	if now.Before(goal.Turn) {
 		k.clearing = time.Time{}
 		return false
@@ -226,6 +228,13 @@
 	}
 }
 
+func (k *Keeper) now() time.Time {
+	if k.Now != nil {
+		return k.Now()
+	}
+	return time.Now()
+}
+
 // Clearing reports whether the engine is to get no new requests because an
 // order is about to be given. Only OnReport may call it.
 func (k *Keeper) Clearing() bool { return !k.clearing.IsZero() }
@@ -486,7 +495,7 @@
 	result, err := k.Engine.Start(ctx, k.Address, provider.Order{
 		Model: goal.Model, Version: goal.Version, Fence: goal.Fence, Sequence: report.Sequence, Cut: goal.Cut,
 	})
-	k.ordered = time.Now()
+	k.ordered = k.now()
 	k.clearing = time.Time{}
 	reason := fmt.Sprintf("holds version %d, %d requests run, cut %t, order %s", holds(report), report.Running, goal.Cut, result)
 	k.OnStep(Step{Name: "order", Version: goal.Version, Reason: reason, Err: err, Took: time.Since(started)})
--- a/daemon/internal/version/keep/keep_test.go
+++ b/daemon/internal/version/keep/keep_test.go
@@ -53,8 +53,29 @@
 	// loseAnswers is how many orders are taken without an answer.
 	loseAnswers int
 	// cleared is set once a report came while the routers were told to send
-	// nothing more.
+	// nothing more, and rounds counts the reports.
 	cleared atomic.Bool
+	rounds  atomic.Int64
+	// clock is the keeper's, in nanoseconds; 0 leaves it the system's.
+	clock atomic.Int64
+}
+
+// now is the clock of the engine's keeper.
+func (e *engine) now() time.Time {
+	if at := e.clock.Load(); at != 0 {
+		return time.Unix(0, at)
+	}
+	return time.Now()
+}
+
+// pass lets time pass for the keeper, which looks at the engine a few times at
+// that time.
+func (e *engine) pass(d time.Duration) {
+	e.t.Helper()
+	e.clock.Add(int64(d))
+	const looks = 3
+	until := e.rounds.Load() + looks
+	await(e.t, "a few looks", func() bool { return e.rounds.Load() >= until })
 }
 
 func (e *engine) calls() provider.Engine {
@@ -132,7 +153,11 @@
 		Plan:   func(int) (keep.Plan, bool) { return plan(), true },
 		OnStep: func(keep.Step) {},
 	}
-	k.OnReport = func(provider.EngineReport, error) { e.cleared.Store(k.Clearing()) }
+	k.Now = e.now
+	k.OnReport = func(provider.EngineReport, error) {
+		e.cleared.Store(k.Clearing())
+		e.rounds.Add(1)
+	}
 	k.NewFetch = func(_ keep.Plan, c *swarm.Copy) *swarm.Fetch {
 		return &swarm.Fetch{
 			Copy: c, Model: "m", Source: k.Origin, Own: swarm.Host{Address: host, Hall: "h"},
@@ -184,8 +209,10 @@
 // old version much later.
 func TestNothingIsOrderedWhileRequestsWait(t *testing.T) {
 	e := &engine{t: t, staged: map[int][]byte{}, held: 1, waiting: 2}
-	start(t, e, func() keep.Plan { return planOf(goal(2, time.Now().Add(-time.Second))) })
+	e.clock.Store(time.Hour.Nanoseconds())
+	start(t, e, func() keep.Plan { return planOf(goal(2, time.Unix(0, 0))) })
 	await(t, "routers are told", e.cleared.Load)
+	e.pass(time.Second)
 	assert.Equal(t, 1, e.version())
 	e.mu.Lock()
 	e.waiting = 0
@@ -227,19 +254,30 @@
 	assert.False(t, e.cleared.Load(), "routers were not told to send nothing more")
 }
 
-// TestManyRunningRequestsAreGivenTime: the order comes as soon as few run.
+// TestManyRunningRequestsAreGivenTime: the order comes as soon as few run, and
+// after a while in any case.
 func TestManyRunningRequestsAreGivenTime(t *testing.T) {
-	e := &engine{t: t, staged: map[int][]byte{}, held: 1, running: 9}
-	next := goal(2, time.Now().Add(-time.Second))
-	next.Cut = true
-	k := start(t, e, func() keep.Plan { return planOf(next) })
-	await(t, "routers are told", e.cleared.Load)
-	e.mu.Lock()
-	e.running = 1
-	e.mu.Unlock()
-	await(t, "version 2", func() bool { return e.version() == 2 })
-	k.Stop()
-	assert.Equal(t, 1, e.cut)
+	for _, left := range []int{1, 9} {
+		t.Run(fmt.Sprint(left, " are left"), func(t *testing.T) {
+			e := &engine{t: t, staged: map[int][]byte{}, held: 1, running: 9}
+			e.clock.Store(time.Hour.Nanoseconds())
+			next := goal(2, time.Unix(0, 0))
+			next.Cut = true
+			k := start(t, e, func() keep.Plan { return planOf(next) })
+			await(t, "routers are told", e.cleared.Load)
+			e.pass(500 * time.Millisecond)
+			assert.Equal(t, 1, e.version(), "many run")
+			e.mu.Lock()
+			e.running = left
+			e.mu.Unlock()
+			if left > 2 {
+				e.clock.Add(int64(time.Second))
+			}
+			await(t, "version 2", func() bool { return e.version() == 2 })
+			k.Stop()
+			assert.Equal(t, left, e.cut)
+		})
+	}
 }
 
 func TestLostAnswerIsNoSecondLoad(t *testing.T) {
--- a/deploy/days/play.sh
+++ b/deploy/days/play.sh
@@ -22,7 +22,7 @@
     worth=$(awk '{print $4}' <<<"$row")
     served=$(awk '{print $5}' <<<"$row")
     broken=$(grep -o 'BROKEN: [^(]*' <<<"$row" | cut -c9-)
-    short=$(tr -d ' \n' <"$report" | grep -o '"short":\[[^]]*\]' | cut -c10-)
+    short=$(tr -d ' \n' <"$report" | grep -o '"short":\[[^]]*' | cut -c10-)
     printf '%-36s %-20s %6s %6s  %-24s %s\n' "$name" "$(basename "$site" .toml)" "$worth" "$served" "${broken:--}" "${short:--}"
   done
 done
