--- a/daemon/internal/process/balance/balance.go
+++ b/daemon/internal/process/balance/balance.go
@@ -67,6 +67,8 @@
 	// Hall is this process's own data hall: upstreams elsewhere are taken when
 	// those of the hall are busier, "" for no difference.
 	Hall string
+	// Now is the clock; nil means time.Now.
+	Now func() time.Time
 
 	mu     sync.Mutex
 	states map[string]*state
@@ -129,8 +131,8 @@
 	// must end first, as far as the upstream's host has told of late; 0 where it
 	// has not.
 	Waiting, Beyond int
-	// Running is how many requests the host told of last, Age how long ago, 0
-	// where it never did.
+	// Running is how many requests run there, as far as the host has told of late,
+	// else 0. Age is how long ago it last told, 0 where it never did.
 	Running int
 	Age     time.Duration
 
@@ -142,7 +144,7 @@
 func (p *Pool) Choose(upstreams []*provider.Upstream, query Query) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := time.Now()
+	now := p.now()
 	p.sweep(now)
 	best := Choice{Score: math.Inf(1), pool: p}
 	for _, candidate := range upstreams {
@@ -167,9 +169,7 @@
 	}
 	chosen := p.states[best.Upstream.ID]
 	best.Waiting, best.Beyond = chosen.ahead(best.Upstream, query.Reserve, now)
-	if !chosen.toldAt.IsZero() {
-		best.Running, best.Age = chosen.told.Running, now.Sub(chosen.toldAt)
-	}
+	best.Running, best.Age = chosen.running(now)
 	chosen.inFlight++
 	chosen.sentSince++
 	best.Version = chosen.holds(best.Upstream, query.Model, now)
@@ -203,6 +203,13 @@
 	return told.Holds(model)
 }
 
+func (p *Pool) now() time.Time {
+	if p.Now != nil {
+		return p.Now()
+	}
+	return time.Now()
+}
+
 func (p *Pool) state(id string, now time.Time) *state {
 	if p.states == nil {
 		p.states = map[string]*state{}
@@ -273,7 +280,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.states[id]
-	return s != nil && s.silent(time.Now())
+	return s != nil && s.silent(p.now())
 }
 
 // Loading reports whether the host of an upstream has told that it takes a new
@@ -282,7 +289,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.states[id]
-	return s != nil && s.told.Loading && time.Since(s.toldAt) <= toldFor
+	return s != nil && s.told.Loading && p.now().Sub(s.toldAt) <= toldFor
 }
 
 // referencePlaces scales loads of upstreams of different sizes.
@@ -316,6 +323,19 @@
 	return waiting, max(0, s.told.Running+waiting+1+reserve-candidate.Places)
 }
 
+// running is how many requests the upstream's host last told of and how long ago;
+// what it told long ago does not count.
+func (s *state) running(now time.Time) (running int, age time.Duration) {
+	if s.toldAt.IsZero() {
+		return 0, 0
+	}
+	age = now.Sub(s.toldAt)
+	if age > toldFor {
+		return 0, age
+	}
+	return s.told.Running, age
+}
+
 // beyondWeight is what a request beyond the places counts: it waits for another
 // to end.
 const beyondWeight = 3.0
@@ -324,7 +344,7 @@
 func (p *Pool) Tell(id string, told Told) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := time.Now()
+	now := p.now()
 	s := p.state(id, now)
 	s.told, s.toldAt, s.sentSince = told, now, 0
 }
@@ -340,7 +360,7 @@
 func (c Choice) Done(outcome Outcome) {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
-	now := time.Now()
+	now := c.pool.now()
 	s := c.pool.state(c.Upstream.ID, now)
 	s.inFlight--
 	s.fade(now)
--- a/daemon/internal/process/balance/balance_test.go
+++ b/daemon/internal/process/balance/balance_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -235,3 +236,18 @@
 	_, ok := pool.Choose(candidates[:1], balance.Query{})
 	assert.True(t, ok, "one that is blocked is better than none")
 }
+
+// TestOldNewsDoesNotCount: a request is not refused, nor an upstream avoided, for
+// a load that was told long ago.
+func TestOldNewsDoesNotCount(t *testing.T) {
+	now := time.Unix(1000, 0)
+	candidates := upstreams(1)
+	pool := &balance.Pool{Now: func() time.Time { return now }}
+	pool.Tell("u0", balance.Told{Running: 16, Waiting: 5, Models: candidates[0].Models})
+	fresh, _ := pool.Choose(candidates, balance.Query{Model: "m"})
+	assert.Equal(t, []int{16, 5}, []int{fresh.Running, fresh.Waiting})
+	now = now.Add(time.Minute)
+	old, _ := pool.Choose(candidates, balance.Query{Model: "m"})
+	assert.Equal(t, []int{0, 0, 0}, []int{old.Running, old.Waiting, old.Beyond})
+	assert.Equal(t, time.Minute, old.Age)
+}
--- a/daemon/internal/version/turn/turn.go
+++ b/daemon/internal/version/turn/turn.go
@@ -23,9 +23,8 @@
 	// has come once they do.
 	earlyPart = 0.25
 	// earlyHosts is how many hosts are to be done with a version before the
-	// others. The rest then knows that it can be loaded, and a host that gives
-	// out while it serves the old version does so as late as can be. More than
-	// one, because one may be slow or gone.
+	// others: it shows soon whether the version loads at all. More than one,
+	// because one may be slow or gone.
 	earlyHosts = 2
 )
 
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -151,7 +151,7 @@
 func (p *Process) takeChanges(changed []provider.Entry) {
 	p.compiler.Take(changed)
 	if p.compiler.Lapsed() {
-		time.AfterFunc(lapseAgain, p.table.Recompile)
+		time.AfterFunc(lapseAgain, p.lookAtLapsed)
 	}
 	if p.compiler.View().Configuration != nil && !p.draining.Load() {
 		p.telemetry.SetReady()
@@ -163,6 +163,13 @@
 	p.loads.Follow(followed(p.engines(), p.current.Load().Hall, p.current.Load().Name, port))
 }
 
+// lookAtLapsed drops the upstreams that were kept and are not back.
+func (p *Process) lookAtLapsed() {
+	if !p.draining.Load() {
+		p.table.Recompile()
+	}
+}
+
 // settle is the pause after a change in the store.
 func (p *Process) settle() time.Duration {
 	routers := len(p.compiler.View().Members)
