--- a/cli/internal/explain/print.go
+++ b/cli/internal/explain/print.go
@@ -69,7 +69,7 @@
 	if f.Stale {
 		p.linef(1, "decided by a configuration that may have been out of date")
 	}
-	if f.BudgetLeft != nil && *f.BudgetLeft < 1 {
+	if len(f.Tries) > 0 && f.BudgetLeft != nil && *f.BudgetLeft < 1 {
 		p.linef(1, "the retry budget of the service was used up")
 	}
 	for i, try := range f.Tries {
