--- a/daemon/internal/process/members/members.go
+++ b/daemon/internal/process/members/members.go
@@ -16,7 +16,7 @@
 // Weighed and rejected: every agent reporting to every entry of its hall (286
 // hosts times 57 entries a second is 57 KB/s at each entry, above the limit of
 // 25), and heartbeats kept in the key-value service (2,000 writes a second
-// against the 100 that it takes).
+// against the 400 that it takes).
 package members
 
 import (
--- a/daemon/internal/process/placer/placer.go
+++ b/daemon/internal/process/placer/placer.go
@@ -33,7 +33,7 @@
 	// DefaultTTL is the time of the lease.
 	DefaultTTL = 6 * time.Second
 	// DefaultEvery is the least time between two writes of the document: at 7
-	// halls and 300 ms that is at most 24 of the service's 100 writes a second.
+	// halls and 300 ms that is at most 24 of the service's 400 writes a second.
 	DefaultEvery = 300 * time.Millisecond
 	// DefaultReplaceAfter is how long a host is suspect before its assignment
 	// moves: longer than a restart, since a move costs a fetch.
