--- a/daemon/internal/process/mirror/mirror_test.go
+++ b/daemon/internal/process/mirror/mirror_test.go
@@ -154,6 +154,51 @@
 	require.NoError(t, <-contacts, "one line for a loss, one for the return")
 }
 
+// TestAWatchThatHangsIsGivenUp: a store that says nothing is lost like one that
+// refuses, and what it says next is taken.
+func TestAWatchThatHangsIsGivenUp(t *testing.T) {
+	s := &tableStore{watches: make(chan func() (provider.Listing, error))}
+	contacts := make(chan error, 8)
+	table := &mirror.Table{}
+	follower := &mirror.Follower{
+		Table: table, Wait: time.Millisecond, Store: s.store(func() provider.Listing { return provider.Listing{At: 1} }),
+		OnContact: func(_ string, lost error) { contacts <- lost },
+	}
+	follower.Start()
+	defer follower.Stop()
+	require.ErrorIs(t, <-contacts, context.DeadlineExceeded)
+	s.watches <- func() (provider.Listing, error) {
+		return provider.Listing{At: 2, Entries: []provider.Entry{{Key: "a", Revision: 2}}}, nil
+	}
+	require.NoError(t, <-contacts)
+	assert.Len(t, table.Since(0).Entries, 1)
+}
+
+// TestTheReturnIsKnownBeforeTheNews: whether an entry that goes may have lapsed
+// hangs on the store's having been away.
+func TestTheReturnIsKnownBeforeTheNews(t *testing.T) {
+	s := &tableStore{watches: make(chan func() (provider.Listing, error))}
+	table := &mirror.Table{}
+	follower := &mirror.Follower{Table: table, Store: s.store(func() provider.Listing { return provider.Listing{At: 1} })}
+	known := make(chan bool, 8)
+	table.OnChange = func([]provider.Entry) {
+		_, ever := follower.Regained()
+		known <- ever
+	}
+	follower.Start()
+	defer follower.Stop()
+	news := func(revision provider.Revision) func() (provider.Listing, error) {
+		return func() (provider.Listing, error) {
+			return provider.Listing{At: revision, Entries: []provider.Entry{{Key: "a", Revision: revision}}}, nil
+		}
+	}
+	s.watches <- news(2)
+	assert.False(t, <-known, "the store was never away")
+	s.watches <- func() (provider.Listing, error) { return provider.Listing{}, errors.New("down") }
+	s.watches <- news(3)
+	assert.True(t, <-known)
+}
+
 func decode(entry provider.Entry) (provider.Record, error) {
 	var record provider.Record
 	err := json.Unmarshal(entry.Value, &record)
--- a/daemon/internal/version/keep/keep_test.go
+++ b/daemon/internal/version/keep/keep_test.go
@@ -48,8 +48,12 @@
 	waiting  int
 	running  int
 	orders   int
+	// fenced counts the orders that were refused for their fence.
+	fenced int
 	// cut is how many running requests orders have cut.
 	cut int
+	// fence is the highest that the engine has seen.
+	fence provider.Revision
 	// loseAnswers is how many orders are taken without an answer.
 	loseAnswers int
 	// cleared is set once a report came while the routers were told to send
@@ -113,6 +117,10 @@
 	if order.Sequence != e.sequence {
 		return provider.OrderConflict, errors.New("sequence")
 	}
+	if order.Fence < e.fence {
+		e.fenced++
+		return provider.OrderFenced, errors.New("fence")
+	}
 	for index := range chunks {
 		assert.Equal(e.t, chunkOf(order.Version, index), e.staged[index], "ordered to take what is not whole")
 	}
@@ -288,6 +296,27 @@
 	assert.Equal(t, 1, e.orders)
 }
 
+// TestFencedOrderIsGivenAgainByANewerFence: an engine that has seen a higher one
+// takes nothing by the old, and the version once the store's news is as new.
+func TestFencedOrderIsGivenAgainByANewerFence(t *testing.T) {
+	e := &engine{t: t, staged: map[int][]byte{}, fence: 9}
+	var fence atomic.Uint64
+	fence.Store(3)
+	start(t, e, func() keep.Plan {
+		next := goal(2, time.Time{})
+		next.Fence = provider.Revision(fence.Load())
+		return planOf(next)
+	})
+	await(t, "a refusal", func() bool {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return e.fenced > 0
+	})
+	assert.Zero(t, e.version())
+	fence.Store(9)
+	await(t, "version 2", func() bool { return e.version() == 2 })
+}
+
 func TestRestartedEngineIsLoadedAgain(t *testing.T) {
 	e := &engine{t: t, staged: map[int][]byte{}}
 	start(t, e, func() keep.Plan { return planOf(goal(2, time.Time{})) })
