Work hosts out once a list of them, not at each look

Read in the whole change: routers gathered all engines anew for each line of a loader, loaders ranked all hosts several times at each look at their engine, and a fetch sorted and ranked them at each choice of a chunk. The first is now an index by host, made when the list changes; the second a roster of the newest view; the third the surroundings of the newest list.

--- a/daemon/internal/version/swarm/duty.go
+++ b/daemon/internal/version/swarm/duty.go
@@ -40,15 +40,14 @@
 // Those that are not asked, and all before the first answers are due, count as
 // live.
 func (f *Fetch) liveHosts(now time.Time) []Host {
-	hosts := f.hosts()
+	around := f.surroundings()
 	if now.Sub(f.started) < peerSilence {
-		return hosts
+		return around.hosts
 	}
-	asked := f.neighbours()
-	return slices.DeleteFunc(hosts, func(host Host) bool {
+	return slices.DeleteFunc(slices.Clone(around.hosts), func(host Host) bool {
 		n := f.known[host.Address]
 		silent := n == nil || n.absent || now.Sub(n.heard) > peerSilence
-		return silent && slices.Contains(asked, host)
+		return silent && slices.Contains(around.neighbours, host)
 	})
 }
 
@@ -119,7 +118,7 @@
 
 // settled reports whether the neighbours have had time to say what they have.
 func (f *Fetch) settled(now time.Time) bool {
-	return now.Sub(f.started) > settleTime || len(f.known) >= len(f.neighbours())
+	return now.Sub(f.started) > settleTime || len(f.known) >= len(f.surroundings().neighbours)
 }
 
 // offeredNear reports whether a neighbour of this hall that is heard has the
--- a/daemon/internal/version/swarm/fetch.go
+++ b/daemon/internal/version/swarm/fetch.go
@@ -8,13 +8,12 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
-	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/lines"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
-	"github.com/wheelcleat/wheelcleat/daemon/internal/rendezvous"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
@@ -107,6 +106,7 @@
 	OnChunk func(index int, chunk []byte, from string)
 
 	started time.Time
+	around  atomic.Pointer[surroundings]
 	mu      sync.Mutex
 	// known is what each neighbour has; taken are chunks under way.
 	known map[netip.AddrPort]*neighbour
@@ -207,7 +207,7 @@
 	defer asking.Wait()
 	asked := map[netip.AddrPort]bool{}
 	for ctx.Err() == nil {
-		for _, host := range f.neighbours() {
+		for _, host := range f.surroundings().neighbours {
 			if !asked[host.Address] {
 				asked[host.Address] = true
 				asking.Go(func() { f.ask(ctx, host) })
@@ -217,38 +217,6 @@
 	}
 }
 
-// neighbours are the hosts that this one asks, by a ranking of its own.
-func (f *Fetch) neighbours() []Host {
-	hosts := f.hosts()
-	byName := map[string]Host{}
-	names := make([]string, 0, len(hosts))
-	for _, host := range hosts {
-		byName[host.Address.String()] = host
-		names = append(names, host.Address.String())
-	}
-	var result []Host
-	counts := map[string]int{}
-	for _, name := range rendezvous.Rank("neighbours of "+f.Own.Address.String(), names) {
-		host := byName[name]
-		limit := maxFar
-		if host.Hall == f.Own.Hall {
-			limit = maxNear
-		}
-		if host.Address != f.Own.Address && counts[host.Hall] < limit {
-			counts[host.Hall]++
-			result = append(result, host)
-		}
-	}
-	return result
-}
-
-// hosts are all hosts, this one included, in the order of their addresses.
-func (f *Fetch) hosts() []Host {
-	hosts := append([]Host{f.Own}, f.Hosts()...)
-	slices.SortFunc(hosts, func(a, b Host) int { return a.Address.Compare(b.Address) })
-	return slices.CompactFunc(hosts, func(a, b Host) bool { return a.Address == b.Address })
-}
-
 // ask follows what one host has, again and again.
 func (f *Fetch) ask(ctx context.Context, host Host) {
 	peer := Peer{Address: host.Address, Client: f.Client}
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -87,6 +87,8 @@
 
 	// weights is what the configuration says of the engine's service.
 	weights atomic.Pointer[weights]
+	// listed is the roster of the newest view.
+	listed atomic.Pointer[roster]
 
 	peers, metrics *server.Server
 	tomb           tomb.Tomb
@@ -268,8 +270,8 @@
 
 // place is this host's place among some hosts in the order of their turns.
 func (p *Process) place(model string, version int) (place, hosts int) {
-	names := p.hostNames()
-	return turn.Place(fmt.Sprintf("%s/%d", model, version), p.own().Address.String(), names), len(names)
+	r := p.roster()
+	return r.place(fmt.Sprintf("%s/%d", model, version)), len(r.names)
 }
 
 // linkTime is how long a link like this host's takes for some bytes.
@@ -292,29 +294,8 @@
 	return swarm.Host{Address: p.current.Load().Listen.Peers, Hall: p.current.Load().Hall}
 }
 
-// hosts are the loaders of all engines of this service, by the hosts' addresses.
-func (p *Process) hosts() []swarm.Host {
-	var result []swarm.Host
-	for _, upstream := range p.compiler.View().Upstreams[p.current.Load().Service] {
-		address := netip.AddrPortFrom(upstream.Address.Addr(), p.own().Address.Port())
-		host := swarm.Host{Address: address, Hall: upstream.Hall}
-		if !slices.Contains(result, host) {
-			result = append(result, host)
-		}
-	}
-	return result
-}
-
-// hostNames are the loaders' addresses as text, this one's included.
-func (p *Process) hostNames() []string {
-	names := []string{p.own().Address.String()}
-	for _, host := range p.hosts() {
-		if host.Address != p.own().Address {
-			names = append(names, host.Address.String())
-		}
-	}
-	return names
-}
+// hosts are the loaders of all engines of this service.
+func (p *Process) hosts() []swarm.Host { return p.roster().hosts }
 
 // manifestHosts is how many loaders are asked for a manifest. More than one,
 // because the first may be as new as this one.
@@ -324,7 +305,7 @@
 // ask the origin.
 func (p *Process) firstAskers(goal keep.Goal) []netip.AddrPort {
 	key := fmt.Sprintf("manifest of %s/%d", goal.Model, goal.Version)
-	ranked := rendezvous.Rank(key, p.hostNames())
+	ranked := rendezvous.Rank(key, p.roster().names)
 	var first []netip.AddrPort
 	for _, name := range ranked[:min(manifestHosts, len(ranked))] {
 		first = append(first, netip.MustParseAddrPort(name))
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -97,6 +97,9 @@
 	loads     *loadfeed.Reader
 	pool      *balance.Pool
 	budget    *dispatch.Budget
+	// enginesAt holds the ids of the engines on each host. It is replaced when
+	// the list changes, and read for each line of a loader.
+	enginesAt atomic.Pointer[map[netip.Addr][]string]
 
 	callers, ready, peers, metrics *server.Server
 	draining                       atomic.Bool
@@ -160,7 +163,19 @@
 	if port == 0 {
 		return
 	}
-	p.loads.Follow(followed(p.engines(), p.current.Load().Hall, p.current.Load().Name, port))
+	engines := p.engines()
+	p.enginesAt.Store(byHost(engines))
+	p.loads.Follow(followed(engines, p.current.Load().Hall, p.current.Load().Name, port))
+}
+
+// byHost returns the ids of engines by the address of their host.
+func byHost(engines []*provider.Upstream) *map[netip.Addr][]string {
+	ids := map[netip.Addr][]string{}
+	for _, engine := range engines {
+		host := engine.Address.Addr()
+		ids[host] = append(ids[host], engine.ID)
+	}
+	return &ids
 }
 
 // lookAtLapsed drops the upstreams that were kept and are not back.
@@ -197,12 +212,9 @@
 
 // takeLoad hands on what a loader tells of the engine beside it.
 func (p *Process) takeLoad(host netip.AddrPort, line loadfeed.Line) {
-	for _, upstream := range p.engines() {
-		if upstream.Address.Addr() == host.Addr() {
-			p.pool.Tell(upstream.ID, balance.Told{
-				Running: line.Running, Waiting: line.Waiting, Loading: line.Loading, Models: line.Models,
-			})
-		}
+	told := balance.Told{Running: line.Running, Waiting: line.Waiting, Loading: line.Loading, Models: line.Models}
+	for _, id := range (*p.enginesAt.Load())[host.Addr()] {
+		p.pool.Tell(id, told)
 	}
 }
 
