Call what is there: defaults, clocks, the store's contact, declarations by age

The router's and loader's settings filled defaults in a second way beside orDefault; eight types had the same method for a clock that may be nil; loader and router wrote the same lines when the store is lost; and Demand walked the declarations as Required does.

--- a/daemon/internal/helpers/helpers.go
+++ b/daemon/internal/helpers/helpers.go
@@ -17,6 +17,14 @@
 	}
 }
 
+// Now reads a clock that may be nil, which stands for the system's.
+func Now(clock func() time.Time) time.Time {
+	if clock != nil {
+		return clock()
+	}
+	return time.Now()
+}
+
 // OrDefault returns value, or fallback where value is the zero value.
 func OrDefault[T comparable](value, fallback T) T {
 	var zero T
--- a/daemon/internal/helpers/helpers_test.go
+++ b/daemon/internal/helpers/helpers_test.go
@@ -25,3 +25,9 @@
 	assert.Equal(t, 2, OrDefault(2, 3))
 	assert.Equal(t, "x", OrDefault("", "x"))
 }
+
+func TestNowTakesTheClockThatIsThere(t *testing.T) {
+	at := time.Unix(1000, 0)
+	assert.Equal(t, at, Now(func() time.Time { return at }))
+	assert.False(t, Now(nil).IsZero())
+}
--- a/daemon/internal/process/balance/balance.go
+++ b/daemon/internal/process/balance/balance.go
@@ -21,6 +21,8 @@
 	"sync"
 	"time"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
+
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
@@ -203,12 +205,7 @@
 	return told.Holds(model)
 }
 
-func (p *Pool) now() time.Time {
-	if p.Now != nil {
-		return p.Now()
-	}
-	return time.Now()
-}
+func (p *Pool) now() time.Time { return helpers.Now(p.Now) }
 
 func (p *Pool) state(id string, now time.Time) *state {
 	if p.states == nil {
--- a/daemon/internal/process/members/members.go
+++ b/daemon/internal/process/members/members.go
@@ -99,12 +99,7 @@
 
 var emptyView = &View{}
 
-func (t *Table) now() time.Time {
-	if t.Now != nil {
-		return t.Now()
-	}
-	return time.Now()
-}
+func (t *Table) now() time.Time { return helpers.Now(t.Now) }
 
 func (t *Table) setUp() {
 	if t.records == nil {
--- a/daemon/internal/process/mirror/demand.go
+++ b/daemon/internal/process/mirror/demand.go
@@ -29,13 +29,10 @@
 func (d *Declared) Demand(now time.Time, apply time.Duration) Demand {
 	part := func(share float64) time.Duration { return time.Duration(share * float64(apply)) }
 	demand := Demand{Lowest: d.Required(now, part(oldShare), apply)}
-	for declared := d; declared != nil; declared = declared.Before {
+	if declared := d.olderThan(part(preferFrom), now, apply); declared != nil {
 		passed := float64(now.Sub(declared.Since(apply))) / float64(apply)
-		if passed > preferFrom {
-			demand.Preferred = declared.Version
-			demand.Avoid = min((passed-preferFrom)/(preferFull-preferFrom), 1)
-			break
-		}
+		demand.Preferred = declared.Version
+		demand.Avoid = min((passed-preferFrom)/(preferFull-preferFrom), 1)
 	}
 	return demand
 }
--- a/daemon/internal/process/mirror/view.go
+++ b/daemon/internal/process/mirror/view.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
+
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
@@ -60,12 +62,21 @@
 // Required returns the lowest version that must serve now: the newest whose
 // declaration is older than grace. Apply is the time that a declaration has.
 func (d *Declared) Required(now time.Time, grace, apply time.Duration) int {
+	if declared := d.olderThan(grace, now, apply); declared != nil {
+		return declared.Version
+	}
+	return 0
+}
+
+// olderThan returns the newest declaration that was made longer ago than some
+// time, nil where there is none.
+func (d *Declared) olderThan(age time.Duration, now time.Time, apply time.Duration) *Declared {
 	for declared := d; declared != nil; declared = declared.Before {
-		if now.Sub(declared.Since(apply)) > grace {
-			return declared.Version
+		if now.Sub(declared.Since(apply)) > age {
+			return declared
 		}
 	}
-	return 0
+	return nil
 }
 
 // Route returns the route of the longest prefix that begins the path.
@@ -211,12 +222,7 @@
 	}
 }
 
-func (c *Compiler) now() time.Time {
-	if c.Now != nil {
-		return c.Now()
-	}
-	return time.Now()
-}
+func (c *Compiler) now() time.Time { return helpers.Now(c.Now) }
 
 // Lapsed reports whether upstreams are kept whose entries lapsed. It is to be
 // called between calls of Take, and not beside them.
--- a/daemon/internal/process/placer/placer.go
+++ b/daemon/internal/process/placer/placer.go
@@ -93,12 +93,7 @@
 // Done is closed when the placer has ended.
 func (p *Placer) Done() <-chan struct{} { return p.tomb.Dead() }
 
-func (p *Placer) now() time.Time {
-	if p.Now != nil {
-		return p.Now()
-	}
-	return time.Now()
-}
+func (p *Placer) now() time.Time { return helpers.Now(p.Now) }
 
 func (p *Placer) run() error {
 	ctx := p.tomb.Context(nil) //nolint:staticcheck // tomb takes nil for "no parent"
--- a/daemon/internal/process/telemetry/telemetry.go
+++ b/daemon/internal/process/telemetry/telemetry.go
@@ -96,6 +96,18 @@
 	t.Log.WithFields(fields).Info(d.Step + " decided")
 }
 
+// Contact logs that the store was lost, with the cause, or answers again. Prefix
+// is what of it the process follows.
+func (t *Telemetry) Contact(prefix string, lost error) {
+	fields := log.Fields{"dependency": "store", "prefix": prefix}
+	if lost != nil {
+		fields["reason"] = lost.Error()
+		t.Log.WithFields(fields).Warn("dependency lost")
+		return
+	}
+	t.Log.WithFields(fields).Info("dependency regained")
+}
+
 // SetReady marks the process as ready.
 func (t *Telemetry) SetReady() { t.notReady.Store("") }
 
--- a/daemon/internal/request/dispatch/pace.go
+++ b/daemon/internal/request/dispatch/pace.go
@@ -4,6 +4,8 @@
 	"math"
 	"sync"
 	"time"
+
+	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 )
 
 const (
@@ -37,12 +39,7 @@
 	lastSeen time.Time
 }
 
-func (p *Pace) now() time.Time {
-	if p.Now != nil {
-		return p.Now()
-	}
-	return time.Now()
-}
+func (p *Pace) now() time.Time { return helpers.Now(p.Now) }
 
 // service returns a service's state; the caller holds mu.
 func (p *Pace) service(name string) *servicePace {
--- a/daemon/internal/request/route/route.go
+++ b/daemon/internal/request/route/route.go
@@ -14,6 +14,8 @@
 	"sync"
 	"time"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
+
 	"github.com/wheelcleat/wheelcleat/api"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/members"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/placer"
@@ -70,12 +72,7 @@
 	ejectedUntil time.Time
 }
 
-func (r *Router) now() time.Time {
-	if r.Now != nil {
-		return r.Now()
-	}
-	return time.Now()
-}
+func (r *Router) now() time.Time { return helpers.Now(r.Now) }
 
 // get returns an upstream's state; the caller holds mu.
 func (r *Router) get(host string) *upstream {
--- a/daemon/internal/version/activate/activate.go
+++ b/daemon/internal/version/activate/activate.go
@@ -135,12 +135,7 @@
 	return true
 }
 
-func (f *Fence) now() time.Time {
-	if f.Now != nil {
-		return f.Now()
-	}
-	return time.Now()
-}
+func (f *Fence) now() time.Time { return helpers.Now(f.Now) }
 
 // Load orders the engine to load a version and checks that it holds just the
 // declared bytes afterwards.
--- a/daemon/internal/version/keep/keep.go
+++ b/daemon/internal/version/keep/keep.go
@@ -228,12 +228,7 @@
 	}
 }
 
-func (k *Keeper) now() time.Time {
-	if k.Now != nil {
-		return k.Now()
-	}
-	return time.Now()
-}
+func (k *Keeper) now() time.Time { return helpers.Now(k.Now) }
 
 // Clearing reports whether the engine is to get no new requests because an
 // order is about to be given. Only OnReport may call it.
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -129,8 +129,8 @@
 	p.compiler = &mirror.Compiler{Decode: p.provider.Decode, OnBelief: p.noteBelief}
 	p.table.OnChange = p.compiler.Take
 	p.followers = []*mirror.Follower{
-		{Store: p.provider.Store, Prefix: p.provider.Prefixes.Versions, Table: p.table, OnContact: p.noteContact, Wait: versionsWait},
-		{Store: p.provider.Store, Prefix: p.provider.Prefixes.Upstreams, Table: p.table, OnContact: p.noteContact, ListEvery: hostsEvery},
+		{Store: p.provider.Store, Prefix: p.provider.Prefixes.Versions, Table: p.table, OnContact: p.telemetry.Contact, Wait: versionsWait},
+		{Store: p.provider.Store, Prefix: p.provider.Prefixes.Upstreams, Table: p.table, OnContact: p.telemetry.Contact, ListEvery: hostsEvery},
 	}
 	p.keeper = &keep.Keeper{
 		Engine: p.provider.Engine, Origin: p.provider.Origin, Address: s.Engine, Held: p.held,
--- a/daemon/loader/notes.go
+++ b/daemon/loader/notes.go
@@ -23,16 +23,6 @@
 	}
 }
 
-func (p *Process) noteContact(prefix string, lost error) {
-	fields := log.Fields{"dependency": "store", "prefix": prefix}
-	if lost != nil {
-		fields["reason"] = lost.Error()
-		p.log.WithFields(fields).Warn("dependency lost")
-		return
-	}
-	p.log.WithFields(fields).Info("dependency regained")
-}
-
 // noteReport publishes what the engine says of itself.
 func (p *Process) noteReport(report provider.EngineReport, err error) {
 	if err != nil {
--- a/daemon/router/recorder.go
+++ b/daemon/router/recorder.go
@@ -25,6 +25,7 @@
 
 // recorder writes the router's log lines and metrics.
 type recorder struct {
+	telemetry      *telemetry.Telemetry
 	log            *log.Entry
 	scope          tally.Scope
 	served, failed *rate.Limiter
@@ -37,7 +38,7 @@
 func newRecorder(t *telemetry.Telemetry) *recorder {
 	const buckets, first, factor = 16, 5 * time.Millisecond, 1.7
 	return &recorder{
-		log: t.Log, scope: t.Scope,
+		telemetry: t, log: t.Log, scope: t.Scope,
 		served:  rate.NewLimiter(servedLines, servedLines),
 		failed:  rate.NewLimiter(failedLines, failedLines),
 		telling: rate.NewLimiter(1, 1),
@@ -123,14 +124,10 @@
 
 // contact writes one line when the store is lost or answers again.
 func (r *recorder) contact(prefix string, lost error) {
-	fields := log.Fields{"dependency": "store", "prefix": prefix}
+	r.telemetry.Contact(prefix, lost)
 	if lost != nil {
-		fields["reason"] = lost.Error()
-		r.log.WithFields(fields).Warn("dependency lost")
 		r.scope.Counter("store_lost").Inc(1)
-		return
 	}
-	r.log.WithFields(fields).Info("dependency regained")
 }
 
 // pulled writes one line when a peer had news, or could not be asked.
--- a/daemon/settings/direct.go
+++ b/daemon/settings/direct.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/wheelcleat/wheelcleat/api"
-	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 )
 
 // Router is the settings file of a router: a process that takes callers'
@@ -96,19 +95,19 @@
 
 // SetDefaults fills in what the file left out.
 func (r *Router) SetDefaults() {
-	r.Bounds.VersionApply = helpers.OrDefault(r.Bounds.VersionApply, api.Duration(DefaultVersionApply))
-	r.Bounds.RetryRatio = helpers.OrDefault(r.Bounds.RetryRatio, DefaultRetryRatio)
-	r.Bounds.RetrySlack = helpers.OrDefault(r.Bounds.RetrySlack, DefaultRetrySlack)
-	r.Bounds.RetryWindow = helpers.OrDefault(r.Bounds.RetryWindow, api.Duration(DefaultRetryWindow))
-	r.Drain = helpers.OrDefault(r.Drain, api.Duration(DefaultDirectDrain))
-	r.Log.Level = helpers.OrDefault(r.Log.Level, "info")
+	orDefault(&r.Bounds.VersionApply, api.Duration(DefaultVersionApply))
+	orDefault(&r.Bounds.RetryRatio, DefaultRetryRatio)
+	orDefault(&r.Bounds.RetrySlack, DefaultRetrySlack)
+	orDefault(&r.Bounds.RetryWindow, api.Duration(DefaultRetryWindow))
+	orDefault(&r.Drain, api.Duration(DefaultDirectDrain))
+	orDefault(&r.Log.Level, "info")
 }
 
 // SetDefaults fills in what the file left out.
 func (l *Loader) SetDefaults() {
-	l.Bounds.VersionApply = helpers.OrDefault(l.Bounds.VersionApply, api.Duration(DefaultVersionApply))
-	l.Drain = helpers.OrDefault(l.Drain, api.Duration(DefaultDirectDrain))
-	l.Log.Level = helpers.OrDefault(l.Log.Level, "info")
+	orDefault(&l.Bounds.VersionApply, api.Duration(DefaultVersionApply))
+	orDefault(&l.Drain, api.Duration(DefaultDirectDrain))
+	orDefault(&l.Log.Level, "info")
 }
 
 // Check returns every fault of a router's settings.
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/wheelcleat/wheelcleat/api"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 )
 
 // Role says what a process does.
@@ -167,8 +168,5 @@
 }
 
 func orDefault[T comparable](field *T, fallback T) {
-	var zero T
-	if *field == zero {
-		*field = fallback
-	}
+	*field = helpers.OrDefault(*field, fallback)
 }
