--- a/cli/internal/command/command.go
+++ b/cli/internal/command/command.go
@@ -58,7 +58,7 @@
 		},
 		Commands: []*cli.Command{
 			applyCommand(), diffCommand(), getCommand(), deleteCommand(), watchCommand(), rolloutCommand(),
-			settingsCommand(), devCommand(), standinsCommand(), benchCommand(),
+			explainCommand(), settingsCommand(), devCommand(), standinsCommand(), benchCommand(),
 		},
 		// The caller prints the error and chooses the exit code.
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
--- /dev/null
+++ b/cli/internal/command/explain.go
@@ -0,0 +1,62 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/wheelcleat/wheelcleat/cli/internal/explain"
+)
+
+func explainCommand() *cli.Command {
+	return &cli.Command{
+		Name: "explain", Usage: "tell a request's story from the logs of any number of hosts; standard input where no file is named",
+		ArgsUsage: "REQUEST-ID [FILE...]",
+		Action:    explainAction,
+	}
+}
+
+func explainAction(_ context.Context, command *cli.Command) error {
+	if command.Args().Len() == 0 {
+		return fmt.Errorf("%w: name a request id", errUsage)
+	}
+	sources, closeAll, err := openLogs(command.Args().Tail(), command.Root().Reader)
+	defer closeAll()
+	if err != nil {
+		return err
+	}
+	story, err := explain.Tell(command.Args().First(), sources...)
+	if err != nil && !errors.Is(err, explain.ErrNotFound) {
+		return err
+	}
+	if printErr := story.Print(command.Root().Writer); printErr != nil {
+		return printErr
+	}
+	return err
+}
+
+// openLogs opens log files, or takes standard input where none is named.
+func openLogs(paths []string, input io.Reader) (sources []io.Reader, closeAll func(), err error) {
+	var files []*os.File
+	closeAll = func() {
+		for _, file := range files {
+			_ = file.Close()
+		}
+	}
+	if len(paths) == 0 {
+		return []io.Reader{input}, closeAll, nil
+	}
+	for _, path := range paths {
+		file, err := os.Open(path) //nolint:gosec // the operator names the file
+		if err != nil {
+			return nil, closeAll, fmt.Errorf("open the log: %w", err)
+		}
+		files = append(files, file)
+		sources = append(sources, file)
+	}
+	return sources, closeAll, nil
+}
--- /dev/null
+++ b/cli/internal/explain/explain_test.go
@@ -0,0 +1,42 @@
+package explain_test
+
+import (
+	"bytes"
+	"io"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wheelcleat/wheelcleat/cli/internal/explain"
+)
+
+// TestStories compares what is told of each request with testdata/ID.txt: one
+// refused in overload, one cut when its upstreams were, one sent by an old
+// belief, one on the way over an agent, and one that no line is about.
+func TestStories(t *testing.T) {
+	for _, id := range []string{"refused-1", "moved-1", "late-1", "entry-way", "nobody"} {
+		t.Run(id, func(t *testing.T) {
+			var sources []io.Reader
+			for _, name := range []string{"loader.log", "router.log"} {
+				file, err := os.Open(filepath.Join("testdata", name))
+				require.NoError(t, err)
+				t.Cleanup(func() { _ = file.Close() })
+				sources = append(sources, file)
+			}
+			story, err := explain.Tell(id, sources...)
+			if id == "nobody" {
+				require.ErrorIs(t, err, explain.ErrNotFound)
+			} else {
+				require.NoError(t, err)
+			}
+			var got bytes.Buffer
+			require.NoError(t, story.Print(&got))
+			want, err := os.ReadFile(filepath.Join("testdata", id+".txt"))
+			require.NoError(t, err)
+			assert.Equal(t, string(want), got.String())
+		})
+	}
+}
--- a/daemon/internal/process/balance/balance.go
+++ b/daemon/internal/process/balance/balance.go
@@ -128,7 +128,8 @@
 	// must end first, as far as the upstream's host has told of late; 0 where it
 	// has not.
 	Waiting, Beyond int
-	// Running is how many requests the host told of last, Age how long ago.
+	// Running is how many requests the host told of last, Age how long ago, 0
+	// where it never did.
 	Running int
 	Age     time.Duration
 
@@ -165,7 +166,9 @@
 	}
 	chosen := p.states[best.Upstream.ID]
 	best.Waiting, best.Beyond = chosen.ahead(best.Upstream, query.Reserve, now)
-	best.Running, best.Age = chosen.told.Running, now.Sub(chosen.toldAt)
+	if !chosen.toldAt.IsZero() {
+		best.Running, best.Age = chosen.told.Running, now.Sub(chosen.toldAt)
+	}
 	chosen.inFlight++
 	chosen.sentSince++
 	best.Version = chosen.holds(best.Upstream, query.Model, now)
--- a/daemon/internal/process/telemetry/bounded.go
+++ b/daemon/internal/process/telemetry/bounded.go
@@ -36,9 +36,6 @@
 	return len(line), nil
 }
 
-// Dropped returns how many lines were dropped and not yet told of.
-func (b *Bounded) Dropped() int64 { return b.dropped.Load() }
-
 // Close ends the writer once the waiting lines are written.
 func (b *Bounded) Close() {
 	close(b.lines)
--- a/daemon/router/recorder.go
+++ b/daemon/router/recorder.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -28,6 +29,9 @@
 	scope          tally.Scope
 	served, failed *rate.Limiter
 	latency        tally.Histogram
+	// leftOut counts the lines that the bounds kept back since telling said so.
+	leftOut atomic.Int64
+	telling *rate.Limiter
 }
 
 func newRecorder(t *telemetry.Telemetry) *recorder {
@@ -36,6 +40,7 @@
 		log: t.Log, scope: t.Scope,
 		served:  rate.NewLimiter(servedLines, servedLines),
 		failed:  rate.NewLimiter(failedLines, failedLines),
+		telling: rate.NewLimiter(1, 1),
 		latency: t.Scope.Histogram("request_first_byte_seconds", tally.MustMakeExponentialDurationBuckets(first, factor, buckets)),
 	}
 }
@@ -49,8 +54,10 @@
 	}
 	if !limiter.Allow() {
 		r.scope.Counter("request_lines_left_out").Inc(1)
+		r.leftOut.Add(1)
 		return
 	}
+	r.tellLeftOut()
 	fields := log.Fields{
 		"decision": "route", "request": story.ID, "route": story.Route, "service": story.Service, "account": story.Account,
 		"outcome": story.Outcome, "status": story.Status, "tries": story.Tries, "configuration": story.Configuration,
@@ -69,6 +76,15 @@
 	r.log.WithFields(fields).Info("request ended")
 }
 
+// tellLeftOut writes, once a second at most, how many lines were left out, so
+// that whoever looks for one knows why it may not be there.
+func (r *recorder) tellLeftOut() {
+	if r.leftOut.Load() == 0 || !r.telling.Allow() {
+		return
+	}
+	r.log.WithField("count", r.leftOut.Swap(0)).Warn("request lines left out")
+}
+
 func (r *recorder) count(story *dispatch.Story) {
 	r.scope.Tagged(map[string]string{"outcome": string(story.Outcome)}).Counter("requests").Inc(1)
 	if len(story.Tries) > 1 {
@@ -95,7 +111,8 @@
 		fields["routes"] = len(record.Configuration.Routes)
 		fields["accounts"] = len(record.Configuration.Accounts)
 	case record.Upstream != nil:
-		fields["service"], fields["leaving"], fields["models"] = record.Upstream.Service, record.Upstream.Leaving, record.Upstream.Models
+		fields["service"], fields["address"] = record.Upstream.Service, record.Upstream.Address
+		fields["leaving"], fields["models"] = record.Upstream.Leaving, record.Upstream.Models
 	case record.Target != nil:
 		fields["model"], fields["version"] = record.Target.Model, record.Target.Version
 	case record.Member != nil:
