Pass over a holder of chunks that does not send them

The test brought a second cause to light: while the origin fails, its worker holds the last missing chunk nearly all the time, so that no peer's copy is taken.

Now an offer that has not come by a patience more is no reason to wait, and a chunk that the origin failed to send is free during the pause. TestStuckHolderIsPassedOver never ended before.

--- a/daemon/internal/version/swarm/duty.go
+++ b/daemon/internal/version/swarm/duty.go
@@ -107,12 +107,16 @@
 
 // bringsFar reports whether this host brings a chunk into its hall from another
 // one: the first of the ranking does, and the next ones when it takes too long.
-// A chunk that is in this hall already is not brought.
+// A chunk that is in this hall already is not brought, unless that does not help:
+// its only holder here may have a link that bears next to nothing.
 func (f *Fetch) bringsFar(index int, now time.Time) bool {
-	if !f.settled(now) || f.offeredNear(index) {
+	if !f.settled(now) {
 		return false
 	}
 	place := f.duties[index].place
+	if f.offeredNear(index) {
+		return f.late(index, now) > time.Duration(place+1)*patience
+	}
 	return place == 0 || f.First || f.late(index, now) > time.Duration(place)*patience
 }
 
@@ -135,7 +139,8 @@
 // asksOrigin reports whether this host asks the origin for a chunk. The first
 // hall's hosts do; the other halls' follow when that takes too long, because
 // the first hall may be cut off. A host that is to be done first does not wait
-// for each of them in turn.
+// for each of them in turn. A chunk that a neighbour offers is asked for only when
+// it does not come from there.
 func (f *Fetch) asksOrigin(index int, now time.Time) bool {
 	if !f.settled(now) || !f.othersDone() {
 		return false
@@ -145,6 +150,9 @@
 	if f.First {
 		wait = min(wait, earlyPatience)
 	}
+	if f.offered(index) {
+		return f.late(index, now) > wait+patience
+	}
 	return d.first() || f.late(index, now) > wait
 }
 
--- a/daemon/internal/version/swarm/fetch.go
+++ b/daemon/internal/version/swarm/fetch.go
@@ -363,19 +363,31 @@
 	if !ok {
 		return false, nil
 	}
+	chunk, err := f.askOrigin(ctx, index)
+	if err == nil {
+		f.tell(index, chunk, "origin")
+		return true, nil
+	}
+	if !errors.Is(err, errDigest) {
+		// The chunk is free for peers meanwhile: they may have it by now.
+		helpers.Pause(rand.N(askAgain), ctx.Done())
+	}
+	return true, err
+}
+
+// askOrigin has the origin send a chunk that was picked, and takes it.
+func (f *Fetch) askOrigin(ctx context.Context, index int) ([]byte, error) {
 	defer f.release(index)
 	ctx, cancel := context.WithTimeout(ctx, chunkTimeout+f.OriginTime)
 	defer cancel()
 	chunk, err := f.Source.Chunk(ctx, f.Origin, f.Model, f.Copy.Manifest.Version, index)
 	if err != nil {
-		helpers.Pause(rand.N(askAgain), ctx.Done())
-		return true, err
+		return nil, err
 	}
 	if err := f.Copy.Put(index, chunk); err != nil {
-		return true, f.mismatch(index, err)
+		return nil, f.mismatch(index, err)
 	}
-	f.tell(index, chunk, "origin")
-	return true, nil
+	return chunk, nil
 }
 
 func (f *Fetch) mismatch(index int, err error) error {
@@ -388,7 +400,7 @@
 }
 
 // pickForOrigin chooses a missing chunk that it falls to this host to ask the
-// origin for, and that no neighbour offers.
+// origin for.
 func (f *Fetch) pickForOrigin() (int, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -398,7 +410,7 @@
 	backup := -1
 	drawn := 0
 	for index := range have[:f.due(now)] {
-		if have[index] || f.taken[index] || f.offered(index) || !f.asksOrigin(index, now) {
+		if have[index] || f.taken[index] || !f.asksOrigin(index, now) {
 			continue
 		}
 		if f.duties[index].first() {
--- a/daemon/internal/version/swarm/fetch_test.go
+++ b/daemon/internal/version/swarm/fetch_test.go
@@ -4,13 +4,18 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"github.com/uptrace/bunrouter"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/version/swarm"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
@@ -150,6 +155,55 @@
 	assert.LessOrEqual(t, o.total(), 2*24)
 }
 
+// serveStuck serves a host that says it has a copy and never sends a chunk of it.
+func serveStuck(t *testing.T, c *swarm.Copy) netip.AddrPort {
+	t.Helper()
+	held := &swarm.Held{}
+	held.Add(c)
+	pages := bunrouter.New()
+	(&swarm.Server{Held: held}).Register(pages)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Has("index") {
+			<-r.Context().Done()
+			return
+		}
+		pages.ServeHTTP(w, r)
+	}))
+	t.Cleanup(server.Close)
+	return netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+}
+
+// TestStuckHolderIsPassedOver: chunks that only a host offers which does not send
+// them come from the origin, or from another hall where that one is down too.
+func TestStuckHolderIsPassedOver(t *testing.T) {
+	data, manifest := sample(2, 4)
+	whole := swarm.NewCopy(manifest)
+	for index, chunk := range data {
+		require.NoError(t, whole.Put(index, chunk))
+	}
+	for name, originDown := range map[string]bool{"origin": false, "another hall": true} {
+		t.Run(name, func(t *testing.T) {
+			o := &origin{data: data, sent: map[int]int{}}
+			hosts := []swarm.Host{{Address: serveStuck(t, whole), Hall: "hall"}}
+			if originDown {
+				o.failures = math.MaxInt32
+				held := &swarm.Held{}
+				held.Add(whole)
+				hosts = append(hosts, swarm.Host{Address: serve(t, held).Address, Hall: "far"})
+			}
+			fetch := &swarm.Fetch{
+				Copy: swarm.NewCopy(manifest), Model: "m", Source: provider.Origin{Chunk: o.chunk},
+				Own:   swarm.Host{Address: serve(t, &swarm.Held{}).Address, Hall: "hall"},
+				Hosts: func() []swarm.Host { return hosts }, Client: serve(t, &swarm.Held{}).Client,
+				OriginTime: 50 * time.Millisecond,
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+			defer cancel()
+			require.NoError(t, fetch.Run(ctx))
+		})
+	}
+}
+
 func TestWrongManifestIsNoticed(t *testing.T) {
 	data, manifest := sample(2, 4)
 	manifest.Digests[2][0] ^= 1
