Use one upstream an address, the one created last

After all power was lost the records of the engines that lost it stay for some heartbeats, while others run at their addresses. The entry created last counts; a late write to a dead one's does not make it newer.

--- a/daemon/internal/process/mirror/lapse_test.go
+++ b/daemon/internal/process/mirror/lapse_test.go
@@ -1,6 +1,7 @@
 package mirror_test
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -57,3 +58,27 @@
 	tell("c", true)
 	assert.Zero(t, used(), "the store answers")
 }
+
+// TestOneUpstreamAnAddress: of several entries that name an address the one created
+// last is used, whichever changed last; the others come back only without it.
+func TestOneUpstreamAnAddress(t *testing.T) {
+	table := &mirror.Table{}
+	compiler := &mirror.Compiler{Decode: func(entry provider.Entry) (provider.Record, error) {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, 1}), 80)
+		return provider.Record{Upstream: &provider.Upstream{ID: entry.Key, Service: "s", Address: address}}, nil
+	}}
+	table.OnChange = compiler.Take
+	used := func() []string {
+		var ids []string
+		for _, upstream := range compiler.View().Upstreams["s"] {
+			ids = append(ids, upstream.ID)
+		}
+		return ids
+	}
+	table.Apply([]provider.Entry{{Key: "dead", Revision: 5, Created: 5}, {Key: "alive", Revision: 9, Created: 9}})
+	assert.Equal(t, []string{"alive"}, used())
+	table.Apply([]provider.Entry{{Key: "dead", Revision: 12, Created: 5}})
+	assert.Equal(t, []string{"alive"}, used(), "a late write of the dead one")
+	table.Apply([]provider.Entry{{Key: "alive", Revision: 13, Gone: true}})
+	assert.Equal(t, []string{"dead"}, used())
+}
--- a/daemon/internal/process/mirror/view.go
+++ b/daemon/internal/process/mirror/view.go
@@ -1,6 +1,7 @@
 package mirror
 
 import (
+	"net/netip"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -118,7 +119,7 @@
 	view atomic.Pointer[View]
 	// upstreams, targets and members are decoded entries by key; only Take
 	// touches them.
-	upstreams map[string]*provider.Upstream
+	upstreams map[string]listed
 	targets   map[string]Declared
 	members   map[string]*provider.Member
 	// lapsed holds, by key, upstreams whose entry lapsed a short time ago.
@@ -132,10 +133,16 @@
 // long after its entry is gone.
 const lapseKept = 1500 * time.Millisecond
 
+// listed is an upstream and the revision that created its entry.
+type listed struct {
+	*provider.Upstream
+	created provider.Revision
+}
+
 // lapsed is an upstream whose entry lapsed, and until when it is used.
 type lapsed struct {
-	upstream *provider.Upstream
-	until    time.Time
+	listed
+	until time.Time
 }
 
 // Belief is one change of what a daemon believes: the entry, what it was
@@ -158,7 +165,7 @@
 // decoded is reported and leaves the last good one in force.
 func (c *Compiler) Take(changed []provider.Entry) {
 	if c.upstreams == nil {
-		c.upstreams = map[string]*provider.Upstream{}
+		c.upstreams = map[string]listed{}
 		c.targets = map[string]Declared{}
 		c.members = map[string]*provider.Member{}
 		c.lapsed = map[string]lapsed{}
@@ -168,16 +175,10 @@
 		c.takeEntry(&next, entry)
 	}
 	c.taken = c.taken || len(changed) > 0
+	c.forgetLapsed()
 	next.Upstreams = map[string][]*provider.Upstream{}
-	for _, upstream := range c.upstreams {
-		next.Upstreams[upstream.Service] = append(next.Upstreams[upstream.Service], upstream)
-	}
-	for key, kept := range c.lapsed {
-		if c.upstreams[key] != nil || !c.now().Before(kept.until) {
-			delete(c.lapsed, key)
-			continue
-		}
-		next.Upstreams[kept.upstream.Service] = append(next.Upstreams[kept.upstream.Service], kept.upstream)
+	for _, upstream := range c.occupants() {
+		next.Upstreams[upstream.Service] = append(next.Upstreams[upstream.Service], upstream.Upstream)
 	}
 	next.Targets = map[string]Declared{}
 	for _, target := range c.targets {
@@ -190,6 +191,35 @@
 	c.view.Store(&next)
 }
 
+// forgetLapsed drops the lapsed upstreams that are back, or whose time is over.
+func (c *Compiler) forgetLapsed() {
+	for key, kept := range c.lapsed {
+		if _, back := c.upstreams[key]; back || !c.now().Before(kept.until) {
+			delete(c.lapsed, key)
+		}
+	}
+}
+
+// occupants returns the upstream at each address: of several entries that name the
+// same one, the one created last. The entry of an upstream that lost its power
+// stays for some heartbeats, while another runs in its place by then.
+func (c *Compiler) occupants() map[netip.AddrPort]listed {
+	at := make(map[netip.AddrPort]listed, len(c.upstreams))
+	take := func(upstream listed) {
+		known, taken := at[upstream.Address]
+		if !taken || upstream.created > known.created {
+			at[upstream.Address] = upstream
+		}
+	}
+	for _, upstream := range c.upstreams {
+		take(upstream)
+	}
+	for _, kept := range c.lapsed {
+		take(kept.listed)
+	}
+	return at
+}
+
 func (c *Compiler) takeEntry(next *View, entry provider.Entry) {
 	if entry.Gone {
 		c.keepLapsed(entry.Key)
@@ -208,7 +238,7 @@
 		next.ConfigurationRevision = entry.Revision
 		next.takeConfiguration(record.Configuration)
 	case record.Upstream != nil:
-		c.upstreams[entry.Key] = record.Upstream
+		c.upstreams[entry.Key] = listed{record.Upstream, helpers.OrDefault(entry.Created, entry.Revision)}
 	case record.Target != nil:
 		c.targets[entry.Key] = c.declare(entry, *record.Target)
 	case record.Member != nil:
@@ -218,9 +248,9 @@
 
 // keepLapsed keeps an upstream whose entry goes, where that says little.
 func (c *Compiler) keepLapsed(key string) {
-	upstream := c.upstreams[key]
-	if upstream != nil && !upstream.Leaving && c.Lapses != nil && c.Lapses() {
-		c.lapsed[key] = lapsed{upstream: upstream, until: c.now().Add(lapseKept)}
+	upstream, ok := c.upstreams[key]
+	if ok && !upstream.Leaving && c.Lapses != nil && c.Lapses() {
+		c.lapsed[key] = lapsed{listed: upstream, until: c.now().Add(lapseKept)}
 	}
 }
 
--- a/daemon/provider/provider.go
+++ b/daemon/provider/provider.go
@@ -37,6 +37,8 @@
 	Key      string   `json:"key"`
 	Value    []byte   `json:"value,omitempty"`
 	Revision Revision `json:"revision"`
+	// Created is the revision that made the entry, 0 where the store does not tell.
+	Created Revision `json:"created,omitempty"`
 	// Gone marks a removal; Value is empty then.
 	Gone bool `json:"gone,omitempty"`
 }
