--- a/daemon/internal/connection/dial/hosts.go
+++ b/daemon/internal/connection/dial/hosts.go
@@ -32,6 +32,15 @@
 	return dialer.DialContext(ctx, network, address)
 }
 
+// Within returns a Func that gives a connection up after some time.
+func Within(timeout time.Duration, f Func) Func {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		return f(ctx, network, address)
+	}
+}
+
 func limitSilence(_, _ string, raw syscall.RawConn) error {
 	var failed error
 	err := raw.Control(func(descriptor uintptr) {
--- a/daemon/internal/process/balance/balance.go
+++ b/daemon/internal/process/balance/balance.go
@@ -143,6 +143,13 @@
 	pool *Pool
 }
 
+// At returns the choice with the load that the upstream's host answered just now.
+func (c Choice) At(running, waiting int) Choice {
+	c.Running, c.Waiting, c.Age = running, waiting, 0
+	c.Beyond = max(0, running+waiting+1-c.Upstream.Places)
+	return c
+}
+
 // Choose takes the upstream with the lowest score, or returns false where none
 // is fit. Blocked upstreams are taken only when no other is left.
 func (p *Pool) Choose(upstreams []*provider.Upstream, query Query) (Choice, bool) {
--- a/daemon/internal/process/mirror/follower.go
+++ b/daemon/internal/process/mirror/follower.go
@@ -25,7 +25,7 @@
 	// pause is drawn at random below its bound, so that daemons that fail
 	// together do not come back together.
 	firstPause   = 50 * time.Millisecond
-	longestPause = 400 * time.Millisecond
+	longestPause = 1200 * time.Millisecond
 )
 
 // Follower keeps one prefix of a table in step with the store.
--- a/daemon/internal/request/dispatch/place.go
+++ b/daemon/internal/request/dispatch/place.go
@@ -9,6 +9,7 @@
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/places"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/balance"
+	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
 // mostAsked is how many engines are asked for a place before a request is given
@@ -16,6 +17,11 @@
 // the last for one that is just good enough.
 const mostAsked = 3
 
+// freshNews is how old news of a load may be to stand for a loader that does not
+// answer. While weights fill a host's link its answers take up to 50 ms, and its
+// news is up to 110 ms old; of a host that is cut off it grows older.
+const freshNews = 150 * time.Millisecond
+
 // Asked is a question for a place at an engine and its answer.
 type Asked struct {
 	Upstream string        `json:"upstream"`
@@ -29,45 +35,56 @@
 }
 
 // place chooses an upstream. At an engine it asks the loader there for a place,
-// and elsewhere where there is none. Where no loader answers, news of loads
-// decides alone.
+// and elsewhere where there is none. A loader that does not answer leaves it to the
+// news of its engine's load; one that has sent no news of late either is passed
+// over, because its host may be cut off.
 func (q *request) place(ctx context.Context) (balance.Choice, error) {
 	query := q.query()
 	// The newest view counts here: an upstream may have left since the request
 	// came in.
 	candidates := q.View().Upstreams[q.service.Name]
+	denied, silent := 0, 0
 	full := true
-	for asked := 0; ; asked++ {
+	for denied+silent < mostAsked {
 		choice, ok := q.Pool.Choose(candidates, query)
-		if !ok && asked == 0 {
-			return choice, errNoneFit
-		}
 		if !ok {
 			break
 		}
 		if !q.hasLoader(choice) {
 			return q.unlessOverloaded(choice)
 		}
-		last := asked+1 == min(mostAsked, choice.Candidates+asked)
-		load, given, err := q.ask(ctx, choice, q.limit(choice, asked, last))
-		if err != nil {
+		last := denied+silent+1 == mostAsked || choice.Candidates == 1
+		load, given, err := q.ask(ctx, choice, q.limit(choice, denied, last))
+		switch {
+		case given:
+			q.Pace.Full(q.service.Name, load.Running+load.Waiting >= choice.Upstream.Places)
+			return choice.At(load.Running, load.Waiting), nil
+		case err != nil && choice.Age < freshNews:
 			return q.unlessOverloaded(choice)
-		}
-		full = full && load.Running+load.Waiting >= choice.Upstream.Places
-		if given {
-			q.Pace.Full(q.service.Name, full)
-			choice.Running, choice.Waiting, choice.Age = load.Running, load.Waiting, 0
-			choice.Beyond = max(0, load.Running+load.Waiting+1-choice.Upstream.Places)
-			return choice, nil
+		case err != nil:
+			silent++
+		default:
+			denied++
+			full = full && load.Running+load.Waiting >= choice.Upstream.Places
 		}
 		choice.Done(balance.Abandoned)
-		if last {
-			break
-		}
 		query.Tried = append(query.Tried[:len(query.Tried):len(query.Tried)], choice.Upstream.ID)
 	}
+	if denied == 0 {
+		return q.placeByNews(candidates)
+	}
 	q.Pace.Full(q.service.Name, full)
-	return balance.Choice{}, fmt.Errorf("%w: no place at %d engines", errOverloaded, len(q.story.Asked))
+	return balance.Choice{}, fmt.Errorf("%w: no place at %d engines, %d more did not answer", errOverloaded, denied, silent)
+}
+
+// placeByNews chooses an upstream by what is known of loads, where no loader
+// answered.
+func (q *request) placeByNews(candidates []*provider.Upstream) (balance.Choice, error) {
+	choice, ok := q.Pool.Choose(candidates, q.query())
+	if !ok {
+		return choice, errNoneFit
+	}
+	return q.unlessOverloaded(choice)
 }
 
 // hasLoader reports whether there is a loader to ask for a place, which told of
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -42,9 +42,9 @@
 	// settleEach is the pause after a change for each router that there is, and
 	// settleLeast and settleMost its bounds. Each change of one upstream has all
 	// routers call the store, so that the calls would grow with the fleet's square.
-	settleEach  = 15 * time.Millisecond
+	settleEach  = 20 * time.Millisecond
 	settleLeast = 150 * time.Millisecond
-	settleMost  = 500 * time.Millisecond
+	settleMost  = 800 * time.Millisecond
 	// silenceSlack is how much later than due an answer of the store may be
 	// before peers are asked, and before an unknown key or route is no longer a
 	// final no.
@@ -55,6 +55,10 @@
 	// upstreamIdle is how long a connection to an upstream rests at most. It is
 	// below every time that upstreams announce, in whole seconds.
 	upstreamIdle = 900 * time.Millisecond
+	// upstreamConnect bounds a connection to an upstream. One is made in 2 to 15 ms;
+	// an opening packet that is lost comes again only after a second, when another
+	// upstream has long answered.
+	upstreamConnect = 200 * time.Millisecond
 	// storeIdle is the same for connections to the store and to peers.
 	storeIdle = 30 * time.Second
 	// lapseAfter is how long after the store is back entries may still be gone
@@ -258,6 +262,7 @@
 
 func (p *Process) dispatcher() *dispatch.Dispatcher {
 	bounds := p.current.Load().Bounds
+	connect := dial.Within(upstreamConnect, p.options.Dial)
 	p.budget = &dispatch.Budget{
 		Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, Window: bounds.RetryWindow.Std(),
 		Processes: func() int { return max(len(p.compiler.View().Members), len(p.current.Load().Seeds)) },
@@ -266,8 +271,8 @@
 		Headers: p.provider.Headers,
 		Client: &exchange.Client{
 			Headers: p.provider.Headers,
-			Kept:    dial.NewHostTransport(p.options.Dial, upstreamIdle),
-			Fresh:   dial.NewHostTransport(p.options.Dial, 0),
+			Kept:    dial.NewHostTransport(connect, upstreamIdle),
+			Fresh:   dial.NewHostTransport(connect, 0),
 		},
 		Pool: p.pool, Budget: p.budget, Pace: &dispatch.Pace{}, View: p.compiler.View, Stale: p.silent,
 		Demand: p.demand, Report: p.recorder.request, AskPlace: p.askPlace,
