Let a read of the configuration finish after a loss of power

Those of two regions share links of 27 Mbit/s with all else, gave up after 2 s and began anew 0.3 s later: only 28 had it by 58 s, and dials to store and origin failed on the same full links. From the logs: store contact lost by 23 to 27 loaders each 2 s from 46 s on.

--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -48,12 +49,16 @@
 	// originIdle is the same for the origin, which takes few connections from
 	// all hosts together and counts those whose host has lost its power.
 	originIdle = 300 * time.Millisecond
-	// lookEvery is the interval in which the configuration is looked for until
-	// it is known, and lookAgain the one after that: an origin seldom moves.
-	lookEvery = 300 * time.Millisecond
+	// lookSoon is the pause after the first read of the configuration that failed;
+	// it doubles up to lookLate and is drawn at random below that. lookAgain is the
+	// pause once the configuration is known: an origin seldom moves.
+	lookSoon  = 300 * time.Millisecond
+	lookLate  = 2400 * time.Millisecond
 	lookAgain = 10 * time.Second
-	// lookTimeout bounds a read of the configuration.
-	lookTimeout = 2 * time.Second
+	// lookTimeout bounds a read of the configuration. After all power was lost every
+	// loader of a region reads it over the same link, 100 KB and more each. Were they
+	// to give up halfway and begin anew, none would ever have it whole.
+	lookTimeout = 10 * time.Second
 	// firstVersion is what an engine should hold while no version is declared.
 	firstVersion = 1
 )
@@ -173,10 +178,14 @@
 // would bring the whole configuration, at each change, over the link that the
 // weights need.
 func (p *Process) lookForWeights() error {
+	most := lookSoon
 	for {
-		pause := lookEvery
-		if err := p.readWeights(); err == nil {
-			pause = lookAgain
+		pause := lookAgain
+		if err := p.readWeights(); err != nil {
+			pause = most/2 + rand.N(most/2)
+			most = min(2*most, lookLate)
+		} else {
+			most = lookSoon
 		}
 		if !helpers.Pause(pause, p.tomb.Dying()) {
 			return nil
