List in storms only where that costs less than a watch

The list that stands for a watch since the storm of configurations brings every entry, the configuration with them. After all power was lost the engines' small records change for seconds, often twice in one answer, and 26 routers listed 130 KB each time over the links between regions.

--- a/daemon/internal/process/mirror/follower.go
+++ b/daemon/internal/process/mirror/follower.go
@@ -48,8 +48,11 @@
 
 	// at is the revision up to which the prefix is known; 0 means not at all.
 	at provider.Revision
-	// overtaken says that the last watch brought states that newer ones in the same
-	// answer replace, and lists since have brought news.
+	// listed is how many bytes the last list brought.
+	listed int
+	// overtaken says that a list costs less than a watch: the last watch brought more
+	// of states that newer ones in the same answer replace, or the list since then
+	// more news, than half of a list.
 	overtaken bool
 	// answered is when the store last answered, and regained when it last did
 	// so after a failure, in nanoseconds of the steady clock since start; 0 means
@@ -105,14 +108,15 @@
 // step makes one call: a list where nothing is known, a watch otherwise.
 func (f *Follower) step(ctx context.Context) error {
 	if f.ListEvery > 0 {
-		err := f.list(ctx)
+		_, err := f.list(ctx)
 		if err == nil {
 			helpers.Pause(f.ListEvery, f.tomb.Dying())
 		}
 		return err
 	}
 	if f.at == 0 {
-		return f.list(ctx)
+		_, err := f.list(ctx)
+		return err
 	}
 	if f.overtaken {
 		return f.catchUp(ctx)
@@ -125,14 +129,21 @@
 // together ask more of the link to it than it bears, and fall behind further with
 // each answer. A list brings one state of each key, and the pause after it is as
 // long as it took, so that lists take half of the time at most. Watches go on once
-// a list brings nothing new.
+// little is new.
 func (f *Follower) catchUp(ctx context.Context) error {
 	started := time.Now()
-	before := f.Table.Newest()
-	if err := f.list(ctx); err != nil {
+	known := f.at
+	listing, err := f.list(ctx)
+	if err != nil {
 		return err
 	}
-	f.overtaken = f.Table.Newest() != before
+	news := 0
+	for _, entry := range listing.Entries {
+		if entry.Revision > known {
+			news += len(entry.Value)
+		}
+	}
+	f.overtaken = 2*news > f.listed
 	f.settle(time.Since(started))
 	return nil
 }
@@ -159,26 +170,25 @@
 	f.hear()
 	f.Table.Apply(changes.Entries)
 	f.at = max(f.at, changes.At)
-	f.overtaken = repeats(changes.Entries)
+	f.overtaken = 2*replaced(changes.Entries) > f.listed
 	if len(changes.Entries) > 0 {
 		f.settle(0)
 	}
 	return nil
 }
 
-// repeats reports whether some key has more than one state among entries.
-func repeats(entries []provider.Entry) bool {
-	seen := make(map[string]bool, len(entries))
+// replaced counts the bytes of states that a newer state of the same key follows.
+func replaced(entries []provider.Entry) int {
+	last := make(map[string]int, len(entries))
+	bytes := 0
 	for _, entry := range entries {
-		if seen[entry.Key] {
-			return true
-		}
-		seen[entry.Key] = true
+		bytes += last[entry.Key]
+		last[entry.Key] = len(entry.Value)
 	}
-	return false
+	return bytes
 }
 
-func (f *Follower) list(ctx context.Context) error {
+func (f *Follower) list(ctx context.Context) (provider.Listing, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	list := f.Store.List
@@ -187,12 +197,16 @@
 	}
 	listing, err := list(ctx, f.Prefix)
 	if err != nil {
-		return err
+		return listing, err
 	}
 	f.hear()
 	f.Table.Replace(f.Prefix, listing)
 	f.at = listing.At
-	return nil
+	f.listed = 0
+	for _, entry := range listing.Entries {
+		f.listed += len(entry.Value)
+	}
+	return listing, nil
 }
 
 // hear notes an answer of the store before what it says is taken: that depends
--- a/daemon/internal/process/mirror/follower_test.go
+++ b/daemon/internal/process/mirror/follower_test.go
@@ -99,3 +99,34 @@
 		assert.InDelta(t, 11, s.states, 1)
 	})
 }
+
+// TestSmallChangesAreWatched: however often a small entry changes beside a large
+// one, that is no reason to list both.
+func TestSmallChangesAreWatched(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lists := 0
+		small := func(revision provider.Revision) provider.Entry {
+			return provider.Entry{Key: "small", Value: []byte("s"), Revision: revision}
+		}
+		at := provider.Revision(2)
+		store := provider.Store{
+			List: func(context.Context, string) (provider.Listing, error) {
+				lists++
+				large := provider.Entry{Key: "large", Value: make([]byte, 1000), Revision: 1}
+				return provider.Listing{Entries: []provider.Entry{large, small(at)}, At: at}, nil
+			},
+			Watch: func(context.Context, string, provider.Revision, time.Duration) (provider.Listing, error) {
+				helpers.Pause(time.Second, nil)
+				at += 3
+				return provider.Listing{Entries: []provider.Entry{small(at - 2), small(at - 1), small(at)}, At: at}, nil
+			},
+		}
+		table := &mirror.Table{}
+		follower := mirror.Follower{Store: store, Table: table}
+		follower.Start()
+		helpers.Pause(20*time.Second, nil)
+		follower.Stop()
+		assert.Equal(t, 1, lists)
+		assert.Equal(t, at, table.Newest())
+	})
+}
--- a/daemon/loader/look_test.go
+++ b/daemon/loader/look_test.go
@@ -56,7 +56,9 @@
 				Store: provider.Store{GetStale: func(ctx context.Context, _ string) (provider.Entry, error) {
 					return provider.Entry{}, link.read(ctx)
 				}},
-				Decode: func(provider.Entry) (provider.Record, error) { return provider.Record{Configuration: configuration}, nil },
+				Decode: func(provider.Entry) (provider.Record, error) {
+					return provider.Record{Configuration: configuration}, nil
+				},
 			}}
 			p.current.Store(&settings.Loader{Service: "s"})
 			p.tomb.Go(p.lookForWeights)
