Tell the questions for a place in a request's story

explain prints each engine that was asked, its answer with the load that decided, and the limit; a story of a request that got no place is among the tests.

--- a/cli/internal/explain/explain_test.go
+++ b/cli/internal/explain/explain_test.go
@@ -14,10 +14,10 @@
 )
 
 // TestStories compares what is told of each request with testdata/ID.txt: one
-// refused in overload, one cut when its upstreams were, one sent by an old
+// refused in overload, one that got no place, one cut when its upstreams were, one sent by an old
 // belief, one on the way over an agent, and one that no line is about.
 func TestStories(t *testing.T) {
-	for _, id := range []string{"refused-1", "moved-1", "late-1", "entry-way", "nobody"} {
+	for _, id := range []string{"refused-1", "denied-1", "moved-1", "late-1", "entry-way", "nobody"} {
 		t.Run(id, func(t *testing.T) {
 			var sources []io.Reader
 			for _, name := range []string{"loader.log", "router.log"} {
--- a/cli/internal/explain/line.go
+++ b/cli/internal/explain/line.go
@@ -53,18 +53,19 @@
 	Reason   string `json:"reason"`
 
 	// Of a request that ended.
-	Route         string `json:"route"`
-	Service       string `json:"service"`
-	Account       string `json:"account"`
-	Outcome       string `json:"outcome"`
-	Status        int    `json:"status"`
-	Took          string `json:"took"`
-	FirstByte     string `json:"firstByte"`
-	Tries         []Try  `json:"tries"`
-	Configuration uint64 `json:"configuration"`
-	Stale         bool   `json:"stale"`
-	BudgetLeft    *int   `json:"budgetLeft"`
-	Host          string `json:"host"`
+	Route         string  `json:"route"`
+	Service       string  `json:"service"`
+	Account       string  `json:"account"`
+	Outcome       string  `json:"outcome"`
+	Status        int     `json:"status"`
+	Took          string  `json:"took"`
+	FirstByte     string  `json:"firstByte"`
+	Asked         []Asked `json:"asked"`
+	Tries         []Try   `json:"tries"`
+	Configuration uint64  `json:"configuration"`
+	Stale         bool    `json:"stale"`
+	BudgetLeft    *int    `json:"budgetLeft"`
+	Host          string  `json:"host"`
 
 	// Of beliefs.
 	Key      string         `json:"key"`
@@ -99,6 +100,18 @@
 	Age      time.Duration `json:"age"`
 }
 
+// Asked is a question for a place at an engine; see package dispatch.
+type Asked struct {
+	Upstream string        `json:"upstream"`
+	Given    bool          `json:"given"`
+	Running  int           `json:"running"`
+	Waiting  int           `json:"waiting"`
+	Most     int           `json:"most"`
+	Taken    int           `json:"taken"`
+	Took     time.Duration `json:"took"`
+	Cause    string        `json:"cause"`
+}
+
 // ModelVersion is what an upstream holds.
 type ModelVersion struct {
 	Model   string `json:"Model"`
--- a/cli/internal/explain/print.go
+++ b/cli/internal/explain/print.go
@@ -72,11 +72,27 @@
 	if len(f.Tries) > 0 && f.BudgetLeft != nil && *f.BudgetLeft < 1 {
 		p.linef(1, "the retry budget of the service was used up")
 	}
+	for _, asked := range f.Asked {
+		printAsked(p, asked)
+	}
 	for i, try := range f.Tries {
 		printTry(p, i+1, try)
 	}
 }
 
+// printAsked writes a question for a place at an engine.
+func printAsked(p *printer, asked Asked) {
+	switch {
+	case asked.Cause != "":
+		p.linef(1, "asked for a place at %s: no answer after %s: %s", asked.Upstream, rounded(asked.Took), asked.Cause)
+	case asked.Given:
+		p.linef(1, "asked for a place at %s: given after %s, %d running, %d waiting", asked.Upstream, rounded(asked.Took), asked.Running, asked.Waiting)
+	default:
+		p.linef(1, "asked for a place at %s: none after %s, %d running, %d waiting; at most %d may wait and %d be there",
+			asked.Upstream, rounded(asked.Took), asked.Running, asked.Waiting, asked.Most, asked.Taken)
+	}
+}
+
 func printTry(p *printer, number int, try Try) {
 	p.linef(1, "try %d after %s at %s: %s in %s", number, rounded(try.At), try.Upstream, try.Fate, rounded(try.Took))
 	if try.Age > 0 {
