--- a/daemon/internal/process/balance/balance.go
+++ b/daemon/internal/process/balance/balance.go
@@ -143,8 +143,8 @@
 	pool *Pool
 }
 
-// At returns the choice with the load that the upstream's host answered just now.
-func (c Choice) At(running, waiting int) Choice {
+// WithLoad returns the choice with the load that the upstream's host answered just now.
+func (c Choice) WithLoad(running, waiting int) Choice {
 	c.Running, c.Waiting, c.Age = running, waiting, 0
 	c.Beyond = max(0, running+waiting+1-c.Upstream.Places)
 	return c
--- a/daemon/internal/request/dispatch/place.go
+++ b/daemon/internal/request/dispatch/place.go
@@ -58,7 +58,7 @@
 		switch {
 		case given:
 			q.Pace.Full(q.service.Name, load.Running+load.Waiting >= choice.Upstream.Places)
-			return choice.At(load.Running, load.Waiting), nil
+			return choice.WithLoad(load.Running, load.Waiting), nil
 		case err != nil && choice.Age < freshNews:
 			return q.unlessOverloaded(choice)
 		case err != nil:
