--- a/daemon/internal/request/dispatch/place_test.go
+++ b/daemon/internal/request/dispatch/place_test.go
@@ -128,6 +128,25 @@
 	assert.Len(t, f.asked, 1)
 }
 
+// TestLoaderWithoutNewsIsPassedOver: one that does not answer, and whose news is old,
+// may be cut off with its engine. Where all are, news decides all the same.
+func TestLoaderWithoutNewsIsPassedOver(t *testing.T) {
+	for answering, want := range map[int]int{2: 2, mostAsked + 1: mostAsked} {
+		f := newFleet(t, 5, func(n int) (bool, error) {
+			if n < answering {
+				return false, errors.New("no answer")
+			}
+			return true, nil
+		})
+		f.pool.Now = func() time.Time { return time.Now().Add(freshNews) }
+		choice, err := f.request("hasty", 0).place(context.Background())
+		require.NoError(t, err)
+		assert.NotNil(t, choice.Upstream)
+		assert.Len(t, f.asked, want)
+		assert.Equal(t, 1, f.inFlight(t))
+	}
+}
+
 // TestSentBeforeTakesAnyPlace: what was done for it would be lost.
 func TestSentBeforeTakesAnyPlace(t *testing.T) {
 	f := newFleet(t, 9, func(int) (bool, error) { return false, nil })
