--- a/daemon/router/router_test.go
+++ b/daemon/router/router_test.go
@@ -119,8 +119,13 @@
 // shows a change before the view of it is compiled, and changes are taken one
 // after the other: once a later change shows, the view of the earlier is there.
 func awaitListed(s *surroundings, set settingsRouter, key string) {
-	awaitCopy(set, `"`+key+`"`)
-	marker := "after/" + key
+	awaitTaken(s, set, `"`+key+`"`, "after/"+key)
+}
+
+// awaitTaken waits until a router decides by what shows in its copy as some text.
+// The marker is the key of the later change, another for each call.
+func awaitTaken(s *surroundings, set settingsRouter, text, marker string) {
+	awaitCopy(set, text)
 	s.put(marker, encodeRecord(provider.Record{}))
 	awaitCopy(set, `"`+marker+`"`)
 }
@@ -316,12 +321,7 @@
 	breaking := events(3, false, "")
 	first := startUpstream(t, "first", func(request *http.Request, connection net.Conn) {
 		s.remove("u/other")
-		for range 2000 {
-			if strings.Contains(copyOf(set), `"key":"u/other","revision"`) {
-				break
-			}
-			pause()
-		}
+		awaitTaken(s, set, `"key":"u/other","revision"`, "after/other-gone")
 		breaking(request, connection)
 	})
 	s.list(first.record())
