--- a/daemon/internal/process/mirror/follower.go
+++ b/daemon/internal/process/mirror/follower.go
@@ -45,6 +45,8 @@
 	// OnContact is called when the store answers after a failure, and the other
 	// way round, with the cause. It may be nil.
 	OnContact func(prefix string, lost error)
+	// OnBytes is called with the bytes of answers as they come. It may be nil.
+	OnBytes func(bytes int)
 
 	// at is the revision up to which the prefix is known; 0 means not at all.
 	at provider.Revision
@@ -93,7 +95,8 @@
 func (f *Follower) run() error {
 	pause := firstPause
 	for f.tomb.Alive() {
-		err := f.step(f.tomb.Context(nil)) //nolint:staticcheck // nil asks the tomb for its own context
+		ctx := f.tomb.Context(nil) //nolint:staticcheck // nil asks the tomb for its own context
+		err := f.step(provider.WithProgress(ctx, f.progress))
 		f.note(err)
 		if err == nil || errors.Is(err, provider.ErrCompacted) {
 			pause = firstPause
@@ -105,6 +108,13 @@
 	return nil
 }
 
+// progress takes note of a part of an answer.
+func (f *Follower) progress(bytes int) {
+	if f.OnBytes != nil {
+		f.OnBytes(bytes)
+	}
+}
+
 // step makes one call: a list where nothing is known, a watch otherwise.
 func (f *Follower) step(ctx context.Context) error {
 	if f.ListEvery > 0 {
--- a/daemon/router/recorder.go
+++ b/daemon/router/recorder.go
@@ -101,7 +101,9 @@
 
 // belief writes one line for a change of what this router believes.
 func (r *recorder) belief(belief mirror.Belief) {
-	fields := log.Fields{"decision": "believe", "key": belief.Entry.Key, "revision": belief.Entry.Revision}
+	fields := log.Fields{
+		"decision": "believe", "key": belief.Entry.Key, "revision": belief.Entry.Revision, "bytes": len(belief.Entry.Value),
+	}
 	record := belief.Record
 	switch {
 	case belief.Err != nil:
@@ -133,6 +135,9 @@
 	}
 }
 
+// storeBytes counts what the store sent, also of answers that were given up.
+func (r *recorder) storeBytes(bytes int) { r.scope.Counter("store_bytes").Inc(int64(bytes)) }
+
 // pulled writes one line when a peer had news, or could not be asked.
 func (r *recorder) pulled(peer netip.AddrPort, fresh int, err error) {
 	r.scope.Counter("peer_pulls").Inc(1)
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -145,7 +145,7 @@
 func (p *Process) addFollowers(client *http.Client) {
 	p.follower = &mirror.Follower{
 		Store: p.provider.Store, Prefix: p.provider.Prefixes.All, Table: p.table, OnContact: p.recorder.contact,
-		Wait: storeWait, Settle: p.settle,
+		OnBytes: p.recorder.storeBytes, Wait: storeWait, Settle: p.settle,
 	}
 	p.puller = &peering.Puller{
 		Client: client, Table: p.table, Peers: p.peerAddresses, Needed: p.silent, OnPull: p.recorder.pulled,
