--- a/daemon/router/fixture_test.go
+++ b/daemon/router/fixture_test.go
@@ -34,6 +34,8 @@
 type surroundings struct {
 	store kv.Store
 	down  sync.Map
+	// readers holds the names of those that were sent the configuration.
+	readers sync.Map
 }
 
 var testHeaders = provider.Headers{
@@ -82,6 +84,7 @@
 		for _, item := range items {
 			listing.Entries = append(listing.Entries, provider.Entry{Key: item.Key, Value: item.Value, Revision: provider.Revision(item.Revision)})
 		}
+		s.noteReader(name, listing)
 		return listing, check()
 	}
 	return provider.Store{
@@ -91,6 +94,7 @@
 				return provider.Listing{}, err
 			}
 			listing, err := s.watch(ctx, prefix, after, wait)
+			s.noteReader(name, listing)
 			return listing, errors.Join(err, check())
 		},
 		Write: func(_ context.Context, puts []provider.Put) (provider.Revision, error) {
@@ -107,6 +111,14 @@
 	}
 }
 
+func (s *surroundings) noteReader(name string, listing provider.Listing) {
+	for _, entry := range listing.Entries {
+		if entry.Key == "c" {
+			s.readers.Store(name, true)
+		}
+	}
+}
+
 func (s *surroundings) watch(ctx context.Context, prefix string, after provider.Revision, wait time.Duration) (provider.Listing, error) {
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
