--- a/daemon/internal/process/mirror/follower.go
+++ b/daemon/internal/process/mirror/follower.go
@@ -9,6 +9,7 @@
 
 	"gopkg.in/tomb.v2"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/patience"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
@@ -17,10 +18,14 @@
 	// defaultWait is how long one watch waits. It bounds how long a watch that
 	// was cut in silence stays unnoticed, at the price of a call each time.
 	defaultWait = 2500 * time.Millisecond
-	// watchSlack is what an answer may take beyond the wait.
-	watchSlack = 700 * time.Millisecond
-	// listTimeout bounds a list of all pages.
-	listTimeout = 5 * time.Second
+	// answerBegins is what the store may take until an answer begins, beyond the
+	// wait of a watch. It answers in 4 ms; the rest is for a busy link.
+	answerBegins = 700 * time.Millisecond
+	// answerStalls is how long an answer may stop halfway: more than a lost packet
+	// takes to come again.
+	answerStalls = time.Second
+	// longestRead bounds a call whatever comes of its answer.
+	longestRead = 30 * time.Second
 	// firstPause and longestPause bound the pause after a failed call. The
 	// pause is drawn at random below its bound, so that daemons that fail
 	// together do not come back together.
@@ -168,14 +173,14 @@
 
 func (f *Follower) watch(ctx context.Context) error {
 	wait := helpers.OrDefault(f.Wait, defaultWait)
-	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
-	defer cancel()
+	ctx, end := readLimit(wait).Context(ctx)
+	defer end()
 	changes, err := f.Store.Watch(ctx, f.Prefix, f.at, wait)
 	if errors.Is(err, provider.ErrCompacted) {
 		f.at = 0
 	}
 	if err != nil {
-		return err
+		return patience.Explain(ctx, err)
 	}
 	f.hear()
 	f.Table.Apply(changes.Entries)
@@ -187,6 +192,11 @@
 	return nil
 }
 
+// readLimit bounds a call whose answer is held for up to some time.
+func readLimit(held time.Duration) patience.Limit {
+	return patience.Limit{First: held + answerBegins, Stall: answerStalls, Whole: longestRead}
+}
+
 // replaced counts the bytes of states that a newer state of the same key follows.
 func replaced(entries []provider.Entry) int {
 	last := make(map[string]int, len(entries))
@@ -199,15 +209,15 @@
 }
 
 func (f *Follower) list(ctx context.Context) (provider.Listing, error) {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
+	ctx, end := readLimit(0).Context(ctx)
+	defer end()
 	list := f.Store.List
 	if f.ListEvery > 0 && f.at > 0 {
 		list = f.Store.ListStale // the first one is to be right
 	}
 	listing, err := list(ctx, f.Prefix)
 	if err != nil {
-		return listing, err
+		return listing, patience.Explain(ctx, err)
 	}
 	f.hear()
 	f.Table.Replace(f.Prefix, listing)
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -24,6 +24,7 @@
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/dial"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/loadfeed"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/patience"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/places"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/mirror"
@@ -37,6 +38,11 @@
 	"github.com/wheelcleat/wheelcleat/daemon/settings"
 )
 
+// lookLimit bounds a read of the configuration. After all power was lost every
+// loader of a region reads it over the same link, 100 KB and more each. Were they to
+// give up halfway and begin anew, none would ever have it whole.
+var lookLimit = patience.Limit{First: 2 * time.Second, Stall: 2 * time.Second, Whole: 30 * time.Second}
+
 const (
 	// versionsWait is how long one watch for declared versions waits. A cut in
 	// silence is noticed sooner, by the connection.
@@ -55,10 +61,6 @@
 	lookSoon  = 300 * time.Millisecond
 	lookLate  = 2400 * time.Millisecond
 	lookAgain = 10 * time.Second
-	// lookTimeout bounds a read of the configuration. After all power was lost every
-	// loader of a region reads it over the same link, 100 KB and more each. Were they
-	// to give up halfway and begin anew, none would ever have it whole.
-	lookTimeout = 10 * time.Second
 	// firstVersion is what an engine should hold while no version is declared.
 	firstVersion = 1
 )
@@ -196,8 +198,8 @@
 var errNoEngine = errors.New("the configuration has no engine service of this name, or no origin")
 
 func (p *Process) readWeights() error {
-	ctx, cancel := context.WithTimeout(p.tomb.Context(nil), lookTimeout) //nolint:staticcheck // nil asks the tomb for its own context
-	defer cancel()
+	ctx, end := lookLimit.Context(p.tomb.Context(nil)) //nolint:staticcheck // nil asks the tomb for its own context
+	defer end()
 	entry, err := p.provider.Store.GetStale(ctx, p.provider.Prefixes.Configuration)
 	if err != nil {
 		return err
--- a/daemon/loader/look_test.go
+++ b/daemon/loader/look_test.go
@@ -33,6 +33,7 @@
 		if !helpers.Pause(step, ctx.Done()) {
 			return ctx.Err()
 		}
+		provider.Progress(ctx)(1)
 	}
 	return nil
 }
