--- a/daemon/internal/connection/peering/peering.go
+++ b/daemon/internal/connection/peering/peering.go
@@ -1,26 +1,34 @@
-// Package peering hands a daemon's copy of the store to other daemons, and gets
-// theirs while the store does not answer this one.
+// Package peering hands a daemon's copy of the store to other daemons.
 //
-// A platform's store may turn single hosts away while it serves the others. A
-// router that is cut off so must still learn of new configurations and removed
-// keys, so it asks its peers. The whole protocol is one call: everything above
-// a revision. A peer's copy goes through the same table as the store's news,
-// where the highest revision wins, so that a peer that is behind does no harm.
+// Two kinds of daemons ask for it. Those of the same hall ask in place of the store
+// (Neighbours): a few routers of a hall read the store and the others follow them,
+// so that a large entry crosses the link to a hall's region twice and not once a
+// daemon. And a router that the store turns away, while it serves others, asks any
+// (Puller), so that it still learns of new configurations and removed keys.
+//
+// Both make the same call: everything above a revision, held back until there is
+// something. A copy goes through the same table as the store's news, where the
+// highest revision wins, so that one that is behind does no harm. The answer says up
+// to which revision it is complete and when the store was last heard, by which the
+// caller tells whether it may do without the store.
+//
+// Rejected: a tree over all daemons, since the links within a hall are wide and a
+// tree's inner nodes would each be a single point whose loss has to be noticed;
+// changes pushed to subscribers, since a frozen subscriber would have to be told
+// from a slow one.
 package peering
 
 import (
 	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"net/url"
 	"strconv"
 	"time"
 
-	"gopkg.in/tomb.v2"
-
-	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/patience"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/mirror"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
@@ -29,84 +37,157 @@
 const Path = "/copy"
 
 const (
-	// pullEvery is the interval between calls while the store is silent.
-	pullEvery = 300 * time.Millisecond
-	// pullTimeout bounds one call.
-	pullTimeout = 700 * time.Millisecond
 	// maxCopy bounds an answer, in bytes.
 	maxCopy = 32 << 20
+	// maxWait bounds how long an answer is held.
+	maxWait = 5 * time.Second
+	// standingEvery is how often a daemon that knows nothing yet looks again while
+	// it holds an answer.
+	standingEvery = 20 * time.Millisecond
+	// answerBegins is how long the answer of a daemon may take, beyond the time for
+	// which it is held. One of the same hall takes 1 ms, one of another region 6;
+	// the rest is for a busy processor.
+	answerBegins = 400 * time.Millisecond
+	// answerStalls is how long an answer may stop halfway.
+	answerStalls = 500 * time.Millisecond
+	// longestAnswer bounds a call.
+	longestAnswer = 10 * time.Second
 )
 
-// Handler answers peers from a table.
-func Handler(table *mirror.Table) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
-		if err != nil {
-			http.Error(w, "after: a revision is missing", http.StatusBadRequest)
-			return
+// message is an answer on the wire.
+type message struct {
+	provider.Listing
+	// Answered and Heard are those of the answering daemon's standing.
+	Answered time.Duration `json:"answered"`
+	Heard    time.Duration `json:"heard"`
+}
+
+// Source is the copy that a daemon hands out.
+type Source struct {
+	Table    *mirror.Table
+	Standing func() mirror.Standing
+}
+
+// ServeHTTP answers one call. It is held until there is news for as long as the
+// caller asks for, and one for the whole copy until it is complete.
+func (s *Source) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	asked, err := parse(r.URL.Query())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	answer, ok := s.await(r.Context(), asked)
+	if !ok {
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+// await returns the answer to a question, or false where the caller has left.
+func (s *Source) await(ctx context.Context, asked question) (message, bool) {
+	timer := time.NewTimer(asked.wait)
+	defer timer.Stop()
+	for {
+		changed := s.Table.Changed()
+		answer := s.answer(asked)
+		ready := len(answer.Entries) > 0 && answer.At > 0
+		if ready || asked.wait == 0 {
+			return answer, true
+		}
+		var again <-chan time.Time
+		if answer.At == 0 {
+			again = time.After(standingEvery)
+		}
+		select {
+		case <-changed:
+		case <-again:
+		case <-timer.C:
+			return s.answer(asked), true
+		case <-ctx.Done():
+			return message{}, false
 		}
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(table.Since(provider.Revision(after)))
 	}
 }
 
-// Puller asks peers while the store does not answer.
-type Puller struct {
-	Client *http.Client
-	Table  *mirror.Table
-	// Peers returns the peers that are known now.
-	Peers func() []netip.AddrPort
-	// Needed reports whether the store has been silent for too long.
-	Needed func() bool
-	// OnPull is called after each call. It may be nil.
-	OnPull func(peer netip.AddrPort, fresh int, err error)
+// answer reads the standing before the table, so that the copy is complete up to it.
+func (s *Source) answer(asked question) message {
+	standing := s.Standing()
+	answer := message{
+		Listing: s.Table.SinceUnder(asked.prefix, asked.after), Answered: standing.Answered, Heard: standing.Heard,
+	}
+	answer.At = standing.At
+	return answer
+}
 
-	tomb tomb.Tomb
+// question is what is asked for: the keys under a prefix, above a revision, held for
+// some time.
+type question struct {
+	prefix string
+	after  provider.Revision
+	wait   time.Duration
 }
 
-// Start begins to watch for silence; Stop ends it.
-func (p *Puller) Start() { p.tomb.Go(p.run) }
+func parse(query url.Values) (question, error) {
+	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
+	if err != nil {
+		return question{}, fmt.Errorf("after: a revision is missing: %w", err)
+	}
+	wait := time.Duration(0)
+	if text := query.Get("wait"); text != "" {
+		if wait, err = time.ParseDuration(text); err != nil {
+			return question{}, fmt.Errorf("wait: give a time such as 500ms: %w", err)
+		}
+	}
+	wait = min(max(wait, 0), maxWait)
+	return question{prefix: query.Get("prefix"), after: provider.Revision(after), wait: wait}, nil
+}
 
-// Stop ends the puller and waits for it.
-func (p *Puller) Stop() {
-	p.tomb.Kill(nil)
-	_ = p.tomb.Wait()
+// url returns the question as a call to a peer.
+func (q question) url(peer netip.AddrPort) string {
+	query := url.Values{"after": {strconv.FormatUint(uint64(q.after), 10)}}
+	if q.prefix != "" {
+		query.Set("prefix", q.prefix)
+	}
+	if q.wait > 0 {
+		query.Set("wait", q.wait.String())
+	}
+	return fmt.Sprintf("http://%s%s?%s", peer, Path, query.Encode())
 }
 
-func (p *Puller) run() error {
-	for helpers.Pause(pullEvery, p.tomb.Dying()) {
-		if !p.Needed() {
-			continue
-		}
-		peers := p.Peers()
-		if len(peers) == 0 {
-			continue
-		}
-		peer := peers[rand.IntN(len(peers))]
-		fresh, err := p.pull(peer)
-		if p.OnPull != nil {
-			p.OnPull(peer, fresh, err)
-		}
+// ask makes one call to a peer.
+func ask(ctx context.Context, client *http.Client, peer netip.AddrPort, asked question) (mirror.News, error) {
+	limit := patience.Limit{First: asked.wait + answerBegins, Stall: answerStalls, Whole: longestAnswer}
+	ctx, end := limit.Context(ctx)
+	defer end()
+	var answer message
+	if err := get(ctx, client, asked.url(peer), &answer); err != nil {
+		return mirror.News{}, fmt.Errorf("ask peer %s for its copy: %w", peer, patience.Explain(ctx, err))
 	}
-	return nil
+	standing := mirror.Standing{At: answer.At, Answered: answer.Answered, Heard: answer.Heard}
+	return mirror.News{Entries: answer.Entries, Standing: standing}, nil
 }
 
-func (p *Puller) pull(peer netip.AddrPort) (int, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
-	defer cancel()
-	url := fmt.Sprintf("http://%s%s?after=%d", peer, Path, p.Table.Newest())
+// get reads a JSON answer.
+func get(ctx context.Context, client *http.Client, url string, target any) error {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
 	if err != nil {
-		return 0, fmt.Errorf("ask peer %s for its copy: %w", peer, err)
+		return err
 	}
-	response, err := p.Client.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
-		return 0, fmt.Errorf("ask peer %s for its copy: %w", peer, err)
+		return err
 	}
 	defer func() { _ = response.Body.Close() }()
-	var listing provider.Listing
-	if err := json.NewDecoder(http.MaxBytesReader(nil, response.Body, maxCopy)).Decode(&listing); err != nil {
-		return 0, fmt.Errorf("read the copy of peer %s: %w", peer, err)
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d", response.StatusCode)
 	}
-	return p.Table.Apply(listing.Entries), nil
+	data, err := provider.ReadAll(ctx, response.Body, maxCopy)
+	if err != nil {
+		return fmt.Errorf("read the answer, %d bytes came: %w", len(data), err)
+	}
+	if err := json.Unmarshal(data, target); err != nil {
+		return fmt.Errorf("decode the answer: %w", err)
+	}
+	return nil
 }
--- a/daemon/internal/process/mirror/follower.go
+++ b/daemon/internal/process/mirror/follower.go
@@ -38,8 +38,8 @@
 	Store  provider.Store
 	Prefix string
 	Table  *Table
-	// Wait is how long one watch waits; 0 means 2.5s.
-	Wait time.Duration
+	// Wait says how long one watch waits; nil means 2.5s.
+	Wait func() time.Duration
 	// Settle is the pause after a change before the next watch, so that changes
 	// that come together are heard together. Nil means none.
 	Settle func() time.Duration
@@ -47,27 +47,39 @@
 	// interval, from an answer that may be old, and never watch it. For what is
 	// not urgent that costs the store far less.
 	ListEvery time.Duration
+	// Near asks a daemon near this one for what its copy has under a prefix above a
+	// revision, all of it where that is 0. ErrNoneNear has the store read instead;
+	// any other error has Near called again. It may be nil.
+	Near func(ctx context.Context, prefix string, after provider.Revision) (News, error)
+	// Before, where it is not empty, is a prefix that is listed before anything
+	// else: that of the records by which daemons near this one are found.
+	Before string
 	// OnContact is called when the store answers after a failure, and the other
 	// way round, with the cause. It may be nil.
 	OnContact func(prefix string, lost error)
 	// OnBytes is called with the bytes of answers as they come. It may be nil.
 	OnBytes func(bytes int)
 
-	// at is the revision up to which the prefix is known; 0 means not at all.
-	at provider.Revision
+	// at is the revision up to which the prefix is known; 0 means not at all. It
+	// only rises.
+	at atomic.Uint64
+	// relist says that changes may have been missed since.
+	relist bool
+	// nearFailed counts failed calls of Near since the last one that did not fail.
+	nearFailed int
 	// listed is how many bytes the last list brought.
 	listed int
 	// overtaken says that a list costs less than a watch: the last watch brought more
 	// of states that newer ones in the same answer replace, or the list since then
 	// more news, than half of a list.
 	overtaken bool
-	// answered is when the store last answered, and regained when it last did
-	// so after a failure, in nanoseconds of the steady clock since start; 0 means
-	// never.
-	answered, regained atomic.Int64
-	start              time.Time
-	failing            bool
-	tomb               tomb.Tomb
+	// answered is when the store last answered, heard when a part of an answer came
+	// last, and regained when it last answered after a failure, in nanoseconds of
+	// the steady clock since start; 0 means never.
+	answered, heard, regained atomic.Int64
+	start                     time.Time
+	failing                   bool
+	tomb                      tomb.Tomb
 }
 
 // Start begins to follow; Stop ends it.
@@ -94,14 +106,31 @@
 	return time.Since(f.start) - time.Duration(at), at != 0
 }
 
+// At returns the revision up to which the copy is complete, or 0.
+func (f *Follower) At() provider.Revision { return provider.Revision(f.at.Load()) }
+
+// Standing returns how well the copy keeps up with the store.
+func (f *Follower) Standing() Standing {
+	now := time.Since(f.start)
+	return Standing{At: f.At(), Answered: f.Age(), Heard: now - time.Duration(f.heard.Load())}
+}
+
 // Known reports whether the prefix was ever read from the store.
 func (f *Follower) Known() bool { return f.answered.Load() != 0 }
 
 func (f *Follower) run() error {
+	ctx := f.tomb.Context(nil) //nolint:staticcheck // nil asks the tomb for its own context
+	calls := provider.WithProgress(ctx, f.progress)
+	if f.Before != "" {
+		f.note(f.listBefore(calls))
+	}
 	pause := firstPause
 	for f.tomb.Alive() {
-		ctx := f.tomb.Context(nil) //nolint:staticcheck // nil asks the tomb for its own context
-		err := f.step(provider.WithProgress(ctx, f.progress))
+		if f.askNear(ctx) {
+			pause = firstPause
+			continue
+		}
+		err := f.step(calls)
 		f.note(err)
 		if err == nil || errors.Is(err, provider.ErrCompacted) {
 			pause = firstPause
@@ -113,8 +142,21 @@
 	return nil
 }
 
+// listBefore lists what is to be known first.
+func (f *Follower) listBefore(ctx context.Context) error {
+	ctx, end := readLimit(0).Context(ctx)
+	defer end()
+	listing, err := f.Store.ListStale(ctx, f.Before)
+	if err != nil {
+		return patience.Explain(ctx, err)
+	}
+	f.Table.Replace(f.Before, listing)
+	return nil
+}
+
 // progress takes note of a part of an answer.
 func (f *Follower) progress(bytes int) {
+	f.heard.Store(int64(time.Since(f.start)))
 	if f.OnBytes != nil {
 		f.OnBytes(bytes)
 	}
@@ -129,7 +171,7 @@
 		}
 		return err
 	}
-	if f.at == 0 {
+	if f.at.Load() == 0 || f.relist {
 		_, err := f.list(ctx)
 		return err
 	}
@@ -147,7 +189,7 @@
 // little is new.
 func (f *Follower) catchUp(ctx context.Context) error {
 	started := time.Now()
-	known := f.at
+	known := f.At()
 	listing, err := f.list(ctx)
 	if err != nil {
 		return err
@@ -172,19 +214,22 @@
 }
 
 func (f *Follower) watch(ctx context.Context) error {
-	wait := helpers.OrDefault(f.Wait, defaultWait)
+	wait := defaultWait
+	if f.Wait != nil {
+		wait = f.Wait()
+	}
 	ctx, end := readLimit(wait).Context(ctx)
 	defer end()
-	changes, err := f.Store.Watch(ctx, f.Prefix, f.at, wait)
+	changes, err := f.Store.Watch(ctx, f.Prefix, f.At(), wait)
 	if errors.Is(err, provider.ErrCompacted) {
-		f.at = 0
+		f.relist = true
 	}
 	if err != nil {
 		return patience.Explain(ctx, err)
 	}
-	f.hear()
+	f.hear(0, 0)
 	f.Table.Apply(changes.Entries)
-	f.at = max(f.at, changes.At)
+	f.advance(changes.At)
 	f.overtaken = 2*replaced(changes.Entries) > f.listed
 	if len(changes.Entries) > 0 {
 		f.settle(0)
@@ -212,16 +257,17 @@
 	ctx, end := readLimit(0).Context(ctx)
 	defer end()
 	list := f.Store.List
-	if f.ListEvery > 0 && f.at > 0 {
+	if f.ListEvery > 0 && f.At() > 0 {
 		list = f.Store.ListStale // the first one is to be right
 	}
 	listing, err := list(ctx, f.Prefix)
 	if err != nil {
 		return listing, patience.Explain(ctx, err)
 	}
-	f.hear()
+	f.hear(0, 0)
 	f.Table.Replace(f.Prefix, listing)
-	f.at = listing.At
+	f.advance(listing.At)
+	f.relist = false
 	f.listed = 0
 	for _, entry := range listing.Entries {
 		f.listed += len(entry.Value)
@@ -229,13 +275,15 @@
 	return listing, nil
 }
 
-// hear notes an answer of the store before what it says is taken: that depends
-// on whether the store was away.
-func (f *Follower) hear() {
-	now := int64(time.Since(f.start))
-	f.answered.Store(now)
+// hear notes an answer of the store before what it says is taken: that depends on
+// whether the store was away. It was given some time ago, and a part of one came
+// last some time ago.
+func (f *Follower) hear(answered, heard time.Duration) {
+	now := time.Since(f.start)
+	f.answered.Store(max(f.answered.Load(), int64(now-answered), 1))
+	f.heard.Store(max(f.heard.Load(), int64(now-heard), 1))
 	if f.failing {
-		f.regained.Store(now)
+		f.regained.Store(int64(now))
 	}
 }
 
--- a/daemon/internal/process/mirror/mirror_test.go
+++ b/daemon/internal/process/mirror/mirror_test.go
@@ -161,7 +161,7 @@
 	contacts := make(chan error, 8)
 	table := &mirror.Table{}
 	follower := &mirror.Follower{
-		Table: table, Wait: time.Millisecond, Store: s.store(func() provider.Listing { return provider.Listing{At: 1} }),
+		Table: table, Wait: func() time.Duration { return time.Millisecond }, Store: s.store(func() provider.Listing { return provider.Listing{At: 1} }),
 		OnContact: func(_ string, lost error) { contacts <- lost },
 	}
 	follower.Start()
--- /dev/null
+++ b/daemon/internal/process/mirror/near.go
@@ -0,0 +1,92 @@
+package mirror
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
+	"github.com/wheelcleat/wheelcleat/daemon/provider"
+)
+
+// ErrNoneNear says that no daemon near this one is to be asked: the store is to be
+// read.
+var ErrNoneNear = errors.New("no daemon near to ask")
+
+// copyKept is how old a copy may be to be brought up to date by news alone. Other
+// daemons forget removals after removalsKept.
+const copyKept = removalsKept / 2
+
+// nearTries is how many daemons near may fail one after the other until the store is
+// read once: a hall may have many that are gone, and each takes its time to fail.
+const nearTries = 2
+
+// Standing is how well a copy of the store keeps up with it.
+type Standing struct {
+	// At is the revision up to which the copy is complete, 0 while that is not known.
+	At provider.Revision
+	// Answered is the time since the store last answered whole, and Heard since a
+	// part of an answer came, which is less while a long one is under way.
+	Answered, Heard time.Duration
+}
+
+// News is what another daemon's copy has above a revision, and how it stands.
+type News struct {
+	Entries []provider.Entry
+	Standing
+}
+
+// askNear asks a daemon near for news. It reports false where the store is to be
+// read.
+func (f *Follower) askNear(ctx context.Context) bool {
+	if f.Near == nil {
+		return false
+	}
+	after := f.At()
+	if f.relist || f.Age() > copyKept {
+		after = 0
+	}
+	news, err := f.Near(ctx, f.Prefix, after)
+	if errors.Is(err, ErrNoneNear) {
+		return false
+	}
+	if err != nil {
+		f.nearFailed++
+		helpers.Pause(rand.N(firstPause), f.tomb.Dying())
+		return f.nearFailed%nearTries != 0
+	}
+	f.nearFailed = 0
+	f.hear(news.Answered, news.Heard)
+	f.Adopt(after, news)
+	f.relist = false
+	f.note(nil)
+	if len(news.Entries) > 0 {
+		f.settle(0)
+	}
+	return true
+}
+
+// Adopt takes what another daemon's copy has above a revision up to which this one
+// is complete, or all of it where that is 0, and returns how many entries were new.
+// It may be called beside a call to the store.
+func (f *Follower) Adopt(after provider.Revision, news News) int {
+	fresh := 0
+	if after == 0 && news.At > 0 {
+		fresh = f.Table.Replace(f.Prefix, provider.Listing{Entries: news.Entries, At: news.At})
+	} else {
+		fresh = f.Table.Apply(news.Entries)
+	}
+	f.advance(news.At)
+	return fresh
+}
+
+// advance raises the revision up to which the copy is complete.
+func (f *Follower) advance(to provider.Revision) {
+	for {
+		known := f.at.Load()
+		if uint64(to) <= known || f.at.CompareAndSwap(known, uint64(to)) {
+			return
+		}
+	}
+}
--- a/daemon/loader/resumable_test.go
+++ b/daemon/internal/process/mirror/needs_test.go
@@ -1,10 +1,13 @@
-package loader
+package mirror_test
 
 import (
+	"net/netip"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/process/mirror"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
@@ -28,6 +31,13 @@
 		{"of another service", []provider.Route{route("s", provider.ModeStream, true, 2), route("t", provider.ModeUnsafe, false, 1)}, true},
 	}
 	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) { assert.Equal(t, test.want, resumable(test.routes, "s")) })
+		t.Run(test.name, func(t *testing.T) {
+			configuration := &provider.Configuration{Routes: test.routes, Services: []provider.Service{
+				{Name: "s", Engine: &provider.EngineSpec{Model: "m"}, Origin: netip.MustParseAddrPort("10.0.0.1:80")},
+			}}
+			needs, err := mirror.NeedsOf(configuration, "s")
+			require.NoError(t, err)
+			assert.Equal(t, test.want, needs.Resumable)
+		})
 	}
 }
--- a/daemon/internal/process/mirror/table.go
+++ b/daemon/internal/process/mirror/table.go
@@ -35,6 +35,8 @@
 	entries map[string]kept
 	// newest is the highest revision of any entry taken.
 	newest provider.Revision
+	// changed is closed at the next change; nil while nobody waits for one.
+	changed chan struct{}
 }
 
 type kept struct {
@@ -104,16 +106,33 @@
 			delete(t.entries, key)
 		}
 	}
+	if len(fresh) > 0 && t.changed != nil {
+		close(t.changed)
+		t.changed = nil
+	}
 	return fresh
 }
 
+// Changed returns a channel that is closed at the next change.
+func (t *Table) Changed() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.changed == nil {
+		t.changed = make(chan struct{})
+	}
+	return t.changed
+}
+
 // Since returns every entry above a revision, removals included; 0 returns all.
-func (t *Table) Since(after provider.Revision) provider.Listing {
+func (t *Table) Since(after provider.Revision) provider.Listing { return t.SinceUnder("", after) }
+
+// SinceUnder is Since for the keys under a prefix.
+func (t *Table) SinceUnder(prefix string, after provider.Revision) provider.Listing {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	listing := provider.Listing{At: after}
-	for _, entry := range t.entries {
-		if entry.Revision <= after {
+	for key, entry := range t.entries {
+		if entry.Revision <= after || !strings.HasPrefix(key, prefix) {
 			continue
 		}
 		listing.Entries = append(listing.Entries, entry.Entry)
--- a/daemon/internal/process/mirror/view.go
+++ b/daemon/internal/process/mirror/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -124,7 +125,8 @@
 	members   map[string]*provider.Member
 	// lapsed holds, by key, upstreams whose entry lapsed a short time ago.
 	lapsed map[string]lapsed
-	// taken is set once any entry was taken.
+	// taken is set once any entry was taken but for those of routers, which a router
+	// reads before all else.
 	taken bool
 }
 
@@ -174,7 +176,7 @@
 	for _, entry := range changed {
 		c.takeEntry(&next, entry)
 	}
-	c.taken = c.taken || len(changed) > 0
+	c.taken = c.taken || slices.ContainsFunc(changed, c.isNotMember)
 	c.forgetLapsed()
 	next.Upstreams = map[string][]*provider.Upstream{}
 	for _, upstream := range c.occupants() {
@@ -191,6 +193,8 @@
 	c.view.Store(&next)
 }
 
+func (c *Compiler) isNotMember(entry provider.Entry) bool { return c.members[entry.Key] == nil }
+
 // forgetLapsed drops the lapsed upstreams that are back, or whose time is over.
 func (c *Compiler) forgetLapsed() {
 	for key, kept := range c.lapsed {
--- a/daemon/internal/process/telemetry/telemetry.go
+++ b/daemon/internal/process/telemetry/telemetry.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/netip"
 	"os"
 	"sync/atomic"
 	"time"
@@ -108,6 +109,15 @@
 	t.Log.WithFields(fields).Info("dependency regained")
 }
 
+// NeighbourMuted writes one line when a daemon of the hall that is asked in place of
+// the store is not asked for a while.
+func (t *Telemetry) NeighbourMuted(neighbour netip.AddrPort, reason error) {
+	t.Scope.Counter("neighbours_muted").Inc(1)
+	t.Log.WithFields(log.Fields{
+		"decision": "follow", "dependency": "neighbour", "peer": neighbour, "reason": reason.Error(),
+	}).Warn("neighbour not asked for a while")
+}
+
 // SetReady marks the process as ready.
 func (t *Telemetry) SetReady() { t.notReady.Store("") }
 
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -10,11 +10,9 @@
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -24,9 +22,8 @@
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/dial"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/loadfeed"
-	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/patience"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/peering"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/places"
-	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/mirror"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/server"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/telemetry"
@@ -38,11 +35,6 @@
 	"github.com/wheelcleat/wheelcleat/daemon/settings"
 )
 
-// lookLimit bounds a read of the configuration. After all power was lost every
-// loader of a region reads it over the same link, 100 KB and more each. Were they to
-// give up halfway and begin anew, none would ever have it whole.
-var lookLimit = patience.Limit{First: 2 * time.Second, Stall: 2 * time.Second, Whole: 30 * time.Second}
-
 const (
 	// versionsWait is how long one watch for declared versions waits. A cut in
 	// silence is noticed sooner, by the connection.
@@ -50,17 +42,14 @@
 	// hostsEvery is the interval in which the list of hosts is read. It only
 	// says which hosts may have chunks.
 	hostsEvery = 2 * time.Second
+	// routersEvery is the interval in which the list of routers is read. One that is
+	// not known yet is only not asked.
+	routersEvery = 10 * time.Second
 	// hostIdle is how long connections to the store and other loaders rest.
 	hostIdle = 30 * time.Second
 	// originIdle is the same for the origin, which takes few connections from
 	// all hosts together and counts those whose host has lost its power.
 	originIdle = 300 * time.Millisecond
-	// lookSoon is the pause after the first read of the configuration that failed;
-	// it doubles up to lookLate and is drawn at random below that. lookAgain is the
-	// pause once the configuration is known: an origin seldom moves.
-	lookSoon  = 300 * time.Millisecond
-	lookLate  = 2400 * time.Millisecond
-	lookAgain = 10 * time.Second
 	// firstVersion is what an engine should hold while no version is declared.
 	firstVersion = 1
 )
@@ -85,17 +74,21 @@
 	output    *telemetry.Bounded
 	log       *log.Entry
 
-	table     *mirror.Table
-	compiler  *mirror.Compiler
-	followers []*mirror.Follower
-	held      *swarm.Held
-	keeper    *keep.Keeper
-	feed      *loadfeed.Feed
-	ledger    *places.Ledger
-	client    *http.Client
+	table    *mirror.Table
+	compiler *mirror.Compiler
+	// versions follows the declared versions, hosts the upstreams' records, and
+	// routers those of the routers.
+	versions, hosts, routers *mirror.Follower
+	held                     *swarm.Held
+	keeper                   *keep.Keeper
+	feed                     *loadfeed.Feed
+	ledger                   *places.Ledger
+	client                   *http.Client
 
-	// weights is what the configuration says of the engine's service.
-	weights atomic.Pointer[weights]
+	// needs is what the configuration says of the engine's service.
+	needs atomic.Pointer[mirror.EngineNeeds]
+	// neighbours are the routers of this hall.
+	neighbours *peering.Neighbours
 	// listed is the roster of the newest view.
 	listed atomic.Pointer[roster]
 
@@ -104,14 +97,6 @@
 	done           chan struct{}
 }
 
-// weights is the configuration as far as it concerns one engine.
-type weights struct {
-	engine provider.EngineSpec
-	origin netip.AddrPort
-	// resumable says that all requests for the engine may go on elsewhere.
-	resumable bool
-}
-
 // New prepares a loader; Start runs it.
 func New(s settings.Loader, options Options) (*Process, error) {
 	if options.Provider == nil {
@@ -137,10 +122,8 @@
 	p.provider = options.Provider(s.Store, p.client, calls)
 	p.compiler = &mirror.Compiler{Decode: p.provider.Decode, OnBelief: p.noteBelief}
 	p.table.OnChange = p.compiler.Take
-	p.followers = []*mirror.Follower{
-		{Store: p.provider.Store, Prefix: p.provider.Prefixes.Versions, Table: p.table, OnContact: p.telemetry.Contact, Wait: versionsWait},
-		{Store: p.provider.Store, Prefix: p.provider.Prefixes.Upstreams, Table: p.table, OnContact: p.telemetry.Contact, ListEvery: hostsEvery},
-	}
+	p.neighbours = &peering.Neighbours{Client: p.client, Choose: p.neighbour, OnMute: p.telemetry.NeighbourMuted}
+	p.addFollowers()
 	p.keeper = &keep.Keeper{
 		Engine: p.provider.Engine, Origin: p.provider.Origin, Address: s.Engine, Held: p.held,
 		Own: s.Listen.Peers, First: p.firstAskers, Plan: p.plan, NewFetch: p.newFetch, AskPeer: p.askPeer,
@@ -149,6 +132,27 @@
 	return p, nil
 }
 
+// addFollowers prepares what is followed. Declared versions are a few bytes and come
+// from the store itself, without a detour. The list of hosts comes from a router of
+// this hall while one answers.
+func (p *Process) addFollowers() {
+	follower := func(prefix string) *mirror.Follower {
+		return &mirror.Follower{Store: p.provider.Store, Prefix: prefix, Table: p.table, OnContact: p.telemetry.Contact}
+	}
+	p.versions = follower(p.provider.Prefixes.Versions)
+	p.versions.Wait = func() time.Duration { return versionsWait }
+	p.hosts = follower(p.provider.Prefixes.Upstreams)
+	p.hosts.ListEvery = hostsEvery
+	p.hosts.Near = p.neighbours.News
+	p.hosts.Before = p.provider.Prefixes.Members
+	p.routers = follower(p.provider.Prefixes.Members)
+	p.routers.ListEvery = routersEvery
+}
+
+func (p *Process) followers() []*mirror.Follower {
+	return []*mirror.Follower{p.versions, p.hosts, p.routers}
+}
+
 // Start opens the ports and begins to keep the engine.
 func (p *Process) Start() error {
 	pages := bunrouter.New()
@@ -167,94 +171,27 @@
 		p.peers.Kill()
 		return fmt.Errorf("loader %s: %w", p.current.Load().Name, err)
 	}
-	for _, follower := range p.followers {
+	for _, follower := range p.followers() {
 		follower.Start()
 	}
-	p.tomb.Go(p.lookForWeights)
+	p.tomb.Go(p.lookForNeeds)
 	p.keeper.Start()
 	p.log.WithFields(log.Fields{"peers": p.current.Load().Listen.Peers, "engine": p.current.Load().Engine, "store": p.current.Load().Store}).Info("started")
 	return nil
 }
 
-// lookForWeights reads the configuration now and then. A watch was rejected: it
-// would bring the whole configuration, at each change, over the link that the
-// weights need.
-func (p *Process) lookForWeights() error {
-	most := lookSoon
-	for {
-		pause := lookAgain
-		if err := p.readWeights(); err != nil {
-			pause = most/2 + rand.N(most/2)
-			most = min(2*most, lookLate)
-		} else {
-			most = lookSoon
-		}
-		if !helpers.Pause(pause, p.tomb.Dying()) {
-			return nil
-		}
-	}
-}
-
-var errNoEngine = errors.New("the configuration has no engine service of this name, or no origin")
-
-func (p *Process) readWeights() error {
-	ctx, end := lookLimit.Context(p.tomb.Context(nil)) //nolint:staticcheck // nil asks the tomb for its own context
-	defer end()
-	entry, err := p.provider.Store.GetStale(ctx, p.provider.Prefixes.Configuration)
-	if err != nil {
-		return err
-	}
-	record, err := p.provider.Decode(entry)
-	if err != nil || record.Configuration == nil {
-		p.log.WithField("reason", fmt.Sprint(err)).Error("configuration not taken, the last good one stays")
-		return errNoEngine
-	}
-	found := weights{}
-	for _, service := range record.Configuration.Services {
-		if service.Engine != nil && service.Name == p.current.Load().Service {
-			found.engine = *service.Engine
-		}
-		if service.Origin.IsValid() {
-			found.origin = service.Origin
-		}
-	}
-	found.resumable = resumable(record.Configuration.Routes, p.current.Load().Service)
-	if found.engine.Model == "" || !found.origin.IsValid() {
-		return errNoEngine
-	}
-	if known := p.weights.Swap(&found); known == nil || *known != found {
-		p.log.WithFields(log.Fields{
-			"decision": "believe", "model": found.engine.Model, "origin": found.origin, "revision": entry.Revision,
-		}).Info("belief changed")
-	}
-	return nil
-}
-
-// resumable reports whether every route to a service is one whose requests may
-// go on, or run again, at another upstream.
-func resumable(routes []provider.Route, service string) bool {
-	for _, route := range routes {
-		leads := slices.ContainsFunc(route.Shares, func(share provider.Share) bool { return share.Service == service })
-		again := route.Mode == provider.ModeSafe || route.Mode == provider.ModeStream && route.Resumable
-		if leads && (!again || route.MaxAttempts < 2) {
-			return false
-		}
-	}
-	return true
-}
-
 // plan says what an engine that holds some version should hold.
 func (p *Process) plan(held int) (keep.Plan, bool) {
-	known := p.weights.Load()
-	if known == nil || !p.followers[0].Known() {
+	known := p.needs.Load()
+	if known == nil || !p.versions.Known() {
 		return keep.Plan{}, false
 	}
-	model := known.engine.Model
+	model := known.Engine.Model
 	plan := keep.Plan{
 		Goal:   keep.Goal{Model: model, Version: firstVersion, Fence: p.table.Newest()},
-		Origin: known.origin, Places: known.engine.Places,
-		Chunks: known.engine.Chunks, ChunkBytes: known.engine.ChunkBytes,
-		OriginTime: p.linkTime(known.engine.Chunks * known.engine.ChunkBytes),
+		Origin: known.Origin, Places: known.Engine.Places,
+		Chunks: known.Engine.Chunks, ChunkBytes: known.Engine.ChunkBytes,
+		OriginTime: p.linkTime(known.Engine.Chunks * known.Engine.ChunkBytes),
 	}
 	if declared, ok := p.compiler.View().Targets[model]; ok {
 		plan.Goal = p.goal(&declared, held)
@@ -274,11 +211,11 @@
 	}
 	window := turn.NewWindow(declared.Since(apply), apply, due)
 	place, hosts := p.place(declared.Model, declared.Version)
-	known := p.weights.Load()
+	known := p.needs.Load()
 	return keep.Goal{
 		Model: declared.Model, Version: declared.Version, Fence: p.table.Newest(), Turn: window.Of(place, hosts),
 		// The early hosts are ordered as soon as can be, so they cut nothing.
-		Cut: known != nil && known.resumable && !turn.IsEarly(place),
+		Cut: known != nil && known.Resumable && !turn.IsEarly(place),
 	}
 }
 
@@ -308,8 +245,8 @@
 	return swarm.Host{Address: p.current.Load().Listen.Peers, Hall: p.current.Load().Hall}
 }
 
-// hosts are the loaders of all engines of this service.
-func (p *Process) hosts() []swarm.Host { return p.roster().hosts }
+// loaders are those of all engines of this service.
+func (p *Process) loaders() []swarm.Host { return p.roster().hosts }
 
 // manifestHosts is how many loaders are asked for a manifest. More than one,
 // because the first may be as new as this one.
@@ -332,7 +269,7 @@
 	return &swarm.Fetch{
 		First: turn.IsEarly(place),
 		Copy:  c, Model: plan.Goal.Model, Origin: plan.Origin, Source: p.provider.Origin,
-		Own: p.own(), Hosts: p.hosts, Client: p.client, OriginTime: plan.OriginTime, OnChunk: p.noteChunk,
+		Own: p.own(), Hosts: p.loaders, Client: p.client, OriginTime: plan.OriginTime, OnChunk: p.noteChunk,
 	}
 }
 
@@ -347,7 +284,7 @@
 	p.keeper.Stop()
 	p.tomb.Kill(nil)
 	_ = p.tomb.Wait()
-	for _, follower := range p.followers {
+	for _, follower := range p.followers() {
 		follower.Stop()
 	}
 	p.peers.Kill()
--- a/daemon/loader/look_test.go
+++ b/daemon/loader/look_test.go
@@ -13,7 +13,9 @@
 	"github.com/apex/log/handlers/discard"
 	"github.com/stretchr/testify/assert"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/peering"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/process/mirror"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 	"github.com/wheelcleat/wheelcleat/daemon/settings"
 )
@@ -62,12 +64,16 @@
 				},
 			}}
 			p.current.Store(&settings.Loader{Service: "s"})
-			p.tomb.Go(p.lookForWeights)
+			p.neighbours = &peering.Neighbours{Choose: p.neighbour}
+			p.compiler = &mirror.Compiler{}
+			p.tomb.Go(p.lookForNeeds)
 			started = append(started, p)
 		}
+		// Routers come first, and the pause before the next look may be as long as lookLate.
+		helpers.Pause(routersFirst+lookLate, nil)
 		helpers.Pause(loaders*alone*3/2, nil)
 		for _, p := range started {
-			assert.NotNil(t, p.weights.Load())
+			assert.NotNil(t, p.needs.Load())
 			p.tomb.Kill(io.EOF)
 			<-p.tomb.Dead()
 		}
--- a/daemon/provider/progress.go
+++ b/daemon/provider/progress.go
@@ -1,6 +1,9 @@
 package provider
 
-import "context"
+import (
+	"context"
+	"io"
+)
 
 // progressKey is the key of a context's report function.
 type progressKey struct{}
@@ -19,3 +22,24 @@
 	}
 	return func(int) {}
 }
+
+// ReadAll reads an answer of at most some bytes and reports its parts as they come.
+// What had come is returned beside an error.
+func ReadAll(ctx context.Context, answer io.Reader, most int64) ([]byte, error) {
+	return io.ReadAll(io.LimitReader(reportingReader{answer, Progress(ctx)}, most))
+}
+
+// reportingReader reports what is read through it.
+type reportingReader struct {
+	io.Reader
+	report func(bytes int)
+}
+
+// Read reads and reports.
+func (r reportingReader) Read(buffer []byte) (int, error) {
+	n, err := r.Reader.Read(buffer)
+	if n > 0 {
+		r.report(n)
+	}
+	return n, err
+}
--- /dev/null
+++ b/daemon/router/hall.go
@@ -0,0 +1,146 @@
+package router
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/peering"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/rendezvous"
+	"github.com/wheelcleat/wheelcleat/daemon/provider"
+)
+
+// storeReaders is how many routers of a hall read the store for all of it. One would
+// do; two, because each of them can freeze or be turned away by the store.
+const storeReaders = 2
+
+const (
+	// storeWait is how long one watch of the store waits where every router of a
+	// hall reads it, and readerWait where a few do so for the others: those bear that
+	// the store is silent to their reader for less time than it takes for a change
+	// to be in force.
+	storeWait  = 2500 * time.Millisecond
+	readerWait = time.Second
+	// settleEach is the pause after a change for each router that reads the store,
+	// and settleLeast and settleMost its bounds. Each change of one upstream has all
+	// of them call the store, so that the calls would grow with the fleet's square.
+	settleEach  = 20 * time.Millisecond
+	settleLeast = 150 * time.Millisecond
+	settleMost  = 300 * time.Millisecond
+	// silenceSlack is how much later than due an answer of the store may be before
+	// peers are asked, and before an unknown key or route is no longer a final no.
+	silenceSlack = 400 * time.Millisecond
+)
+
+// neighbour returns the router of this hall to ask for news in place of the store;
+// false where this one is to read the store.
+func (p *Process) neighbour(usable func(netip.AddrPort) bool) (netip.AddrPort, bool) {
+	return neighbourOf(p.current.Load().Name, p.hallMembers(), usable)
+}
+
+// neighbourOf chooses among the routers of a hall. The first usable ones of a ranking
+// that all of them share read the store; each other one asks one of these.
+func neighbourOf(name string, hall map[string]netip.AddrPort, usable func(netip.AddrPort) bool) (netip.AddrPort, bool) {
+	names := []string{name}
+	for other := range hall {
+		if other != name {
+			names = append(names, other)
+		}
+	}
+	var readers []string
+	for _, other := range rendezvous.Rank("readers of the store", names) {
+		if other == name || len(readers) == storeReaders {
+			break
+		}
+		if usable(hall[other]) {
+			readers = append(readers, other)
+		}
+	}
+	if len(readers) < storeReaders {
+		return netip.AddrPort{}, false
+	}
+	return hall[rendezvous.First("news for "+name, readers)], true
+}
+
+// hallMembers are the known routers of this hall by name.
+func (p *Process) hallMembers() map[string]netip.AddrPort {
+	hall := map[string]netip.AddrPort{}
+	for name, member := range p.compiler.View().Members {
+		if member.Hall == p.current.Load().Hall {
+			hall[name] = member.Peers
+		}
+	}
+	return hall
+}
+
+// readsForOthers reports whether some routers of this hall follow others.
+func (p *Process) readsForOthers() bool { return len(p.hallMembers()) > storeReaders }
+
+// watchWait is how long one watch of the store waits.
+func (p *Process) watchWait() time.Duration {
+	if p.readsForOthers() {
+		return readerWait
+	}
+	return storeWait
+}
+
+// settle is the pause after a change in the store.
+func (p *Process) settle() time.Duration {
+	return min(max(time.Duration(readersOf(p.compiler.View().Members))*settleEach, settleLeast), settleMost)
+}
+
+// readersOf counts the routers that read the store: a few of each hall.
+func readersOf(members map[string]*provider.Member) int {
+	halls := map[string]int{}
+	for _, member := range members {
+		halls[member.Hall]++
+	}
+	readers := 0
+	for _, routers := range halls {
+		readers += min(routers, storeReaders)
+	}
+	return readers
+}
+
+// silentAfter is how old what the store last answered may be: the wait of a watch and
+// a pause, and where another router reads the store the same again on the way here.
+func (p *Process) silentAfter() time.Duration {
+	after := p.watchWait() + p.settle() + silenceSlack
+	if p.readsForOthers() {
+		after += p.settle() + peering.NewsWait
+	}
+	return after
+}
+
+// silent reports whether the store has not answered for too long, so that what is
+// known may be out of date.
+func (p *Process) silent() bool {
+	return !p.follower.Known() || p.follower.Age() > p.silentAfter()
+}
+
+// cutOff reports whether nothing at all came of the store for too long. An answer
+// that is long under way leaves a router silent, but not cut off.
+func (p *Process) cutOff() bool {
+	return !p.follower.Known() || p.follower.Standing().Heard > p.silentAfter()
+}
+
+// peer returns a router to ask while the store is silent, of this hall or another.
+func (p *Process) peer() (netip.AddrPort, bool) {
+	own, hall := p.current.Load().Listen.Peers, p.current.Load().Hall
+	var near, far []netip.AddrPort
+	for _, member := range p.compiler.View().Members {
+		switch {
+		case member.Peers == own:
+		case member.Hall == hall:
+			near = append(near, member.Peers)
+		default:
+			far = append(far, member.Peers)
+		}
+	}
+	for _, seed := range p.current.Load().Seeds {
+		if seed != own && !slices.Contains(near, seed) && !slices.Contains(far, seed) {
+			far = append(far, seed)
+		}
+	}
+	return peering.Choose(near, far)
+}
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -15,7 +15,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -37,18 +36,6 @@
 )
 
 const (
-	// storeWait is how long one watch of the store waits.
-	storeWait = 2500 * time.Millisecond
-	// settleEach is the pause after a change for each router that there is, and
-	// settleLeast and settleMost its bounds. Each change of one upstream has all
-	// routers call the store, so that the calls would grow with the fleet's square.
-	settleEach  = 20 * time.Millisecond
-	settleLeast = 150 * time.Millisecond
-	settleMost  = 800 * time.Millisecond
-	// silenceSlack is how much later than due an answer of the store may be
-	// before peers are asked, and before an unknown key or route is no longer a
-	// final no.
-	silenceSlack = 400 * time.Millisecond
 	// lameDuck is how long a stopping router still serves while it is not
 	// ready, so that the balancer takes it off first.
 	lameDuck = 2500 * time.Millisecond
@@ -143,12 +130,14 @@
 }
 
 func (p *Process) addFollowers(client *http.Client) {
+	neighbours := &peering.Neighbours{Client: client, Choose: p.neighbour, OnMute: p.telemetry.NeighbourMuted}
 	p.follower = &mirror.Follower{
 		Store: p.provider.Store, Prefix: p.provider.Prefixes.All, Table: p.table, OnContact: p.recorder.contact,
-		OnBytes: p.recorder.storeBytes, Wait: storeWait, Settle: p.settle,
+		OnBytes: p.recorder.storeBytes, Wait: p.watchWait, Settle: p.settle,
+		Near: neighbours.News, Before: p.provider.Prefixes.Members,
 	}
 	p.puller = &peering.Puller{
-		Client: client, Table: p.table, Peers: p.peerAddresses, Needed: p.silent, OnPull: p.recorder.pulled,
+		Client: client, Follower: p.follower, Peer: p.peer, Needed: p.cutOff, OnPull: p.recorder.pulled,
 	}
 	p.announcer = &announcer{
 		store: p.provider.Store, onContact: p.recorder.contact,
@@ -192,12 +181,6 @@
 	}
 }
 
-// settle is the pause after a change in the store.
-func (p *Process) settle() time.Duration {
-	routers := len(p.compiler.View().Members)
-	return min(max(time.Duration(routers)*settleEach, settleLeast), settleMost)
-}
-
 // lapses reports whether entries of upstreams may go only because the store was
 // away: it is for this router, or was a moment ago.
 func (p *Process) lapses() bool {
@@ -305,7 +288,9 @@
 
 func (p *Process) peerPages() http.Handler {
 	pages := bunrouter.New()
-	pages.Compat().GET(peering.Path, peering.Handler(p.table))
+	copies := &peering.Source{Table: p.table, Standing: p.follower.Standing}
+	pages.Compat().GET(peering.Path, copies.ServeHTTP)
+	pages.Compat().GET(peering.EnginePath, peering.EngineHandler(p.compiler.View))
 	return pages
 }
 
@@ -315,26 +300,6 @@
 	return mux
 }
 
-// silent reports whether the store has not answered for too long.
-func (p *Process) silent() bool {
-	return !p.follower.Known() || p.follower.Age() > storeWait+p.settle()+silenceSlack
-}
-
-// peerAddresses are the seeds and all members but this one.
-func (p *Process) peerAddresses() []netip.AddrPort {
-	own := p.current.Load().Listen.Peers
-	var peers []netip.AddrPort
-	for _, member := range p.compiler.View().Members {
-		peers = append(peers, member.Peers)
-	}
-	for _, seed := range p.current.Load().Seeds {
-		if !slices.Contains(peers, seed) {
-			peers = append(peers, seed)
-		}
-	}
-	return slices.DeleteFunc(peers, func(peer netip.AddrPort) bool { return peer == own })
-}
-
 // Stop takes this router off the balancer, finishes what is in flight and ends.
 // An error says that requests had to be cut.
 func (p *Process) Stop(ctx context.Context) error {
