--- /dev/null
+++ b/daemon/internal/connection/peering/peering_test.go
@@ -0,0 +1,236 @@
+package peering
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wheelcleat/wheelcleat/daemon/internal/process/mirror"
+	"github.com/wheelcleat/wheelcleat/daemon/provider"
+)
+
+// daemon is one that hands out its copy.
+type daemon struct {
+	table    *mirror.Table
+	mu       sync.Mutex
+	standing mirror.Standing
+	asked    []string
+	address  netip.AddrPort
+	client   *http.Client
+}
+
+func startDaemon(t *testing.T, standing mirror.Standing) *daemon {
+	t.Helper()
+	d := &daemon{table: &mirror.Table{}, standing: standing}
+	source := &Source{Table: d.table, Standing: d.stands}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d.mu.Lock()
+		d.asked = append(d.asked, r.URL.RequestURI())
+		d.mu.Unlock()
+		source.ServeHTTP(w, r)
+	}))
+	t.Cleanup(server.Close)
+	d.address = netip.MustParseAddrPort(server.Listener.Addr().String())
+	d.client = server.Client()
+	return d
+}
+
+func (d *daemon) stands() mirror.Standing {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.standing
+}
+
+func (d *daemon) stand(standing mirror.Standing) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.standing = standing
+}
+
+func (d *daemon) questions() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.asked)
+}
+
+// only chooses one daemon as long as it is usable.
+func (d *daemon) only(usable func(netip.AddrPort) bool) (netip.AddrPort, bool) {
+	return d.address, usable(d.address)
+}
+
+func entries(revisions ...provider.Revision) []provider.Entry {
+	var made []provider.Entry
+	for _, revision := range revisions {
+		made = append(made, provider.Entry{Key: string(rune('a' + revision)), Value: []byte("v"), Revision: revision})
+	}
+	return made
+}
+
+// TestNewsAreHeldUntilThereAreSome: a question waits for a change of the keys that it
+// is for, and its answer says up to where the copy is complete and when the store was
+// heard. Without a change the answer comes when the time is over.
+func TestNewsAreHeldUntilThereAreSome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table, at := &mirror.Table{}, provider.Revision(4)
+		source := &Source{Table: table, Standing: func() mirror.Standing {
+			return mirror.Standing{At: at, Answered: 30 * time.Millisecond, Heard: 20 * time.Millisecond}
+		}}
+		table.Apply(entries(3, 4))
+		var answer message
+		answered := false
+		asked := question{after: 4, prefix: "f", wait: NewsWait}
+		ask := func() {
+			answer, answered = source.await(t.Context(), asked)
+		}
+		go ask()
+		synctest.Wait()
+		table.Apply([]provider.Entry{{Key: "other", Revision: 6}})
+		synctest.Wait()
+		assert.False(t, answered)
+		at = 6
+		table.Apply(entries(5))
+		synctest.Wait()
+		assert.True(t, answered)
+		want := message{Listing: provider.Listing{Entries: entries(5), At: 6}, Answered: 30 * time.Millisecond, Heard: 20 * time.Millisecond}
+		assert.Equal(t, want, answer)
+
+		started := time.Now()
+		asked.after, answered = 6, false
+		ask()
+		assert.True(t, answered)
+		assert.Empty(t, answer.Entries)
+		assert.Equal(t, NewsWait, time.Since(started))
+	})
+}
+
+// TestNewsOfAPrefix: a daemon that needs only some keys is sent only those.
+func TestNewsOfAPrefix(t *testing.T) {
+	d := startDaemon(t, mirror.Standing{At: 9})
+	d.table.Apply([]provider.Entry{{Key: "c", Value: make([]byte, 1000), Revision: 8}, {Key: "u/1", Revision: 9}})
+	news, err := (&Neighbours{Client: d.client, Choose: d.only}).News(t.Context(), "u/", 0)
+	require.NoError(t, err)
+	assert.Equal(t, []provider.Entry{{Key: "u/1", Revision: 9}}, news.Entries)
+}
+
+// TestTheWholeCopyIsWaitedFor: one that is just starting answers when it has it.
+func TestTheWholeCopyIsWaitedFor(t *testing.T) {
+	d := startDaemon(t, mirror.Standing{})
+	answers := make(chan message, 1)
+	source := &Source{Table: d.table, Standing: d.stands}
+	go func() {
+		answer, _ := source.await(t.Context(), question{wait: maxWait})
+		answers <- answer
+	}()
+	d.table.Apply(entries(1, 2))
+	d.stand(mirror.Standing{At: 2})
+	answer := <-answers
+	assert.Equal(t, provider.Revision(2), answer.At)
+	assert.Len(t, answer.Entries, 2)
+}
+
+// TestWhoDoesNotHearTheStoreIsLeft: a neighbour that answers but does not hear the
+// store, knows nothing, or is gone, is not asked for a while.
+func TestWhoDoesNotHearTheStoreIsLeft(t *testing.T) {
+	tests := []struct {
+		name     string
+		standing mirror.Standing
+		gone     bool
+	}{
+		{"does not hear the store", mirror.Standing{At: 4, Answered: time.Minute, Heard: freshWithin + time.Second}, false},
+		{"knows nothing", mirror.Standing{}, false},
+		{"is gone", mirror.Standing{At: 4}, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			d := startDaemon(t, test.standing)
+			d.table.Apply(entries(3, 4))
+			if test.gone {
+				d.address = netip.MustParseAddrPort("127.0.0.1:1")
+			}
+			now := time.Unix(1000, 0)
+			var left []netip.AddrPort
+			neighbours := &Neighbours{
+				Client: d.client, Choose: d.only, Now: func() time.Time { return now },
+				OnMute: func(neighbour netip.AddrPort, _ error) { left = append(left, neighbour) },
+			}
+			_, err := neighbours.News(t.Context(), "", 3)
+			require.Error(t, err)
+			require.NotErrorIs(t, err, mirror.ErrNoneNear)
+			assert.Equal(t, []netip.AddrPort{d.address}, left)
+			_, err = neighbours.News(t.Context(), "", 3)
+			require.ErrorIs(t, err, mirror.ErrNoneNear, "it is not asked")
+			now = now.Add(muteFor)
+			_, err = neighbours.News(t.Context(), "", 3)
+			require.NotErrorIs(t, err, mirror.ErrNoneNear, "it is asked again")
+		})
+	}
+}
+
+// TestALongAnswerIsNoSilence: while an answer of the store is long under way to a
+// neighbour, those who ask it do not go to the store, which would make it longer.
+func TestALongAnswerIsNoSilence(t *testing.T) {
+	d := startDaemon(t, mirror.Standing{At: 4, Answered: 5 * time.Second, Heard: 10 * time.Millisecond})
+	d.table.Apply(entries(3, 4))
+	news, err := (&Neighbours{Client: d.client, Choose: d.only}).News(t.Context(), "", 3)
+	require.NoError(t, err)
+	assert.Equal(t, 5*time.Second, news.Answered, "but what is known may be old")
+}
+
+// TestWhoGivesUpBlamesNobody: a daemon that stops leaves its neighbour unmuted.
+func TestWhoGivesUpBlamesNobody(t *testing.T) {
+	d := startDaemon(t, mirror.Standing{At: 4})
+	neighbours := &Neighbours{Client: d.client, Choose: d.only}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err := neighbours.News(ctx, "", 4)
+	require.Error(t, err)
+	assert.True(t, neighbours.usable(d.address))
+}
+
+// TestAPeersCopyIsTakenAsFarAsItIsComplete: a copy with the newest entry may lack an
+// older one, so what is asked for next goes by what the copy was complete up to.
+func TestAPeersCopyIsTakenAsFarAsItIsComplete(t *testing.T) {
+	d := startDaemon(t, mirror.Standing{At: 3})
+	d.table.Apply(entries(3, 7))
+	follower := &mirror.Follower{Table: &mirror.Table{}}
+	puller := &Puller{Client: d.client, Follower: follower}
+	puller.pull(t.Context(), d.address)
+	assert.Equal(t, provider.Revision(7), follower.Table.Newest())
+	d.stand(mirror.Standing{At: 7})
+	d.table.Apply(entries(5))
+	puller.pull(t.Context(), d.address)
+	assert.Len(t, follower.Table.Since(0).Entries, 3)
+	assert.Equal(t, provider.Revision(7), follower.At())
+}
+
+// TestEngineNeeds: a loader is told what it needs, and when nothing is known yet.
+func TestEngineNeeds(t *testing.T) {
+	view := &mirror.View{}
+	server := httptest.NewServer(EngineHandler(func() *mirror.View { return view }))
+	t.Cleanup(server.Close)
+	address := netip.MustParseAddrPort(server.Listener.Addr().String())
+	neighbours := &Neighbours{
+		Client: server.Client(), Choose: func(func(netip.AddrPort) bool) (netip.AddrPort, bool) { return address, true },
+	}
+	_, err := neighbours.Engine(t.Context(), "s")
+	require.Error(t, err)
+	engine, origin := provider.EngineSpec{Model: "m", Chunks: 3}, netip.MustParseAddrPort("10.0.0.1:80")
+	view = &mirror.View{ConfigurationRevision: 9, Configuration: &provider.Configuration{
+		Services: []provider.Service{{Name: "s", Engine: &engine}, {Name: "o", Origin: origin}},
+	}}
+	news, err := neighbours.Engine(t.Context(), "s")
+	require.NoError(t, err)
+	assert.Equal(t, EngineNews{EngineNeeds: mirror.EngineNeeds{Engine: engine, Origin: origin, Resumable: true}, Revision: 9}, news)
+	_, err = neighbours.Engine(t.Context(), "other")
+	require.Error(t, err)
+	assert.False(t, errors.Is(err, mirror.ErrNoneNear))
+}
--- /dev/null
+++ b/daemon/internal/process/mirror/near_test.go
@@ -0,0 +1,122 @@
+package mirror_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/process/mirror"
+	"github.com/wheelcleat/wheelcleat/daemon/provider"
+)
+
+// nearby is a daemon near a follower and the store behind both.
+type nearby struct {
+	// watches and lists count the calls to the store, and asked those to the daemon.
+	watches, lists, asked int
+	after                 []provider.Revision
+	fail                  error
+	news                  mirror.News
+}
+
+func (n *nearby) ask(_ context.Context, _ string, after provider.Revision) (mirror.News, error) {
+	n.asked++
+	n.after = append(n.after, after)
+	helpers.Pause(500*time.Millisecond, nil)
+	return n.news, n.fail
+}
+
+func (n *nearby) store() provider.Store {
+	return provider.Store{
+		List: func(context.Context, string) (provider.Listing, error) {
+			n.lists++
+			return provider.Listing{At: 1}, nil
+		},
+		Watch: func(_ context.Context, _ string, after provider.Revision, wait time.Duration) (provider.Listing, error) {
+			n.watches++
+			helpers.Pause(wait, nil)
+			return provider.Listing{At: after}, nil
+		},
+	}
+}
+
+// TestNewsComesFromNearby: while a daemon near answers, the store is not called; once
+// two fail one after the other it is, and the daemon is asked again.
+func TestNewsComesFromNearby(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &nearby{news: mirror.News{
+			Entries: []provider.Entry{{Key: "a", Revision: 4}}, Standing: mirror.Standing{At: 5, Answered: 3 * time.Second},
+		}}
+		follower := &mirror.Follower{Store: n.store(), Table: &mirror.Table{}, Near: n.ask}
+		follower.Start()
+		defer follower.Stop()
+		helpers.Pause(10*time.Second, nil)
+		assert.Zero(t, n.lists+n.watches)
+		assert.Equal(t, provider.Revision(5), follower.At())
+		assert.Equal(t, provider.Revision(0), n.after[0], "the whole copy first")
+		assert.Equal(t, provider.Revision(5), n.after[1])
+		assert.GreaterOrEqual(t, follower.Age(), 3*time.Second, "what the other one heard, and when")
+
+		n.fail = errors.New("gone")
+		helpers.Pause(10*time.Second, nil)
+		assert.Greater(t, n.watches, 2)
+		assert.Zero(t, n.lists, "the copy goes on from where it was")
+		watched := n.watches
+		n.fail = nil
+		helpers.Pause(10*time.Second, nil)
+		assert.LessOrEqual(t, n.watches, watched+1)
+
+		n.fail = mirror.ErrNoneNear
+		asked := n.asked
+		helpers.Pause(10*time.Second, nil)
+		assert.Greater(t, n.watches, watched+2)
+		assert.Greater(t, n.asked, asked+2, "whether somebody is near is looked at before each watch")
+	})
+}
+
+// TestAnOldCopyIsTakenAnew: a daemon near forgets removals, so a copy that was not
+// brought up to date for long is asked for whole, and what is missing there is gone.
+func TestAnOldCopyIsTakenAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &nearby{news: mirror.News{
+			Entries: []provider.Entry{{Key: "a", Revision: 4}, {Key: "b", Revision: 3}}, Standing: mirror.Standing{At: 5},
+		}}
+		held := make(chan struct{})
+		near := func(ctx context.Context, prefix string, after provider.Revision) (mirror.News, error) {
+			if n.asked == 1 {
+				<-held
+			}
+			return n.ask(ctx, prefix, after)
+		}
+		table := &mirror.Table{}
+		follower := &mirror.Follower{Store: n.store(), Table: table, Near: near}
+		follower.Start()
+		defer follower.Stop()
+		helpers.Pause(3*time.Minute, nil)
+		n.news = mirror.News{Entries: []provider.Entry{{Key: "a", Revision: 4}}, Standing: mirror.Standing{At: 9}}
+		n.fail = errors.New("late")
+		close(held)
+		helpers.Pause(700*time.Millisecond, nil)
+		n.fail = nil
+		helpers.Pause(2*time.Second, nil)
+		assert.Contains(t, n.after[2:], provider.Revision(0))
+		gone := map[string]bool{}
+		for _, entry := range table.Since(0).Entries {
+			gone[entry.Key] = entry.Gone
+		}
+		assert.Equal(t, map[string]bool{"a": false, "b": true}, gone)
+	})
+}
+
+// TestRecordsOfRoutersAreNoFirstNews: a router reads them before all else, and a
+// version that it hears of next may still have been declared long before.
+func TestRecordsOfRoutersAreNoFirstNews(t *testing.T) {
+	compiler := &mirror.Compiler{Decode: decode}
+	compiler.Take([]provider.Entry{entry(t, "m/r", 1, provider.Record{Member: &provider.Member{Name: "r"}})})
+	compiler.Take([]provider.Entry{entry(t, "v/m", 2, provider.Record{Target: &provider.Target{Model: "m", Version: 2}})})
+	assert.True(t, compiler.View().Targets["m"].Found)
+}
