--- a/daemon/internal/connection/peering/peering_test.go
+++ b/daemon/internal/connection/peering/peering_test.go
@@ -23,7 +23,6 @@
 	table    *mirror.Table
 	mu       sync.Mutex
 	standing mirror.Standing
-	asked    []string
 	address  netip.AddrPort
 	client   *http.Client
 }
@@ -32,12 +31,7 @@
 	t.Helper()
 	d := &daemon{table: &mirror.Table{}, standing: standing}
 	source := &Source{Table: d.table, Standing: d.stands}
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		d.mu.Lock()
-		d.asked = append(d.asked, r.URL.RequestURI())
-		d.mu.Unlock()
-		source.ServeHTTP(w, r)
-	}))
+	server := httptest.NewServer(source)
 	t.Cleanup(server.Close)
 	d.address = netip.MustParseAddrPort(server.Listener.Addr().String())
 	d.client = server.Client()
@@ -56,12 +50,6 @@
 	d.standing = standing
 }
 
-func (d *daemon) questions() int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return len(d.asked)
-}
-
 // only chooses one daemon as long as it is usable.
 func (d *daemon) only(usable func(netip.AddrPort) bool) (netip.AddrPort, bool) {
 	return d.address, usable(d.address)
