--- a/daemon/internal/connection/peering/engine.go
+++ b/daemon/internal/connection/peering/engine.go
@@ -10,7 +10,7 @@
 	"net/url"
 	"time"
 
-	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/patience"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/patience"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/mirror"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
--- a/daemon/internal/connection/peering/peering.go
+++ b/daemon/internal/connection/peering/peering.go
@@ -28,7 +28,7 @@
 	"strconv"
 	"time"
 
-	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/patience"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/patience"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/mirror"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
--- a/daemon/internal/connection/patience/patience_test.go
+++ b/daemon/internal/patience/patience_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/stretchr/testify/assert"
 
-	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/patience"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/patience"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
--- a/daemon/internal/process/mirror/follower.go
+++ b/daemon/internal/process/mirror/follower.go
@@ -9,8 +9,8 @@
 
 	"gopkg.in/tomb.v2"
 
-	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/patience"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/patience"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
--- a/daemon/internal/process/platform/kv.go
+++ b/daemon/internal/process/platform/kv.go
@@ -6,13 +6,15 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
 	"net/url"
 	"strconv"
 	"time"
+
+	"github.com/wheelcleat/wheelcleat/daemon/internal/patience"
+	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
 // Item is one key with its value.
@@ -73,9 +75,13 @@
 // MaxValueBytes is the size of the largest value that the service holds.
 const MaxValueBytes = 1 << 20
 
-// callTimeout bounds every call but the waiting watch.
+// callTimeout is how long the answer of a call may take to begin, but for the waiting
+// watch, and each part of it after the first.
 const callTimeout = 2 * time.Second
 
+// longestRead bounds a call whatever comes of its answer.
+const longestRead = time.Minute
+
 // watchGrace is what a watch may take beyond its wait.
 const watchGrace = 3 * time.Second
 
@@ -174,8 +180,8 @@
 	if timeout == 0 {
 		timeout = callTimeout
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
+	ctx, end := patience.Limit{First: timeout, Stall: callTimeout, Whole: longestRead}.Context(ctx)
+	defer end()
 	address := "http://" + c.peer.String() + call.path
 	if len(call.query) > 0 {
 		address += "?" + call.query.Encode()
@@ -188,7 +194,7 @@
 	}
 	response, err := c.client.Do(request)
 	if err != nil {
-		return c.wrap(call, lost(err, connected))
+		return c.wrap(call, lost(patience.Explain(ctx, err), connected))
 	}
 	defer func() { _ = response.Body.Close() }()
 	if err := statusError(response, call); err != nil {
@@ -197,8 +203,12 @@
 	if target == nil {
 		return nil
 	}
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes)).Decode(target); err != nil {
-		return c.wrap(call, errors.Join(ErrUnknown, err))
+	data, err := provider.ReadAll(ctx, response.Body, maxAnswerBytes)
+	if err == nil {
+		err = json.Unmarshal(data, target)
+	}
+	if err != nil {
+		return c.wrap(call, errors.Join(ErrUnknown, patience.Explain(ctx, err)))
 	}
 	return nil
 }
--- a/daemon/loader/needs.go
+++ b/daemon/loader/needs.go
@@ -9,9 +9,9 @@
 
 	"github.com/apex/log"
 
-	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/patience"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/peering"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/patience"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/mirror"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/rendezvous"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
