--- a/daemon/internal/version/keep/keep.go
+++ b/daemon/internal/version/keep/keep.go
@@ -123,6 +123,14 @@
 	tomb     tomb.Tomb
 }
 
+// The names of steps.
+const (
+	StepFetch = "fetch"
+	StepStage = "stage"
+	StepCheck = "check"
+	StepOrder = "order"
+)
+
 // Step is one decision about weights.
 type Step struct {
 	Name    string
@@ -315,7 +323,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		k.OnStep(Step{Name: "fetch", Version: plan.Goal.Version, Err: err, Took: time.Since(started)})
+		k.OnStep(Step{Name: StepFetch, Version: plan.Goal.Version, Err: err, Took: time.Since(started)})
 		if err == nil || errors.Is(err, provider.ErrSuperseded) {
 			return
 		}
@@ -440,7 +448,7 @@
 	if err == nil {
 		k.prepared = goal.Version
 	}
-	k.OnStep(Step{Name: "stage", Version: goal.Version, Err: err, Took: time.Since(started)})
+	k.OnStep(Step{Name: StepStage, Version: goal.Version, Err: err, Took: time.Since(started)})
 }
 
 // stage reads back every chunk beside the engine and mends what is not right.
@@ -477,7 +485,7 @@
 	mended, err := k.stage(ctx, goal, c)
 	if mended > 0 || err != nil {
 		reason := fmt.Sprintf("%d chunks had turned bad", mended)
-		k.OnStep(Step{Name: "check", Version: goal.Version, Reason: reason, Err: err, Took: time.Since(started)})
+		k.OnStep(Step{Name: StepCheck, Version: goal.Version, Reason: reason, Err: err, Took: time.Since(started)})
 	}
 	return err == nil
 }
@@ -493,5 +501,5 @@
 	k.ordered = k.now()
 	k.clearing = time.Time{}
 	reason := fmt.Sprintf("holds version %d, %d requests run, cut %t, order %s", holds(report), report.Running, goal.Cut, result)
-	k.OnStep(Step{Name: "order", Version: goal.Version, Reason: reason, Err: err, Took: time.Since(started)})
+	k.OnStep(Step{Name: StepOrder, Version: goal.Version, Reason: reason, Err: err, Took: time.Since(started)})
 }
--- a/daemon/internal/version/swarm/fetch.go
+++ b/daemon/internal/version/swarm/fetch.go
@@ -70,6 +70,9 @@
 // ErrManifest says that the manifest does not fit what the origin sends.
 var ErrManifest = errors.New("the chunks of the origin do not match the manifest")
 
+// FromOrigin names the origin where chunks are told by where they came from.
+const FromOrigin = "origin"
+
 // Host is a loader as the others see it.
 type Host struct {
 	Address netip.AddrPort
@@ -102,7 +105,8 @@
 	// AfterOthers is closed once all that costs no transfer was looked at; only
 	// then is the origin asked. Nil means at once.
 	AfterOthers <-chan struct{}
-	// OnChunk is called with each new chunk. It may be nil.
+	// OnChunk is called with each new chunk and where it came from: a peer's address,
+	// or FromOrigin. It may be nil.
 	OnChunk func(index int, chunk []byte, from string)
 
 	started time.Time
@@ -365,7 +369,7 @@
 	}
 	chunk, err := f.askOrigin(ctx, index)
 	if err == nil {
-		f.tell(index, chunk, "origin")
+		f.tell(index, chunk, FromOrigin)
 		return true, nil
 	}
 	if !errors.Is(err, errDigest) {
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -89,6 +89,8 @@
 	needs atomic.Pointer[mirror.EngineNeeds]
 	// neighbours are the routers of this hall.
 	neighbours *peering.Neighbours
+	// received counts chunks by where they came from.
+	received received
 	// listed is the roster of the newest view.
 	listed atomic.Pointer[roster]
 
--- a/daemon/loader/notes.go
+++ b/daemon/loader/notes.go
@@ -1,12 +1,15 @@
 package loader
 
 import (
+	"sync/atomic"
+
 	"github.com/apex/log"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/loadfeed"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/places"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/mirror"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/version/keep"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/version/swarm"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
@@ -50,6 +53,9 @@
 // noteStep writes one line for a decision about weights.
 func (p *Process) noteStep(step keep.Step) {
 	fields := log.Fields{"decision": step.Name, "version": step.Version, "took": step.Took.String()}
+	if step.Name == keep.StepFetch {
+		fields["bytes"] = p.received.fields()
+	}
 	if step.Reason != "" {
 		fields["choice"] = step.Reason
 	}
@@ -63,11 +69,46 @@
 	p.log.WithFields(fields).Info("weights")
 }
 
+// Where a chunk came from, as metrics and logs name it.
+const (
+	fromOrigin     = "origin"
+	fromHall       = "hall"
+	fromOtherHalls = "otherHalls"
+)
+
+// received counts the bytes of chunks since the last version was fetched. Those of
+// the origin and of other halls took a part of the links that a whole region shares.
+type received struct{ origin, hall, otherHalls atomic.Int64 }
+
+func (r *received) of(source string) *atomic.Int64 {
+	switch source {
+	case fromOrigin:
+		return &r.origin
+	case fromHall:
+		return &r.hall
+	default:
+		return &r.otherHalls
+	}
+}
+
+// fields returns the counts for a log line and begins anew.
+func (r *received) fields() map[string]int64 {
+	counts := map[string]int64{}
+	for _, source := range []string{fromOrigin, fromHall, fromOtherHalls} {
+		counts[source] = r.of(source).Swap(0)
+	}
+	return counts
+}
+
 // noteChunk counts a chunk by where it came from.
 func (p *Process) noteChunk(_ int, chunk []byte, from string) {
-	source := "peer"
-	if from == "origin" {
-		source = from
+	source := fromOtherHalls
+	switch {
+	case from == swarm.FromOrigin:
+		source = fromOrigin
+	case p.roster().inHall(from, p.current.Load().Hall):
+		source = fromHall
 	}
+	p.received.of(source).Add(int64(len(chunk)))
 	p.telemetry.Scope.Tagged(map[string]string{"from": source}).Counter("chunk_bytes").Inc(int64(len(chunk)))
 }
--- a/daemon/loader/roster.go
+++ b/daemon/loader/roster.go
@@ -55,6 +55,13 @@
 	return r
 }
 
+// inHall reports whether a loader, by its address as text, stands in a hall.
+func (r *roster) inHall(loader, hall string) bool {
+	return slices.ContainsFunc(r.hosts, func(host swarm.Host) bool {
+		return host.Hall == hall && host.Address.String() == loader
+	})
+}
+
 // place is this loader's place in the order of turns of a key.
 func (r *roster) place(key string) int {
 	r.mu.Lock()
