--- a/daemon/internal/connection/peering/engine.go
+++ b/daemon/internal/connection/peering/engine.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"time"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/call"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/patience"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/mirror"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
@@ -20,8 +21,12 @@
 // hundreds of kilobytes.
 const EnginePath = "/engine"
 
-// engineAnswers is how long an answer to it may take.
-const engineAnswers = 500 * time.Millisecond
+const (
+	// engineAnswers is how long an answer to it may take.
+	engineAnswers = 500 * time.Millisecond
+	// maxEngine bounds the answer, in bytes.
+	maxEngine = 64 << 10
+)
 
 // EngineNews is what a configuration says of an engine's service.
 type EngineNews struct {
@@ -56,8 +61,8 @@
 	ctx, end := limit.Context(ctx)
 	defer end()
 	var news EngineNews
-	call := fmt.Sprintf("http://%s%s?%s", peer, EnginePath, url.Values{"service": {service}}.Encode())
-	if err := get(ctx, client, call, &news); err != nil {
+	question := fmt.Sprintf("http://%s%s?%s", peer, EnginePath, url.Values{"service": {service}}.Encode())
+	if err := call.JSON(ctx, client, question, maxEngine, &news); err != nil {
 		return news, fmt.Errorf("ask peer %s for the engine's service: %w", peer, patience.Explain(ctx, err))
 	}
 	if !news.Complete() {
--- a/daemon/internal/connection/peering/peering.go
+++ b/daemon/internal/connection/peering/peering.go
@@ -28,6 +28,7 @@
 	"strconv"
 	"time"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/call"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/patience"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/mirror"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
@@ -161,33 +162,9 @@
 	ctx, end := limit.Context(ctx)
 	defer end()
 	var answer message
-	if err := get(ctx, client, asked.url(peer), &answer); err != nil {
+	if err := call.JSON(ctx, client, asked.url(peer), maxCopy, &answer); err != nil {
 		return mirror.News{}, fmt.Errorf("ask peer %s for its copy: %w", peer, patience.Explain(ctx, err))
 	}
 	standing := mirror.Standing{At: answer.At, Answered: answer.Answered, Heard: answer.Heard}
 	return mirror.News{Entries: answer.Entries, Standing: standing}, nil
 }
-
-// get reads a JSON answer.
-func get(ctx context.Context, client *http.Client, url string, target any) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
-	if err != nil {
-		return err
-	}
-	response, err := client.Do(request)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return fmt.Errorf("status %d", response.StatusCode)
-	}
-	data, err := provider.ReadAll(ctx, response.Body, maxCopy)
-	if err != nil {
-		return fmt.Errorf("read the answer, %d bytes came: %w", len(data), err)
-	}
-	if err := json.Unmarshal(data, target); err != nil {
-		return fmt.Errorf("decode the answer: %w", err)
-	}
-	return nil
-}
--- a/daemon/internal/connection/places/ask.go
+++ b/daemon/internal/connection/places/ask.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/call"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 )
 
@@ -102,21 +103,8 @@
 	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
 	url := fmt.Sprintf("http://%s%s?waiting=%d&taken=%d", loader, Path, limit.Waiting, limit.Taken)
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
-	if err != nil {
-		return Load{}, false, fmt.Errorf("ask %s for a place: %w", loader, err)
-	}
-	request.Header["User-Agent"] = nil
-	response, err := c.Client.Do(request)
-	if err != nil {
-		return Load{}, false, fmt.Errorf("ask %s for a place: %w", loader, err)
-	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return Load{}, false, fmt.Errorf("ask %s for a place: status %d", loader, response.StatusCode)
-	}
 	var a answer
-	if err := json.NewDecoder(http.MaxBytesReader(nil, response.Body, maxAnswer)).Decode(&a); err != nil {
+	if err := call.JSON(ctx, c.Client, url, maxAnswer, &a); err != nil {
 		return Load{}, false, fmt.Errorf("ask %s for a place: %w", loader, err)
 	}
 	return Load{Running: a.Running, Waiting: a.Waiting, Loading: a.Loading}, a.Given, nil
--- a/daemon/internal/process/mirror/near.go
+++ b/daemon/internal/process/mirror/near.go
@@ -22,6 +22,10 @@
 // read once: a hall may have many that are gone, and each takes its time to fail.
 const nearTries = 2
 
+// nearSettle is the pause after news of a daemon near. Such a call costs the store
+// nothing, and the daemon has gathered changes already.
+const nearSettle = 50 * time.Millisecond
+
 // Standing is how well a copy of the store keeps up with it.
 type Standing struct {
 	// At is the revision up to which the copy is complete, 0 while that is not known.
@@ -62,7 +66,7 @@
 	f.relist = false
 	f.note(nil)
 	if len(news.Entries) > 0 {
-		f.settle(0)
+		helpers.Pause(nearSettle, f.tomb.Dying())
 	}
 	return true
 }
--- a/daemon/internal/version/swarm/peer.go
+++ b/daemon/internal/version/swarm/peer.go
@@ -5,10 +5,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/netip"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/call"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/lines"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
@@ -65,26 +65,19 @@
 }
 
 func (p Peer) get(ctx context.Context, path string) ([]byte, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s%s", p.Address, path), http.NoBody)
-	if err != nil {
-		return nil, fmt.Errorf("ask peer %s: %w", p.Address, err)
+	data, err := call.Get(ctx, p.Client, fmt.Sprintf("http://%s%s", p.Address, path), maxPeerAnswer)
+	var refused *call.StatusError
+	if errors.As(err, &refused) {
+		switch refused.Status {
+		case http.StatusNotFound:
+			err = provider.ErrNotFound
+		case http.StatusServiceUnavailable:
+			err = errBusy
+		}
 	}
-	response, err := p.Client.Do(request)
 	if err != nil {
 		return nil, fmt.Errorf("ask peer %s: %w", p.Address, err)
 	}
-	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxPeerAnswer))
-	switch {
-	case err != nil:
-		return nil, fmt.Errorf("read the answer of peer %s: %w", p.Address, err)
-	case response.StatusCode == http.StatusNotFound:
-		return nil, fmt.Errorf("ask peer %s: %w", p.Address, provider.ErrNotFound)
-	case response.StatusCode == http.StatusServiceUnavailable:
-		return nil, fmt.Errorf("ask peer %s: %w", p.Address, errBusy)
-	case response.StatusCode != http.StatusOK:
-		return nil, fmt.Errorf("ask peer %s: status %d", p.Address, response.StatusCode)
-	}
 	return data, nil
 }
 
--- a/daemon/router/hall.go
+++ b/daemon/router/hall.go
@@ -7,7 +7,6 @@
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/peering"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/rendezvous"
-	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
 // storeReaders is how many routers of a hall read the store for all of it. One would
@@ -21,12 +20,12 @@
 	// to be in force.
 	storeWait  = 2500 * time.Millisecond
 	readerWait = time.Second
-	// settleEach is the pause after a change for each router that reads the store,
-	// and settleLeast and settleMost its bounds. Each change of one upstream has all
-	// of them call the store, so that the calls would grow with the fleet's square.
+	// settleEach is the pause after a change for each router, and settleLeast and
+	// settleMost its bounds. In a large fleet some upstream changes all the time, and
+	// each change has all readers call the store.
 	settleEach  = 20 * time.Millisecond
 	settleLeast = 150 * time.Millisecond
-	settleMost  = 300 * time.Millisecond
+	settleMost  = 500 * time.Millisecond
 	// silenceSlack is how much later than due an answer of the store may be before
 	// peers are asked, and before an unknown key or route is no longer a final no.
 	silenceSlack = 400 * time.Millisecond
@@ -86,28 +85,16 @@
 
 // settle is the pause after a change in the store.
 func (p *Process) settle() time.Duration {
-	return min(max(time.Duration(readersOf(p.compiler.View().Members))*settleEach, settleLeast), settleMost)
-}
-
-// readersOf counts the routers that read the store: a few of each hall.
-func readersOf(members map[string]*provider.Member) int {
-	halls := map[string]int{}
-	for _, member := range members {
-		halls[member.Hall]++
-	}
-	readers := 0
-	for _, routers := range halls {
-		readers += min(routers, storeReaders)
-	}
-	return readers
+	routers := len(p.compiler.View().Members)
+	return min(max(time.Duration(routers)*settleEach, settleLeast), settleMost)
 }
 
 // silentAfter is how old what the store last answered may be: the wait of a watch and
-// a pause, and where another router reads the store the same again on the way here.
+// a pause, and where another router reads the store the wait for that one's answer.
 func (p *Process) silentAfter() time.Duration {
 	after := p.watchWait() + p.settle() + silenceSlack
 	if p.readsForOthers() {
-		after += p.settle() + peering.NewsWait
+		after += peering.NewsWait
 	}
 	return after
 }
--- a/daemon/router/neighbour_test.go
+++ b/daemon/router/neighbour_test.go
@@ -7,8 +7,6 @@
 
 	"github.com/stretchr/testify/assert"
 	"pgregory.net/rapid"
-
-	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
 // TestAFewReadTheStoreForTheirHall: whichever routers of a hall do not answer, two
@@ -61,12 +59,3 @@
 	}
 	assert.Greater(t, asking, 10)
 }
-
-// TestReadersAreCountedByHall.
-func TestReadersAreCountedByHall(t *testing.T) {
-	members := map[string]*provider.Member{}
-	for i := range 9 {
-		members[fmt.Sprint(i)] = &provider.Member{Hall: []string{"a", "a", "a", "a", "a", "b", "b", "b", "c"}[i]}
-	}
-	assert.Equal(t, 2+2+1, readersOf(members))
-}
