--- a/daemon/internal/process/mirror/near_test.go
+++ b/daemon/internal/process/mirror/near_test.go
@@ -120,3 +120,37 @@
 	compiler.Take([]provider.Entry{entry(t, "v/m", 2, provider.Record{Target: &provider.Target{Model: "m", Version: 2}})})
 	assert.True(t, compiler.View().Targets["m"].Found)
 }
+
+// Symptom: for a second and more, routers of a hall let removed keys in that routers
+// of other halls refused.
+//
+// Sequence: the store turns both routers away that read it for the hall, by an answer
+// of a few bytes, and serves all others; keys are removed.
+//
+// Cause: the bytes of a refusal were taken for a sign that the store is heard, so the
+// others went on following the two, which knew nothing new.
+func TestARefusalIsNoSignOfTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		refuses := false
+		store := (&nearby{}).store()
+		watch := store.Watch
+		store.Watch = func(ctx context.Context, prefix string, after provider.Revision, wait time.Duration) (provider.Listing, error) {
+			provider.Progress(ctx)(20)
+			if refuses {
+				return provider.Listing{}, errors.New("turned away")
+			}
+			return watch(ctx, prefix, after, wait)
+		}
+		follower := &mirror.Follower{Store: store, Table: &mirror.Table{}}
+		follower.Start()
+		defer follower.Stop()
+		helpers.Pause(5*time.Second, nil)
+		assert.Less(t, follower.Standing().Heard, 3*time.Second)
+		refuses = true
+		helpers.Pause(10*time.Second, nil)
+		assert.Greater(t, follower.Standing().Heard, 5*time.Second)
+		refuses = false
+		helpers.Pause(5*time.Second, nil)
+		assert.Less(t, follower.Standing().Heard, 3*time.Second)
+	})
+}
