--- a/daemon/internal/process/mirror/follower.go
+++ b/daemon/internal/process/mirror/follower.go
@@ -73,10 +73,11 @@
 	// of states that newer ones in the same answer replace, or the list since then
 	// more news, than half of a list.
 	overtaken bool
-	// answered is when the store last answered, heard when a part of an answer came
-	// last, and regained when it last answered after a failure, in nanoseconds of
-	// the steady clock since start; 0 means never.
-	answered, heard, regained atomic.Int64
+	// answered is when the store last answered, heard when a part of such an answer
+	// came last, and regained when it last answered after a failure; underWay is when
+	// a part came of the call under way, which may turn out to be a refusal. All are
+	// in nanoseconds of the steady clock since start; 0 means never.
+	answered, heard, regained, underWay atomic.Int64
 	start                     time.Time
 	failing                   bool
 	tomb                      tomb.Tomb
@@ -112,7 +113,8 @@
 // Standing returns how well the copy keeps up with the store.
 func (f *Follower) Standing() Standing {
 	now := time.Since(f.start)
-	return Standing{At: f.At(), Answered: f.Age(), Heard: now - time.Duration(f.heard.Load())}
+	heard := max(f.heard.Load(), f.underWay.Load())
+	return Standing{At: f.At(), Answered: f.Age(), Heard: now - time.Duration(heard)}
 }
 
 // Known reports whether the prefix was ever read from the store.
@@ -131,6 +133,7 @@
 			continue
 		}
 		err := f.step(calls)
+		f.underWay.Store(0)
 		f.note(err)
 		if err == nil || errors.Is(err, provider.ErrCompacted) {
 			pause = firstPause
@@ -156,7 +159,7 @@
 
 // progress takes note of a part of an answer.
 func (f *Follower) progress(bytes int) {
-	f.heard.Store(int64(time.Since(f.start)))
+	f.underWay.Store(int64(time.Since(f.start)))
 	if f.OnBytes != nil {
 		f.OnBytes(bytes)
 	}
