--- a/daemon/internal/connection/peering/neighbours.go
+++ b/daemon/internal/connection/peering/neighbours.go
@@ -21,9 +21,6 @@
 const (
 	// wholeWait is NewsWait for the whole copy, of one that may just be starting.
 	wholeWait = time.Second
-	// freshWithin is how long ago a neighbour may have heard the store. One that
-	// reads the store hears it each second at least, and pauses after a change.
-	freshWithin = 2 * time.Second
 	// muteFor is how long a neighbour is not asked that did not answer, or has not
 	// heard the store for too long.
 	muteFor = 2 * time.Second
@@ -61,7 +58,7 @@
 		return mirror.News{}, mirror.ErrNoneNear
 	}
 	news, err := ask(ctx, n.Client, neighbour, asked)
-	if err == nil && (news.At == 0 || news.Heard > freshWithin) {
+	if err == nil && (news.At == 0 || news.Behind()) {
 		err = fmt.Errorf("neighbour %s, heard it %s ago: %w", neighbour, news.Heard.Round(time.Millisecond), ErrBehind)
 	}
 	return news, n.judge(ctx, neighbour, err)
--- a/daemon/internal/connection/peering/peering.go
+++ b/daemon/internal/connection/peering/peering.go
@@ -43,7 +43,7 @@
 	// maxWait bounds how long an answer is held.
 	maxWait = 5 * time.Second
 	// standingEvery is how often a daemon that knows nothing yet looks again while
-	// it holds an answer.
+	// it holds an answer, and the least pause between two looks.
 	standingEvery = 20 * time.Millisecond
 	// answerBegins is how long the answer of a daemon may take, beyond the time for
 	// which it is held. One of the same hall takes 1 ms, one of another region 6;
@@ -58,9 +58,15 @@
 // message is an answer on the wire.
 type message struct {
 	provider.Listing
-	// Answered and Heard are those of the answering daemon's standing.
+	// Answered, Heard and Lost are those of the answering daemon's standing.
 	Answered time.Duration `json:"answered"`
 	Heard    time.Duration `json:"heard"`
+	Lost     bool          `json:"lost,omitempty"`
+}
+
+// standing returns that of the daemon that answered.
+func (m *message) standing() mirror.Standing {
+	return mirror.Standing{At: m.At, Answered: m.Answered, Heard: m.Heard, Lost: m.Lost}
 }
 
 // Source is the copy that a daemon hands out.
@@ -70,7 +76,8 @@
 }
 
 // ServeHTTP answers one call. It is held until there is news for as long as the
-// caller asks for, and one for the whole copy until it is complete.
+// caller asks for, and one for the whole copy until it is complete. Once this daemon
+// does not hear the store any more the answer says so at once.
 func (s *Source) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	asked, err := parse(r.URL.Query())
 	if err != nil {
@@ -92,17 +99,18 @@
 	for {
 		changed := s.Table.Changed()
 		answer := s.answer(asked)
-		ready := len(answer.Entries) > 0 && answer.At > 0
-		if ready || asked.wait == 0 {
+		known := answer.At > 0
+		news := len(answer.Entries) > 0 || answer.standing().Behind()
+		if asked.wait == 0 || known && news {
 			return answer, true
 		}
-		var again <-chan time.Time
-		if answer.At == 0 {
-			again = time.After(standingEvery)
+		again := standingEvery
+		if known {
+			again = max(mirror.FreshWithin-answer.Heard, standingEvery)
 		}
 		select {
 		case <-changed:
-		case <-again:
+		case <-time.After(again):
 		case <-timer.C:
 			return s.answer(asked), true
 		case <-ctx.Done():
@@ -115,7 +123,8 @@
 func (s *Source) answer(asked question) message {
 	standing := s.Standing()
 	answer := message{
-		Listing: s.Table.SinceUnder(asked.prefix, asked.after), Answered: standing.Answered, Heard: standing.Heard,
+		Listing:  s.Table.SinceUnder(asked.prefix, asked.after),
+		Answered: standing.Answered, Heard: standing.Heard, Lost: standing.Lost,
 	}
 	answer.At = standing.At
 	return answer
@@ -165,6 +174,5 @@
 	if err := call.JSON(ctx, client, asked.url(peer), maxCopy, &answer); err != nil {
 		return mirror.News{}, fmt.Errorf("ask peer %s for its copy: %w", peer, patience.Explain(ctx, err))
 	}
-	standing := mirror.Standing{At: answer.At, Answered: answer.Answered, Heard: answer.Heard}
-	return mirror.News{Entries: answer.Entries, Standing: standing}, nil
+	return mirror.News{Entries: answer.Entries, Standing: answer.standing()}, nil
 }
--- a/daemon/internal/connection/peering/peering_test.go
+++ b/daemon/internal/connection/peering/peering_test.go
@@ -100,6 +100,26 @@
 	})
 }
 
+// TestLossIsToldAtOnce: who follows a daemon that stops hearing the store is to leave
+// it before a change is due, so an answer is not held beyond that.
+func TestLossIsToldAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		heard := time.Now()
+		source := &Source{Table: &mirror.Table{}, Standing: func() mirror.Standing {
+			return mirror.Standing{At: 4, Heard: time.Since(heard)}
+		}}
+		answer, _ := source.await(t.Context(), question{after: 4, wait: maxWait})
+		assert.True(t, answer.standing().Behind())
+		assert.Equal(t, mirror.FreshWithin, time.Since(heard))
+
+		source.Standing = func() mirror.Standing { return mirror.Standing{At: 4, Lost: true} }
+		asked := time.Now()
+		answer, _ = source.await(t.Context(), question{after: 4, wait: maxWait})
+		assert.True(t, answer.Lost)
+		assert.Zero(t, time.Since(asked))
+	})
+}
+
 // TestNewsOfAPrefix: a daemon that needs only some keys is sent only those.
 func TestNewsOfAPrefix(t *testing.T) {
 	d := startDaemon(t, mirror.Standing{At: 9})
@@ -133,7 +153,8 @@
 		standing mirror.Standing
 		gone     bool
 	}{
-		{"does not hear the store", mirror.Standing{At: 4, Answered: time.Minute, Heard: freshWithin + time.Second}, false},
+		{"does not hear the store", mirror.Standing{At: 4, Answered: time.Minute, Heard: mirror.FreshWithin + time.Second}, false},
+		{"is turned away by the store", mirror.Standing{At: 4, Lost: true}, false},
 		{"knows nothing", mirror.Standing{}, false},
 		{"is gone", mirror.Standing{At: 4}, true},
 	}
--- a/daemon/internal/process/mirror/follower.go
+++ b/daemon/internal/process/mirror/follower.go
@@ -78,9 +78,11 @@
 	// a part came of the call under way, which may turn out to be a refusal. All are
 	// in nanoseconds of the steady clock since start; 0 means never.
 	answered, heard, regained, underWay atomic.Int64
-	start                     time.Time
-	failing                   bool
-	tomb                      tomb.Tomb
+	// failures counts the calls to the store that failed since the last that did not.
+	failures atomic.Int64
+	start    time.Time
+	failing  bool
+	tomb     tomb.Tomb
 }
 
 // Start begins to follow; Stop ends it.
@@ -114,7 +116,9 @@
 func (f *Follower) Standing() Standing {
 	now := time.Since(f.start)
 	heard := max(f.heard.Load(), f.underWay.Load())
-	return Standing{At: f.At(), Answered: f.Age(), Heard: now - time.Duration(heard)}
+	return Standing{
+		At: f.At(), Answered: f.Age(), Heard: now - time.Duration(heard), Lost: f.failures.Load() >= lostAfter,
+	}
 }
 
 // Known reports whether the prefix was ever read from the store.
@@ -292,6 +296,11 @@
 
 func (f *Follower) note(err error) {
 	failing := err != nil && !errors.Is(err, provider.ErrCompacted) && f.tomb.Alive()
+	if failing {
+		f.failures.Add(1)
+	} else {
+		f.failures.Store(0)
+	}
 	if failing != f.failing && f.OnContact != nil {
 		f.OnContact(f.Prefix, err)
 	}
--- a/daemon/internal/process/mirror/near.go
+++ b/daemon/internal/process/mirror/near.go
@@ -22,6 +22,10 @@
 // read once: a hall may have many that are gone, and each takes its time to fail.
 const nearTries = 2
 
+// lostAfter is how many calls to the store fail one after the other until it counts
+// as lost to others: a single one may have been cut like any connection.
+const lostAfter = 2
+
 // nearSettle is the pause after news of a daemon near. Such a call costs the store
 // nothing, and the daemon has gathered changes already.
 const nearSettle = 50 * time.Millisecond
@@ -33,8 +37,18 @@
 	// Answered is the time since the store last answered whole, and Heard since a
 	// part of an answer came, which is less while a long one is under way.
 	Answered, Heard time.Duration
+	// Lost says that calls to the store fail one after the other.
+	Lost bool
 }
 
+// FreshWithin is how long ago a daemon may have heard the store for others to go by
+// its copy. One that reads the store hears it each second at least, and pauses after a
+// change.
+const FreshWithin = 2 * time.Second
+
+// Behind reports whether the daemon does not hear the store itself.
+func (s Standing) Behind() bool { return s.Lost || s.Heard >= FreshWithin }
+
 // News is what another daemon's copy has above a revision, and how it stands.
 type News struct {
 	Entries []provider.Entry
--- a/daemon/internal/process/mirror/near_test.go
+++ b/daemon/internal/process/mirror/near_test.go
@@ -149,8 +149,10 @@
 		refuses = true
 		helpers.Pause(10*time.Second, nil)
 		assert.Greater(t, follower.Standing().Heard, 5*time.Second)
+		assert.True(t, follower.Standing().Lost)
 		refuses = false
 		helpers.Pause(5*time.Second, nil)
 		assert.Less(t, follower.Standing().Heard, 3*time.Second)
+		assert.False(t, follower.Standing().Lost)
 	})
 }
