--- a/daemon/internal/process/mirror/near_test.go
+++ b/daemon/internal/process/mirror/near_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,6 +19,7 @@
 
 // nearby is a daemon near a follower and the store behind both.
 type nearby struct {
+	mu sync.Mutex
 	// watches and lists count the calls to the store, and asked those to the daemon.
 	watches, lists, asked int
 	after                 []provider.Revision
@@ -24,20 +28,49 @@
 }
 
 func (n *nearby) ask(_ context.Context, _ string, after provider.Revision) (mirror.News, error) {
+	n.mu.Lock()
 	n.asked++
 	n.after = append(n.after, after)
+	n.mu.Unlock()
 	helpers.Pause(500*time.Millisecond, nil)
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	return n.news, n.fail
 }
 
+// set changes what the daemon answers.
+func (n *nearby) set(news mirror.News, fail error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.news, n.fail = news, fail
+}
+
+// counts returns how often the store was watched and listed, and the daemon asked.
+func (n *nearby) counts() (watches, lists, asked int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.watches, n.lists, n.asked
+}
+
+// revisions returns those above which the daemon was asked for news.
+func (n *nearby) revisions() []provider.Revision {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Clone(n.after)
+}
+
 func (n *nearby) store() provider.Store {
 	return provider.Store{
 		List: func(context.Context, string) (provider.Listing, error) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
 			n.lists++
 			return provider.Listing{At: 1}, nil
 		},
 		Watch: func(_ context.Context, _ string, after provider.Revision, wait time.Duration) (provider.Listing, error) {
+			n.mu.Lock()
 			n.watches++
+			n.mu.Unlock()
 			helpers.Pause(wait, nil)
 			return provider.Listing{At: after}, nil
 		},
@@ -55,26 +88,29 @@
 		follower.Start()
 		defer follower.Stop()
 		helpers.Pause(10*time.Second, nil)
-		assert.Zero(t, n.lists+n.watches)
+		watches, lists, _ := n.counts()
+		assert.Zero(t, lists+watches)
 		assert.Equal(t, provider.Revision(5), follower.At())
-		assert.Equal(t, provider.Revision(0), n.after[0], "the whole copy first")
-		assert.Equal(t, provider.Revision(5), n.after[1])
+		assert.Equal(t, provider.Revision(0), n.revisions()[0], "the whole copy first")
+		assert.Equal(t, provider.Revision(5), n.revisions()[1])
 		assert.GreaterOrEqual(t, follower.Age(), 3*time.Second, "what the other one heard, and when")
 
-		n.fail = errors.New("gone")
+		n.set(n.news, errors.New("gone"))
 		helpers.Pause(10*time.Second, nil)
-		assert.Greater(t, n.watches, 2)
-		assert.Zero(t, n.lists, "the copy goes on from where it was")
-		watched := n.watches
-		n.fail = nil
+		watches, lists, _ = n.counts()
+		assert.Greater(t, watches, 2)
+		assert.Zero(t, lists, "the copy goes on from where it was")
+		n.set(n.news, nil)
 		helpers.Pause(10*time.Second, nil)
-		assert.LessOrEqual(t, n.watches, watched+1)
+		again, _, _ := n.counts()
+		assert.LessOrEqual(t, again, watches+1)
 
-		n.fail = mirror.ErrNoneNear
-		asked := n.asked
+		_, _, asked := n.counts()
+		n.set(n.news, mirror.ErrNoneNear)
 		helpers.Pause(10*time.Second, nil)
-		assert.Greater(t, n.watches, watched+2)
-		assert.Greater(t, n.asked, asked+2, "whether somebody is near is looked at before each watch")
+		watches, _, askedAgain := n.counts()
+		assert.Greater(t, watches, again+2)
+		assert.Greater(t, askedAgain, asked+2, "whether somebody is near is looked at before each watch")
 	})
 }
 
@@ -87,7 +123,7 @@
 		}}
 		held := make(chan struct{})
 		near := func(ctx context.Context, prefix string, after provider.Revision) (mirror.News, error) {
-			if n.asked == 1 {
+			if _, _, asked := n.counts(); asked == 1 {
 				<-held
 			}
 			return n.ask(ctx, prefix, after)
@@ -97,13 +133,13 @@
 		follower.Start()
 		defer follower.Stop()
 		helpers.Pause(3*time.Minute, nil)
-		n.news = mirror.News{Entries: []provider.Entry{{Key: "a", Revision: 4}}, Standing: mirror.Standing{At: 9}}
-		n.fail = errors.New("late")
+		shorter := mirror.News{Entries: []provider.Entry{{Key: "a", Revision: 4}}, Standing: mirror.Standing{At: 9}}
+		n.set(shorter, errors.New("late"))
 		close(held)
 		helpers.Pause(700*time.Millisecond, nil)
-		n.fail = nil
+		n.set(shorter, nil)
 		helpers.Pause(2*time.Second, nil)
-		assert.Contains(t, n.after[2:], provider.Revision(0))
+		assert.Contains(t, n.revisions()[2:], provider.Revision(0))
 		gone := map[string]bool{}
 		for _, entry := range table.Since(0).Entries {
 			gone[entry.Key] = entry.Gone
@@ -131,12 +167,12 @@
 // others went on following the two, which knew nothing new.
 func TestARefusalIsNoSignOfTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		refuses := false
+		var refuses atomic.Bool
 		store := (&nearby{}).store()
 		watch := store.Watch
 		store.Watch = func(ctx context.Context, prefix string, after provider.Revision, wait time.Duration) (provider.Listing, error) {
 			provider.Progress(ctx)(20)
-			if refuses {
+			if refuses.Load() {
 				return provider.Listing{}, errors.New("turned away")
 			}
 			return watch(ctx, prefix, after, wait)
@@ -146,11 +182,11 @@
 		defer follower.Stop()
 		helpers.Pause(5*time.Second, nil)
 		assert.Less(t, follower.Standing().Heard, 3*time.Second)
-		refuses = true
+		refuses.Store(true)
 		helpers.Pause(10*time.Second, nil)
 		assert.Greater(t, follower.Standing().Heard, 5*time.Second)
 		assert.True(t, follower.Standing().Lost)
-		refuses = false
+		refuses.Store(false)
 		helpers.Pause(5*time.Second, nil)
 		assert.Less(t, follower.Standing().Heard, 3*time.Second)
 		assert.False(t, follower.Standing().Lost)
