--- a/daemon/router/fixture_test.go
+++ b/daemon/router/fixture_test.go
@@ -290,6 +290,19 @@
 	return set
 }
 
+// startServing starts a router with the basic configuration and one upstream, and
+// waits until it is ready.
+func startServing(t *testing.T, id string, answer upstreamFunc) (*surroundings, *upstream, settings.Router) {
+	t.Helper()
+	s := &surroundings{}
+	s.configure(basic(1))
+	u := startUpstream(t, id, answer)
+	s.list(u.record())
+	set := startRouter(t, s, "r1")
+	await(t, "ready", func() bool { return ready(set) })
+	return s, u, set
+}
+
 func freePorts(t *testing.T, count int) []netip.AddrPort {
 	t.Helper()
 	var ports []netip.AddrPort
--- a/daemon/router/router_test.go
+++ b/daemon/router/router_test.go
@@ -18,12 +18,7 @@
 const wholeAnswer = "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nSignature: sig\r\nContent-Length: 5\r\n\r\nwrong"
 
 func TestRequestGoesOnUntouched(t *testing.T) {
-	s := &surroundings{}
-	s.configure(basic(1))
-	u := startUpstream(t, "u1", good)
-	s.list(u.record())
-	set := startRouter(t, s, "r1")
-	await(t, "ready", func() bool { return ready(set) })
+	_, u, set := startServing(t, "u1", good)
 
 	target := "/unsafe//a/../b%2Fc/?q=%20x&;y"
 	got := call(t, set, "id-1", "POST", target, "the body", "Account", "forged", "X-Own", "kept", "Connection", "X-Hop", "X-Hop", "cut")
@@ -74,12 +69,7 @@
 	for name, fault := range faults {
 		for _, route := range []string{"unsafe", "unsafe2", "safe", "stream"} {
 			t.Run(name+" "+route, func(t *testing.T) {
-				s := &surroundings{}
-				s.configure(basic(1))
-				bad := startUpstream(t, "bad", fault)
-				s.list(bad.record())
-				set := startRouter(t, s, "r1")
-				await(t, "ready", func() bool { return ready(set) })
+				s, bad, set := startServing(t, "bad", fault)
 				// The good one comes once the bad one is known to be asked first.
 				sound := startUpstream(t, "good", good)
 				listed := sound.record()
@@ -141,14 +131,9 @@
 }
 
 func TestSurplusAnswerBelongsToNobody(t *testing.T) {
-	s := &surroundings{}
-	s.configure(basic(1))
-	u := startUpstream(t, "u1", func(request *http.Request, connection net.Conn) {
+	_, _, set := startServing(t, "u1", func(request *http.Request, connection net.Conn) {
 		whole(request, connection, http.StatusOK, "answer to "+request.Header.Get("Request-Id"), wholeAnswer)
 	})
-	s.list(u.record())
-	set := startRouter(t, s, "r1")
-	await(t, "ready", func() bool { return ready(set) })
 	for i := range 20 {
 		id := fmt.Sprintf("id-%d", i)
 		got := call(t, set, id, "POST", "/unsafe/x", "body")
@@ -193,12 +178,7 @@
 func TestStreamGoesOnAfterTheLastWholeEvent(t *testing.T) {
 	for name, torn := range map[string]string{"between events": "", "within an event": "id: 4\nda"} {
 		t.Run(name, func(t *testing.T) {
-			s := &surroundings{}
-			s.configure(basic(1))
-			first := startUpstream(t, "first", events(3, false, torn))
-			s.list(first.record())
-			set := startRouter(t, s, "r1")
-			await(t, "ready", func() bool { return ready(set) })
+			s, first, set := startServing(t, "first", events(3, false, torn))
 			second := startUpstream(t, "second", events(6, true, ""))
 			original := events(3, false, torn)
 			relist := upstreamFunc(func(request *http.Request, connection net.Conn) {
@@ -217,12 +197,7 @@
 }
 
 func TestStreamThatCannotGoOnLooksCut(t *testing.T) {
-	s := &surroundings{}
-	s.configure(basic(1))
-	u := startUpstream(t, "only", events(3, false, "id: 4\nda"))
-	s.list(u.record())
-	set := startRouter(t, s, "r1")
-	await(t, "ready", func() bool { return ready(set) })
+	_, _, set := startServing(t, "only", events(3, false, "id: 4\nda"))
 	got := call(t, set, "id-1", "POST", "/stream/x", "body")
 	require.Error(t, got.err, "an answer that ends early must not look complete")
 	assert.Equal(t, wantEvents(3), got.body)
