--- a/daemon/internal/connection/peering/neighbours.go
+++ b/daemon/internal/connection/peering/neighbours.go
@@ -29,8 +29,8 @@
 // ErrBehind says that a neighbour does not hear the store itself.
 var ErrBehind = errors.New("it has not heard the store for too long")
 
-// Neighbours asks daemons of the own hall in place of the store. Client and Choose
-// must be set.
+// Neighbours asks daemons of the own hall in place of the store, for one follower.
+// Client and Choose must be set.
 type Neighbours struct {
 	Client *http.Client
 	// Choose returns the daemon to ask, among those that are usable; false where the
@@ -44,24 +44,58 @@
 	mu sync.Mutex
 	// muted holds until when neighbours are not asked.
 	muted map[netip.AddrPort]time.Time
+	// generations holds that of each neighbour's copy when all of it was taken last.
+	generations map[netip.AddrPort]uint64
 }
 
-// News asks a neighbour for what its copy has under a prefix above a revision, all
-// of it where that is 0.
+// News asks a neighbour for what its copy has under a prefix above a revision. It
+// asks for all of it where that is 0, and where the neighbour's copy was read anew
+// since all of it was taken last, or never was: it may have entries then that are
+// below the revision and were missed by this daemon as by the one it followed before.
 func (n *Neighbours) News(ctx context.Context, prefix string, after provider.Revision) (mirror.News, error) {
-	asked := question{prefix: prefix, after: after, wait: NewsWait}
-	if after == 0 {
-		asked.wait = wholeWait
-	}
 	neighbour, ok := n.Choose(n.usable)
 	if !ok {
 		return mirror.News{}, mirror.ErrNoneNear
 	}
+	known, taken := n.generation(neighbour)
+	if !taken {
+		after = 0
+	}
+	news, err := n.ask(ctx, neighbour, prefix, after)
+	if err == nil && after > 0 && news.Generation != known {
+		news, err = n.ask(ctx, neighbour, prefix, 0)
+	}
+	if err == nil && news.After == 0 {
+		n.take(neighbour, news.Generation)
+	}
+	return news, n.judge(ctx, neighbour, err)
+}
+
+func (n *Neighbours) ask(ctx context.Context, neighbour netip.AddrPort, prefix string, after provider.Revision) (mirror.News, error) {
+	asked := question{prefix: prefix, after: after, wait: NewsWait}
+	if after == 0 {
+		asked.wait = wholeWait
+	}
 	news, err := ask(ctx, n.Client, neighbour, asked)
 	if err == nil && (news.At == 0 || news.Behind()) {
 		err = fmt.Errorf("neighbour %s, heard it %s ago: %w", neighbour, news.Heard.Round(time.Millisecond), ErrBehind)
 	}
-	return news, n.judge(ctx, neighbour, err)
+	return news, err
+}
+
+func (n *Neighbours) generation(neighbour netip.AddrPort) (uint64, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	known, taken := n.generations[neighbour]
+	return known, taken
+}
+
+// take notes that all of a neighbour's copy is taken. Those of others are to be taken
+// anew before they are followed again.
+func (n *Neighbours) take(neighbour netip.AddrPort, generation uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.generations = map[netip.AddrPort]uint64{neighbour: generation}
 }
 
 // Engine asks a neighbour what the configuration says of an engine's service.
--- a/daemon/internal/connection/peering/peering.go
+++ b/daemon/internal/connection/peering/peering.go
@@ -58,15 +58,16 @@
 // message is an answer on the wire.
 type message struct {
 	provider.Listing
-	// Answered, Heard and Lost are those of the answering daemon's standing.
-	Answered time.Duration `json:"answered"`
-	Heard    time.Duration `json:"heard"`
-	Lost     bool          `json:"lost,omitempty"`
+	// The rest is the answering daemon's standing, but for its revision.
+	Answered   time.Duration `json:"answered"`
+	Heard      time.Duration `json:"heard"`
+	Lost       bool          `json:"lost,omitempty"`
+	Generation uint64        `json:"generation"`
 }
 
 // standing returns that of the daemon that answered.
 func (m *message) standing() mirror.Standing {
-	return mirror.Standing{At: m.At, Answered: m.Answered, Heard: m.Heard, Lost: m.Lost}
+	return mirror.Standing{At: m.At, Answered: m.Answered, Heard: m.Heard, Lost: m.Lost, Generation: m.Generation}
 }
 
 // Source is the copy that a daemon hands out.
@@ -124,7 +125,7 @@
 	standing := s.Standing()
 	answer := message{
 		Listing:  s.Table.SinceUnder(asked.prefix, asked.after),
-		Answered: standing.Answered, Heard: standing.Heard, Lost: standing.Lost,
+		Answered: standing.Answered, Heard: standing.Heard, Lost: standing.Lost, Generation: standing.Generation,
 	}
 	answer.At = standing.At
 	return answer
@@ -174,5 +175,5 @@
 	if err := call.JSON(ctx, client, asked.url(peer), maxCopy, &answer); err != nil {
 		return mirror.News{}, fmt.Errorf("ask peer %s for its copy: %w", peer, patience.Explain(ctx, err))
 	}
-	return mirror.News{Entries: answer.Entries, Standing: answer.standing()}, nil
+	return mirror.News{Entries: answer.Entries, After: asked.after, Standing: answer.standing()}, nil
 }
--- a/daemon/internal/connection/peering/peering_test.go
+++ b/daemon/internal/connection/peering/peering_test.go
@@ -120,6 +120,32 @@
 	})
 }
 
+// TestEntriesOfAGapAreTaken: the store drops its history and with it a change that no
+// watch told of. The neighbour reads its copy anew and has the entry; its revision is
+// below the one up to which those who follow it take their copy for complete.
+func TestEntriesOfAGapAreTaken(t *testing.T) {
+	d := startDaemon(t, mirror.Standing{At: 6, Generation: 1})
+	d.table.Apply(entries(3, 6))
+	neighbours := &Neighbours{Client: d.client, Choose: d.only}
+	news, err := neighbours.News(t.Context(), "", 5)
+	require.NoError(t, err)
+	assert.Equal(t, provider.Revision(0), news.After, "of one that was not followed before, all is taken")
+	news, err = neighbours.News(t.Context(), "", 5)
+	require.NoError(t, err)
+	assert.Equal(t, provider.Revision(5), news.After)
+	assert.Equal(t, entries(6), news.Entries)
+
+	d.table.Apply(entries(4))
+	d.stand(mirror.Standing{At: 6, Generation: 2})
+	news, err = neighbours.News(t.Context(), "", 5)
+	require.NoError(t, err)
+	assert.Equal(t, provider.Revision(0), news.After)
+	assert.Len(t, news.Entries, 3)
+	news, err = neighbours.News(t.Context(), "", 5)
+	require.NoError(t, err)
+	assert.Equal(t, provider.Revision(5), news.After, "once")
+}
+
 // TestNewsOfAPrefix: a daemon that needs only some keys is sent only those.
 func TestNewsOfAPrefix(t *testing.T) {
 	d := startDaemon(t, mirror.Standing{At: 9})
--- a/daemon/internal/connection/peering/puller.go
+++ b/daemon/internal/connection/peering/puller.go
@@ -57,11 +57,10 @@
 // complete. The highest revision that is known would not do: a copy that has it may
 // lack older ones.
 func (p *Puller) pull(ctx context.Context, peer netip.AddrPort) {
-	after := p.Follower.At()
-	news, err := ask(ctx, p.Client, peer, question{prefix: p.Follower.Prefix, after: after})
+	news, err := ask(ctx, p.Client, peer, question{prefix: p.Follower.Prefix, after: p.Follower.At()})
 	fresh := 0
 	if err == nil {
-		fresh = p.Follower.Adopt(after, news)
+		fresh = p.Follower.Adopt(news)
 	}
 	if p.OnPull != nil {
 		p.OnPull(peer, fresh, err)
--- a/daemon/internal/process/mirror/follower.go
+++ b/daemon/internal/process/mirror/follower.go
@@ -65,6 +65,10 @@
 	at atomic.Uint64
 	// relist says that changes may have been missed since.
 	relist bool
+	// generation changes when the copy was read anew, because nothing was known or
+	// changes may have been missed. It starts anywhere, so that those who followed
+	// the process before this one at the same address notice.
+	generation atomic.Uint64
 	// nearFailed counts failed calls of Near since the last one that did not fail.
 	nearFailed int
 	// listed is how many bytes the last list brought.
@@ -88,6 +92,7 @@
 // Start begins to follow; Stop ends it.
 func (f *Follower) Start() {
 	f.start = time.Now()
+	f.generation.Store(rand.Uint64())
 	f.tomb.Go(f.run)
 }
 
@@ -118,6 +123,7 @@
 	heard := max(f.heard.Load(), f.underWay.Load())
 	return Standing{
 		At: f.At(), Answered: f.Age(), Heard: now - time.Duration(heard), Lost: f.failures.Load() >= lostAfter,
+		Generation: f.generation.Load(),
 	}
 }
 
@@ -273,6 +279,9 @@
 	}
 	f.hear(0, 0)
 	f.Table.Replace(f.Prefix, listing)
+	if f.relist || f.At() == 0 {
+		f.generation.Add(1)
+	}
 	f.advance(listing.At)
 	f.relist = false
 	f.listed = 0
--- a/daemon/internal/process/mirror/near.go
+++ b/daemon/internal/process/mirror/near.go
@@ -39,6 +39,10 @@
 	Answered, Heard time.Duration
 	// Lost says that calls to the store fail one after the other.
 	Lost bool
+	// Generation changes when the copy was read anew because changes may have been
+	// missed. It may have entries then below a revision up to which others, that
+	// followed it, take theirs for complete.
+	Generation uint64
 }
 
 // FreshWithin is how long ago a daemon may have heard the store for others to go by
@@ -52,6 +56,8 @@
 // News is what another daemon's copy has above a revision, and how it stands.
 type News struct {
 	Entries []provider.Entry
+	// After is the revision; 0 says that the entries are the whole copy.
+	After provider.Revision
 	Standing
 }
 
@@ -76,8 +82,11 @@
 	}
 	f.nearFailed = 0
 	f.hear(news.Answered, news.Heard)
-	f.Adopt(after, news)
-	f.relist = false
+	f.Adopt(news)
+	if news.After == 0 {
+		f.generation.Add(1)
+		f.relist = false
+	}
 	f.note(nil)
 	if len(news.Entries) > 0 {
 		helpers.Pause(nearSettle, f.tomb.Dying())
@@ -85,12 +94,12 @@
 	return true
 }
 
-// Adopt takes what another daemon's copy has above a revision up to which this one
-// is complete, or all of it where that is 0, and returns how many entries were new.
-// It may be called beside a call to the store.
-func (f *Follower) Adopt(after provider.Revision, news News) int {
+// Adopt takes what another daemon's copy has above a revision up to which this one is
+// complete, or all of it, and returns how many entries were new. It may be called
+// beside a call to the store.
+func (f *Follower) Adopt(news News) int {
 	fresh := 0
-	if after == 0 && news.At > 0 {
+	if news.After == 0 && news.At > 0 {
 		fresh = f.Table.Replace(f.Prefix, provider.Listing{Entries: news.Entries, At: news.At})
 	} else {
 		fresh = f.Table.Apply(news.Entries)
--- a/daemon/internal/process/mirror/near_test.go
+++ b/daemon/internal/process/mirror/near_test.go
@@ -35,7 +35,9 @@
 	helpers.Pause(500*time.Millisecond, nil)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.news, n.fail
+	news := n.news
+	news.After = after
+	return news, n.fail
 }
 
 // set changes what the daemon answers.
@@ -192,3 +194,29 @@
 		assert.False(t, follower.Standing().Lost)
 	})
 }
+
+// TestACopyReadAnewIsTold: who follows a copy notices that it was read anew, but not
+// that it was listed to catch up with many changes.
+func TestACopyReadAnewIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var compacted atomic.Bool
+		store := (&nearby{}).store()
+		watch := store.Watch
+		store.Watch = func(ctx context.Context, prefix string, after provider.Revision, wait time.Duration) (provider.Listing, error) {
+			if compacted.Swap(false) {
+				return provider.Listing{}, provider.ErrCompacted
+			}
+			return watch(ctx, prefix, after, wait)
+		}
+		follower := &mirror.Follower{Store: store, Table: &mirror.Table{}}
+		follower.Start()
+		defer follower.Stop()
+		helpers.Pause(5*time.Second, nil)
+		first := follower.Standing().Generation
+		helpers.Pause(10*time.Second, nil)
+		assert.Equal(t, first, follower.Standing().Generation)
+		compacted.Store(true)
+		helpers.Pause(10*time.Second, nil)
+		assert.NotEqual(t, first, follower.Standing().Generation)
+	})
+}
