--- a/daemon/internal/connection/peering/neighbours.go
+++ b/daemon/internal/connection/peering/neighbours.go
@@ -7,8 +7,10 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/call"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/mirror"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
@@ -24,11 +26,18 @@
 	// muteFor is how long a neighbour is not asked that did not answer, or has not
 	// heard the store for too long.
 	muteFor = 2 * time.Second
+	// muteStarting is the same for one that is not up yet or knows nothing yet. It
+	// says so within milliseconds, so that asking it again soon costs little; after a
+	// loss of power all of a hall start together.
+	muteStarting = 250 * time.Millisecond
 )
 
 // ErrBehind says that a neighbour does not hear the store itself.
 var ErrBehind = errors.New("it has not heard the store for too long")
 
+// errStarting says that a neighbour knows nothing yet.
+var errStarting = errors.New("it knows nothing yet")
+
 // Neighbours asks daemons of the own hall in place of the store, for one follower.
 // Client and Choose must be set.
 type Neighbours struct {
@@ -77,7 +86,10 @@
 		asked.wait = wholeWait
 	}
 	news, err := ask(ctx, n.Client, neighbour, asked)
-	if err == nil && (news.At == 0 || news.Behind()) {
+	if err == nil && news.At == 0 {
+		return news, fmt.Errorf("neighbour %s: %w", neighbour, errStarting)
+	}
+	if err == nil && news.Behind() {
 		err = fmt.Errorf("neighbour %s, heard it %s ago: %w", neighbour, news.Heard.Round(time.Millisecond), ErrBehind)
 	}
 	return news, err
@@ -117,7 +129,7 @@
 	if n.muted == nil {
 		n.muted = map[netip.AddrPort]time.Time{}
 	}
-	n.muted[neighbour] = helpers.Now(n.Now).Add(muteFor)
+	n.muted[neighbour] = helpers.Now(n.Now).Add(muteTime(err))
 	n.mu.Unlock()
 	if n.OnMute != nil {
 		n.OnMute(neighbour, err)
@@ -125,6 +137,16 @@
 	return err
 }
 
+// muteTime is how long a neighbour that failed is not asked.
+func muteTime(err error) time.Duration {
+	var status *call.StatusError
+	unavailable := errors.As(err, &status) && status.Status == http.StatusServiceUnavailable
+	if unavailable || errors.Is(err, errStarting) || errors.Is(err, syscall.ECONNREFUSED) {
+		return muteStarting
+	}
+	return muteFor
+}
+
 func (n *Neighbours) usable(neighbour netip.AddrPort) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/daemon/internal/connection/peering/peering_test.go
+++ b/daemon/internal/connection/peering/peering_test.go
@@ -178,11 +178,12 @@
 		name     string
 		standing mirror.Standing
 		gone     bool
+		muted    time.Duration
 	}{
-		{"does not hear the store", mirror.Standing{At: 4, Answered: time.Minute, Heard: mirror.FreshWithin + time.Second}, false},
-		{"is turned away by the store", mirror.Standing{At: 4, Lost: true}, false},
-		{"knows nothing", mirror.Standing{}, false},
-		{"is gone", mirror.Standing{At: 4}, true},
+		{"does not hear the store", mirror.Standing{At: 4, Answered: time.Minute, Heard: mirror.FreshWithin + time.Second}, false, muteFor},
+		{"is turned away by the store", mirror.Standing{At: 4, Lost: true}, false, muteFor},
+		{"knows nothing yet", mirror.Standing{}, false, muteStarting},
+		{"is not up", mirror.Standing{At: 4}, true, muteStarting},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -203,7 +204,10 @@
 			assert.Equal(t, []netip.AddrPort{d.address}, left)
 			_, err = neighbours.News(t.Context(), "", 3)
 			require.ErrorIs(t, err, mirror.ErrNoneNear, "it is not asked")
-			now = now.Add(muteFor)
+			now = now.Add(test.muted - time.Millisecond)
+			_, err = neighbours.News(t.Context(), "", 3)
+			require.ErrorIs(t, err, mirror.ErrNoneNear, "still not")
+			now = now.Add(time.Millisecond)
 			_, err = neighbours.News(t.Context(), "", 3)
 			require.NotErrorIs(t, err, mirror.ErrNoneNear, "it is asked again")
 		})
--- a/daemon/loader/needs.go
+++ b/daemon/loader/needs.go
@@ -30,9 +30,11 @@
 	lookSoon  = 300 * time.Millisecond
 	lookLate  = 2400 * time.Millisecond
 	lookAgain = 10 * time.Second
-	// routersFirst is how long after the start only routers are asked. After a loss
-	// of all power they have the configuration within about a second.
-	routersFirst = 3 * time.Second
+	// routersFirst is how long after the start only routers are asked, and lookAtStart
+	// the longest pause meanwhile. After a loss of all power they have the
+	// configuration within less than a second.
+	routersFirst = 1200 * time.Millisecond
+	lookAtStart  = 100 * time.Millisecond
 )
 
 // readLimit bounds a read of the whole configuration from the store. All loaders of a
@@ -47,10 +49,14 @@
 	most := lookSoon
 	for {
 		pause := lookAgain
-		err := p.look(ctx, time.Since(started) < routersFirst)
-		if err == nil {
+		starting := time.Since(started) < routersFirst
+		err := p.look(ctx, starting)
+		switch {
+		case err == nil:
 			most = lookSoon
-		} else {
+		case starting:
+			pause = lookAtStart/2 + rand.N(lookAtStart/2)
+		default:
 			pause = most/2 + rand.N(most/2)
 			most = min(2*most, lookLate)
 		}
