--- a/daemon/internal/connection/peering/neighbours.go
+++ b/daemon/internal/connection/peering/neighbours.go
@@ -6,12 +6,11 @@
 	"fmt"
 	"net/http"
 	"net/netip"
-	"sync"
 	"syscall"
 	"time"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/call"
-	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/mute"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/mirror"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
@@ -50,11 +49,12 @@
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
 
-	mu sync.Mutex
-	// muted holds until when neighbours are not asked.
-	muted map[netip.AddrPort]time.Time
-	// generations holds that of each neighbour's copy when all of it was taken last.
-	generations map[netip.AddrPort]uint64
+	// muted are the neighbours that are not asked for a while.
+	muted mute.List
+	// followed is the neighbour whose whole copy was taken last, and generation that
+	// copy's. Only News touches them, which one follower calls.
+	followed   netip.AddrPort
+	generation uint64
 }
 
 // News asks a neighbour for what its copy has under a prefix above a revision. It
@@ -66,16 +66,15 @@
 	if !ok {
 		return mirror.News{}, mirror.ErrNoneNear
 	}
-	known, taken := n.generation(neighbour)
-	if !taken {
+	if neighbour != n.followed {
 		after = 0
 	}
 	news, err := n.ask(ctx, neighbour, prefix, after)
-	if err == nil && after > 0 && news.Generation != known {
+	if err == nil && after > 0 && news.Generation != n.generation {
 		news, err = n.ask(ctx, neighbour, prefix, 0)
 	}
 	if err == nil && news.After == 0 {
-		n.take(neighbour, news.Generation)
+		n.followed, n.generation = neighbour, news.Generation
 	}
 	return news, n.judge(ctx, neighbour, err)
 }
@@ -95,21 +94,6 @@
 	return news, err
 }
 
-func (n *Neighbours) generation(neighbour netip.AddrPort) (uint64, bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	known, taken := n.generations[neighbour]
-	return known, taken
-}
-
-// take notes that all of a neighbour's copy is taken. Those of others are to be taken
-// anew before they are followed again.
-func (n *Neighbours) take(neighbour netip.AddrPort, generation uint64) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.generations = map[netip.AddrPort]uint64{neighbour: generation}
-}
-
 // Engine asks a neighbour what the configuration says of an engine's service.
 func (n *Neighbours) Engine(ctx context.Context, service string) (EngineNews, error) {
 	neighbour, ok := n.Choose(n.usable)
@@ -125,12 +109,7 @@
 	if err == nil || ctx.Err() != nil {
 		return err
 	}
-	n.mu.Lock()
-	if n.muted == nil {
-		n.muted = map[netip.AddrPort]time.Time{}
-	}
-	n.muted[neighbour] = helpers.Now(n.Now).Add(muteTime(err))
-	n.mu.Unlock()
+	n.muted.Add(neighbour, muteTime(err), n.Now)
 	if n.OnMute != nil {
 		n.OnMute(neighbour, err)
 	}
@@ -147,13 +126,4 @@
 	return muteFor
 }
 
-func (n *Neighbours) usable(neighbour netip.AddrPort) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	until, ok := n.muted[neighbour]
-	if ok && !helpers.Now(n.Now).Before(until) {
-		delete(n.muted, neighbour)
-		return true
-	}
-	return !ok
-}
+func (n *Neighbours) usable(neighbour netip.AddrPort) bool { return !n.muted.Has(neighbour, n.Now) }
--- a/daemon/internal/connection/places/ask.go
+++ b/daemon/internal/connection/places/ask.go
@@ -9,11 +9,10 @@
 	"net/http"
 	"net/netip"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/call"
-	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/mute"
 )
 
 // Path is the call's path. A question is a GET with a short query and its answer a
@@ -81,20 +80,19 @@
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
 
-	mu sync.Mutex
-	// muted holds until when loaders that did not answer are not asked.
-	muted map[netip.AddrPort]time.Time
+	// muted are the loaders that did not answer.
+	muted mute.List
 }
 
 // Ask asks a loader for a place. An error says that nothing is known: no answer
 // came in time, or the loader did not answer a moment ago.
 func (c *Client) Ask(ctx context.Context, loader netip.AddrPort, limit Limit) (Load, bool, error) {
-	if c.isMuted(loader) {
+	if c.muted.Has(loader, c.Now) {
 		return Load{}, false, ErrMuted
 	}
 	load, given, err := c.ask(ctx, loader, limit)
 	if err != nil && ctx.Err() == nil {
-		c.mute(loader)
+		c.muted.Add(loader, shortestMute+rand.N(longestMute-shortestMute), c.Now)
 	}
 	return load, given, err
 }
@@ -109,23 +107,3 @@
 	}
 	return Load{Running: a.Running, Waiting: a.Waiting, Loading: a.Loading}, a.Given, nil
 }
-
-func (c *Client) isMuted(loader netip.AddrPort) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	until, ok := c.muted[loader]
-	if ok && !helpers.Now(c.Now).Before(until) {
-		delete(c.muted, loader)
-		return false
-	}
-	return ok
-}
-
-func (c *Client) mute(loader netip.AddrPort) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.muted == nil {
-		c.muted = map[netip.AddrPort]time.Time{}
-	}
-	c.muted[loader] = helpers.Now(c.Now).Add(shortestMute + rand.N(longestMute-shortestMute))
-}
