--- a/daemon/internal/version/swarm/fetch.go
+++ b/daemon/internal/version/swarm/fetch.go
@@ -124,6 +124,10 @@
 	// did although more are missing.
 	progressed time.Time
 	stood      time.Duration
+	// originFailed says that the origin failed this host since then. A pause counts
+	// whole in that case: what stays overdue would have a host that is to be done
+	// first ask for what others bring already, a fifth of a copy an outage.
+	originFailed bool
 	// duties are this host's for each chunk among rankedHosts.
 	duties      []duty
 	rankedHosts []Host
@@ -373,6 +377,9 @@
 		return true, nil
 	}
 	if !errors.Is(err, errDigest) {
+		f.mu.Lock()
+		f.originFailed = true
+		f.mu.Unlock()
 		// The chunk is free for peers meanwhile: they may have it by now.
 		helpers.Pause(rand.N(askAgain), ctx.Done())
 	}
@@ -437,9 +444,13 @@
 	f.mu.Lock()
 	now := time.Now()
 	if pause := now.Sub(f.progressed); pause > standstill {
-		f.stood += pause - standstill
+		f.stood += pause
+		if !f.originFailed {
+			f.stood -= standstill
+		}
 	}
 	f.progressed = now
+	f.originFailed = false
 	f.mu.Unlock()
 	if f.OnChunk != nil {
 		f.OnChunk(index, chunk, from)
