--- a/daemon/internal/version/keep/keep_test.go
+++ b/daemon/internal/version/keep/keep_test.go
@@ -147,6 +147,14 @@
 // start runs a keeper of an engine for goals that the test may change.
 func start(t *testing.T, e *engine, plan func() keep.Plan) *keep.Keeper {
 	t.Helper()
+	k := newKeeper(e, plan)
+	k.Start()
+	t.Cleanup(k.Stop)
+	return k
+}
+
+// newKeeper returns a keeper of an engine that no other host is near.
+func newKeeper(e *engine, plan func() keep.Plan) *keep.Keeper {
 	k := &keep.Keeper{
 		Engine: e.calls(), Address: host, Held: &swarm.Held{}, Own: host,
 		Origin: provider.Origin{
@@ -172,8 +180,6 @@
 			Hosts: func() []swarm.Host { return nil },
 		}
 	}
-	k.Start()
-	t.Cleanup(k.Stop)
 	return k
 }
 
