--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -128,7 +128,7 @@
 	p.addFollowers()
 	p.keeper = &keep.Keeper{
 		Engine: p.provider.Engine, Origin: p.provider.Origin, Address: s.Engine, Held: p.held,
-		Own: s.Listen.Peers, First: p.firstAskers, Plan: p.plan, NewFetch: p.newFetch, AskPeer: p.askPeer,
+		Own: s.Listen.Peers, Ranked: p.rankedFor, Plan: p.plan, NewFetch: p.newFetch, AskPeer: p.askPeer,
 		OnReport: p.noteReport, OnStep: p.noteStep,
 	}
 	return p, nil
@@ -250,20 +250,15 @@
 // loaders are those of all engines of this service.
 func (p *Process) loaders() []swarm.Host { return p.roster().hosts }
 
-// manifestHosts is how many loaders are asked for a manifest. More than one,
-// because the first may be as new as this one.
-const manifestHosts = 4
-
-// firstAskers are the loaders to ask for a manifest; it falls to the first to
-// ask the origin.
-func (p *Process) firstAskers(goal keep.Goal) []netip.AddrPort {
+// rankedFor are the loaders in the order in which it falls to them to ask the origin
+// for a version's manifest.
+func (p *Process) rankedFor(goal keep.Goal) []netip.AddrPort {
 	key := fmt.Sprintf("manifest of %s/%d", goal.Model, goal.Version)
-	ranked := rendezvous.Rank(key, p.roster().names)
-	var first []netip.AddrPort
-	for _, name := range ranked[:min(manifestHosts, len(ranked))] {
-		first = append(first, netip.MustParseAddrPort(name))
+	var ranked []netip.AddrPort
+	for _, name := range rendezvous.Rank(key, p.roster().names) {
+		ranked = append(ranked, netip.MustParseAddrPort(name))
 	}
-	return first
+	return ranked
 }
 
 func (p *Process) newFetch(plan keep.Plan, c *swarm.Copy) *swarm.Fetch {
