--- /dev/null
+++ b/cli/internal/command/soak.go
@@ -0,0 +1,155 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"text/tabwriter"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/wheelcleat/wheelcleat/cli/internal/soak"
+)
+
+// daemonPackage is what wheelcleatd is built from.
+const daemonPackage = "github.com/wheelcleat/wheelcleat/daemon/cmd/wheelcleatd"
+
+// errViolations tells that a soak found promises that were not kept.
+var errViolations = errors.New("promises were not kept")
+
+func soakCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "soak",
+		Usage:     "run routers and loaders as processes, let faults strike them, and check what they promise",
+		UsageText: "wheelcleat soak --seeds 10\nwheelcleat soak --seed 7 --length 60s --routers 6 --loaders 8\nwheelcleat soak --plan soak/seed-7/plan.json",
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "seed", Usage: "first `SEED`; 0 takes the time of day"},
+			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "`NUMBER` of seeds, one after the other"},
+			&cli.StringFlag{Name: "plan", Usage: "play the plan in `FILE` instead of drawing one"},
+			&cli.DurationFlag{Name: "length", Value: 30 * time.Second, Usage: "`TIME` in which steps are drawn; a calm of up to 19 s follows"},
+			&cli.IntFlag{Name: "halls", Value: 2, Usage: "`NUMBER` of data halls"},
+			&cli.IntFlag{Name: "routers", Value: 3, Usage: "routers a hall"},
+			&cli.IntFlag{Name: "loaders", Value: 3, Usage: "engines with a loader, a hall"},
+			&cli.IntFlag{Name: "plain", Value: 2, Usage: "upstreams without a loader, a hall"},
+			&cli.IntFlag{Name: "callers", Value: 4, Usage: "callers a router"},
+			&cli.StringFlag{Name: "daemon", Usage: "`PATH` of wheelcleatd; default: build it"},
+			&cli.StringFlag{Name: "folder", Value: "soak", Usage: "`FOLDER` for logs, plans, reports and plots"},
+			outputFlag(),
+		},
+		Action: runSoak,
+	}
+}
+
+func runSoak(ctx context.Context, command *cli.Command) error {
+	daemon, remove, err := daemonOf(ctx, command.String("daemon"))
+	if err != nil {
+		return err
+	}
+	defer remove()
+	var reports []*soak.Report
+	for i := range command.Int("seeds") {
+		plan, err := planOf(command, i)
+		if err != nil {
+			return err
+		}
+		report, err := soakOnce(ctx, command, daemon, plan)
+		if err != nil {
+			return fmt.Errorf("soak with seed %d: %w", plan.Seed, err)
+		}
+		reports = append(reports, report)
+	}
+	if wantsJSON(command) {
+		err = writeJSON(command.Root().Writer, reports)
+	} else {
+		err = writeSoakTable(command.Root().Writer, reports)
+	}
+	return errors.Join(err, violationsOf(reports))
+}
+
+// planOf draws the plan of the i-th seed, or reads the one that the command names.
+func planOf(command *cli.Command, i int) (soak.Plan, error) {
+	if path := command.String("plan"); path != "" {
+		return soak.Load(path)
+	}
+	seed := command.Uint64("seed")
+	if seed == 0 {
+		seed = uint64(time.Now().UnixNano())
+	}
+	return soak.Draw(seed+uint64(i), command.Duration("length")), nil //nolint:gosec // counts up
+}
+
+func soakOnce(ctx context.Context, command *cli.Command, daemon string, plan soak.Plan) (*soak.Report, error) {
+	options := soak.Options{
+		Daemon: daemon, Plan: plan, Callers: command.Int("callers"),
+		Folder: filepath.Join(command.String("folder"), fmt.Sprintf("seed-%d", plan.Seed)),
+		Size: soak.Size{
+			Halls: command.Int("halls"), Routers: command.Int("routers"), Loaders: command.Int("loaders"), Plain: command.Int("plain"),
+		},
+	}
+	if onTerminal(command.Root().ErrWriter) {
+		options.Progress = func(line string) { _, _ = fmt.Fprintf(command.Root().ErrWriter, "\r%s", line) }
+	}
+	report, err := soak.Run(ctx, options)
+	if err != nil {
+		return nil, err
+	}
+	return report, report.Save()
+}
+
+// daemonOf returns the daemon to run, and what removes it where it was built.
+func daemonOf(ctx context.Context, path string) (string, func(), error) {
+	if path != "" {
+		return path, func() {}, nil
+	}
+	folder, err := os.MkdirTemp("", "wheelcleat-soak")
+	if err != nil {
+		return "", nil, fmt.Errorf("make a folder for the daemon: %w", err)
+	}
+	remove := func() { _ = os.RemoveAll(folder) }
+	path = filepath.Join(folder, "wheelcleatd")
+	text, err := exec.CommandContext(ctx, "go", "build", "-o", path, daemonPackage).CombinedOutput() //nolint:gosec // the path is a new folder of this process
+	if err != nil {
+		remove()
+		return "", nil, fmt.Errorf("build wheelcleatd (run this in the repository, or name one with --daemon): %w: %s", err, text)
+	}
+	return path, remove, nil
+}
+
+func writeSoakTable(w io.Writer, reports []*soak.Report) error {
+	err := table(w, func(t *tabwriter.Writer) {
+		_, _ = fmt.Fprintln(t, "SEED\tSTEPS\tSTARTS\tASKED\tSERVED\tREFUSED\tFAILED\tCONFIGURATIONS\tVERSIONS\tORIGIN COPIES\tVIOLATIONS")
+		for _, r := range reports {
+			_, _ = fmt.Fprintf(t, "%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f\t%d\n", r.Seed, len(r.Steps), r.Starts,
+				r.Total.Asked, r.Total.Served, r.Total.Refused, r.Total.Failed, r.Changes, r.Versions, r.Copies, len(r.Violations))
+		}
+	})
+	const shown = 10
+	for _, r := range reports {
+		for _, v := range r.Violations[:min(shown, len(r.Violations))] {
+			_, _ = fmt.Fprintf(w, "seed %d, %.1f s: %s: %s\n", r.Seed, v.Seconds, v.Check, v.Text)
+			if v.Request != "" {
+				_, _ = fmt.Fprintf(w, "  wheelcleat explain %s %s\n", v.Request, filepath.Join(r.Folder, "*.log"))
+			}
+		}
+		if more := len(r.Violations) - shown; more > 0 {
+			_, _ = fmt.Fprintf(w, "seed %d: %d more in %s\n", r.Seed, more, filepath.Join(r.Folder, "report.json"))
+		}
+	}
+	return err
+}
+
+func violationsOf(reports []*soak.Report) error {
+	count := 0
+	for _, r := range reports {
+		count += len(r.Violations)
+	}
+	if count == 0 {
+		return nil
+	}
+	return fmt.Errorf("%w: %d violations", errViolations, count)
+}
--- /dev/null
+++ b/cli/internal/soak/report.go
@@ -0,0 +1,202 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"github.com/wheelcleat/wheelcleat/api"
+)
+
+// Second counts the requests that ended in one second.
+type Second struct {
+	Asked   int `json:"asked"`
+	Served  int `json:"served"`
+	Refused int `json:"refused"`
+	Failed  int `json:"failed"`
+}
+
+// Report is what a run came to.
+type Report struct {
+	Seed       uint64       `json:"seed"`
+	Length     api.Duration `json:"length"`
+	Size       Size         `json:"size"`
+	Processes  int          `json:"processes"`
+	Total      Second       `json:"total"`
+	Starts     int          `json:"starts"`
+	Versions   int          `json:"versions"`
+	Changes    int          `json:"configurations"`
+	Copies     float64      `json:"originCopiesAVersion"`
+	Violations []Violation  `json:"violations"`
+	Seconds    []Second     `json:"seconds"`
+	Steps      []Step       `json:"steps"`
+	Folder     string       `json:"-"`
+}
+
+// Tally counts what callers got. The zero value works once begin was called.
+type Tally struct {
+	mu      sync.Mutex
+	began   time.Time
+	seconds []Second
+	ended   []ended
+	steps   []Step
+}
+
+// ended is one request for the checks at the end.
+type ended struct {
+	router string
+	at     time.Time
+	served bool
+}
+
+func (t *Tally) begin(at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.began = at
+}
+
+// mark notes a step that has begun.
+func (t *Tally) mark(step Step) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.steps = append(t.steps, step)
+}
+
+// served reports whether an outcome is what a caller hopes for. A probe that is unknown
+// by now is answered well.
+func (o *Outcome) served() bool {
+	unknown := o.Probe > 0 && (o.Status == http.StatusNotFound || o.Status == http.StatusUnauthorized)
+	return o.Err == nil && (o.Status == http.StatusOK || unknown)
+}
+
+func (t *Tally) note(outcome Outcome) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	second := max(int(outcome.Ended.Sub(t.began).Seconds()), 0)
+	for len(t.seconds) <= second {
+		t.seconds = append(t.seconds, Second{})
+	}
+	s := &t.seconds[second]
+	s.Asked++
+	switch {
+	case outcome.served():
+		s.Served++
+	case outcome.Err == nil && outcome.Status == http.StatusServiceUnavailable:
+		s.Refused++
+	default:
+		s.Failed++
+	}
+	t.ended = append(t.ended, ended{router: outcome.Router, at: outcome.Ended, served: outcome.served()})
+}
+
+// since counts what one router served, of what was asked of it, since a moment.
+func (t *Tally) since(router string, from time.Time) (served, asked int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range t.ended {
+		if e.router != router || e.at.Before(from) {
+			continue
+		}
+		asked++
+		if e.served {
+			served++
+		}
+	}
+	return served, asked
+}
+
+// lastSecond counts the last whole second.
+func (t *Tally) lastSecond() (served, asked int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.seconds) < 2 {
+		return 0, 0
+	}
+	last := t.seconds[len(t.seconds)-2]
+	return last.Served, last.Asked
+}
+
+// report writes the results into the run's folder.
+func (r *run) report() *Report {
+	report := &Report{
+		Seed: r.Plan.Seed, Length: r.Plan.Length, Size: r.Size, Folder: r.Folder,
+		Processes: len(r.fleet.processes()), Versions: r.fleet.version, Changes: int(r.fleet.newest.Load()),
+		Violations: r.oracle.Violations(),
+	}
+	for _, p := range r.fleet.processes() {
+		report.Starts += p.condition().starts
+	}
+	report.Copies = float64(r.fleet.origin.Sent()) / chunks / float64(r.fleet.version)
+	r.tally.mu.Lock()
+	defer r.tally.mu.Unlock()
+	report.Seconds, report.Steps = slices.Clone(r.tally.seconds), slices.Clone(r.tally.steps)
+	for _, s := range report.Seconds {
+		report.Total.Asked += s.Asked
+		report.Total.Served += s.Served
+		report.Total.Refused += s.Refused
+		report.Total.Failed += s.Failed
+	}
+	return report
+}
+
+// Save writes the report and the plot of service over time into the run's folder.
+func (r *Report) Save() error {
+	if err := writeJSON(filepath.Join(r.Folder, "report.json"), r); err != nil {
+		return err
+	}
+	return r.plot(filepath.Join(r.Folder, "service.png"))
+}
+
+func writeJSON(path string, value any) error {
+	text, err := json.MarshalIndent(value, "", "  ")
+	if err != nil {
+		return fmt.Errorf("encode %s: %w", path, err)
+	}
+	return os.WriteFile(path, append(text, '\n'), 0o600)
+}
+
+// Size of the plot.
+const (
+	plotWidth  = 20 * vg.Centimeter
+	plotHeight = 9 * vg.Centimeter
+)
+
+// plot draws the share of requests that were served each second, and where steps began.
+func (r *Report) plot(path string) error {
+	p := plot.New()
+	p.Title.Text = fmt.Sprintf("seed %d, %d processes, %d violations", r.Seed, r.Processes, len(r.Violations))
+	p.X.Label.Text = "seconds"
+	p.Y.Label.Text = "share served"
+	p.Y.Min, p.Y.Max = 0, 1
+	var served, steps plotter.XYs
+	for second, s := range r.Seconds {
+		if s.Asked > 0 {
+			served = append(served, plotter.XY{X: float64(second), Y: float64(s.Served) / float64(s.Asked)})
+		}
+	}
+	for _, step := range r.Steps {
+		steps = append(steps, plotter.XY{X: time.Duration(step.At).Seconds()})
+	}
+	marks, err := plotter.NewScatter(steps)
+	if err != nil {
+		return fmt.Errorf("plot: %w", err)
+	}
+	p.Add(marks)
+	if err := plotutil.AddLines(p, served); err != nil {
+		return fmt.Errorf("plot: %w", err)
+	}
+	if err := p.Save(plotWidth, plotHeight, path); err != nil {
+		return fmt.Errorf("save plot: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/cli/internal/soak/soak_test.go
@@ -0,0 +1,58 @@
+package soak
+
+import (
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wheelcleat/wheelcleat/api"
+)
+
+// seeds holds the plans of runs that once failed, or that are played each time.
+const seeds = "seeds/*.json"
+
+// TestPlans plays each plan of seeds against real processes.
+func TestPlans(t *testing.T) {
+	daemon := filepath.Join(t.TempDir(), "wheelcleatd")
+	text, err := exec.CommandContext(t.Context(), "go", "build", "-o", daemon, "github.com/wheelcleat/wheelcleat/daemon/cmd/wheelcleatd").CombinedOutput()
+	require.NoError(t, err, "%s", text)
+	paths, err := filepath.Glob(seeds)
+	require.NoError(t, err)
+	require.NotEmpty(t, paths)
+	for _, path := range paths {
+		t.Run(filepath.Base(path), func(t *testing.T) {
+			plan, err := Load(path)
+			require.NoError(t, err)
+			report, err := Run(t.Context(), Options{
+				Daemon: daemon, Folder: t.TempDir(), Plan: plan, Callers: 2, Patience: time.Minute,
+				Size: Size{Halls: 2, Routers: 3, Loaders: 2, Plain: 2},
+			})
+			require.NoError(t, err)
+			assert.Empty(t, report.Violations)
+			assert.Positive(t, report.Total.Served)
+			assert.NoError(t, report.Save())
+		})
+	}
+}
+
+func TestPlansAreDrawnAlike(t *testing.T) {
+	const length = 30 * time.Second
+	plan := Draw(7, length)
+	assert.Equal(t, plan, Draw(7, length))
+	assert.NotEqual(t, plan.Steps, Draw(8, length).Steps)
+	assert.Equal(t, api.Duration(length), plan.Length)
+	for _, step := range plan.Steps {
+		assert.Less(t, time.Duration(step.At), length)
+	}
+}
+
+func TestLoadNamesTheFault(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "plan.json")
+	require.NoError(t, writeJSON(path, Plan{Steps: []Step{{Kind: StoreDown}, {Kind: "flood"}}}))
+	_, err := Load(path)
+	require.ErrorContains(t, err, `steps[1].kind: unknown "flood"`)
+}
