--- a/daemon/loader/needs.go
+++ b/daemon/loader/needs.go
@@ -35,6 +35,10 @@
 	// configuration within less than a second.
 	routersFirst = 1200 * time.Millisecond
 	lookAtStart  = 100 * time.Millisecond
+	// needsKept is how long what a loader knows suffices while no router answers. Routers
+	// are silent where they do not hear the store, and then all loaders of a hall would
+	// read the whole configuration over a link that has little room.
+	needsKept = 20 * time.Second
 )
 
 // readLimit bounds a read of the whole configuration from the store. All loaders of a
@@ -47,13 +51,15 @@
 	started := time.Now()
 	ctx := p.tomb.Context(nil) //nolint:staticcheck // nil asks the tomb for its own context
 	most := lookSoon
+	var known time.Time
 	for {
 		pause := lookAgain
 		starting := time.Since(started) < routersFirst
-		err := p.look(ctx, starting)
+		err := p.look(ctx, starting || time.Since(known) < needsKept)
 		switch {
 		case err == nil:
 			most = lookSoon
+			known = time.Now()
 		case starting:
 			pause = lookAtStart/2 + rand.N(lookAtStart/2)
 		default:
@@ -66,8 +72,8 @@
 	}
 }
 
-// look asks a router of this hall, and reads the store where none answers, unless
-// routers may only be about to start.
+// look asks a router of this hall, and reads the store where none answers, unless only
+// routers are to be asked.
 func (p *Process) look(ctx context.Context, routersOnly bool) error {
 	news, err := p.neighbours.Engine(ctx, p.current.Load().Service)
 	if err != nil && !routersOnly {
