--- a/cli/internal/soak/oracle.go
+++ b/cli/internal/soak/oracle.go
@@ -153,11 +153,13 @@
 }
 
 // disturbed reports whether a fault of some parts was active in a time or shortly
-// before. It must be called with mu held.
-func (o *Oracle) disturbed(from, to time.Time, parts ...string) bool {
+// before. Of the faults of routers only those of the named one count: the others have
+// to do without it. It must be called with mu held.
+func (o *Oracle) disturbed(from, to time.Time, router string, parts ...string) bool {
 	return slices.ContainsFunc(o.spans, func(s *span) bool {
 		active := !s.from.After(to) && (s.to.IsZero() || s.to.After(from.Add(-settleTime)))
-		return active && slices.ContainsFunc(parts, func(part string) bool { return s.kind.on(part) })
+		concerns := !s.kind.on("router") || s.target == router
+		return active && concerns && slices.ContainsFunc(parts, func(part string) bool { return s.kind.on(part) })
 	})
 }
 
@@ -199,7 +201,7 @@
 	o.reached++
 	now := time.Now()
 	left, leaves := o.leaving[upstream]
-	if leaves && now.Sub(left) > leaveBound+o.Patience && !o.disturbed(left, now, "store", "router", "all", "link") {
+	if leaves && now.Sub(left) > leaveBound+o.Patience && !o.disturbed(left, now, o.router[id], "store", "router", "all") {
 		o.violatef(CheckLeaving, id, "%s got a request from %s %s after it had said that it leaves", upstream, o.router[id], now.Sub(left).Round(time.Millisecond))
 	}
 }
@@ -215,7 +217,7 @@
 	}
 	named := o.named[o.version]
 	if run.Version > 0 && run.Version < o.version && run.At.Sub(named) > versionBound+o.Patience &&
-		!o.disturbed(named, run.At, "store", "router", "loader", "all", "link", "upstream", "engine", "origin") {
+		!o.disturbed(named, run.At, o.router[run.ID], "store", "router", "loader", "all", "link", "upstream", "engine", "origin") {
 		o.violatef(CheckVersion, run.ID, "%s began a request on version %d, %s after version %d was named",
 			run.Upstream, run.Version, run.At.Sub(named).Round(time.Millisecond), o.version)
 	}
@@ -261,7 +263,7 @@
 	if outcome.Unsent || !stopped || !same || outcome.After.disturbed.After(outcome.After.started) {
 		return
 	}
-	if outcome.Status != 0 && o.disturbed(outcome.Started, outcome.Ended, "upstream", "link", "loader", "all", "engine") {
+	if outcome.Status != 0 && o.disturbed(outcome.Started, outcome.Ended, outcome.Router, "upstream", "link", "loader", "all", "engine") {
 		return // the upstream broke it off, or its weights changed
 	}
 	o.violatef(CheckStop, outcome.ID, "%s broke a connection while it was to stop, %s after the request was sent, status %d: %v",
@@ -297,7 +299,7 @@
 func (o *Oracle) checkLatef(outcome Outcome, declared time.Time, format string, args ...any) {
 	late := outcome.Started.Sub(declared)
 	fresh := outcome.Started.Sub(outcome.Before.started) < settleTime
-	if late <= configurationBound+o.Patience || fresh || o.disturbed(declared, outcome.Ended, "store", "router", "all") {
+	if late <= configurationBound+o.Patience || fresh || o.disturbed(declared, outcome.Ended, outcome.Router, "store", "router", "all") {
 		return
 	}
 	o.violatef(CheckConfiguration, outcome.ID, "%s %s, %s after the change was acknowledged", outcome.Router,
--- a/cli/internal/soak/oracle_test.go
+++ b/cli/internal/soak/oracle_test.go
@@ -117,6 +117,23 @@
 				o.Reached("id", "u")
 			},
 		},
+		"sent to one that leaves, while another router is frozen": {
+			CheckLeaving,
+			func(o *Oracle) {
+				o.Sent("id", "router")
+				o.Left("u")
+				o.Strike(RouterFreeze, "other")
+				later(leaveBound + 1)
+				o.Reached("id", "u")
+			},
+			func(o *Oracle) {
+				o.Sent("id", "router")
+				o.Left("u")
+				o.Strike(RouterFreeze, "router")
+				later(leaveBound + 1)
+				o.Reached("id", "u")
+			},
+		},
 		"a stop that cuts": {
 			CheckStop,
 			func(o *Oracle) { o.Ended(stopping()) },
