--- a/cli/internal/command/soak.go
+++ b/cli/internal/command/soak.go
@@ -7,7 +7,9 @@
 	"io"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"text/tabwriter"
 	"time"
 
@@ -46,6 +48,8 @@
 }
 
 func runSoak(ctx context.Context, command *cli.Command) error {
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+	defer stop() // and with the context all that a run started
 	daemon, remove, err := daemonOf(ctx, command.String("daemon"))
 	if err != nil {
 		return err
--- a/daemon/loader/versions_test.go
+++ b/daemon/loader/versions_test.go
@@ -63,11 +63,11 @@
 	members := provider.Listing{At: 4, Entries: []provider.Entry{{
 		Key: membersPrefix + "r", Revision: 4, Value: encoded(t, provider.Member{Name: "r", Hall: set.Hall, Peers: address}),
 	}}}
-	list := func(_ context.Context, prefix string) (provider.Listing, error) {
+	list := func(ctx context.Context, prefix string) (provider.Listing, error) {
 		if prefix == membersPrefix {
-			return members, nil
+			return members, ctx.Err()
 		}
-		return provider.Listing{At: 4, Entries: []provider.Entry{version(t, 1, 3)}}, nil
+		return provider.Listing{At: 4, Entries: []provider.Entry{version(t, 1, 3)}}, ctx.Err()
 	}
 	p, err := New(set, Options{Provider: func(netip.AddrPort, *http.Client, *http.Client) provider.Provider {
 		return provider.Provider{
