--- a/cli/internal/soak/fleet.go
+++ b/cli/internal/soak/fleet.go
@@ -378,10 +378,8 @@
 const drainLimit = settings.DefaultDirectDrain + 5*time.Second
 
 // changeSettings makes the file differ by a millisecond of the retry window, so that
-// every promise stays as it is.
+// every promise stays as it is. It must be called with mu held.
 func (r *router) changeSettings(reload int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	set := r.settings.(*settings.Router)
 	set.Bounds.RetryWindow = api.Duration(retryWindow + time.Duration(reload%2)*time.Millisecond)
 }
--- a/cli/internal/soak/process.go
+++ b/cli/internal/soak/process.go
@@ -52,6 +52,7 @@
 
 func (p *process) settingsPath() string { return filepath.Join(p.folder, p.name+".json") }
 
+// writeSettings must be called with mu held.
 func (p *process) writeSettings() error {
 	text, err := json.MarshalIndent(p.settings, "", "  ")
 	if err != nil {
@@ -204,11 +205,16 @@
 	return usage{memory: pages * int64(os.Getpagesize()), files: len(files)}, err == nil
 }
 
-// reload sends SIGHUP, which changes nothing of the process's state.
-func (p *process) reload() {
+// reload changes the settings and has the process read them again.
+func (p *process) reload(change func()) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	change()
+	if err := p.writeSettings(); err != nil {
+		return err
+	}
 	if p.state == Running {
 		_ = p.command.Process.Signal(syscall.SIGHUP)
 	}
+	return nil
 }
--- a/cli/internal/soak/strike.go
+++ b/cli/internal/soak/strike.go
@@ -81,9 +81,8 @@
 func (f *fleet) strikeProcess(step Step, p *process, changeSettings func()) {
 	switch step.Kind {
 	case RouterReload:
-		changeSettings()
-		if p.writeSettings() == nil {
-			p.reload()
+		if err := p.reload(changeSettings); err != nil {
+			f.oracle.Violatef(CheckProcess, "the soak itself: %v", err)
 		}
 	case RouterStop, LoaderStop:
 		f.during(step.Kind, p.name, 0, func(on bool) {
