--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -124,7 +124,7 @@
 	p.provider = options.Provider(s.Store, p.client, calls)
 	p.compiler = &mirror.Compiler{Decode: p.provider.Decode, OnBelief: p.noteBelief}
 	p.table.OnChange = p.compiler.Take
-	p.neighbours = p.newNeighbours()
+	p.neighbours = &peering.Neighbours{Client: p.client, Choose: p.neighbour, OnMute: p.telemetry.NeighbourMuted}
 	p.addFollowers()
 	p.keeper = &keep.Keeper{
 		Engine: p.provider.Engine, Origin: p.provider.Origin, Address: s.Engine, Held: p.held,
@@ -134,22 +134,17 @@
 	return p, nil
 }
 
-// newNeighbours returns the routers of this hall for one follower.
-func (p *Process) newNeighbours() *peering.Neighbours {
-	return &peering.Neighbours{Client: p.client, Choose: p.neighbour, OnMute: p.telemetry.NeighbourMuted}
-}
-
-// addFollowers prepares what is followed. Declared versions and the list of hosts come
-// from a router of this hall while one answers, and from the store otherwise. Versions
-// from the store without a detour were rejected: engines have them as soon either way,
-// and a watch of each loader was a third of a calm fleet's calls.
+// addFollowers prepares what is followed. Declared versions are a few bytes and come
+// from the store itself. From routers they would save a third of a calm fleet's calls,
+// but where these are turned away themselves the first engine had a version 5 s later,
+// and all took it at once. The list of hosts comes from a router of
+// this hall while one answers.
 func (p *Process) addFollowers() {
 	follower := func(prefix string) *mirror.Follower {
 		return &mirror.Follower{Store: p.provider.Store, Prefix: prefix, Table: p.table, OnContact: p.telemetry.Contact}
 	}
 	p.versions = follower(p.provider.Prefixes.Versions)
 	p.versions.Wait = func() time.Duration { return versionsWait }
-	p.versions.Near = p.newNeighbours().News
 	p.hosts = follower(p.provider.Prefixes.Upstreams)
 	p.hosts.ListEvery = hostsEvery
 	p.hosts.Near = p.neighbours.News
