--- a/daemon/internal/process/server/server.go
+++ b/daemon/internal/process/server/server.go
@@ -32,6 +32,9 @@
 	Address        netip.AddrPort
 	Handler        http.Handler
 	MaxHeaderBytes int
+	// Quiet is how long a connection that carries no request must have been silent
+	// for a shutdown to end it; 0 means 500 ms.
+	Quiet time.Duration
 }
 
 // Listen opens the port and serves.
