--- a/daemon/internal/process/server/server.go
+++ b/daemon/internal/process/server/server.go
@@ -11,16 +11,27 @@
 	"net/netip"
 	"sync/atomic"
 	"time"
+
+	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 )
 
-const headerTimeout = 10 * time.Second
+const (
+	headerTimeout = 10 * time.Second
+	// defaultQuiet is the default of Options.Quiet: many round trips between hosts, and
+	// short beside the time that a stop may take.
+	defaultQuiet = 500 * time.Millisecond
+)
 
 // Server is one listening port.
 type Server struct {
 	// Address is where the server listens.
 	Address netip.AddrPort
 
-	http *http.Server
+	http     *http.Server
+	listener *net.TCPListener
+	quiet    time.Duration
+	// open are the connections.
+	open connections
 	// closing makes answers end their connections.
 	closing atomic.Bool
 	done    chan struct{}
@@ -47,8 +58,12 @@
 	if !ok {
 		return nil, fmt.Errorf("listen for %s on %s: not a TCP address", options.Name, options.Address)
 	}
-	s := &Server{Address: bound.AddrPort(), done: make(chan struct{})}
-	s.http = &http.Server{Handler: s.ending(options.Handler), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: options.MaxHeaderBytes}
+	s := &Server{
+		Address: bound.AddrPort(), listener: listener, quiet: helpers.OrDefault(options.Quiet, defaultQuiet), done: make(chan struct{}),
+	}
+	s.http = &http.Server{
+		Handler: s.ending(options.Handler), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: options.MaxHeaderBytes, ConnState: s.open.note,
+	}
 	go func() {
 		defer close(s.done)
 		_ = s.http.Serve(listener)
@@ -70,14 +85,19 @@
 // Closing makes every further answer end its connection.
 func (s *Server) Closing() { s.closing.Store(true) }
 
-// Shutdown takes no new connections and waits for requests in flight.
+// Shutdown takes no new connections and waits for requests in flight, and for those that
+// callers are about to send on open connections: the HTTP server, once it is told to
+// shut down, drops requests that it reads.
 func (s *Server) Shutdown(ctx context.Context) error {
+	s.Closing()
+	_ = s.listener.Close()
+	<-s.done
+	s.open.awaitQuiet(ctx, s.quiet)
 	err := s.http.Shutdown(ctx)
 	if err != nil && !errors.Is(err, http.ErrServerClosed) {
 		_ = s.http.Close()
 		return fmt.Errorf("shut down %s: %w", s.Address, err)
 	}
-	<-s.done
 	return nil
 }
 
