--- a/cli/internal/soak/plan.go
+++ b/cli/internal/soak/plan.go
@@ -98,7 +98,9 @@
 
 // Plan is the whole schedule of a run.
 type Plan struct {
-	Seed   uint64       `json:"seed"`
+	Seed uint64 `json:"seed"`
+	// Cause says why a plan that once failed did so.
+	Cause  string       `json:"cause,omitempty"`
 	Length api.Duration `json:"length"`
 	Steps  []Step       `json:"steps"`
 }
