--- a/cli/internal/soak/fleet.go
+++ b/cli/internal/soak/fleet.go
@@ -109,14 +109,16 @@
 
 func at(address netip.Addr, port uint16) netip.AddrPort { return netip.AddrPortFrom(address, port) }
 
-var errTooLarge = errors.New("too many hosts: 250 at most")
+// errSize says that a fleet of some size cannot be set out.
+var errSize = errors.New("the size must name at least one of each, and 250 hosts at most")
 
 // newFleet sets out a fleet and starts all but the processes.
 func newFleet(options *Options, oracle *Oracle, stop <-chan struct{}) (*fleet, error) {
 	size := options.Size
 	const mostHosts = 250
-	if size.Halls*(size.Routers+size.Loaders+size.Plain) > mostHosts {
-		return nil, errTooLarge
+	hosts := size.Halls * (size.Routers + size.Loaders + size.Plain)
+	if min(size.Halls, size.Routers, size.Loaders, size.Plain) < 1 || hosts > mostHosts {
+		return nil, fmt.Errorf("%d halls of %d routers, %d loaders and %d plain upstreams: %w", size.Halls, size.Routers, size.Loaders, size.Plain, errSize)
 	}
 	f := &fleet{
 		folder: options.Folder, daemon: options.Daemon, size: size, oracle: oracle, stop: stop, done: make(chan struct{}),
--- a/cli/internal/soak/run_test.go
+++ b/cli/internal/soak/run_test.go
@@ -43,3 +43,10 @@
 	<-p.ended
 	assert.Equal(t, 2, p.condition().starts)
 }
+
+func TestSizesAreChecked(t *testing.T) {
+	for _, size := range []Size{{}, {Halls: 1, Routers: 1, Loaders: 1}, {Halls: 7, Routers: 30, Loaders: 5, Plain: 1}} {
+		_, err := Run(t.Context(), Options{Folder: t.TempDir(), Size: size})
+		require.ErrorIs(t, err, errSize)
+	}
+}
