--- a/daemon/internal/process/server/connections.go
+++ b/daemon/internal/process/server/connections.go
@@ -40,42 +40,45 @@
 	}
 }
 
-// awaitQuiet waits until no connection carries a request and each of the others has
-// been silent for a while: its caller may just be sending one.
-func (c *connections) awaitQuiet(ctx context.Context, quiet time.Duration) {
-	for {
-		rest, changed := c.restless(quiet)
-		if rest == 0 {
+// endQuiet ends each connection once it carries no request and has been silent for a
+// while, because its caller may just be sending one, and returns when all have ended.
+func (c *connections) endQuiet(ctx context.Context, quiet time.Duration) {
+	for ctx.Err() == nil {
+		next, changed := c.closeQuiet(quiet)
+		if next == 0 {
 			return
 		}
-		timer := time.NewTimer(rest)
+		timer := time.NewTimer(next)
 		select {
 		case <-changed:
 		case <-timer.C:
 		case <-ctx.Done():
 		}
 		timer.Stop()
-		if ctx.Err() != nil {
-			return
-		}
 	}
 }
 
-// restless returns the longest time until a connection can be quiet, 0 where all are,
-// and what is closed at the next change.
-func (c *connections) restless(quiet time.Duration) (time.Duration, <-chan struct{}) {
+// closeQuiet closes the connections that are quiet by now. It returns when to look
+// again, 0 where none is left, and what is closed at the next change.
+func (c *connections) closeQuiet(quiet time.Duration) (next time.Duration, changed <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.changed == nil {
 		c.changed = make(chan struct{})
 	}
-	rest := time.Duration(0)
-	for _, known := range c.known {
-		wait := quiet - time.Since(known.since)
-		if known.state == http.StateActive {
-			wait = quiet
+	for conn, known := range c.known {
+		rest := quiet
+		if known.state != http.StateActive {
+			rest -= time.Since(known.since)
+		}
+		if rest <= 0 {
+			_ = conn.Close()
+			delete(c.known, conn)
+			continue
+		}
+		if next == 0 || rest < next {
+			next = rest
 		}
-		rest = max(rest, wait)
 	}
-	return rest, c.changed
+	return next, c.changed
 }
--- a/daemon/internal/process/server/server.go
+++ b/daemon/internal/process/server/server.go
@@ -17,9 +17,10 @@
 
 const (
 	headerTimeout = 10 * time.Second
-	// defaultQuiet is the default of Options.Quiet: many round trips between hosts, and
-	// short beside the time that a stop may take.
-	defaultQuiet = 500 * time.Millisecond
+	// defaultQuiet is the default of Options.Quiet: several round trips between a caller
+	// and a host. What is taken in that time must end within the rest of a stop, so more
+	// would have long requests cut.
+	defaultQuiet = 100 * time.Millisecond
 )
 
 // Server is one listening port.
@@ -44,7 +45,7 @@
 	Handler        http.Handler
 	MaxHeaderBytes int
 	// Quiet is how long a connection that carries no request must have been silent
-	// for a shutdown to end it; 0 means 500 ms.
+	// for a shutdown to end it; 0 means 100 ms.
 	Quiet time.Duration
 }
 
@@ -92,7 +93,7 @@
 	s.Closing()
 	_ = s.listener.Close()
 	<-s.done
-	s.open.awaitQuiet(ctx, s.quiet)
+	s.open.endQuiet(ctx, s.quiet)
 	err := s.http.Shutdown(ctx)
 	if err != nil && !errors.Is(err, http.ErrServerClosed) {
 		_ = s.http.Close()
--- a/daemon/internal/process/server/server_test.go
+++ b/daemon/internal/process/server/server_test.go
@@ -95,3 +95,31 @@
 	require.NoError(t, used.Close())
 	require.NoError(t, <-shutdown(t, s))
 }
+
+// TestShutdownEndsSilentConnections: a connection that carries nothing is ended while
+// another one is at work, or its caller would send on it until the stop's time is over.
+func TestShutdownEndsSilentConnections(t *testing.T) {
+	started, release := make(chan struct{}), make(chan struct{})
+	s, err := server.Listen(server.Options{
+		Name: "callers", Address: netip.MustParseAddrPort("127.0.0.1:0"), Quiet: time.Millisecond,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			close(started)
+			<-release
+			_, _ = io.WriteString(w, "ok")
+		}),
+	})
+	require.NoError(t, err)
+	t.Cleanup(s.Kill)
+	silent, busy := dial(t, s), dial(t, s)
+	_, err = io.WriteString(busy, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	<-started
+	ended := shutdown(t, s)
+	_, err = silent.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+	close(release)
+	answer, err := http.ReadResponse(bufio.NewReader(busy), nil)
+	require.NoError(t, err)
+	require.NoError(t, answer.Body.Close())
+	require.NoError(t, <-ended)
+}
