--- a/cli/internal/soak/run.go
+++ b/cli/internal/soak/run.go
@@ -203,11 +203,7 @@
 }
 
 // pause waits, and reports whether the context goes on.
-func pause(ctx context.Context, wait time.Duration) bool {
-	select {
-	case <-time.After(wait):
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
+func pause(ctx context.Context, d time.Duration) bool {
+	wait(d, ctx.Done())
+	return ctx.Err() == nil
 }
--- a/cli/internal/soak/strike.go
+++ b/cli/internal/soak/strike.go
@@ -50,10 +50,8 @@
 	case step.Kind == UpstreamLeave:
 		f.leave(host)
 	case step.Kind == EngineRot:
-		f.during(step.Kind, engine.address.String(), 0, func(on bool) {
-			if on {
-				engine.current().Rot()
-			}
+		f.once(step.Kind, engine.address.String(), func() {
+			engine.current().Rot()
 		})
 	default:
 		f.during(step.Kind, host.address.String(), lasts, func(on bool) { host.current().SetFault(upstreamFault(step, on)) })
@@ -69,6 +67,13 @@
 	end()
 }
 
+// once has a fault be active for as long as it takes to bring it about.
+func (f *fleet) once(kind Kind, target string, strike func()) {
+	end := f.oracle.Strike(kind, target)
+	strike()
+	end()
+}
+
 func (f *fleet) change(kind Kind) {
 	if kind == Configure {
 		f.configure()
@@ -85,18 +90,14 @@
 			f.oracle.Violatef(CheckProcess, "the soak itself: %v", err)
 		}
 	case RouterStop, LoaderStop:
-		f.during(step.Kind, p.name, 0, func(on bool) {
-			if on {
-				p.stop(drainLimit)
-				f.startAgain(p)
-			}
+		f.once(step.Kind, p.name, func() {
+			p.stop(drainLimit)
+			f.startAgain(p)
 		})
 	case RouterKill, LoaderKill:
-		f.during(step.Kind, p.name, 0, func(on bool) {
-			if on {
-				p.kill()
-				f.startAgain(p)
-			}
+		f.once(step.Kind, p.name, func() {
+			p.kill()
+			f.startAgain(p)
 		})
 	default:
 		f.during(step.Kind, p.name, time.Duration(step.For), func(on bool) {
@@ -118,10 +119,7 @@
 }
 
 func (f *fleet) killAll(lasts time.Duration) {
-	f.during(AllKill, "", 0, func(on bool) {
-		if !on {
-			return
-		}
+	f.once(AllKill, "", func() {
 		for _, p := range f.processes() {
 			p.kill()
 		}
@@ -136,10 +134,8 @@
 
 func (f *fleet) strikeStore(step Step, lasts time.Duration) {
 	if step.Kind == StoreForget {
-		f.during(step.Kind, "", 0, func(on bool) {
-			if on {
-				f.store.DropHistory()
-			}
+		f.once(step.Kind, "", func() {
+			f.store.DropHistory()
 		})
 		return
 	}
@@ -221,12 +217,10 @@
 		return
 	}
 	defer h.release()
-	f.during(UpstreamCrash, h.address.String(), 0, func(on bool) {
-		if on {
-			f.bury(h, lapseTime)
-			f.wait(lasts)
-			f.bearAgain(h)
-		}
+	f.once(UpstreamCrash, h.address.String(), func() {
+		f.bury(h, lapseTime)
+		f.wait(lasts)
+		f.bearAgain(h)
 	})
 }
 
@@ -236,15 +230,13 @@
 		return
 	}
 	defer h.release()
-	f.during(UpstreamLeave, h.address.String(), 0, func(on bool) {
-		if on {
-			u := h.current()
-			u.Leave()
-			f.oracle.Left(u.Record.ID)
-			f.wait(drainTime)
-			f.bury(h, 0)
-			f.bearAgain(h)
-		}
+	f.once(UpstreamLeave, h.address.String(), func() {
+		u := h.current()
+		u.Leave()
+		f.oracle.Left(u.Record.ID)
+		f.wait(drainTime)
+		f.bury(h, 0)
+		f.bearAgain(h)
 	})
 }
 
