Tell who ended a send without a whole answer, and panics, in lines and metrics

Cause: of an answer that was cut a line told only the library's error, so an upstream that ended its connection, our own impatience, a version that must not begin any more and the deadline looked alike, an order's line named no engine, and a panic was plain text on standard error. The hypotheses of the incident could not be told apart from logs.

Change: tries carry the address, brokenBy and loading; orders the engine, running and cut; sends_broken{by}; the outcome panicked; what libraries write is bounded JSON lines. Logic as it was.

--- a/cli/internal/explain/line.go
+++ b/cli/internal/explain/line.go
@@ -94,6 +94,8 @@
 	Took     time.Duration `json:"took"`
 	Fate     string        `json:"fate"`
 	Cause    string        `json:"cause"`
+	BrokenBy string        `json:"brokenBy"`
+	Loading  bool          `json:"loading"`
 	Version  int           `json:"version"`
 	Waiting  int           `json:"waiting"`
 	Beyond   int           `json:"beyond"`
--- a/cli/internal/explain/print.go
+++ b/cli/internal/explain/print.go
@@ -104,6 +104,16 @@
 	if try.Cause != "" {
 		p.linef(2, "cause: %s", try.Cause)
 	}
+	if try.BrokenBy != "" {
+		p.linef(2, "ended by: %s%s", try.BrokenBy, whileLoading(try))
+	}
+}
+
+func whileLoading(try Try) string {
+	if try.Loading {
+		return ", while the upstream was known to take a version"
+	}
+	return ""
 }
 
 // printBeliefs writes what the process of a line believed then: the
--- a/daemon/cmd/wheelcleatd/main.go
+++ b/daemon/cmd/wheelcleatd/main.go
@@ -12,6 +12,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log"
 	"os"
 	"os/signal"
 	"syscall"
@@ -21,6 +22,7 @@
 
 	"github.com/wheelcleat/wheelcleat/daemon/agent"
 	"github.com/wheelcleat/wheelcleat/daemon/entry"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/process/telemetry"
 	"github.com/wheelcleat/wheelcleat/daemon/loader"
 	"github.com/wheelcleat/wheelcleat/daemon/router"
 	"github.com/wheelcleat/wheelcleat/daemon/settings"
@@ -67,6 +69,8 @@
 }
 
 func run(_ context.Context, command *cli.Command) error {
+	log.SetFlags(0)
+	log.SetOutput(telemetry.NewStandard(telemetry.NewBounded(os.Stdout)))
 	path, err := settingsPath(command)
 	if err != nil {
 		return err
--- /dev/null
+++ b/daemon/internal/process/telemetry/standard_test.go
@@ -0,0 +1,29 @@
+package telemetry
+
+import (
+	"bytes"
+	"log"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// TestLibrariesWriteBoundedLines: what libraries write is JSON, and too much of it is
+// counted and left out.
+func TestLibrariesWriteBoundedLines(t *testing.T) {
+	var output bytes.Buffer
+	standard := NewStandard(&output)
+	logger := log.New(standard, "", 0)
+	for range 3 * standardLines {
+		logger.Printf("http: panic serving %q:\nstack", "caller")
+	}
+	lines := strings.Split(strings.TrimSpace(output.String()), "\n")
+	assert.GreaterOrEqual(t, len(lines), standardLines)
+	assert.Less(t, len(lines), 3*standardLines)
+	assert.Contains(t, lines[0], `"text":"http: panic serving \"caller\":\nstack"`)
+	standard.limiter.SetLimit(1e9)
+	logger.Print("later")
+	text := output.String()
+	assert.Contains(t, text[strings.LastIndex(strings.TrimSpace(text), "\n"):], `"leftOut":`)
+}
--- a/daemon/internal/request/dispatch/answer.go
+++ b/daemon/internal/request/dispatch/answer.go
@@ -156,8 +156,7 @@
 
 // amendTry adds to the last try why its answer was not passed on.
 func (q *request) amendTry(err error) {
-	last := &q.story.Tries[len(q.story.Tries)-1]
 	if !errors.Is(err, io.EOF) {
-		last.Cause = err.Error()
+		q.broken(&q.story.Tries[len(q.story.Tries)-1], err)
 	}
 }
--- a/daemon/internal/request/dispatch/dispatch.go
+++ b/daemon/internal/request/dispatch/dispatch.go
@@ -13,6 +13,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"time"
@@ -71,14 +72,19 @@
 
 // Try is one send.
 type Try struct {
-	Upstream   string        `json:"upstream"`
-	At         time.Duration `json:"at"`
-	Took       time.Duration `json:"took"`
-	Fate       string        `json:"fate"`
-	Cause      string        `json:"cause,omitempty"`
-	Version    int           `json:"version,omitempty"`
-	InFlight   int           `json:"inFlight"`
-	Candidates int           `json:"candidates"`
+	Upstream string         `json:"upstream"`
+	Address  netip.AddrPort `json:"address"`
+	At       time.Duration  `json:"at"`
+	Took     time.Duration  `json:"took"`
+	Fate     string         `json:"fate"`
+	Cause    string         `json:"cause,omitempty"`
+	// BrokenBy says who ended a send without a whole answer, and Loading that the
+	// upstream was known to take a version then.
+	BrokenBy   Breaker `json:"brokenBy,omitempty"`
+	Loading    bool    `json:"loading,omitempty"`
+	Version    int     `json:"version,omitempty"`
+	InFlight   int     `json:"inFlight"`
+	Candidates int     `json:"candidates"`
 	// Waiting, Beyond and Running are the load that the upstream was chosen by,
 	// of all routers, and Age how old that was.
 	Waiting int           `json:"waiting"`
@@ -100,6 +106,7 @@
 	EndLeft     Ending = "left"      // the caller left
 	EndRejected Ending = "rejected"  // 400, 401, 404, 413
 	EndTimedOut Ending = "timed-out" // held as long as the route allows
+	EndPanicked Ending = "panicked"  // a fault of ours: the connection ended
 )
 
 // request is one caller's request on its way.
@@ -129,7 +136,7 @@
 func (d *Dispatcher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := &request{Dispatcher: d, Request: r, writer: w, view: d.View()}
 	q.story = &Story{ID: r.Header.Get(d.Headers.RequestID), Started: time.Now(), Configuration: q.view.ConfigurationRevision}
-	defer d.Report(q.story)
+	defer q.ended()
 	if !q.admit() {
 		return
 	}
@@ -219,8 +226,6 @@
 	patienceStep = 100 * time.Millisecond
 )
 
-var errImpatient = errors.New("no head of an answer in time, tried elsewhere")
-
 // impatient returns a context that ends when a request that may be repeated
 // waits too long for its head, or waits at an engine whose version is no longer
 // to be used. Stop must be called once the head is there: it leaves the context
@@ -235,7 +240,11 @@
 	go func() {
 		started := time.Now()
 		for helpers.Pause(patienceStep, headThere) {
-			if again && q.slow(choice, time.Since(started)) || q.outdated(choice) {
+			if q.outdated(choice) {
+				cancel(errOutdated)
+				return
+			}
+			if again && q.slow(choice, time.Since(started)) {
 				cancel(errImpatient)
 				return
 			}
@@ -322,12 +331,12 @@
 
 func (q *request) noteTry(choice balance.Choice, result exchange.Result, started time.Time) {
 	try := Try{
-		Upstream: choice.Upstream.ID, At: started.Sub(q.story.Started), Took: time.Since(started), Fate: result.Fate.String(),
+		Upstream: choice.Upstream.ID, Address: choice.Upstream.Address, At: started.Sub(q.story.Started), Took: time.Since(started), Fate: result.Fate.String(),
 		Version: choice.Version, InFlight: choice.InFlight, Candidates: choice.Candidates,
 		Waiting: choice.Waiting, Beyond: choice.Beyond, Running: choice.Running, Age: choice.Age,
 	}
 	if result.Err != nil {
-		try.Cause = result.Err.Error()
+		q.broken(&try, result.Err)
 	}
 	q.story.Tries = append(q.story.Tries, try)
 }
--- a/daemon/internal/request/dispatch/stream.go
+++ b/daemon/internal/request/dispatch/stream.go
@@ -17,10 +17,7 @@
 // another upstream.
 const stallTime = 1200 * time.Millisecond
 
-var (
-	errGap     = errors.New("an event is missing")
-	errStalled = errors.New("no event came in time")
-)
+var errGap = errors.New("an event is missing")
 
 // stream passes events on as they come, whole ones only. Where an upstream
 // breaks off, the stream goes on at another after the last event that went out;
--- a/daemon/internal/version/keep/keep.go
+++ b/daemon/internal/version/keep/keep.go
@@ -132,6 +132,9 @@
 	Reason string
 	Err    error
 	Took   time.Duration
+	// Running is how many requests ran at an order, and Cut says that it cut them.
+	Running int
+	Cut     bool
 }
 
 // Start begins to keep the engine; Stop ends it.
@@ -283,5 +286,5 @@
 	k.ordered = k.now()
 	k.clearing = time.Time{}
 	reason := fmt.Sprintf("holds version %d, %d requests run, cut %t, order %s", holds(report), report.Running, goal.Cut, result)
-	k.OnStep(Step{Name: StepOrder, Version: goal.Version, Reason: reason, Err: err, Took: time.Since(started)})
+	k.OnStep(Step{Name: StepOrder, Version: goal.Version, Reason: reason, Err: err, Took: time.Since(started), Running: report.Running, Cut: goal.Cut})
 }
--- a/daemon/loader/notes.go
+++ b/daemon/loader/notes.go
@@ -53,8 +53,11 @@
 // noteStep writes one line for a decision about weights.
 func (p *Process) noteStep(step keep.Step) {
 	fields := log.Fields{"decision": step.Name, "version": step.Version, "took": step.Took.String()}
-	if step.Name == keep.StepFetch {
+	switch step.Name {
+	case keep.StepFetch:
 		fields["bytes"] = p.received.fields()
+	case keep.StepOrder:
+		fields["engine"], fields["running"], fields["cut"] = p.current.Load().Engine, step.Running, step.Cut
 	}
 	if step.Reason != "" {
 		fields["choice"] = step.Reason
--- a/daemon/router/recorder.go
+++ b/daemon/router/recorder.go
@@ -97,6 +97,11 @@
 	if len(story.Tries) > 1 {
 		r.scope.Counter("second_sends").Inc(int64(len(story.Tries) - 1))
 	}
+	for _, try := range story.Tries {
+		if try.BrokenBy != "" {
+			r.scope.Tagged(map[string]string{"by": string(try.BrokenBy)}).Counter("sends_broken").Inc(1)
+		}
+	}
 	if !story.FirstByte.IsZero() {
 		r.latency.RecordDuration(story.FirstByte.Sub(story.Started))
 	}
