Have orders cut nothing, and engines take only what is done by their turn

Cause: an order for a version broke off what still ran 0.8 s after routers were told to send nothing more, wherever all routes of the service could be resumed, without knowing that any of it had a place, a send or budget left elsewhere.

Change: orders wait for what runs. The engine then stands still until the longest has ended, 2.0 s a version instead of 0.4, so it closes 1.6 s before its turn to requests that are likely to run on: its loader gives them no place, and tells routers when it closes.

--- a/daemon/internal/connection/loadfeed/loadfeed.go
+++ b/daemon/internal/connection/loadfeed/loadfeed.go
@@ -35,12 +35,28 @@
 	reopen = 500 * time.Millisecond
 )
 
+// ClosesStep keeps lines from changing with each look at an engine.
+const ClosesStep = 250 * time.Millisecond
+
 // Line is one state of an engine.
 type Line struct {
-	Running int               `json:"running"`
-	Waiting int               `json:"waiting"`
-	Loading bool              `json:"loading,omitempty"`
-	Models  []provider.Loaded `json:"models,omitempty"`
+	Running int  `json:"running"`
+	Waiting int  `json:"waiting"`
+	Loading bool `json:"loading,omitempty"`
+	// ClosesIn is in how many milliseconds the engine is to be ordered to take a version,
+	// in whole steps of ClosesStep, 0 where that is not soon.
+	ClosesIn int64             `json:"closesIn,omitempty"`
+	Models   []provider.Loaded `json:"models,omitempty"`
+}
+
+// ClosesIn returns what a line says of an engine that is to be ordered at some time, zero
+// for none.
+func ClosesIn(at, now time.Time) int64 {
+	if !at.After(now) {
+		return 0
+	}
+	steps := (at.Sub(now) + ClosesStep - 1) / ClosesStep
+	return (steps * ClosesStep).Milliseconds()
 }
 
 // Feed holds the newest state and gives it to all who ask. The zero value is
--- a/daemon/internal/connection/places/ask.go
+++ b/daemon/internal/connection/places/ask.go
@@ -68,7 +68,11 @@
 	if err != nil {
 		return Limit{}, fmt.Errorf("taken: %w", err)
 	}
-	return Limit{Waiting: waiting, Taken: taken}, nil
+	lasts, err := strconv.Atoi(query.Get("lasts"))
+	if err != nil {
+		return Limit{}, fmt.Errorf("lasts: %w", err)
+	}
+	return Limit{Waiting: waiting, Taken: taken, Lasts: time.Duration(lasts) * time.Millisecond}, nil
 }
 
 // ErrMuted says that a loader was not asked, because it did not answer of late.
@@ -100,7 +104,7 @@
 func (c *Client) ask(ctx context.Context, loader netip.AddrPort, limit Limit) (Load, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
-	url := fmt.Sprintf("http://%s%s?waiting=%d&taken=%d", loader, Path, limit.Waiting, limit.Taken)
+	url := fmt.Sprintf("http://%s%s?waiting=%d&taken=%d&lasts=%d", loader, Path, limit.Waiting, limit.Taken, limit.Lasts.Milliseconds())
 	var a answer
 	if err := call.JSON(ctx, c.Client, url, maxAnswer, &a); err != nil {
 		return Load{}, false, fmt.Errorf("ask %s for a place: %w", loader, err)
--- a/daemon/internal/connection/places/ledger.go
+++ b/daemon/internal/connection/places/ledger.go
@@ -37,6 +37,9 @@
 	Waiting int
 	// Taken is how many may wait or run there already.
 	Taken int
+	// Lasts is how long the request is likely to hold its place, 0 where it is to have one
+	// although the engine is soon to take a version.
+	Lasts time.Duration
 }
 
 // Ledger counts the places of one engine. The zero value gives none until a load
@@ -48,6 +51,8 @@
 	mu       sync.Mutex
 	load     Load
 	observed bool
+	// closes is when the engine is to be ordered to take a version, zero if not soon.
+	closes time.Time
 	// given holds when places were given that the load does not show yet, oldest
 	// first.
 	given []time.Time
@@ -62,6 +67,20 @@
 	l.forget()
 }
 
+// Close takes when the engine is to be ordered to take a version, zero where that is not
+// soon. Requests that are likely to run then get no place.
+func (l *Ledger) Close(at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closes = at
+}
+
+// tooLong reports whether a request would likely run when the engine closes; the caller
+// holds mu.
+func (l *Ledger) tooLong(limit Limit) bool {
+	return !l.closes.IsZero() && limit.Lasts > 0 && helpers.Now(l.Now).Add(limit.Lasts).After(l.closes)
+}
+
 // forget drops the places that the load shows by now; the caller holds mu.
 func (l *Ledger) forget() {
 	shown := helpers.Now(l.Now).Add(-showsAfter)
@@ -79,7 +98,7 @@
 	defer l.mu.Unlock()
 	load := l.load
 	load.Waiting += len(l.given)
-	if !l.observed || load.Loading || load.Waiting > limit.Waiting || load.Running+load.Waiting > limit.Taken {
+	if !l.observed || load.Loading || l.tooLong(limit) || load.Waiting > limit.Waiting || load.Running+load.Waiting > limit.Taken {
 		return load, false
 	}
 	l.given = append(l.given, helpers.Now(l.Now))
--- a/daemon/internal/connection/places/places_test.go
+++ b/daemon/internal/connection/places/places_test.go
@@ -148,3 +148,24 @@
 	assert.False(t, errors.Is(err, places.ErrMuted))
 	assert.Equal(t, 2, asked)
 }
+
+// TestAClosingEngineTakesWhatIsDoneByThen: a request that is likely to run when its engine is
+// ordered to take a version gets no place there; one whose time does not matter does.
+func TestAClosingEngineTakesWhatIsDoneByThen(t *testing.T) {
+	now := time.Unix(1000, 0)
+	ledger := &places.Ledger{Now: func() time.Time { return now }}
+	ledger.Observe(places.Load{}, true)
+	take := func(lasts time.Duration) bool {
+		_, given := ledger.Take(places.Limit{Waiting: 99, Taken: 99, Lasts: lasts})
+		return given
+	}
+	assert.True(t, take(time.Hour), "it is not to be ordered soon")
+	ledger.Close(now.Add(time.Second))
+	assert.True(t, take(time.Second))
+	assert.False(t, take(1001*time.Millisecond))
+	assert.True(t, take(0))
+	now = now.Add(600 * time.Millisecond)
+	assert.False(t, take(500*time.Millisecond))
+	ledger.Close(time.Time{})
+	assert.True(t, take(time.Hour))
+}
--- a/daemon/internal/process/balance/balance.go
+++ b/daemon/internal/process/balance/balance.go
@@ -87,8 +87,10 @@
 	block              time.Duration
 	// told is what the upstream's host last told, and sentSince the requests
 	// sent there since, by this process.
-	told      Told
-	toldAt    time.Time
+	told   Told
+	toldAt time.Time
+	// closes is when the upstream is to take a version, zero where that is not soon.
+	closes    time.Time
 	sentSince int
 	used      time.Time
 }
@@ -99,6 +101,8 @@
 	Running, Waiting int
 	// Loading says that it takes a new version and serves nothing meanwhile.
 	Loading bool
+	// ClosesIn is in how long it is to take one, 0 where that is not soon.
+	ClosesIn time.Duration
 	// Models is what it holds.
 	Models []provider.Loaded
 }
@@ -114,6 +118,8 @@
 	// Reserve is how many places of each upstream are left to more urgent
 	// requests.
 	Reserve int
+	// Lasts is how long the request is likely to run, 0 where that does not matter.
+	Lasts time.Duration
 	// Preferred is the version below which upstreams are avoided, and Avoid how
 	// much, from 0 to 1.
 	Preferred int
@@ -256,6 +262,11 @@
 // counts more, in requests.
 const oldScore = 2.0
 
+// closingScore is what an upstream that takes a version before the request is likely to be
+// done counts more, in requests, for each second beyond, up to one. Its loader gives no
+// place; each question to it would be in vain.
+const closingScore = 10.0
+
 // silentScore puts an upstream whose host fell silent behind those that are
 // full, and before those that are blocked.
 const silentScore = 1e3
@@ -273,6 +284,9 @@
 	if s.silent(now) {
 		score += silentScore
 	}
+	if over := now.Add(query.Lasts).Sub(s.closes); query.Lasts > 0 && !s.closes.IsZero() && over > 0 {
+		score += closingScore * min(over.Seconds(), 1)
+	}
 	return score
 }
 
@@ -354,6 +368,10 @@
 	now := p.now()
 	s := p.state(id, now)
 	s.told, s.toldAt, s.sentSince = told, now, 0
+	s.closes = time.Time{}
+	if told.ClosesIn > 0 {
+		s.closes = now.Add(told.ClosesIn)
+	}
 }
 
 // TellLoad takes the load that an upstream's host answered when it was asked for a
--- a/daemon/internal/process/balance/balance_test.go
+++ b/daemon/internal/process/balance/balance_test.go
@@ -251,3 +251,25 @@
 	assert.Equal(t, []int{0, 0, 0}, []int{old.Running, old.Waiting, old.Beyond})
 	assert.Equal(t, time.Minute, old.Age)
 }
+
+// TestClosingUpstreamsAreForShortRequests: one that is to take a version before a request is
+// likely to be done is chosen only where no other is better by far.
+func TestClosingUpstreamsAreForShortRequests(t *testing.T) {
+	now := time.Unix(1000, 0)
+	candidates := upstreams(2)
+	pool := &balance.Pool{Now: func() time.Time { return now }}
+	pool.Tell("u0", balance.Told{ClosesIn: time.Second, Models: candidates[0].Models})
+	pool.Tell("u1", balance.Told{Waiting: 3, Models: candidates[1].Models})
+	chosen := func(lasts time.Duration) string {
+		choice, ok := pool.Choose(candidates, balance.Query{Model: "m", Lasts: lasts})
+		require.True(t, ok)
+		choice.Done(balance.Abandoned)
+		pool.Tell("u1", balance.Told{Waiting: 3, Models: candidates[1].Models})
+		return choice.Upstream.ID
+	}
+	assert.Equal(t, "u0", chosen(900*time.Millisecond))
+	assert.Equal(t, "u0", chosen(0), "how long it runs does not matter")
+	assert.Equal(t, "u1", chosen(2500*time.Millisecond))
+	pool.Tell("u0", balance.Told{Models: candidates[0].Models})
+	assert.Equal(t, "u0", chosen(2500*time.Millisecond), "it has taken the version")
+}
--- a/daemon/internal/process/mirror/needs.go
+++ b/daemon/internal/process/mirror/needs.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"net/netip"
-	"slices"
 
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
@@ -13,8 +12,6 @@
 	Engine provider.EngineSpec `json:"engine"`
 	// Origin is where weights come from.
 	Origin netip.AddrPort `json:"origin"`
-	// Resumable says that all requests for the engine may go on elsewhere.
-	Resumable bool `json:"resumable"`
 }
 
 // Complete reports whether a loader can work by it.
@@ -25,7 +22,7 @@
 
 // NeedsOf reads a configuration for the loaders of a service.
 func NeedsOf(configuration *provider.Configuration, service string) (EngineNeeds, error) {
-	needs := EngineNeeds{Resumable: resumable(configuration.Routes, service)}
+	var needs EngineNeeds
 	for _, declared := range configuration.Services {
 		if declared.Engine != nil && declared.Name == service {
 			needs.Engine = *declared.Engine
@@ -39,16 +36,3 @@
 	}
 	return needs, nil
 }
-
-// resumable reports whether every route to a service is one whose requests may
-// go on, or run again, at another upstream.
-func resumable(routes []provider.Route, service string) bool {
-	for _, route := range routes {
-		leads := slices.ContainsFunc(route.Shares, func(share provider.Share) bool { return share.Service == service })
-		again := route.Mode == provider.ModeSafe || route.Mode == provider.ModeStream && route.Resumable
-		if leads && (!again || route.MaxAttempts < 2) {
-			return false
-		}
-	}
-	return true
-}
--- a/daemon/internal/request/admission/admission.go
+++ b/daemon/internal/request/admission/admission.go
@@ -99,6 +99,16 @@
 	return min(r.Rank*reservePerRank, maxReserve)
 }
 
+// Lasts is how long a request is likely to hold a place of an engine, from how long
+// requests hold one on average lately, the tokens of the answer, and those of a usual one.
+// An engine that is soon to take a version gives its places to those that are done by then.
+func Lasts(s Service, occupied time.Duration, answer, usual float64) time.Duration {
+	if usual <= 0 {
+		return occupied
+	}
+	return time.Duration(float64(occupied)*answer/usual) + ownUnits*s.ReadTime
+}
+
 // Limit is how loaded an engine may be that is asked after some others. Last says that
 // no other one will be.
 func Limit(s Service, r Request, asked int, last bool) places.Limit {
--- a/daemon/internal/request/admission/admission_test.go
+++ b/daemon/internal/request/admission/admission_test.go
@@ -15,8 +15,8 @@
 // now is the policy of the package; untilNow is the one before, whose last limit went by
 // the whole objective.
 var (
-	now      = policy{admission.MostQuestions, admission.Limit}
-	untilNow = policy{3, func(s admission.Service, _ admission.Request, asked int, last bool) places.Limit {
+	now      = policy{questions: admission.MostQuestions, limit: admission.Limit}
+	untilNow = policy{questions: 3, limit: func(s admission.Service, _ admission.Request, asked int, last bool) places.Limit {
 		free := s.Places - 1
 		if !last {
 			return places.Limit{Waiting: asked, Taken: free}
@@ -131,3 +131,27 @@
 	}
 	assert.Less(t, returned, 20)
 }
+
+// TestLastsFollowsTheAnswer that the caller expects, from how long requests hold a place.
+func TestLastsFollowsTheAnswer(t *testing.T) {
+	s := admission.Service{ReadTime: 50 * time.Millisecond}
+	assert.Equal(t, 1100*time.Millisecond, admission.Lasts(s, time.Second, 90, 90))
+	assert.Equal(t, 2100*time.Millisecond, admission.Lasts(s, time.Second, 180, 90))
+	assert.Equal(t, time.Second, admission.Lasts(s, time.Second, 180, 0), "nothing tells of a usual one")
+}
+
+// TestAVersionIsBorne replays engines that take a version one after the other, within 4 s,
+// at 0.97 of what they bear. None cuts what runs. Where each closes ahead of its turn to
+// what would run on, fewer callers are refused than where it takes all until then.
+func TestAVersionIsBorne(t *testing.T) {
+	const lessRefused = 0.015
+	rate := func(time.Duration) float64 { return 0.97 }
+	closing, until := now, now
+	closing.version = version{first: 8 * time.Second, last: 12 * time.Second, ahead: 1600 * time.Millisecond}
+	until.version = version{first: 8 * time.Second, last: 12 * time.Second}
+	got, before := play(closing, rate), play(until, rate)
+	t.Logf("worth %.3f (%.3f), in time %.3f (%.3f), late %.3f (%.3f), refused %.3f (%.3f), again %.3f (%.3f)",
+		got.worth(), before.worth(), got.inTime, before.inTime, got.late, before.late, got.refused, before.refused, got.again, before.again)
+	assert.Less(t, got.again+got.refused, before.again+before.refused-lessRefused)
+	assert.Greater(t, got.worth(), before.worth())
+}
--- a/daemon/internal/request/admission/lab_test.go
+++ b/daemon/internal/request/admission/lab_test.go
@@ -1,6 +1,7 @@
 package admission_test
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -33,6 +34,7 @@
 type caller struct {
 	came          time.Duration
 	prompt, left  int
+	hint          float64 // tokens that the caller expects
 	firstByte     time.Duration
 	refusals      int
 	served, ended bool
@@ -43,6 +45,40 @@
 	waiting, reading, running []*caller
 	passEnds                  time.Duration
 	busy                      bool
+	// turn is when the engine takes nothing more, because it is to take a version; it does
+	// so once nothing runs, and serves again at back. Zero where it takes none.
+	turn, back time.Duration
+}
+
+// out reports whether the engine takes nothing new.
+func (e *engine) out(now time.Duration) bool {
+	return e.turn > 0 && now >= e.turn && (e.back == 0 || now < e.back)
+}
+
+// load has an engine whose turn has come take its version once nothing is left there.
+func (e *engine) takeVersion(now time.Duration) {
+	const loadTime = 300 * time.Millisecond
+	if e.out(now) && e.back == 0 && len(e.waiting)+len(e.reading)+len(e.running) == 0 {
+		e.back = now + loadTime
+	}
+}
+
+// version is a change of weights: when the first and the last engine have their turn, and
+// how long before its turn an engine takes only what is likely to be done by then.
+type version struct{ first, last, ahead time.Duration }
+
+// turns gives each engine its turn.
+func (v version) turns(fleet []*engine) {
+	for i, e := range fleet {
+		e.turn = v.first + (v.last-v.first)*time.Duration(i)/time.Duration(len(fleet)-1)
+	}
+}
+
+// closing reports whether a caller would likely run at an engine when its turn comes.
+func (v version) closing(e *engine, c *caller, now time.Duration) bool {
+	s := admission.Service{ReadTime: readTime(usual)}
+	lasts := admission.Lasts(s, passTime*answer/passTokens, c.hint, answer)
+	return e.turn > now && e.turn-now <= v.ahead && now+lasts > e.turn
 }
 
 // readTime is how long some tokens of prompts take.
@@ -93,6 +129,7 @@
 // policy says how loaded an engine may be that is asked after some others.
 type policy struct {
 	questions int
+	version   version
 	limit     func(s admission.Service, r admission.Request, asked int, last bool) places.Limit
 }
 
@@ -107,20 +144,24 @@
 // engines bear.
 func play(p policy, rate func(now time.Duration) float64) result {
 	const bears = 4.4 // requests a second and engine
-	draw := rand.New(rand.NewPCG(7, 7))
+	draw, hints := rand.New(rand.NewPCG(7, 7)), rand.New(rand.NewPCG(8, 8))
 	fleet := make([]*engine, engines)
 	for i := range fleet {
 		fleet[i] = &engine{}
 	}
+	if p.version.last > 0 {
+		p.version.turns(fleet)
+	}
 	var callers []*caller
 	var back []*caller
 	full := 0.0
 	for now := time.Duration(0); now < length+10*time.Second; now += tick {
 		for _, e := range fleet {
 			e.step(now)
+			e.takeVersion(now)
 		}
 		for len(back) > 0 && back[0].came+backAfter <= now {
-			full = ask(p, fleet, back[0], full, draw)
+			full = ask(p, fleet, back[0], now, full, draw)
 			back = back[1:]
 		}
 		expected := rate(now) * bears * engines * tick.Seconds()
@@ -128,8 +169,9 @@
 			expected--
 			c := &caller{came: now, prompt: 200 + int(draw.ExpFloat64()*(usual-200)), left: 5 + int(draw.ExpFloat64()*(answer-5))}
 			c.prompt = min(c.prompt, chunk)
+			c.hint = float64(c.left) * hintErr(hints)
 			callers = append(callers, c)
-			full = ask(p, fleet, c, full, draw)
+			full = ask(p, fleet, c, now, full, draw)
 			if c.refusals > 0 {
 				back = append(back, c)
 			}
@@ -140,14 +182,21 @@
 
 // ask asks engines for a place, the better ones first as far as news tells, and returns
 // the share of the time in which there was none.
-func ask(p policy, fleet []*engine, c *caller, full float64, draw *rand.Rand) float64 {
+func ask(p policy, fleet []*engine, c *caller, now time.Duration, full float64, draw *rand.Rand) float64 {
 	const weight = 0.01
 	s := admission.Service{
 		Places: enginePool, ReadTime: readTime(usual),
 		PlaceEvery: 1500 * time.Millisecond / enginePool, Objective: objective, Full: full,
 	}
 	order := draw.Perm(len(fleet))[:2*p.questions]
-	slices.SortStableFunc(order, func(a, b int) int { return fleet[a].load().Waiting - fleet[b].load().Waiting })
+	score := func(i int) int {
+		const avoided = 10
+		if p.version.closing(fleet[i], c, now) || fleet[i].out(now) {
+			return avoided + fleet[i].load().Waiting
+		}
+		return fleet[i].load().Waiting
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return score(a) - score(b) })
 	nonefree := 1.0
 	for asked, i := range order[:p.questions] {
 		limit := p.limit(s, admission.Request{Returned: c.refusals > 0}, asked, asked == p.questions-1)
@@ -155,6 +204,9 @@
 		if load.Running+load.Waiting < enginePool {
 			nonefree = 0
 		}
+		if fleet[i].out(now) || p.version.closing(fleet[i], c, now) {
+			continue
+		}
 		if load.Waiting <= limit.Waiting && load.Running+load.Waiting <= limit.Taken {
 			fleet[i].waiting = append(fleet[i].waiting, c)
 			return full + weight*(nonefree-full)
@@ -164,6 +216,13 @@
 	return full + weight*(nonefree-full)
 }
 
+// hintErr is by how much a caller's guess of the answer's length is off: right at the
+// median, by a half or twice for one in six.
+func hintErr(draw *rand.Rand) float64 {
+	const spread = 0.7
+	return math.Exp(spread * draw.NormFloat64())
+}
+
 func judge(callers []*caller) result {
 	var r result
 	each := 1 / float64(len(callers))
--- a/daemon/internal/request/dispatch/dispatch.go
+++ b/daemon/internal/request/dispatch/dispatch.go
@@ -270,6 +270,7 @@
 		return query
 	}
 	query.Model = q.service.Engine.Model
+	query.Lasts = q.lasts()
 	query.Reserve = admission.Reserve(admission.Service{Full: q.Pace.Share(q.service.Name)}, q.standing())
 	if declared, ok := q.View().Targets[query.Model]; ok {
 		demand := q.Demand(&declared)
@@ -353,13 +354,22 @@
 	if err != nil {
 		return -1
 	}
+	estimate := promptTokens/q.service.Engine.PromptRate + q.hint()*hintWeight.Seconds()
+	size := min(int(estimate/priorityStep.Seconds()), classes-1)
+	return classOf(q.rank, q.ranks, size)
+}
+
+// hint is the tokens that the caller expects of the answer, or those of a usual one.
+func (q *request) hint() float64 {
 	hint, err := strconv.ParseFloat(q.Header.Get(q.Headers.LengthHint), 64)
 	if err != nil {
-		hint = helpers.OrDefault(q.service.Engine.UsualAnswer, usualLength)
+		return q.usualAnswer()
 	}
-	estimate := promptTokens/q.service.Engine.PromptRate + hint*hintWeight.Seconds()
-	size := min(int(estimate/priorityStep.Seconds()), classes-1)
-	return classOf(q.rank, q.ranks, size)
+	return hint
+}
+
+func (q *request) usualAnswer() float64 {
+	return helpers.OrDefault(q.service.Engine.UsualAnswer, usualLength)
 }
 
 // classOf divides the classes among the ranks, and those of a rank by size.
--- a/daemon/internal/request/dispatch/place.go
+++ b/daemon/internal/request/dispatch/place.go
@@ -53,7 +53,11 @@
 			return q.unlessOverloaded(choice)
 		}
 		last := denied+silent+1 == admission.MostQuestions || choice.Candidates == 1
-		load, given, err := q.ask(ctx, choice, admission.Limit(q.engines(choice, q.view.Objective(q.service.Name)), q.standing(), denied, last))
+		limit := admission.Limit(q.engines(choice, q.view.Objective(q.service.Name)), q.standing(), denied, last)
+		if limit != admission.Unlimited {
+			limit.Lasts = query.Lasts
+		}
+		load, given, err := q.ask(ctx, choice, limit)
 		switch {
 		case given:
 			q.Pace.Full(q.service.Name, load.Running+load.Waiting >= choice.Upstream.Places)
@@ -143,6 +147,12 @@
 	return admission.Request{Rank: q.rank, Returned: q.story.Returned, Sent: q.sent > 0}
 }
 
+// lasts is how long the request is likely to hold a place.
+func (q *request) lasts() time.Duration {
+	known := admission.Service{ReadTime: q.readTime()}
+	return admission.Lasts(known, q.Pace.Occupied(q.service.Name), q.hint(), q.usualAnswer())
+}
+
 // readTime is how long an engine takes to read a usual prompt, 0 where that is
 // not known.
 func (q *request) readTime() time.Duration {
--- a/daemon/internal/version/keep/keep.go
+++ b/daemon/internal/version/keep/keep.go
@@ -37,11 +37,11 @@
 	// sent, and clearMost the longest that an order waits for what waits.
 	clearLeast = 200 * time.Millisecond
 	clearMost  = 2 * time.Second
-	// cutRunning is how many running requests an order may cut at once, and
-	// cutAfter when it cuts all that still run: most streams end before, and an
-	// engine that waits for the longest serves next to nothing meanwhile.
-	cutRunning = 2
-	cutAfter   = 800 * time.Millisecond
+	// closeAhead is how long before its turn an engine takes only requests that are
+	// likely to be done by then. An order cuts nothing, and what runs at it keeps the
+	// engine from all else until the longest has ended: 2 s of an engine's time a version,
+	// 0.7 s with this, which is about as long as most streams run.
+	closeAhead = 1600 * time.Millisecond
 	// fetchMost is the longest that a fetch is not given up for a newer version.
 	fetchMost = 6 * time.Second
 	// orderAgain is the time after an order in which its effect must show in
@@ -57,9 +57,6 @@
 	Fence provider.Revision
 	// Turn is when an engine that serves an older version may be ordered.
 	Turn time.Time
-	// Cut says that requests that run may be cut by the order, because they can
-	// go on elsewhere.
-	Cut bool
 }
 
 // Plan is what a loader knows of its part of the fleet.
@@ -112,7 +109,9 @@
 	ordered  time.Time
 	// clearing is when routers were told to send nothing more, zero if not.
 	clearing time.Time
-	tomb     tomb.Tomb
+	// closes is the turn that the engine's next version has soon, zero if it has none.
+	closes time.Time
+	tomb   tomb.Tomb
 }
 
 // The names of steps.
@@ -132,9 +131,8 @@
 	Reason string
 	Err    error
 	Took   time.Duration
-	// Running is how many requests ran at an order, and Cut says that it cut them.
+	// Running is how many requests ran at an order.
 	Running int
-	Cut     bool
 }
 
 // Start begins to keep the engine; Stop ends it.
@@ -184,6 +182,7 @@
 
 // bringUp brings the engine nearer to the version that it should hold.
 func (k *Keeper) bringUp(ctx context.Context, plan Plan, report provider.EngineReport) {
+	k.closes = closing(plan, holds(report), k.now())
 	goal, c := k.next(plan, report)
 	if c == nil || report.Loading {
 		k.clearing = time.Time{}
@@ -204,7 +203,8 @@
 // cleared reports whether an engine that serves may be ordered: its turn has
 // come, what lies beside it was checked, the routers were told to send nothing
 // more, and what waited has begun. What waits at an order may begin on the old
-// version much later, when the engine stands still meanwhile.
+// version much later, when the engine stands still meanwhile. What runs is not waited
+// for: the engine takes nothing new until it has ended, and then loads.
 func (k *Keeper) cleared(ctx context.Context, goal Goal, c *swarm.Copy, report provider.EngineReport) bool {
 	now := k.now()
 	if now.Before(goal.Turn) {
@@ -222,14 +222,7 @@
 		return false
 	}
 	waited := now.Sub(k.clearing)
-	switch {
-	case waited > clearMost:
-		return true
-	case waited <= clearLeast || report.Waiting > 0:
-		return false
-	default:
-		return !goal.Cut || report.Running <= cutRunning || waited > cutAfter
-	}
+	return waited > clearMost || waited > clearLeast && report.Waiting == 0
 }
 
 func (k *Keeper) now() time.Time { return helpers.Now(k.Now) }
@@ -238,6 +231,23 @@
 // order is about to be given. Only OnReport may call it.
 func (k *Keeper) Clearing() bool { return !k.clearing.IsZero() }
 
+// Closes is when the engine is to be ordered, zero where that is not soon. Only OnReport
+// may call it.
+func (k *Keeper) Closes() time.Time { return k.closes }
+
+// closing returns the turn that an engine has soon, zero if it has none. Whether its copy
+// is whole by then does not matter: that shows too late for what runs.
+func closing(plan Plan, held int, now time.Time) time.Time {
+	var next time.Time
+	for _, goal := range append([]Goal{plan.Goal}, plan.Earlier...) {
+		soon := now.Before(goal.Turn) && !now.Before(goal.Turn.Add(-closeAhead))
+		if held > 0 && goal.Version > held && soon && (next.IsZero() || goal.Turn.Before(next)) {
+			next = goal.Turn
+		}
+	}
+	return next
+}
+
 // next chooses the version to order: the newest that is here whole and whose
 // turn has come, else the one whose turn comes first. It returns no copy where
 // there is nothing to order.
@@ -250,7 +260,7 @@
 		if goal.Version <= held || c == nil || !c.Complete() {
 			continue
 		}
-		if copied == nil || time.Now().Before(best.Turn) {
+		if copied == nil || k.now().Before(best.Turn) {
 			best, copied = goal, c
 		}
 		if held == 0 {
@@ -281,10 +291,10 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	result, err := k.Engine.Start(ctx, k.Address, provider.Order{
-		Model: goal.Model, Version: goal.Version, Fence: goal.Fence, Sequence: report.Sequence, Cut: goal.Cut,
+		Model: goal.Model, Version: goal.Version, Fence: goal.Fence, Sequence: report.Sequence,
 	})
 	k.ordered = k.now()
 	k.clearing = time.Time{}
-	reason := fmt.Sprintf("holds version %d, %d requests run, cut %t, order %s", holds(report), report.Running, goal.Cut, result)
-	k.OnStep(Step{Name: StepOrder, Version: goal.Version, Reason: reason, Err: err, Took: time.Since(started), Running: report.Running, Cut: goal.Cut})
+	reason := fmt.Sprintf("holds version %d, %d requests run, order %s", holds(report), report.Running, result)
+	k.OnStep(Step{Name: StepOrder, Version: goal.Version, Reason: reason, Err: err, Took: time.Since(started), Running: report.Running})
 }
--- a/daemon/internal/version/keep/keep_test.go
+++ b/daemon/internal/version/keep/keep_test.go
@@ -50,8 +50,6 @@
 	orders   int
 	// fenced counts the orders that were refused for their fence.
 	fenced int
-	// cut is how many running requests orders have cut.
-	cut int
 	// fence is the highest that the engine has seen.
 	fence provider.Revision
 	// loseAnswers is how many orders are taken without an answer.
@@ -125,9 +123,6 @@
 		assert.Equal(e.t, chunkOf(order.Version, index), e.staged[index], "ordered to take what is not whole")
 	}
 	assert.Zero(e.t, e.waiting, "ordered while requests wait")
-	if order.Cut {
-		e.cut += e.running
-	}
 	e.held = order.Version
 	e.sequence++
 	e.orders++
@@ -234,30 +229,44 @@
 	await(t, "version 2", func() bool { return e.version() == 2 })
 }
 
-// TestFewRunningRequestsAreCut: an order that may cut waits until few requests
-// run, and one that may not cuts none.
-func TestFewRunningRequestsAreCut(t *testing.T) {
-	tests := []struct {
-		name         string
-		mayCut       bool
-		running, cut int
-	}{
-		{"few", true, 2, 2},
-		{"few, but they cannot go on elsewhere", false, 2, 0},
-		{"many, after a while", true, 9, 9},
-		{"many, but they cannot go on elsewhere", false, 9, 0},
+// TestRunningRequestsAreNotWaitedFor: the engine ends them before it loads, so the order
+// is given with however many, and none of them is cut by it.
+func TestRunningRequestsAreNotWaitedFor(t *testing.T) {
+	for _, running := range []int{1, 2, 12} {
+		e := &engine{t: t, staged: map[int][]byte{}, held: 1, running: running}
+		e.clock.Store(time.Hour.Nanoseconds())
+		start(t, e, func() keep.Plan { return planOf(goal(2, time.Unix(0, 0))) })
+		await(t, "routers are told", e.cleared.Load)
+		assert.Equal(t, 1, e.version(), "routers are given time to hear of it")
+		e.pass(300 * time.Millisecond)
+		await(t, "version 2", func() bool { return e.version() == 2 })
 	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			e := &engine{t: t, staged: map[int][]byte{}, held: 1, running: test.running}
-			next := goal(2, time.Now().Add(-time.Second))
-			next.Cut = test.mayCut
-			k := start(t, e, func() keep.Plan { return planOf(next) })
-			await(t, "version 2", func() bool { return e.version() == 2 })
-			k.Stop()
-			assert.Equal(t, test.cut, e.cut)
-		})
+}
+
+// TestAnEngineClosesBeforeItsTurn: only so long before that most requests are done, and
+// not for a version that it holds.
+func TestAnEngineClosesBeforeItsTurn(t *testing.T) {
+	e := &engine{t: t, staged: map[int][]byte{}, held: 1}
+	began := time.Unix(0, time.Hour.Nanoseconds())
+	e.clock.Store(began.UnixNano())
+	turn := began.Add(10 * time.Second)
+	var closes atomic.Value
+	k := newKeeper(e, func() keep.Plan {
+		return planOf(goal(3, turn.Add(time.Hour)), goal(2, turn), goal(1, began.Add(time.Second)))
+	})
+	noted := k.OnReport
+	k.OnReport = func(report provider.EngineReport, err error) {
+		closes.Store(k.Closes())
+		noted(report, err)
 	}
+	k.Start()
+	t.Cleanup(k.Stop)
+	e.pass(8 * time.Second)
+	assert.Zero(t, closes.Load())
+	e.pass(time.Second)
+	assert.Equal(t, turn, closes.Load())
+	e.pass(2 * time.Second)
+	assert.Zero(t, closes.Load(), "its turn has come")
 }
 
 // TestIdleEngineIsOrderedAtOnce: there is nothing to wait for.
@@ -268,32 +277,6 @@
 	assert.False(t, e.cleared.Load(), "routers were not told to send nothing more")
 }
 
-// TestManyRunningRequestsAreGivenTime: the order comes as soon as few run, and
-// after a while in any case.
-func TestManyRunningRequestsAreGivenTime(t *testing.T) {
-	for _, left := range []int{1, 9} {
-		t.Run(fmt.Sprint(left, " are left"), func(t *testing.T) {
-			e := &engine{t: t, staged: map[int][]byte{}, held: 1, running: 9}
-			e.clock.Store(time.Hour.Nanoseconds())
-			next := goal(2, time.Unix(0, 0))
-			next.Cut = true
-			k := start(t, e, func() keep.Plan { return planOf(next) })
-			await(t, "routers are told", e.cleared.Load)
-			e.pass(500 * time.Millisecond)
-			assert.Equal(t, 1, e.version(), "many run")
-			e.mu.Lock()
-			e.running = left
-			e.mu.Unlock()
-			if left > 2 {
-				e.clock.Add(int64(time.Second))
-			}
-			await(t, "version 2", func() bool { return e.version() == 2 })
-			k.Stop()
-			assert.Equal(t, left, e.cut)
-		})
-	}
-}
-
 func TestLostAnswerIsNoSecondLoad(t *testing.T) {
 	e := &engine{t: t, staged: map[int][]byte{}, loseAnswers: 1}
 	k := start(t, e, func() keep.Plan { return planOf(goal(2, time.Time{})) })
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -219,12 +219,7 @@
 	}
 	window := turn.NewWindow(declared.Since(apply), apply, due)
 	place, hosts := p.place(declared.Model, declared.Version)
-	known := p.needs.Load()
-	return keep.Goal{
-		Model: declared.Model, Version: declared.Version, Fence: p.table.Newest(), Turn: window.Of(place, hosts),
-		// The early hosts are ordered as soon as can be, so they cut nothing.
-		Cut: known != nil && known.Resumable && !turn.IsEarly(place),
-	}
+	return keep.Goal{Model: declared.Model, Version: declared.Version, Fence: p.table.Newest(), Turn: window.Of(place, hosts)}
 }
 
 // place is this host's place among some hosts in the order of their turns.
--- a/daemon/loader/notes.go
+++ b/daemon/loader/notes.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"github.com/apex/log"
 
@@ -36,8 +37,11 @@
 		return
 	}
 	p.telemetry.SetReady()
-	loading := report.Loading || p.keeper.Clearing()
-	p.feed.Publish(loadfeed.Line{Running: report.Running, Waiting: report.Waiting, Loading: loading, Models: report.Models})
+	loading, closes := report.Loading || p.keeper.Clearing(), p.keeper.Closes()
+	p.feed.Publish(loadfeed.Line{
+		Running: report.Running, Waiting: report.Waiting, Loading: loading, ClosesIn: loadfeed.ClosesIn(closes, time.Now()), Models: report.Models,
+	})
+	p.ledger.Close(closes)
 	p.ledger.Observe(places.Load{Running: report.Running, Waiting: report.Waiting, Loading: loading}, true)
 }
 
@@ -57,7 +61,7 @@
 	case keep.StepFetch:
 		fields["bytes"] = p.received.fields()
 	case keep.StepOrder:
-		fields["engine"], fields["running"], fields["cut"] = p.current.Load().Engine, step.Running, step.Cut
+		fields["engine"], fields["running"] = p.current.Load().Engine, step.Running
 	}
 	if step.Reason != "" {
 		fields["choice"] = step.Reason
--- a/daemon/provider/engine.go
+++ b/daemon/provider/engine.go
@@ -38,9 +38,6 @@
 	Fence Revision
 	// Sequence is the engine's count of orders as the sender knows it.
 	Sequence uint64
-	// Cut has the engine break off the requests that run, instead of waiting
-	// for their end. Only streams that may go on elsewhere bear it.
-	Cut bool
 }
 
 // OrderResult is an engine's answer to an order.
