Keep an upstream until the second has begun, and let a broken stream wait for a place

Cause: a router ended a send whose head was late by 1.5 s, or a stream without an event for 1.2 s, and only then looked for a second upstream. A stream that broke off was also ended at the first 'no place'.

Change: a second upstream is looked for while the first is read on; whichever answers first goes to the caller, and a stream moves only when the second has begun. A head that arrives as its send is ended is not read under a context that is over. A broken stream looks for a place until 1.8 s after its last event. A caller who has left gets no empty answer.

--- a/daemon/internal/request/dispatch/answer.go
+++ b/daemon/internal/request/dispatch/answer.go
@@ -41,7 +41,7 @@
 	_ = response.Body.Close()
 	if err != nil {
 		choice.Done(q.outcomeOf(exchange.Unknown))
-		q.amendTry(fmt.Errorf("the answer broke off: %w", err))
+		q.amendTry(q.answering, fmt.Errorf("the answer broke off: %w", err))
 		if q.Context().Err() == nil && q.mayRepeat(exchange.Unknown) {
 			return false
 		}
@@ -51,7 +51,7 @@
 	if response.StatusCode >= http.StatusInternalServerError {
 		choice.Done(balance.Failed)
 		if q.mayRepeat(exchange.Unknown) {
-			q.amendTry(fmt.Errorf("status %d", response.StatusCode))
+			q.amendTry(q.answering, fmt.Errorf("status %d", response.StatusCode))
 			return false
 		}
 	} else {
@@ -154,9 +154,9 @@
 	q.story.Outcome, q.story.Status, q.story.Cause = ending, status, cause
 }
 
-// amendTry adds to the last try why its answer was not passed on.
-func (q *request) amendTry(err error) {
+// amendTry adds to a try why its answer was not passed on.
+func (q *request) amendTry(try int, err error) {
 	if !errors.Is(err, io.EOF) {
-		q.broken(&q.story.Tries[len(q.story.Tries)-1], err)
+		q.broken(&q.story.Tries[try], err)
 	}
 }
--- a/daemon/internal/request/dispatch/broken.go
+++ b/daemon/internal/request/dispatch/broken.go
@@ -21,7 +21,7 @@
 
 // Errors of sends that this router ended itself.
 var (
-	errImpatient = errors.New("no head of an answer in time, tried elsewhere")
+	errOvertaken = errors.New("no head of an answer in time, and another upstream answered")
 	errOutdated  = errors.New("it had not begun, and its version is not to be used any more")
 	errStalled   = errors.New("no event came in time")
 )
@@ -31,7 +31,7 @@
 	switch {
 	case q.Context().Err() != nil:
 		return BrokenByCaller
-	case errors.Is(err, errImpatient) || errors.Is(err, errStalled):
+	case errors.Is(err, errOvertaken) || errors.Is(err, errStalled):
 		return BrokenBySilence
 	case errors.Is(err, errOutdated):
 		return BrokenByVersion
--- a/daemon/internal/request/dispatch/broken_test.go
+++ b/daemon/internal/request/dispatch/broken_test.go
@@ -21,7 +21,7 @@
 	q.Pool.Tell("u1", balance.Told{Loading: true})
 	for breaker, err := range map[Breaker]error{
 		BrokenByUpstream: errors.New("connection reset by peer"),
-		BrokenBySilence:  fmt.Errorf("send to u1: %w", errImpatient),
+		BrokenBySilence:  fmt.Errorf("send to u1: %w", errOvertaken),
 		BrokenByVersion:  fmt.Errorf("send to u1: %w", errOutdated),
 		BrokenByDeadline: fmt.Errorf("stream from u1: %w", context.DeadlineExceeded),
 	} {
--- a/daemon/internal/request/dispatch/dispatch.go
+++ b/daemon/internal/request/dispatch/dispatch.go
@@ -129,7 +129,9 @@
 	// sent is the number of upstreams that have been given the request.
 	sent  int
 	tried []string
-	story *Story
+	// answering is the try whose answer is read.
+	answering int
+	story     *Story
 }
 
 // ServeHTTP answers one request.
@@ -163,7 +165,7 @@
 		}
 		if q.Context().Err() != nil {
 			q.end(EndLeft, 0, "the caller left")
-			return
+			panic(http.ErrAbortHandler) // a handler that returns sends an empty answer
 		}
 		if ctx.Err() != nil {
 			q.timeOut(result)
@@ -181,88 +183,10 @@
 	errOverloaded = errors.New("every upstream is so loaded that the answer would be late")
 )
 
-// try chooses an upstream and sends the request there. Where there is none, or
-// none that could begin in time, it sends nothing and returns why. lastEvent is
-// the event after which a stream goes on.
-func (q *request) try(ctx context.Context, lastEvent string) (balance.Choice, exchange.Result, error) {
-	choice, err := q.place(ctx)
-	if err != nil {
-		return choice, exchange.Result{}, err
-	}
-	expected := 0
-	if q.query().Version > 0 {
-		expected = choice.Version // an engine that is not what it seems refuses
-	}
-	started := time.Now()
-	sendCtx, stop := q.impatient(ctx, choice)
-	result := q.Client.Do(sendCtx, exchange.Send{
-		Incoming: q.Request, Body: q.body, Upstream: choice.Upstream, Account: q.accountName(),
-		Left: time.Until(q.deadline), Priority: q.priority, Version: expected, LastEvent: lastEvent,
-		Fresh: q.route.Mode == provider.ModeUnsafe || q.route.Mode == provider.ModeStream && !q.route.Resumable,
-	})
-	stop()
-	q.tried = append(q.tried, choice.Upstream.ID)
-	if result.Fate != exchange.Unsent {
-		q.sent++
-	}
-	q.noteTry(choice, result, started)
-	if result.Fate != exchange.Answered {
-		choice.Done(q.outcomeOf(result.Fate))
-	}
-	return choice, result, nil
-}
-
 // usualPrompt stands for the prompts that wait, in tokens, where the configuration does
 // not tell.
 const usualPrompt = 900.0
 
-const (
-	// headPatience is how long the head of an answer may take before the
-	// request is tried elsewhere, and silentPatience the same where the
-	// upstream's host has fallen silent.
-	headPatience   = 1500 * time.Millisecond
-	silentPatience = 300 * time.Millisecond
-	// patienceStep is the interval in which that is looked at.
-	patienceStep = 100 * time.Millisecond
-)
-
-// impatient returns a context that ends when a request that may be repeated
-// waits too long for its head, or waits at an engine whose version is no longer
-// to be used. Stop must be called once the head is there: it leaves the context
-// alive, because the answer's body is read under it.
-func (q *request) impatient(ctx context.Context, choice balance.Choice) (_ context.Context, stop func()) {
-	again := q.repeatable() && q.sent+1 < q.route.MaxAttempts
-	if !again && choice.Version == 0 {
-		return ctx, func() {}
-	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	headThere := make(chan struct{})
-	go func() {
-		started := time.Now()
-		for helpers.Pause(patienceStep, headThere) {
-			if q.outdated(choice) {
-				cancel(errOutdated)
-				return
-			}
-			if again && q.slow(choice, time.Since(started)) {
-				cancel(errImpatient)
-				return
-			}
-		}
-	}()
-	return ctx, func() { close(headThere) }
-}
-
-func (q *request) slow(choice balance.Choice, waited time.Duration) bool {
-	return waited > headPatience || waited > silentPatience && q.Pool.Silent(choice.Upstream.ID)
-}
-
-// outdated reports whether a request that has not begun must not begin any more
-// on the version that the upstream held.
-func (q *request) outdated(choice balance.Choice) bool {
-	return choice.Version > 0 && choice.Version < q.query().Version
-}
-
 // query says what the upstream must hold.
 func (q *request) query() balance.Query {
 	query := balance.Query{Tried: q.tried}
@@ -302,7 +226,6 @@
 //	stream, not resumable yes     yes, within attempts  no
 //	safe, resumable       yes     yes, within attempts  yes, within attempts
 func (q *request) mayRepeat(fate exchange.Fate) bool {
-	const maxTried = 4 // connections that fail are no sends, but take time
 	if fate == exchange.Answered || len(q.tried) >= maxTried {
 		return false
 	}
@@ -339,6 +262,9 @@
 	if result.Err != nil {
 		q.broken(&try, result.Err)
 	}
+	if result.Fate == exchange.Answered {
+		q.answering = len(q.story.Tries)
+	}
 	q.story.Tries = append(q.story.Tries, try)
 }
 
--- a/daemon/internal/request/dispatch/stream.go
+++ b/daemon/internal/request/dispatch/stream.go
@@ -13,20 +13,17 @@
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/exchange"
 )
 
-// stallTime is the longest pause between events before a stream goes on at
-// another upstream.
-const stallTime = 1200 * time.Millisecond
-
 var errGap = errors.New("an event is missing")
 
 // stream passes events on as they come, whole ones only. Where an upstream
 // breaks off, the stream goes on at another after the last event that went out;
 // the head and its signature stay those of the first.
 func (q *request) stream(ctx context.Context, choice balance.Choice, response *http.Response) bool {
-	s := &stream{request: q}
+	s := &stream{request: q, passed: time.Now()}
 	s.last, s.hasLast = q.callersLast()
 	for {
-		err := s.copy(choice, response)
+		reading := q.answering
+		next, err := s.copy(ctx, choice, response)
 		if err == nil {
 			choice.Done(balance.Served)
 			if !s.headSent {
@@ -37,11 +34,14 @@
 			return true
 		}
 		choice.Done(q.brokenOff(choice))
-		q.amendTry(err)
-		choice, response = s.goOn(ctx) //nolint:bodyclose // copy closes each body
-		if response == nil {
+		q.amendTry(reading, err)
+		if next == nil {
+			next = s.goOn(ctx)
+		}
+		if next == nil {
 			return s.cut(ctx, err)
 		}
+		choice, response = next.choice, next.response
 	}
 }
 
@@ -66,33 +66,36 @@
 	// last is the number of the last event that went out, if there was one.
 	last    int64
 	hasLast bool
+	// passed is when the last event went out, or the stream began.
+	passed time.Time
 }
 
-// copy passes one upstream's events on until its end; nil means a good one.
-func (s *stream) copy(choice balance.Choice, response *http.Response) error {
+// copy passes one upstream's events on until its end; no error means a good one. Where the
+// stream has begun at another upstream meanwhile, it returns that.
+func (s *stream) copy(ctx context.Context, choice balance.Choice, response *http.Response) (*begun, error) {
 	defer func() { _ = response.Body.Close() }()
-	stalled := time.AfterFunc(stallTime, func() { _ = response.Body.Close() })
-	defer stalled.Stop()
+	stalled := s.watch(ctx, response)
+	defer func() { stalled.cancel() }()
 	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 	events := exchange.NewEvents(response.Body, framed)
 	for {
 		event, err := events.Next()
-		if errors.Is(err, io.EOF) {
-			return nil
+		if next := stalled.rest(); next != nil {
+			return next, fmt.Errorf("%w from %s", errStalled, choice.Upstream.ID)
 		}
-		if err != nil && !stalled.Stop() {
-			return fmt.Errorf("%w from %s: %w", errStalled, choice.Upstream.ID, err)
+		if errors.Is(err, io.EOF) {
+			return nil, nil
 		}
 		if err != nil {
-			return fmt.Errorf("stream from %s: %w", choice.Upstream.ID, err)
+			return nil, fmt.Errorf("stream from %s: %w", choice.Upstream.ID, err)
 		}
-		stalled.Reset(stallTime)
 		if err := s.pass(response, event); err != nil {
-			return err
+			return nil, err
 		}
 		if !events.Buffered() {
 			_ = http.NewResponseController(s.writer).Flush()
 		}
+		stalled.again()
 	}
 }
 
@@ -112,6 +115,7 @@
 	if _, err := s.writer.Write(event.Bytes); err != nil {
 		return fmt.Errorf("write to the caller: %w", err)
 	}
+	s.passed = time.Now()
 	if event.HasID {
 		s.last, s.hasLast = event.ID, true
 	}
@@ -124,32 +128,6 @@
 	s.headSent = true
 }
 
-// goOn finds another upstream; the response is nil where there is none.
-func (s *stream) goOn(ctx context.Context) (balance.Choice, *http.Response) {
-	fate := exchange.Unknown
-	for ctx.Err() == nil && s.mayRepeat(fate) {
-		lastEvent := ""
-		if s.hasLast {
-			lastEvent = strconv.FormatInt(s.last, 10)
-		}
-		choice, result, err := s.try(ctx, lastEvent)
-		if err != nil {
-			break
-		}
-		if result.Fate != exchange.Answered {
-			fate = result.Fate
-			continue
-		}
-		if result.Response.StatusCode/100 == 2 {
-			return choice, result.Response
-		}
-		_ = result.Response.Body.Close()
-		choice.Done(balance.Failed)
-		fate = exchange.Unknown
-	}
-	return balance.Choice{}, nil
-}
-
 // cut ends a stream that cannot go on, so that it does not look complete.
 func (s *stream) cut(ctx context.Context, cause error) bool {
 	switch {
--- a/daemon/router/kept_test.go
+++ b/daemon/router/kept_test.go
@@ -74,3 +74,74 @@
 		})
 	}
 }
+
+// TestASecondTakesOverFromASilentFirst: what a first upstream that hangs has not answered
+// comes from a second, and a stream goes on after the last event.
+func TestASecondTakesOverFromASilentFirst(t *testing.T) {
+	hangs := func(to int) func(release <-chan struct{}) upstreamFunc {
+		return func(release <-chan struct{}) upstreamFunc {
+			return func(request *http.Request, connection net.Conn) {
+				if to > 0 {
+					sendEvents(request, connection, to)
+				}
+				<-release
+			}
+		}
+	}
+	tests := map[string]struct {
+		target, body, lastEvent string
+		first                   func(release <-chan struct{}) upstreamFunc
+		second                  upstreamFunc
+	}{
+		"safe, no head":    {"/safe/x", "answer to id-1", "", hangs(0), good},
+		"stream, no head":  {"/stream/x", wantEvents(6), "", hangs(0), events(6, true, "")},
+		"stream, no event": {"/stream/x", wantEvents(6), "2", hangs(2), events(6, true, "")},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			release := make(chan struct{})
+			t.Cleanup(func() { close(release) })
+			s, first, set := startServing(t, "first", good)
+			second := startUpstream(t, "second", test.second)
+			relist := upstreamFunc(func(request *http.Request, connection net.Conn) {
+				s.list(second.record())
+				awaitListed(s, set, "u/second")
+				test.first(release)(request, connection)
+			})
+			first.answer.Store(&relist)
+
+			got := call(t, set, "id-1", "POST", test.target, "body")
+			require.NoError(t, got.err)
+			assert.Equal(t, test.body, got.body)
+			assert.Equal(t, test.lastEvent, second.last().Header.Get("Last-Event-Id"))
+			assert.Equal(t, int64(1), second.ran.Load())
+		})
+	}
+}
+
+// TestABrokenStreamWaitsForAPlace: at the moment at which an upstream breaks off there may
+// be none that fits. The stream waits for one as long as its caller does.
+func TestABrokenStreamWaitsForAPlace(t *testing.T) {
+	s, first, set := startServing(t, "first", good)
+	second := startUpstream(t, "second", events(6, true, ""))
+	breaking := upstreamFunc(func(request *http.Request, connection net.Conn) {
+		sendEvents(request, connection, 3)
+		_ = connection.Close()
+		s.list(second.record())
+	})
+	first.answer.Store(&breaking)
+
+	got := call(t, set, "id-1", "POST", "/stream/x", "body")
+	require.NoError(t, got.err)
+	assert.Equal(t, wantEvents(6), got.body)
+	assert.Equal(t, "3", second.last().Header.Get("Last-Event-Id"))
+}
+
+// sendEvents sends the first events of a stream whose end does not come.
+func sendEvents(request *http.Request, connection net.Conn, to int) {
+	_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nSignature: sig\r\nTransfer-Encoding: chunked\r\n\r\n", request.Header.Get("Request-Id"))
+	for id := 1; id <= to; id++ {
+		event := fmt.Sprintf("id: %d\ndata: token\n\n", id)
+		_, _ = fmt.Fprintf(connection, "%x\r\n%s\r\n", len(event), event)
+	}
+}
