--- a/daemon/internal/request/dispatch/answer.go
+++ b/daemon/internal/request/dispatch/answer.go
@@ -48,25 +48,39 @@
 		q.giveUp(exchange.Result{Fate: exchange.Unknown, Err: err})
 		return true
 	}
-	if response.StatusCode >= http.StatusInternalServerError {
-		choice.Done(balance.Failed)
-		if q.mayRepeat(exchange.Unknown) {
-			q.amendTry(q.answering, fmt.Errorf("status %d", response.StatusCode))
-			return false
-		}
-	} else {
+	answer := wholeAnswer{response, body}
+	if response.StatusCode < http.StatusInternalServerError {
 		choice.Done(balance.Served)
+		q.passWhole(answer)
+		return true
 	}
-	q.passHead(response)
-	q.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	q.writer.WriteHeader(response.StatusCode)
-	_, _ = q.writer.Write(body)
+	choice.Done(balance.Failed)
+	if q.mayRepeat(exchange.Unknown) {
+		q.amendTry(q.answering, fmt.Errorf("status %d", response.StatusCode))
+		q.failure = &answer
+		return false
+	}
+	q.passWhole(answer)
+	return true
+}
+
+// wholeAnswer is an upstream's answer and its body, to the end.
+type wholeAnswer struct {
+	*http.Response
+	body []byte
+}
+
+// passWhole passes a whole answer on.
+func (q *request) passWhole(answer wholeAnswer) {
+	q.passHead(answer.Response)
+	q.writer.Header().Set("Content-Length", strconv.Itoa(len(answer.body)))
+	q.writer.WriteHeader(answer.StatusCode)
+	_, _ = q.writer.Write(answer.body)
 	ending := EndServed
-	if response.StatusCode >= http.StatusBadRequest {
+	if answer.StatusCode >= http.StatusBadRequest {
 		ending = EndFailed
 	}
-	q.end(ending, response.StatusCode, "")
-	return true
+	q.end(ending, answer.StatusCode, "")
 }
 
 func (q *request) passHead(response *http.Response) {
@@ -136,8 +150,14 @@
 	q.fail(status, EndRejected, cause)
 }
 
-// fail writes an answer of our own. It never carries a signature.
+// fail writes an answer of our own, which never carries a signature, or the upstream's own
+// failure where one was kept while another upstream was tried.
 func (q *request) fail(status int, ending Ending, cause string) {
+	if q.failure != nil {
+		q.passWhole(*q.failure)
+		q.story.Cause = "none answered after the failure: " + cause
+		return
+	}
 	header := q.writer.Header()
 	if q.story.ID != "" {
 		header.Set(q.Headers.RequestID, q.story.ID)
--- a/daemon/internal/request/dispatch/dispatch.go
+++ b/daemon/internal/request/dispatch/dispatch.go
@@ -131,7 +131,9 @@
 	tried []string
 	// answering is the try whose answer is read.
 	answering int
-	story     *Story
+	// failure is an upstream's own failure, kept until another upstream has answered.
+	failure *wholeAnswer
+	story   *Story
 }
 
 // ServeHTTP answers one request.
--- a/daemon/router/kept_test.go
+++ b/daemon/router/kept_test.go
@@ -145,3 +145,23 @@
 		_, _ = fmt.Fprintf(connection, "%x\r\n%s\r\n", len(event), event)
 	}
 }
+
+// TestAFailureIsKeptUntilASecondAnswers: an upstream's own failure goes to the caller where
+// the second upstream refuses, not an answer that tells nothing.
+func TestAFailureIsKeptUntilASecondAnswers(t *testing.T) {
+	s, first, set := startServing(t, "first", good)
+	second := startUpstream(t, "second", refusing)
+	failing := upstreamFunc(func(request *http.Request, connection net.Conn) {
+		s.list(second.record())
+		awaitListed(s, set, "u/second")
+		whole(request, connection, http.StatusInternalServerError, "it failed", "")
+	})
+	first.answer.Store(&failing)
+
+	got := call(t, set, "id-1", "GET", "/safe/x", "")
+	require.NoError(t, got.err)
+	assert.Equal(t, http.StatusInternalServerError, got.status)
+	assert.Equal(t, "it failed", got.body)
+	assert.Equal(t, "sig", got.header.Get("Signature"))
+	assert.Equal(t, int64(1), second.ran.Load())
+}
