Have the soak find changes that cut, with streams that outlast a drain

The soak excused every connection that broke but at a stop, its streams took 0.16 s and its routes allowed three sends, so orders that cut showed nothing. Now a tenth of requests are streams of 3 s, streams have two sends as routes in use have, and a router that runs must not break a connection for a change or a fault of store, loaders or origin (CheckCut, with its mutant). An outcome in the oracle's test that broke with no fault in the way is a fault now; its case names one.

--- a/cli/internal/soak/caller.go
+++ b/cli/internal/soak/caller.go
@@ -80,11 +80,13 @@
 	}
 }
 
-// draw chooses the next request: half of them streams, a tenth probes.
+// draw chooses the next request: half of them streams, some of these long, a tenth probes.
 func (c *caller) draw() request {
 	switch drawn := rand.IntN(20); {
+	case drawn < 2:
+		return request{path: standin.LongPath + "x", key: constantKey}
 	case drawn < 10:
-		return request{path: "/stream/x", key: constantKey}
+		return request{path: standin.StreamPath + "x", key: constantKey}
 	case drawn < 14:
 		return request{path: unsafePath + "x", key: constantKey}
 	case drawn < 18:
--- a/cli/internal/soak/fleet.go
+++ b/cli/internal/soak/fleet.go
@@ -291,7 +291,7 @@
 	defer f.declaring.Unlock()
 	next := int(f.newest.Load()) + 1
 	route := func(name, prefix, service string, mode provider.Mode) provider.Route {
-		const attempts, objective = 3, 300 * time.Millisecond
+		const attempts, objective = 2, 300 * time.Millisecond
 		return provider.Route{
 			Name: name, Host: callersHost, Prefix: prefix, Mode: mode, Timeout: callTimeout, Objective: objective,
 			MaxAttempts: attempts, Resumable: mode == provider.ModeStream, Shares: []provider.Share{{Service: service, Weight: 1}},
--- a/cli/internal/soak/oracle.go
+++ b/cli/internal/soak/oracle.go
@@ -41,6 +41,7 @@
 	CheckNotRun        Check = "not run is true"
 	CheckLeaving       Check = "nothing to the leaving"
 	CheckStop          Check = "stops cut nothing"
+	CheckCut           Check = "changes cut nothing"
 	CheckConfiguration Check = "configuration in time"
 	CheckBack          Check = "configuration never back"
 	CheckWeights       Check = "weights whole"
@@ -230,6 +231,7 @@
 	switch {
 	case outcome.Err != nil:
 		o.checkStop(outcome)
+		o.checkCut(outcome)
 	case outcome.Status == http.StatusOK:
 		o.checkWhole(outcome)
 	case outcome.Status == http.StatusServiceUnavailable && !outcome.Signed:
@@ -246,7 +248,7 @@
 	want := standin.Answer(outcome.ID)
 	if strings.HasPrefix(outcome.Path, standin.StreamPath) {
 		want = ""
-		for number := 1; number <= standin.StreamEvents; number++ {
+		for number := 1; number <= standin.Events(outcome.Path); number++ {
 			want += standin.Event(outcome.ID, number)
 		}
 	}
@@ -270,6 +272,18 @@
 		outcome.Router, outcome.Ended.Sub(outcome.Started).Round(time.Millisecond), outcome.Status, outcome.Err)
 }
 
+// checkCut has a look at connections that broke while their router ran. Configurations and
+// versions, and faults of the store, of loaders and of the origin, give no reason to break
+// one that carries a request.
+func (o *Oracle) checkCut(outcome Outcome) {
+	ran := outcome.Before.state == Running && outcome.After.state == Running && outcome.Before.starts == outcome.After.starts
+	if outcome.Unsent || !ran || o.disturbed(outcome.Started, outcome.Ended, outcome.Router, "router", "upstream", "link", "all") {
+		return
+	}
+	o.violatef(CheckCut, outcome.ID, "%s broke a connection %s after the request was sent, status %d: %v",
+		outcome.Router, outcome.Ended.Sub(outcome.Started).Round(time.Millisecond), outcome.Status, outcome.Err)
+}
+
 // checkProbe judges by which configuration a router answered. The path of a probe is
 // served, and its key valid, by one configuration only.
 func (o *Oracle) checkProbe(outcome Outcome) {
--- a/cli/internal/soak/oracle_test.go
+++ b/cli/internal/soak/oracle_test.go
@@ -50,6 +50,13 @@
 	return outcome
 }
 
+// broken is a stream whose connection broke in its middle.
+func broken(after condition) Outcome {
+	outcome := outcomeOf(standin.LongPath+"x", http.StatusOK, streamed()[:40])
+	outcome.Err, outcome.After = errBroken, after
+	return outcome
+}
+
 func later(d time.Duration) { <-time.After(d) } // by the clock of the test's bubble
 
 // TestEachCheckFindsItsFault feeds the oracle with what a daemon that breaks one promise
@@ -78,6 +85,7 @@
 			CheckWhole,
 			func(o *Oracle) { o.Ended(outcomeOf(standin.StreamPath+"x", http.StatusOK, streamed()[:40])) },
 			func(o *Oracle) {
+				o.Strike(UpstreamCut, "u")
 				outcome := outcomeOf(standin.StreamPath+"x", http.StatusOK, streamed()[:40])
 				outcome.Err = errBroken
 				o.Ended(outcome)
@@ -134,6 +142,18 @@
 				o.Reached("id", "u")
 			},
 		},
+		"a version that cuts": {
+			CheckCut,
+			func(o *Oracle) {
+				o.Strike(LoaderKill, "loader")
+				o.Named(2)
+				o.Ended(broken(running()))
+			},
+			func(o *Oracle) {
+				o.Strike(UpstreamCut, "u")
+				o.Ended(broken(running()))
+			},
+		},
 		"a stop that cuts": {
 			CheckStop,
 			func(o *Oracle) { o.Ended(stopping()) },
