Let a search for a second upstream outlive the first

The search was ended with the first, which had taken the route's last send, and the answer was cut. Now it goes on as long as its caller waits. Ended sends say nothing against their upstream, all of them end with the search, and no place is asked for without budget. Test: TestASearchOutlivesItsFirst, cut before.

--- a/daemon/internal/request/dispatch/seek.go
+++ b/daemon/internal/request/dispatch/seek.go
@@ -35,14 +35,12 @@
 // or the stream's own is over, or no send is left. It returns nil where it does not go on.
 func (s *stream) seek(ctx, seeking context.Context) *begun {
 	for seeking.Err() == nil && s.mayHaveSecond() {
-		send := s.beginSecond(ctx, s.lastEvent())
+		send := s.beginSecond(ctx, seeking, s.lastEvent())
 		if send == nil {
 			helpers.Pause(seekAgain, seeking.Done())
 			continue
 		}
-		stop := context.AfterFunc(seeking, func() { send.end(errOvertaken) })
-		choice, result := s.await(ctx, send, s.lastEvent())
-		stop()
+		choice, result := s.await(ctx, seeking, send, s.lastEvent())
 		if good(result) {
 			return &begun{choice, result.Response}
 		}
@@ -64,12 +62,24 @@
 
 // goOn looks for another upstream after the stream broke off.
 func (s *stream) goOn(ctx context.Context) *begun {
-	left := max(time.Until(s.passed.Add(gapMost)), seekLeast)
-	seeking, cancel := context.WithTimeout(ctx, left)
+	seeking, cancel := context.WithTimeout(ctx, s.gapLeft())
 	defer cancel()
 	return s.seek(ctx, seeking)
 }
 
+// gapLeft is how long a stream that has broken off may take to go on.
+func (s *stream) gapLeft() time.Duration {
+	return max(time.Until(s.passed.Add(gapMost)), seekLeast)
+}
+
+// drop ends a stream that is not needed.
+func (b *begun) drop() {
+	if b != nil {
+		_ = b.response.Body.Close()
+		b.choice.Done(balance.Abandoned)
+	}
+}
+
 // stall looks for a second upstream once the first has sent no event for a while.
 type stall struct {
 	stream *stream
@@ -84,6 +94,8 @@
 	cancel  context.CancelFunc
 	done    chan struct{}
 	found   *begun
+	// closedFirst says that the first upstream was silent until the second had begun.
+	closedFirst bool
 }
 
 // watch begins to wait for a stall.
@@ -103,16 +115,22 @@
 func (w *stall) run() {
 	defer close(w.done)
 	if w.found = w.stream.seek(w.ctx, w.seeking); w.found != nil {
+		w.closedFirst = true
 		_ = w.first.Body.Close()
 	}
 }
 
-// rest is called when the first upstream has sent an event or broken off. It ends a search
-// and returns the second upstream where that has begun.
-func (w *stall) rest() *begun {
+// rest is called when the first upstream has sent an event or ended. It ends a search and
+// returns the second upstream where that has begun.
+func (w *stall) rest() *begun { return w.outcome(0) }
+
+// outcome is called when the first upstream has broken off. It gives a search that is under
+// way some time more: ended, it would have taken a send for nothing, maybe the last.
+func (w *stall) outcome(left time.Duration) *begun {
 	if w.timer.Stop() {
 		return nil
 	}
+	helpers.Pause(left, w.done)
 	w.cancel()
 	<-w.done
 	return w.found
--- a/daemon/internal/request/dispatch/send.go
+++ b/daemon/internal/request/dispatch/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -77,7 +78,10 @@
 // settle notes what became of a send.
 func (q *request) settle(s *sending, result exchange.Result) {
 	q.note(s, result)
-	if result.Fate != exchange.Answered {
+	switch {
+	case errors.Is(result.Err, errOvertaken):
+		s.choice.Done(balance.Abandoned)
+	case result.Fate != exchange.Answered:
 		s.choice.Done(q.outcomeOf(result.Fate))
 	}
 }
@@ -106,14 +110,18 @@
 }
 
 // await waits for the head of the answer to a send. Where it is late it sends the request
-// elsewhere too, and returns whichever answers first.
-func (q *request) await(ctx context.Context, first *sending, lastEvent string) (balance.Choice, exchange.Result) {
+// elsewhere too, and returns whichever answers first. All sends end with the time of
+// seeking, if none has answered by then; the answer's body is read under ctx.
+func (q *request) await(ctx, seeking context.Context, first *sending, lastEvent string) (balance.Choice, exchange.Result) {
 	var second *sending
 	look := time.NewTicker(patienceStep)
 	defer look.Stop()
-	seekAt := time.Time{}
+	seekAt, over := time.Time{}, seeking.Done()
 	for {
 		select {
+		case <-over:
+			endAll(errOvertaken, first, second)
+			over = nil
 		case result := <-first.result:
 			if result.Fate != exchange.Answered && second != nil {
 				q.settle(first, result)
@@ -135,7 +143,7 @@
 		case now := <-look.C:
 			q.endOutdated(first, second)
 			if second == nil && q.slow(first) && now.After(seekAt) {
-				second = q.beginSecond(ctx, lastEvent)
+				second = q.beginSecond(ctx, seeking, lastEvent)
 				seekAt = now.Add(seekAgain)
 			}
 		}
@@ -150,6 +158,15 @@
 	return s.result
 }
 
+// endAll ends sends whose heads have not come.
+func endAll(cause error, sends ...*sending) {
+	for _, s := range sends {
+		if s != nil {
+			s.end(cause)
+		}
+	}
+}
+
 // endOutdated ends sends that have not begun and must not begin any more on the version
 // that their upstream held.
 func (q *request) endOutdated(sends ...*sending) {
@@ -171,13 +188,13 @@
 	return q.repeatable() && q.sent < q.route.MaxAttempts && len(q.tried) < maxTried
 }
 
-// beginSecond sends the request to another upstream if one has a place and the budget
-// allows it, else it returns nil.
-func (q *request) beginSecond(ctx context.Context, lastEvent string) *sending {
-	if !q.mayHaveSecond() {
+// beginSecond sends the request to another upstream if one has a place, which is asked for
+// as long as the time of seeking lasts, and the budget allows it. Else it returns nil.
+func (q *request) beginSecond(ctx, seeking context.Context, lastEvent string) *sending {
+	if !q.mayHaveSecond() || q.Budget.Left(q.service.Name) < 1 {
 		return nil
 	}
-	choice, err := q.place(ctx)
+	choice, err := q.place(seeking)
 	if err != nil {
 		return nil
 	}
@@ -196,7 +213,7 @@
 	if err != nil {
 		return choice, exchange.Result{}, err
 	}
-	choice, result := q.await(ctx, q.begin(ctx, choice, lastEvent), lastEvent)
+	choice, result := q.await(ctx, ctx, q.begin(ctx, choice, lastEvent), lastEvent)
 	return choice, result, nil
 }
 
--- a/daemon/internal/request/dispatch/stream.go
+++ b/daemon/internal/request/dispatch/stream.go
@@ -80,14 +80,19 @@
 	events := exchange.NewEvents(response.Body, framed)
 	for {
 		event, err := events.Next()
-		if next := stalled.rest(); next != nil {
-			return next, fmt.Errorf("%w from %s", errStalled, choice.Upstream.ID)
-		}
 		if errors.Is(err, io.EOF) {
+			stalled.rest().drop()
 			return nil, nil
 		}
 		if err != nil {
-			return nil, fmt.Errorf("stream from %s: %w", choice.Upstream.ID, err)
+			next := stalled.outcome(s.gapLeft())
+			if stalled.closedFirst {
+				err = errStalled
+			}
+			return next, fmt.Errorf("stream from %s: %w", choice.Upstream.ID, err)
+		}
+		if next := stalled.rest(); next != nil {
+			return next, fmt.Errorf("stream from %s: %w", choice.Upstream.ID, errStalled)
 		}
 		if err := s.pass(response, event); err != nil {
 			return nil, err
--- a/daemon/router/kept_test.go
+++ b/daemon/router/kept_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -137,6 +138,13 @@
 	assert.Equal(t, "3", second.last().Header.Get("Last-Event-Id"))
 }
 
+// awaitEnd gives a router time to end a connection that it must keep.
+func awaitEnd(connection net.Conn) {
+	const long = 300 * time.Millisecond
+	_ = connection.SetReadDeadline(time.Now().Add(long))
+	_, _ = connection.Read(make([]byte, 1))
+}
+
 // sendEvents sends the first events of a stream whose end does not come.
 func sendEvents(request *http.Request, connection net.Conn, to int) {
 	_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nSignature: sig\r\nTransfer-Encoding: chunked\r\n\r\n", request.Header.Get("Request-Id"))
@@ -165,3 +173,32 @@
 	assert.Equal(t, "sig", got.header.Get("Signature"))
 	assert.Equal(t, int64(1), second.ran.Load())
 }
+
+// TestASearchOutlivesItsFirst: a stream falls silent, and breaks off while a second upstream
+// has been asked and has not begun. Ended then, the search would have taken the last send
+// that the route allows.
+func TestASearchOutlivesItsFirst(t *testing.T) {
+	s, first, set := startServing(t, "first", good)
+	asked, broken := make(chan struct{}), make(chan struct{})
+	rest := events(6, true, "")
+	second := startUpstream(t, "second", func(request *http.Request, connection net.Conn) {
+		close(asked)
+		<-broken
+		awaitEnd(connection)
+		rest(request, connection)
+	})
+	silent := upstreamFunc(func(request *http.Request, connection net.Conn) {
+		s.list(second.record())
+		awaitListed(s, set, "u/second")
+		sendEvents(request, connection, 2)
+		<-asked
+		_ = connection.Close()
+		close(broken)
+	})
+	first.answer.Store(&silent)
+
+	got := call(t, set, "id-1", "POST", "/stream/x", "body")
+	require.NoError(t, got.err)
+	assert.Equal(t, wantEvents(6), got.body)
+	assert.Equal(t, int64(1), second.ran.Load())
+}
