--- /dev/null
+++ b/daemon/router/stop_test.go
@@ -0,0 +1,84 @@
+package router_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wheelcleat/wheelcleat/api"
+	"github.com/wheelcleat/wheelcleat/daemon/provider"
+	"github.com/wheelcleat/wheelcleat/daemon/router"
+	"github.com/wheelcleat/wheelcleat/daemon/settings"
+)
+
+// A router still ran 13 s after SIGTERM, once, while engines came and went: its bound is 8 s.
+// A stop ends the feeds of engines' loads and waits for them, and news of the store that came
+// meanwhile had it follow engines again, which nothing ended. The log had "stopping" and no
+// "stopped".
+
+// TestAStopEndsWhileEnginesChange: a router ends although its list of engines changes all
+// the time.
+func TestAStopEndsWhileEnginesChange(t *testing.T) {
+	s := &surroundings{}
+	configuration := basic(1)
+	configuration.Services = []provider.Service{{Name: "s", Engine: &provider.EngineSpec{Model: "m", Places: 4}}}
+	s.configure(configuration)
+	ports := freePorts(t, 4)
+	engine := func(i int) provider.Upstream {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 78 + byte(i/250), byte(1 + i%250)}), 1)
+		return provider.Upstream{ID: fmt.Sprint("u", i), Service: "s", Address: address, Hall: "hall", Places: 4}
+	}
+	const engines = 400
+	for i := range engines {
+		s.list(engine(i))
+	}
+	set := settings.Router{
+		Role: settings.RoleRouter, Name: "r1", Hall: "hall", Store: netip.MustParseAddrPort("127.0.0.1:1"), LoaderPort: 1,
+		Listen: settings.RouterListen{Callers: ports[0], Ready: ports[1], Peers: ports[2], Metrics: ports[3]},
+		Drain:  api.Duration(5 * time.Second),
+	}
+	p, err := router.New(set, router.Options{
+		Provider: func(netip.AddrPort, *http.Client, *http.Client) provider.Provider { return s.provider(set.Name) },
+		LameDuck: time.Millisecond, LogOutput: io.Discard,
+	})
+	require.NoError(t, err)
+	require.NoError(t, p.Start())
+	await(t, "ready", func() bool { return ready(set) })
+
+	ended := make(chan struct{})
+	changing := make(chan struct{})
+	go func() {
+		defer close(changing)
+		for i := 0; ; i++ {
+			select {
+			case <-ended:
+				return
+			default:
+			}
+			changed := engine(i % engines)
+			changed.Leaving = i/engines%2 == 0
+			s.list(changed)
+		}
+	}()
+	go func() {
+		defer close(ended)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = p.Stop(ctx)
+	}()
+	await(t, "the stop ends", func() bool {
+		select {
+		case <-ended:
+			return true
+		default:
+			return false
+		}
+	})
+	<-changing
+}
