--- a/cli/internal/explain/explain_test.go
+++ b/cli/internal/explain/explain_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -40,3 +41,18 @@
 		})
 	}
 }
+
+// TestACutNamesWhoEndedEachSend: the two tries of a stream that was given up before its
+// second upstream broke off.
+func TestACutNamesWhoEndedEachSend(t *testing.T) {
+	const line = `{"fields":{"name":"router-1","role":"router","request":"cut-1","outcome":"cut","took":"2.1s","tries":[` +
+		`{"upstream":"u1","fate":"unknown","cause":"no head","brokenBy":"silence"},` +
+		`{"upstream":"u2","fate":"answered","cause":"connection reset by peer","brokenBy":"upstream","loading":true}]},` +
+		`"level":"info","timestamp":"2026-12-02T22:02:17Z","message":"request ended"}`
+	story, err := explain.Tell("cut-1", strings.NewReader(line))
+	require.NoError(t, err)
+	var got bytes.Buffer
+	require.NoError(t, story.Print(&got))
+	assert.Contains(t, got.String(), "cause: no head\n    ended by: silence\n")
+	assert.Contains(t, got.String(), "ended by: upstream, while the upstream was known to take a version\n")
+}
