Name requests by their content, and tell an upstream that ended from a connection that did

Lines could not say which requests are the same, nor whether an upstream ended or only a connection broke. No change of decisions.

--- a/cli/internal/explain/explain_test.go
+++ b/cli/internal/explain/explain_test.go
@@ -56,3 +56,18 @@
 	assert.Contains(t, got.String(), "cause: no head\n    ended by: silence\n")
 	assert.Contains(t, got.String(), "ended by: upstream, while the upstream was known to take a version\n")
 }
+
+// TestEndsUnderAContentAreTold: of a request that ended an upstream, and of an earlier one
+// with the same content that ended another.
+func TestEndsUnderAContentAreTold(t *testing.T) {
+	const lines = `{"fields":{"name":"router-2","role":"router","decision":"witness","request":"earlier","content":"c1","upstream":"u1","ended":true,"after":"98ms"},"timestamp":"2026-12-02T22:02:16Z","message":"connection to upstream broke"}
+{"fields":{"name":"router-2","role":"router","decision":"witness","request":"beside","content":"c2","upstream":"u7","ended":true,"after":"400ms"},"timestamp":"2026-12-02T22:02:16Z","message":"connection to upstream broke"}
+{"fields":{"name":"router-1","role":"router","decision":"witness","request":"now","content":"c1","upstream":"u2","ended":true,"after":"101ms"},"timestamp":"2026-12-02T22:02:17Z","message":"connection to upstream broke"}
+{"fields":{"name":"router-1","role":"router","request":"now","content":"c1","outcome":"unknown","status":502,"took":"120ms","tries":[{"upstream":"u2","fate":"unknown","cause":"EOF","brokenBy":"upstream"}]},"timestamp":"2026-12-02T22:02:18Z","message":"request ended"}`
+	story, err := explain.Tell("now", strings.NewReader(lines))
+	require.NoError(t, err)
+	var got bytes.Buffer
+	require.NoError(t, story.Print(&got))
+	assert.Contains(t, got.String(), "the connection to u2 broke 101ms after it was sent there; the upstream itself ended\n")
+	assert.Contains(t, got.String(), "upstreams that ended while the same content c1 ran there: u1, u2\n")
+}
--- a/cli/internal/explain/line.go
+++ b/cli/internal/explain/line.go
@@ -24,6 +24,7 @@
 // Messages of the lines that are read for more than their text.
 const (
 	messageEnded    = "request ended"
+	messageBroke    = "connection to upstream broke"
 	messageBelief   = "belief changed"
 	messageLost     = "dependency lost"
 	messageRegained = "dependency regained"
@@ -68,6 +69,13 @@
 	BudgetLeft    *int    `json:"budgetLeft"`
 	Host          string  `json:"host"`
 
+	// Content names what a request asks for, Upstream is the one whose connection broke
+	// After the request was sent there, and Ended says whether it ended itself.
+	Content  string `json:"content"`
+	Upstream string `json:"upstream"`
+	After    string `json:"after"`
+	Ended    bool   `json:"ended"`
+
 	// Of beliefs.
 	Key      string         `json:"key"`
 	Revision uint64         `json:"revision"`
--- a/cli/internal/explain/print.go
+++ b/cli/internal/explain/print.go
@@ -53,6 +53,10 @@
 // printLine writes one line of the request.
 func (s *Story) printLine(p *printer, line Line) {
 	f := line.Fields
+	if line.Message == messageBroke {
+		p.linef(0, "%s %s %s: the connection to %s broke %s after it was sent there; %s", line.At.Format(clock), f.Role, f.Name, f.Upstream, f.After, afterwards(f.Ended))
+		return
+	}
 	if line.Message != messageEnded {
 		p.linef(0, "%s %s %s: %s", line.At.Format(clock), f.Role, f.Name, line.Message)
 		p.linef(1, "%s", joined(f.Choice, f.Host, f.Reason))
@@ -81,6 +85,16 @@
 	for i, try := range f.Tries {
 		printTry(p, i+1, try)
 	}
+	if ended := s.endedUnder(f.Content); len(ended) > 0 {
+		p.linef(1, "upstreams that ended while the same content %s ran there: %s", f.Content, strings.Join(ended, ", "))
+	}
+}
+
+func afterwards(ended bool) string {
+	if ended {
+		return "the upstream itself ended"
+	}
+	return "the upstream still listened, or said nothing"
 }
 
 // printAsked writes a question for a place at an engine.
--- a/cli/internal/explain/story.go
+++ b/cli/internal/explain/story.go
@@ -24,6 +24,8 @@
 	// Total is how many log lines were read, Missing how many lines the logs say
 	// were dropped or left out.
 	Total, Missing int
+	// ends are the lines that tell that an upstream ended under some request.
+	ends []Line
 	// processes holds the other lines, by the process that wrote them.
 	processes map[string]*process
 }
@@ -57,6 +59,9 @@
 
 func (s *Story) take(line Line) {
 	s.Total++
+	if line.Message == messageBroke && line.Fields.Ended {
+		s.ends = append(s.ends, line)
+	}
 	if line.Fields.Request == s.ID {
 		s.Lines = append(s.Lines, line)
 		return
@@ -131,6 +136,18 @@
 	return upstream != "" && strings.HasSuffix(belief.Fields.Key, upstream)
 }
 
+// endedUnder returns the upstreams that ended while some content ran there.
+func (s *Story) endedUnder(content string) []string {
+	var upstreams []string
+	for _, line := range s.ends {
+		if line.Fields.Content == content {
+			upstreams = append(upstreams, line.Fields.Upstream)
+		}
+	}
+	slices.Sort(upstreams)
+	return slices.Compact(upstreams)
+}
+
 // loaderOf returns the loader beside an engine, or nil where no log of it is
 // there.
 func (s *Story) loaderOf(address string) *process {
--- a/daemon/internal/request/dispatch/admit.go
+++ b/daemon/internal/request/dispatch/admit.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/content"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
@@ -36,6 +37,7 @@
 	if !q.readBody() {
 		return false
 	}
+	q.story.Content = q.contentName()
 	q.deadline = q.story.Started.Add(min(q.callerPatience(), q.routePatience()))
 	q.story.Returned = q.Callers.Returned(q.route.Name, q.callerPatience())
 	q.rank, q.ranks = q.view.Rank(q.service.Name, q.route, q.account)
@@ -129,6 +131,13 @@
 	return true
 }
 
+// contentName names what is asked for.
+func (q *request) contentName() content.Name {
+	return content.Request{
+		Account: q.accountName(), Method: q.Method, Host: q.Host, Target: q.RequestURI, Body: q.body,
+	}.Name()
+}
+
 // callerPatience is the time that the caller waits.
 func (q *request) callerPatience() time.Duration {
 	ms, err := strconv.ParseFloat(q.Header.Get(q.Headers.Deadline), 64)
--- a/daemon/internal/request/dispatch/answer.go
+++ b/daemon/internal/request/dispatch/answer.go
@@ -41,7 +41,7 @@
 	_ = response.Body.Close()
 	if err != nil {
 		choice.Done(q.outcomeOf(exchange.Unknown))
-		q.amendTry(q.answering, fmt.Errorf("the answer broke off: %w", err))
+		q.amendTry(choice, q.answering, fmt.Errorf("the answer broke off: %w", err))
 		if q.Context().Err() == nil && q.mayRepeat(exchange.Unknown) {
 			return false
 		}
@@ -56,7 +56,7 @@
 	}
 	choice.Done(balance.Failed)
 	if q.mayRepeat(exchange.Unknown) {
-		q.amendTry(q.answering, fmt.Errorf("status %d", response.StatusCode))
+		q.amendTry(choice, q.answering, fmt.Errorf("status %d", response.StatusCode))
 		q.failure = &answer
 		return false
 	}
@@ -175,8 +175,11 @@
 }
 
 // amendTry adds to a try why its answer was not passed on.
-func (q *request) amendTry(try int, err error) {
-	if !errors.Is(err, io.EOF) {
-		q.broken(&q.story.Tries[try], err)
+func (q *request) amendTry(choice balance.Choice, number int, err error) {
+	if errors.Is(err, io.EOF) {
+		return
 	}
+	try := &q.story.Tries[number]
+	q.broken(try, err)
+	q.tellBroken(choice, *try, err)
 }
--- a/daemon/internal/request/dispatch/broken.go
+++ b/daemon/internal/request/dispatch/broken.go
@@ -4,8 +4,26 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
+	"syscall"
+	"time"
+
+	"github.com/wheelcleat/wheelcleat/daemon/internal/process/balance"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/content"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/exchange"
+	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
+// Break is a send whose connection broke before the answer was whole. Its upstream may
+// have ended, and the request may be the cause.
+type Break struct {
+	Request  string
+	Content  content.Name
+	Upstream *provider.Upstream
+	// After is the time since the request was sent there.
+	After time.Duration
+}
+
 // Breaker says who ended a send that has no whole answer. Without it a line cannot tell
 // an upstream that ends its connection from one that this router gave up.
 type Breaker string
@@ -48,6 +66,28 @@
 	try.Cause, try.BrokenBy, try.Loading = err.Error(), q.breakerOf(err), q.Pool.Loading(try.Upstream)
 }
 
+// tellBroken tells of a send whose connection broke, unless this router ended it.
+func (q *request) tellBroken(choice balance.Choice, try Try, err error) {
+	if q.Broke == nil || try.BrokenBy != BrokenByUpstream || !connectionBroke(err) {
+		return
+	}
+	q.Broke(Break{
+		Request: q.story.ID, Content: q.story.Content, Upstream: choice.Upstream,
+		After: time.Since(q.story.Started) - try.At,
+	})
+}
+
+// connectionBroke reports whether an error says that a connection ended early, and not that
+// an answer was wrong.
+func connectionBroke(err error) bool {
+	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, exchange.ErrPartialEvent} {
+		if errors.Is(err, cause) {
+			return true
+		}
+	}
+	return false
+}
+
 // ended reports the request's story, also where its handler panics: the connection then
 // ends without an answer, and nothing else would say so.
 func (q *request) ended() {
--- a/daemon/internal/request/dispatch/dispatch.go
+++ b/daemon/internal/request/dispatch/dispatch.go
@@ -23,6 +23,7 @@
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/balance"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/mirror"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/admission"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/content"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/exchange"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
@@ -44,6 +45,8 @@
 	// AskPlace asks the loader beside an engine for a place there. An error says
 	// that it did not answer. Nil means that there are no loaders.
 	AskPlace func(ctx context.Context, engine *provider.Upstream, limit places.Limit) (places.Load, bool, error)
+	// Broke is told of each send whose connection broke. It must not block, and may be nil.
+	Broke func(Break)
 	// Report is told once of each request that ended.
 	Report func(*Story)
 }
@@ -51,7 +54,9 @@
 // Story is what happened to one request, for logs and metrics.
 type Story struct {
 	ID, Route, Service, Account string
-	Started                     time.Time
+	// Content names what was asked for; it is the same each time the caller comes back.
+	Content content.Name
+	Started time.Time
 	// FirstByte is when the answer's head went out; zero if none did.
 	FirstByte time.Time
 	Status    int
@@ -263,6 +268,7 @@
 	}
 	if result.Err != nil {
 		q.broken(&try, result.Err)
+		q.tellBroken(choice, try, result.Err)
 	}
 	if result.Fate == exchange.Answered {
 		q.answering = len(q.story.Tries)
--- a/daemon/internal/request/dispatch/stream.go
+++ b/daemon/internal/request/dispatch/stream.go
@@ -34,7 +34,7 @@
 			return true
 		}
 		choice.Done(q.brokenOff(choice))
-		q.amendTry(reading, err)
+		q.amendTry(choice, reading, err)
 		if next == nil {
 			next = s.goOn(ctx)
 		}
--- a/daemon/router/recorder.go
+++ b/daemon/router/recorder.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"net/netip"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -67,6 +68,9 @@
 	if !story.FirstByte.IsZero() {
 		fields["firstByte"] = story.FirstByte.Sub(story.Started).Round(time.Microsecond).String()
 	}
+	if len(story.Tries) > 1 || story.Outcome != dispatch.EndServed {
+		fields["content"] = story.Content
+	}
 	if len(story.Asked) > 0 {
 		fields["asked"] = story.Asked
 	}
@@ -83,6 +87,23 @@
 	r.log.WithFields(fields).Info("request ended")
 }
 
+// broke writes one line for a send whose connection broke: whether the upstream itself
+// ended, and the content that ran there, by which requests are known again.
+func (r *recorder) broke(b dispatch.Break, ended bool) {
+	r.scope.Tagged(map[string]string{"ended": strconv.FormatBool(ended)}).Counter("connections_broke").Inc(1)
+	if !r.failed.Allow() {
+		r.leftOut.Add(1)
+		return
+	}
+	r.log.WithFields(log.Fields{
+		"decision": "witness", "request": b.Request, "content": b.Content, "upstream": b.Upstream.ID,
+		"address": b.Upstream.Address, "ended": ended, "after": b.After.Round(time.Millisecond).String(),
+	}).Info("connection to upstream broke")
+}
+
+// notLookedAt counts a broken connection that was one too many to look at.
+func (r *recorder) notLookedAt() { r.scope.Counter("connections_broke_left_out").Inc(1) }
+
 // tellLeftOut writes, once a second at most, how many lines were left out, so
 // that whoever looks for one knows why it may not be there.
 func (r *recorder) tellLeftOut() {
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -24,6 +24,7 @@
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/loadfeed"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/peering"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/places"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/witness"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/balance"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/mirror"
@@ -93,6 +94,9 @@
 	asker      *places.Client
 	pool       *balance.Pool
 	budget     *dispatch.Budget
+	witness    *witness.Witness
+	// looking holds a token for each look at an upstream under way.
+	looking chan struct{}
 	// enginesAt holds the ids of the engines on each host. It is replaced when
 	// the list changes, and read for each line of a loader.
 	enginesAt atomic.Pointer[map[netip.Addr][]string]
@@ -120,6 +124,7 @@
 	p := &Process{
 		options: options, telemetry: t, output: output, recorder: newRecorder(t),
 		table: &mirror.Table{}, pool: &balance.Pool{Hall: s.Hall}, done: make(chan struct{}),
+		witness: &witness.Witness{Dial: dial.Within(upstreamConnect, options.Dial)}, looking: make(chan struct{}, mostLooks),
 	}
 	p.current.Store(&s)
 	client := &http.Client{Transport: dial.NewHostTransport(options.Dial, storeIdle)}
@@ -264,7 +269,7 @@
 			Fresh:   dial.NewHostTransport(connect, 0),
 		},
 		Pool: p.pool, Budget: p.budget, Pace: &dispatch.Pace{}, Callers: &admission.Callers{}, View: p.compiler.View, Stale: p.silent,
-		Demand: p.demand, Report: p.recorder.request, AskPlace: p.askPlace,
+		Demand: p.demand, Report: p.recorder.request, AskPlace: p.askPlace, Broke: p.broke,
 	}
 }
 
