Hold back a request under which three upstreams ended, at every router

Cause: nothing outlived a visit. Each visit of a request that ends its upstreams was sent to two, because no router asked why the first ended, none remembered what ran there, and none told another.

Change: requests are known by their content. A router that sees an upstream end (its port refuses connections right after) notes the end against all that ran there, and tells all routers at once; who starts later has it from a router or from the store. A whole answer clears a content. With two ends it is sent to one upstream only, with three to none, for ten minutes; sends that have not begun are taken back.

Also: upstreams that start again under their id are told apart by their start (balance, keep, evidence), and an entry that cannot be read names no upstream any more (before: the one that stood there was used on).

--- a/daemon/internal/process/balance/balance.go
+++ b/daemon/internal/process/balance/balance.go
@@ -79,6 +79,8 @@
 
 // state is one upstream's; Pool.mu guards it.
 type state struct {
+	// started is when the upstream had started, zero where that is not told.
+	started  time.Time
 	inFlight int
 	// failures and outcomes fade with fadeTime; faded is when they last did.
 	failures, outcomes float64
@@ -166,6 +168,7 @@
 	best := Choice{Score: math.Inf(1), pool: p}
 	for _, candidate := range upstreams {
 		s := p.state(candidate.ID, now)
+		s.noteStart(candidate.Started, now)
 		if !s.fits(candidate, query, now) {
 			continue
 		}
@@ -194,6 +197,19 @@
 	return best, true
 }
 
+// noteStart forgets what the upstream did before it started again under its id: it holds
+// nothing of that, and its failures were another process's.
+func (s *state) noteStart(started, now time.Time) {
+	if !started.After(s.started) {
+		return
+	}
+	if s.started.IsZero() {
+		s.started = started
+		return
+	}
+	*s = state{started: started, inFlight: s.inFlight, faded: now, used: now}
+}
+
 // fits reports whether an upstream may get the request at all.
 func (s *state) fits(candidate *provider.Upstream, query Query, now time.Time) bool {
 	if candidate.Leaving {
--- a/daemon/internal/process/balance/balance_test.go
+++ b/daemon/internal/process/balance/balance_test.go
@@ -273,3 +273,34 @@
 	pool.Tell("u0", balance.Told{Models: candidates[0].Models})
 	assert.Equal(t, "u0", chosen(2500*time.Millisecond), "it has taken the version")
 }
+
+// TestAnUpstreamThatStartsAgainIsUnknown: what it did before under its id does not count,
+// and what is still in flight does.
+func TestAnUpstreamThatStartsAgainIsUnknown(t *testing.T) {
+	now := time.Unix(1000, 0)
+	pool := &balance.Pool{Now: func() time.Time { return now }}
+	candidates := upstreams(1)
+	candidates[0].Started = now
+	const failures = 20
+	for range failures {
+		choice, ok := pool.Choose(candidates, balance.Query{})
+		require.True(t, ok)
+		choice.Done(balance.Unreachable)
+	}
+	flying, ok := pool.Choose(candidates, balance.Query{})
+	require.True(t, ok)
+	assert.Greater(t, flying.Score, 1e5, "it is blocked")
+
+	again := *candidates[0]
+	again.Started = now.Add(time.Second)
+	choice, ok := pool.Choose([]*provider.Upstream{&again}, balance.Query{})
+	require.True(t, ok)
+	assert.Less(t, choice.Score, 20.0)
+	assert.Equal(t, 1, choice.InFlight)
+	flying.Done(balance.Served)
+	choice.Done(balance.Served)
+	choice, ok = pool.Choose(candidates, balance.Query{})
+	require.True(t, ok)
+	assert.Zero(t, choice.InFlight)
+	assert.Less(t, choice.Score, 20.0, "an older entry, read late, brings nothing back")
+}
--- a/daemon/internal/process/mirror/mirror_test.go
+++ b/daemon/internal/process/mirror/mirror_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net/netip"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -231,6 +232,37 @@
 	require.Error(t, beliefs[1].Err)
 }
 
+// TestAnEntryThatCannotBeReadNamesNoUpstream: an entry was spoiled by another writer, and the
+// upstream that stood there before was used on (1 where 0 is right). The others hold, and
+// it is back with its next good entry.
+func TestAnEntryThatCannotBeReadNamesNoUpstream(t *testing.T) {
+	var last mirror.Belief
+	compiler := &mirror.Compiler{
+		Decode: decode, Lapses: func() bool { return true }, OnBelief: func(b mirror.Belief) { last = b },
+	}
+	used := func() int { return len(compiler.View().Upstreams["s"]) }
+	list := func(key, address string, revision provider.Revision) {
+		record := provider.Record{Upstream: &provider.Upstream{ID: key, Service: "s", Address: netip.MustParseAddrPort(address)}}
+		compiler.Take([]provider.Entry{entry(t, key, revision, record)})
+	}
+	list("a", "10.0.0.1:80", 1)
+	list("b", "10.0.0.2:80", 2)
+	require.Equal(t, 2, used())
+
+	compiler.Take([]provider.Entry{{Key: "a", Value: []byte{0xff, 0}, Revision: 3}})
+	assert.Equal(t, 1, used())
+	assert.True(t, last.Dropped)
+	require.Error(t, last.Err)
+	assert.False(t, compiler.Lapsed())
+
+	list("a", "10.0.0.1:80", 4)
+	assert.Equal(t, 2, used())
+
+	compiler.Take([]provider.Entry{{Key: "c", Value: []byte("{"), Revision: 5}})
+	assert.False(t, last.Dropped, "nothing stood there")
+	assert.Equal(t, 2, used())
+}
+
 func TestOlderDeclarationsKeepTheirTime(t *testing.T) {
 	compiler := &mirror.Compiler{Decode: decode}
 	compiler.Take([]provider.Entry{entry(t, "c", 1, provider.Record{})}) // something was known before
--- a/daemon/internal/process/mirror/view.go
+++ b/daemon/internal/process/mirror/view.go
@@ -109,6 +109,8 @@
 	Decode func(provider.Entry) (provider.Record, error)
 	// OnBelief is called for each change of what is believed. It may be nil.
 	OnBelief func(Belief)
+	// OnSuspect takes what routers keep of a content. It may be nil.
+	OnSuspect func(note []byte) error
 	// Lapses reports whether an entry that goes now may have lapsed only because
 	// its upstream could not reach the store. Nil means never. Such upstreams are
 	// used for lapseKept more, and whoever keeps the compiler is to call Take
@@ -153,6 +155,8 @@
 	Entry  provider.Entry
 	Record provider.Record
 	Err    error
+	// Dropped says that what the entry named before is not used any more.
+	Dropped bool
 }
 
 // View returns the newest view; it is never nil.
@@ -163,8 +167,8 @@
 	return &View{}
 }
 
-// Take compiles changed entries into a new view. A value that cannot be
-// decoded is reported and leaves the last good one in force.
+// Take compiles changed entries into a new view. A value that cannot be decoded is reported.
+// It leaves the last good declaration in force, and no upstream.
 func (c *Compiler) Take(changed []provider.Entry) {
 	if c.upstreams == nil {
 		c.upstreams = map[string]listed{}
@@ -233,7 +237,8 @@
 		return
 	}
 	record, err := c.Decode(entry)
-	c.believe(Belief{Entry: entry, Record: record, Err: err})
+	dropped := err != nil && c.drop(entry.Key)
+	c.believe(Belief{Entry: entry, Record: record, Err: err, Dropped: dropped})
 	if err != nil {
 		return
 	}
@@ -247,9 +252,26 @@
 		c.targets[entry.Key] = c.declare(entry, *record.Target)
 	case record.Member != nil:
 		c.members[entry.Key] = record.Member
+	case record.Suspect != nil && c.OnSuspect != nil:
+		if err := c.OnSuspect(record.Suspect); err != nil {
+			c.believe(Belief{Entry: entry, Err: err})
+		}
 	}
 }
 
+// drop forgets the upstream or the router of an entry that cannot be read any more, and
+// reports whether there was one. Whoever wrote it, it names none to send to: sent to on the
+// word of the entry before, an upstream may long be another. Of what operators declare the
+// last good one stays in force.
+func (c *Compiler) drop(key string) bool {
+	_, upstream := c.upstreams[key]
+	_, member := c.members[key]
+	delete(c.upstreams, key)
+	delete(c.lapsed, key)
+	delete(c.members, key)
+	return upstream || member
+}
+
 // keepLapsed keeps an upstream whose entry goes, where that says little.
 func (c *Compiler) keepLapsed(key string) {
 	upstream, ok := c.upstreams[key]
--- a/daemon/internal/request/dispatch/admit.go
+++ b/daemon/internal/request/dispatch/admit.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/content"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/quarantine"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
@@ -38,6 +39,10 @@
 		return false
 	}
 	q.story.Content = q.contentName()
+	if q.verdict() == quarantine.Held {
+		q.hold()
+		return false
+	}
 	q.deadline = q.story.Started.Add(min(q.callerPatience(), q.routePatience()))
 	q.story.Returned = q.Callers.Returned(q.route.Name, q.callerPatience())
 	q.rank, q.ranks = q.view.Rank(q.service.Name, q.route, q.account)
--- a/daemon/internal/request/dispatch/answer.go
+++ b/daemon/internal/request/dispatch/answer.go
@@ -76,11 +76,20 @@
 	q.writer.Header().Set("Content-Length", strconv.Itoa(len(answer.body)))
 	q.writer.WriteHeader(answer.StatusCode)
 	_, _ = q.writer.Write(answer.body)
+	q.endWhole(answer.StatusCode)
+}
+
+// endWhole ends a request that an upstream has answered whole. A failure clears no content:
+// the upstream may have given it without running the request.
+func (q *request) endWhole(status int) {
+	if q.Whole != nil && status/100 == 2 {
+		q.Whole(q.story.Content)
+	}
 	ending := EndServed
-	if answer.StatusCode >= http.StatusBadRequest {
+	if status >= http.StatusBadRequest {
 		ending = EndFailed
 	}
-	q.end(ending, answer.StatusCode, "")
+	q.end(ending, status, "")
 }
 
 func (q *request) passHead(response *http.Response) {
--- a/daemon/internal/request/dispatch/broken.go
+++ b/daemon/internal/request/dispatch/broken.go
@@ -35,6 +35,7 @@
 	BrokenByVersion  Breaker = "version"  // the upstream's version must not begin it any more
 	BrokenByDeadline Breaker = "deadline" // the caller's or the route's
 	BrokenByCaller   Breaker = "caller"   // it left
+	BrokenByHold     Breaker = "hold"     // its content was held back before it had begun
 )
 
 // Errors of sends that this router ended itself.
@@ -42,6 +43,7 @@
 	errOvertaken = errors.New("no head of an answer in time, and another upstream answered")
 	errOutdated  = errors.New("it had not begun, and its version is not to be used any more")
 	errStalled   = errors.New("no event came in time")
+	errHeld      = errors.New("too many upstreams ended under the same content")
 )
 
 // breakerOf tells from the error of a send who ended it.
@@ -53,6 +55,8 @@
 		return BrokenBySilence
 	case errors.Is(err, errOutdated):
 		return BrokenByVersion
+	case errors.Is(err, errHeld):
+		return BrokenByHold
 	case errors.Is(err, context.DeadlineExceeded):
 		return BrokenByDeadline
 	default:
--- a/daemon/internal/request/dispatch/dispatch.go
+++ b/daemon/internal/request/dispatch/dispatch.go
@@ -25,6 +25,7 @@
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/admission"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/content"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/exchange"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/quarantine"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
@@ -45,8 +46,13 @@
 	// AskPlace asks the loader beside an engine for a place there. An error says
 	// that it did not answer. Nil means that there are no loaders.
 	AskPlace func(ctx context.Context, engine *provider.Upstream, limit places.Limit) (places.Load, bool, error)
-	// Broke is told of each send whose connection broke. It must not block, and may be nil.
+	// Broke is told of each send whose connection broke, before the request is sent again.
+	// It may be nil.
 	Broke func(Break)
+	// Judge says what may be done with a content under which upstreams ended, and Whole is
+	// told of each content that was answered whole. Both may be nil.
+	Judge func(content.Name) quarantine.Verdict
+	Whole func(content.Name)
 	// Report is told once of each request that ended.
 	Report func(*Story)
 }
@@ -110,6 +116,7 @@
 	EndCut      Ending = "cut"       // broken off after the head
 	EndLeft     Ending = "left"      // the caller left
 	EndRejected Ending = "rejected"  // 400, 401, 404, 413
+	EndHeld     Ending = "held"      // not run: too many upstreams ended under its content
 	EndTimedOut Ending = "timed-out" // held as long as the route allows
 	EndPanicked Ending = "panicked"  // a fault of ours: the connection ended
 )
@@ -232,10 +239,16 @@
 //	unsafe                yes     yes, within attempts  no
 //	stream, not resumable yes     yes, within attempts  no
 //	safe, resumable       yes     yes, within attempts  yes, within attempts
+//
+// Of a content under which upstreams ended only what has not run is sent again, and nothing
+// of one that is held back.
 func (q *request) mayRepeat(fate exchange.Fate) bool {
 	if fate == exchange.Answered || len(q.tried) >= maxTried {
 		return false
 	}
+	if verdict := q.verdict(); verdict == quarantine.Held || verdict == quarantine.Once && fate == exchange.Unknown {
+		return false
+	}
 	if fate == exchange.Unsent {
 		return true
 	}
--- a/daemon/internal/request/dispatch/send.go
+++ b/daemon/internal/request/dispatch/send.go
@@ -9,6 +9,7 @@
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/balance"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/exchange"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/quarantine"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
@@ -79,7 +80,7 @@
 func (q *request) settle(s *sending, result exchange.Result) {
 	q.note(s, result)
 	switch {
-	case errors.Is(result.Err, errOvertaken):
+	case errors.Is(result.Err, errOvertaken) || errors.Is(result.Err, errHeld):
 		s.choice.Done(balance.Abandoned)
 	case result.Fate != exchange.Answered:
 		s.choice.Done(q.outcomeOf(result.Fate))
@@ -142,6 +143,7 @@
 			return second.choice, result
 		case now := <-look.C:
 			q.endOutdated(first, second)
+			q.endHeld(first, second)
 			if second == nil && q.slow(first) && now.After(seekAt) {
 				second = q.beginSecond(ctx, seeking, lastEvent)
 				seekAt = now.Add(seekAgain)
@@ -185,7 +187,7 @@
 // mayHaveSecond reports whether the request, which is under way, may go to another
 // upstream too.
 func (q *request) mayHaveSecond() bool {
-	return q.repeatable() && q.sent < q.route.MaxAttempts && len(q.tried) < maxTried
+	return q.repeatable() && q.sent < q.route.MaxAttempts && len(q.tried) < maxTried && q.verdict() == quarantine.Free
 }
 
 // beginSecond sends the request to another upstream if one has a place, which is asked for
--- a/daemon/internal/request/dispatch/stream.go
+++ b/daemon/internal/request/dispatch/stream.go
@@ -30,7 +30,7 @@
 				s.sendHead(response)
 			}
 			s.Pace.Ended(s.service.Name, time.Since(s.story.FirstByte))
-			q.end(EndServed, http.StatusOK, "")
+			q.endWhole(http.StatusOK)
 			return true
 		}
 		choice.Done(q.brokenOff(choice))
--- a/daemon/internal/version/keep/keep.go
+++ b/daemon/internal/version/keep/keep.go
@@ -110,6 +110,8 @@
 	ordered  time.Time
 	// clearing is when routers were told to send nothing more, zero if not.
 	clearing time.Time
+	// started is when the engine that was last asked had started.
+	started time.Time
 	// closes is the turn that the engine's next version has soon, zero if it has none.
 	closes time.Time
 	tomb   tomb.Tomb
@@ -171,10 +173,21 @@
 	if err != nil {
 		return false
 	}
+	k.noteStart(report.Started)
 	k.bringUp(ctx, plan, report)
 	return isBusy(report, plan.Places)
 }
 
+// noteStart forgets what was begun with the engine's process before this one: it knows of
+// no order, and an empty engine is not to wait for the effect of one.
+func (k *Keeper) noteStart(started time.Time) {
+	if started.Equal(k.started) {
+		return
+	}
+	k.started = started
+	k.ordered, k.clearing = time.Time{}, time.Time{}
+}
+
 // isBusy reports whether an engine's places are taken so far that routers need
 // to know soon which are free.
 func isBusy(report provider.EngineReport, places int) bool {
--- a/daemon/provider/configuration.go
+++ b/daemon/provider/configuration.go
@@ -105,8 +105,10 @@
 
 // Upstream is one upstream's own record.
 type Upstream struct {
-	// ID names this start of the upstream; an address may go to another one.
+	// ID names the upstream; an address may go to another one. One that starts again may
+	// do so under its ID: Started tells them apart, zero where it is not told.
 	ID      string
+	Started time.Time
 	Service string
 	Address netip.AddrPort
 	Hall    string
--- a/daemon/provider/engine.go
+++ b/daemon/provider/engine.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"time"
 )
 
 // Engine is the calls of an engine that its loader makes.
@@ -26,8 +27,10 @@
 	Loading bool
 	// Running and Waiting count its requests.
 	Running, Waiting int
-	// Sequence counts the orders that it took since its start.
+	// Sequence counts the orders that it took since its start, which was at Started, zero
+	// where it does not tell.
 	Sequence uint64
+	Started  time.Time
 }
 
 // Order tells an engine to take a staged version once its requests are done.
--- a/daemon/provider/provider.go
+++ b/daemon/provider/provider.go
@@ -101,6 +101,9 @@
 	Upstream      *Upstream
 	Target        *Target
 	Member        *Member
+	// Suspect is what routers keep of a content under which upstreams ended, as they
+	// encoded it.
+	Suspect []byte
 }
 
 // Provider is everything an adapter fills in.
@@ -114,6 +117,8 @@
 	Decode func(Entry) (Record, error)
 	// EncodeMember makes the entry that announces a router.
 	EncodeMember func(Member) Put
+	// EncodeSuspect makes the entry of what routers keep of a content. It may be nil.
+	EncodeSuspect func(content string, note []byte) Put
 }
 
 // Member is a router as it announces itself to the others.
--- a/daemon/router/ends_test.go
+++ b/daemon/router/ends_test.go
@@ -1,8 +1,9 @@
 package router_test
 
 import (
-	"bufio"
 	"context"
+	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -14,6 +15,9 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/evidence"
+	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
 // mortal is an upstream whose process ends as it begins a deadly request: its port refuses
@@ -80,12 +84,14 @@
 
 // run answers a request, or ends the process just after the answer began.
 func (m *mortal) run(request *http.Request, connection net.Conn) {
-	body := bufio.NewReader(request.Body)
-	text, _ := body.ReadString('\n')
-	if text != deadly {
+	text, _ := io.ReadAll(request.Body)
+	if string(text) != deadly {
 		good(request, connection)
 		return
 	}
+	if strings.HasPrefix(request.URL.Path, "/stream/") {
+		sendEvents(request, connection, 1)
+	}
 	m.ends.Add(1)
 	m.end()
 }
@@ -134,53 +140,153 @@
 // than three upstreams end under it once each visit has had a moment to be told of, and
 // its caller then gets a final answer at once; others are served meanwhile.
 func TestARequestThatEndsUpstreamsIsHeldBack(t *testing.T) {
-	for name, storeDown := range map[string]bool{"with the store": false, "without the store": true} {
+	tests := map[string]struct {
+		storeDown bool
+		target    string
+	}{
+		"with the store":         {false, "/safe/x"},
+		"without the store":      {true, "/safe/x"},
+		"a stream that goes on":  {false, "/stream/x"},
+		"a stream, no store":     {true, "/stream/x"},
+		"what may run only once": {false, "/unsafe/x"},
+	}
+	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			s := &surroundings{}
-			s.configure(basic(1))
-			var upstreams []*mortal
-			for _, id := range []string{"u1", "u2", "u3", "u4", "u5", "u6"} {
-				m := startMortal(t, id)
-				s.list(m.record())
-				upstreams = append(upstreams, m)
-			}
-			first := startRouterIn(t, s, "hall", "r1")
-			routers := []settingsRouter{first, startRouterIn(t, s, "hall", "r2", first.Listen.Peers), startRouterIn(t, s, "other", "r3", first.Listen.Peers)}
-			for _, set := range routers {
-				await(t, "all know each other", func() bool { return ready(set) && strings.Count(copyOf(set), `"key":"m/`) == len(routers) })
-			}
-			if storeDown {
-				for _, set := range routers {
-					s.down.Store(set.Name, true)
+			f := startDeadlyFleet(t)
+			if test.storeDown {
+				for _, set := range f.routers {
+					f.surroundings.down.Store(set.Name, true)
 				}
 			}
-			ends := func() int64 {
-				total := int64(0)
-				for _, m := range upstreams {
-					total += m.ends.Load()
-				}
-				return total
-			}
 			const visits = 9
 			for visit := range visits {
-				set := routers[visit%len(routers)]
-				before := ends()
-				got := call(t, set, "deadly-"+string(rune('a'+visit)), "POST", "/safe/x", deadly)
-				assert.NotEqual(t, http.StatusOK, got.status)
-				if before >= 3 {
-					assert.Equal(t, http.StatusServiceUnavailable, got.status, "not run")
-					assert.Empty(t, got.header.Get("Retry-After"), "coming back is in vain")
-				}
-				for _, other := range routers {
-					assert.True(t, soon(func() bool { return endsKnown(other) == ends() }), "%s knows of each end", other.Name)
-				}
-				for _, m := range upstreams {
-					m.restart(t)
-				}
-				innocent := call(t, set, "innocent-"+string(rune('a'+visit)), "POST", "/safe/x", "innocent")
-				assert.Equal(t, http.StatusOK, innocent.status)
+				f.visit(t, f.routers[visit%len(f.routers)], test.target)
 			}
-			assert.LessOrEqual(t, ends(), int64(3))
+			assert.LessOrEqual(t, f.ends(), int64(3))
 		})
 	}
 }
+
+// deadlyFleet is three routers in two halls and six upstreams that end under one request.
+type deadlyFleet struct {
+	surroundings *surroundings
+	upstreams    []*mortal
+	routers      []settingsRouter
+	visits       int
+}
+
+func startDeadlyFleet(t *testing.T) *deadlyFleet {
+	t.Helper()
+	f := &deadlyFleet{surroundings: &surroundings{}}
+	f.surroundings.configure(basic(1))
+	for _, id := range []string{"u1", "u2", "u3", "u4", "u5", "u6"} {
+		m := startMortal(t, id)
+		f.surroundings.list(m.record())
+		f.upstreams = append(f.upstreams, m)
+	}
+	first := startRouterIn(t, f.surroundings, "hall", "r1")
+	f.routers = []settingsRouter{
+		first, startRouterIn(t, f.surroundings, "hall", "r2", first.Listen.Peers), startRouterIn(t, f.surroundings, "other", "r3", first.Listen.Peers),
+	}
+	for _, set := range f.routers {
+		await(t, "all know each other", func() bool { return ready(set) && strings.Count(copyOf(set), `"key":"m/`) == len(f.routers) })
+	}
+	return f
+}
+
+func (f *deadlyFleet) ends() int64 {
+	total := int64(0)
+	for _, m := range f.upstreams {
+		total += m.ends.Load()
+	}
+	return total
+}
+
+// visit has the caller of the deadly request come to a router, waits until all routers were
+// told, and looks that another request is served.
+func (f *deadlyFleet) visit(t *testing.T, set settingsRouter, target string) {
+	t.Helper()
+	f.visits++
+	before := f.ends()
+	got := call(t, set, fmt.Sprint("deadly-", f.visits), "POST", target, deadly)
+	assert.False(t, got.err == nil && got.status == http.StatusOK, "%+v", got)
+	if before >= 3 {
+		assert.Equal(t, http.StatusServiceUnavailable, got.status, "not run")
+		assert.Empty(t, got.header.Get("Retry-After"), "coming back is in vain")
+	}
+	for _, other := range f.routers {
+		assert.True(t, soon(func() bool { return endsKnown(other) == f.ends() }), "%s knows of each end", other.Name)
+	}
+	for _, m := range f.upstreams {
+		m.restart(t)
+	}
+	innocent := call(t, set, fmt.Sprint("innocent-", f.visits), "POST", "/safe/x", "innocent")
+	assert.Equal(t, http.StatusOK, innocent.status)
+}
+
+// TestWhoStartsLaterHoldsItBackToo: a router that starts once all others are gone, and one
+// that starts while the store turns it away.
+func TestWhoStartsLaterHoldsItBackToo(t *testing.T) {
+	f := startDeadlyFleet(t)
+	for _, set := range f.routers {
+		f.visit(t, set, "/safe/x")
+	}
+	require.Equal(t, int64(3), f.ends())
+	await(t, "the store has it", func() bool { return f.kept() != nil })
+
+	another := &surroundings{}
+	another.configure(basic(1))
+	another.put("q/x", f.kept())
+	alone := startRouterIn(t, another, "third", "r4")
+	f.surroundings.down.Store("r5", true)
+	told := startRouterIn(t, f.surroundings, "third", "r5", f.routers[2].Listen.Peers)
+	for _, set := range []settingsRouter{alone, told} {
+		await(t, "it is ready and knows", func() bool { return ready(set) && endsKnown(set) == 3 })
+		got := call(t, set, "deadly", "POST", "/safe/x", deadly)
+		assert.Equal(t, http.StatusServiceUnavailable, got.status)
+		assert.Empty(t, got.header.Get("Retry-After"))
+	}
+	assert.Equal(t, int64(3), f.ends())
+}
+
+// kept is what the store holds of a content, nil where it holds nothing.
+func (f *deadlyFleet) kept() []byte {
+	items, _ := f.surroundings.store.List("q/")
+	if len(items) == 0 {
+		return nil
+	}
+	return items[0].Value
+}
+
+// TestOperatorsLiftIt: at one router, for all, and for those that start later.
+func TestOperatorsLiftIt(t *testing.T) {
+	f := startDeadlyFleet(t)
+	for _, set := range f.routers {
+		f.visit(t, set, "/safe/x")
+	}
+	response, err := http.Get("http://" + f.routers[0].Listen.Peers.String() + "/suspects")
+	require.NoError(t, err)
+	var known evidence.Message
+	require.NoError(t, json.NewDecoder(response.Body).Decode(&known))
+	require.NoError(t, response.Body.Close())
+	require.Len(t, known.Notes, 1)
+	lift := func(name string) int {
+		request, err := http.NewRequest(http.MethodDelete, "http://"+f.routers[1].Listen.Peers.String()+"/suspects/"+name, nil)
+		require.NoError(t, err)
+		answer, err := http.DefaultClient.Do(request)
+		require.NoError(t, err)
+		require.NoError(t, answer.Body.Close())
+		return answer.StatusCode
+	}
+	name := known.Notes[0].Content.String()
+	assert.Equal(t, http.StatusBadRequest, lift("odd"))
+	assert.Equal(t, http.StatusNoContent, lift(name))
+	assert.Equal(t, http.StatusNotFound, lift(name), "it is lifted already")
+	for _, set := range f.routers {
+		await(t, "it is lifted everywhere", func() bool { return endsKnown(set) == 0 })
+	}
+	await(t, "the store has that", func() bool {
+		record, err := decodeRecord(provider.Entry{Value: f.kept()})
+		return err == nil && strings.Contains(string(record.Suspect), `"cleared":true`)
+	})
+}
--- a/daemon/router/fixture_test.go
+++ b/daemon/router/fixture_test.go
@@ -54,6 +54,9 @@
 		EncodeMember: func(member provider.Member) provider.Put {
 			return provider.Put{Key: "m/" + member.Name, Value: encodeRecord(provider.Record{Member: &member})}
 		},
+		EncodeSuspect: func(content string, note []byte) provider.Put {
+			return provider.Put{Key: "q/" + content, Value: encodeRecord(provider.Record{Suspect: note})}
+		},
 	}
 }
 
--- a/daemon/router/recorder.go
+++ b/daemon/router/recorder.go
@@ -13,7 +13,9 @@
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/mirror"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/telemetry"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/content"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/dispatch"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/quarantine"
 	"github.com/wheelcleat/wheelcleat/daemon/settings"
 )
 
@@ -24,6 +26,9 @@
 	failedLines = 200
 )
 
+// fieldDecision names the kind of decision that a line tells.
+const fieldDecision = "decision"
+
 // recorder writes the router's log lines and metrics.
 type recorder struct {
 	telemetry      *telemetry.Telemetry
@@ -61,7 +66,7 @@
 	}
 	r.tellLeftOut()
 	fields := log.Fields{
-		"decision": "route", "request": story.ID, "route": story.Route, "service": story.Service, "account": story.Account,
+		fieldDecision: "route", "request": story.ID, "route": story.Route, "service": story.Service, "account": story.Account,
 		"outcome": story.Outcome, "status": story.Status, "tries": story.Tries, "configuration": story.Configuration,
 		"took": time.Since(story.Started).Round(time.Microsecond).String(),
 	}
@@ -96,13 +101,48 @@
 		return
 	}
 	r.log.WithFields(log.Fields{
-		"decision": "witness", "request": b.Request, "content": b.Content, "upstream": b.Upstream.ID,
+		fieldDecision: "witness", "request": b.Request, "content": b.Content, "upstream": b.Upstream.ID,
 		"address": b.Upstream.Address, "ended": ended, "after": b.After.Round(time.Millisecond).String(),
 	}).Info("connection to upstream broke")
 }
 
-// notLookedAt counts a broken connection that was one too many to look at.
-func (r *recorder) notLookedAt() { r.scope.Counter("connections_broke_left_out").Inc(1) }
+// verdict writes one line when it changes what may be done with a content.
+func (r *recorder) verdict(known quarantine.Note, before, after quarantine.Verdict, from source, peer netip.AddrPort) {
+	r.scope.Tagged(map[string]string{"verdict": after.String()}).Counter("content_verdicts").Inc(1)
+	fields := log.Fields{
+		fieldDecision: "quarantine", "content": known.Content, "verdict": after.String(), "before": before.String(),
+		"ends": known.Ends, "from": from,
+	}
+	if peer.IsValid() {
+		fields["peer"] = peer
+	}
+	entry := r.log.WithFields(fields)
+	if after == quarantine.Held {
+		entry.Warn("verdict on a content changed")
+		return
+	}
+	entry.Info("verdict on a content changed")
+}
+
+// verdictNotKept writes one line where a verdict could not be put into the store: routers
+// that start later hear of it from others only.
+func (r *recorder) verdictNotKept(name content.Name, err error) {
+	r.log.WithFields(log.Fields{"content": name, "reason": err.Error()}).Warn("verdict on a content not kept in the store")
+}
+
+// routerNotTold writes one line where another router did not hear of an end. It does with
+// its own next one.
+func (r *recorder) routerNotTold(peer netip.AddrPort, err error) {
+	r.scope.Counter("routers_not_told").Inc(1)
+	if !r.failed.Allow() {
+		r.leftOut.Add(1)
+		return
+	}
+	r.log.WithFields(log.Fields{"dependency": "router", "peer": peer, "reason": err.Error()}).Warn("router not told of ended upstreams")
+}
+
+// notTold counts a note that was one too many to be told.
+func (r *recorder) notTold() { r.scope.Counter("ends_not_told").Inc(1) }
 
 // tellLeftOut writes, once a second at most, how many lines were left out, so
 // that whoever looks for one knows why it may not be there.
@@ -131,12 +171,17 @@
 // belief writes one line for a change of what this router believes.
 func (r *recorder) belief(belief mirror.Belief) {
 	fields := log.Fields{
-		"decision": "believe", "key": belief.Entry.Key, "revision": belief.Entry.Revision, "bytes": len(belief.Entry.Value),
+		fieldDecision: "believe", "key": belief.Entry.Key, "revision": belief.Entry.Revision, "bytes": len(belief.Entry.Value),
 	}
 	record := belief.Record
 	switch {
 	case belief.Err != nil:
 		fields["reason"] = belief.Err.Error()
+		if belief.Dropped {
+			r.scope.Counter("entries_dropped").Inc(1)
+			r.log.WithFields(fields).Error("entry not taken, what it named is not used any more")
+			return
+		}
 		r.log.WithFields(fields).Error("entry not taken, the last good one stays")
 		return
 	case belief.Entry.Gone:
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -21,6 +21,7 @@
 	"github.com/uptrace/bunrouter"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/dial"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/evidence"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/loadfeed"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/peering"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/places"
@@ -48,6 +49,9 @@
 	// an opening packet that is lost comes again only after a second, when another
 	// upstream has long answered.
 	upstreamConnect = 200 * time.Millisecond
+	// witnessConnect bounds the look at an upstream whose connection broke, for which a
+	// request waits: a refusal comes in one round trip, 1 to 6 ms.
+	witnessConnect = 50 * time.Millisecond
 	// storeIdle is the same for connections to the store and to peers.
 	storeIdle = 30 * time.Second
 	// lapseAfter is how long after the store is back entries may still be gone
@@ -94,9 +98,11 @@
 	asker      *places.Client
 	pool       *balance.Pool
 	budget     *dispatch.Budget
-	witness    *witness.Witness
-	// looking holds a token for each look at an upstream under way.
-	looking chan struct{}
+	// witness tells upstreams that ended, suspects what was under way there, and teller
+	// tells the other routers.
+	witness  *witness.Witness
+	suspects *suspects
+	teller   *evidence.Teller
 	// enginesAt holds the ids of the engines on each host. It is replaced when
 	// the list changes, and read for each line of a loader.
 	enginesAt atomic.Pointer[map[netip.Addr][]string]
@@ -124,15 +130,16 @@
 	p := &Process{
 		options: options, telemetry: t, output: output, recorder: newRecorder(t),
 		table: &mirror.Table{}, pool: &balance.Pool{Hall: s.Hall}, done: make(chan struct{}),
-		witness: &witness.Witness{Dial: dial.Within(upstreamConnect, options.Dial)}, looking: make(chan struct{}, mostLooks),
+		witness: &witness.Witness{Dial: dial.Within(witnessConnect, options.Dial)}, suspects: &suspects{},
 	}
 	p.current.Store(&s)
 	client := &http.Client{Transport: dial.NewHostTransport(options.Dial, storeIdle)}
 	p.provider = options.Provider(s.Store, client, client)
-	p.compiler = &mirror.Compiler{Decode: p.provider.Decode, OnBelief: p.recorder.belief, Lapses: p.lapses}
+	p.compiler = &mirror.Compiler{Decode: p.provider.Decode, OnBelief: p.recorder.belief, Lapses: p.lapses, OnSuspect: p.takeSuspect}
 	p.table.OnChange = p.takeChanges
 	p.loads = &loadfeed.Reader{Client: client, OnLine: p.takeLoad}
 	p.asker = &places.Client{Client: client}
+	p.teller = p.newTeller(client)
 	p.addFollowers(client)
 	return p, nil
 }
@@ -228,6 +235,7 @@
 	p.follower.Start()
 	p.puller.Start()
 	p.announcer.start()
+	p.teller.Start()
 	p.recorder.started(p.current.Load())
 	return nil
 }
@@ -270,6 +278,7 @@
 		},
 		Pool: p.pool, Budget: p.budget, Pace: &dispatch.Pace{}, Callers: &admission.Callers{}, View: p.compiler.View, Stale: p.silent,
 		Demand: p.demand, Report: p.recorder.request, AskPlace: p.askPlace, Broke: p.broke,
+		Judge: p.suspects.judge, Whole: p.answeredWhole,
 	}
 }
 
@@ -302,6 +311,7 @@
 	copies := &peering.Source{Table: p.table, Standing: p.follower.Standing}
 	pages.Compat().GET(peering.Path, copies.ServeHTTP)
 	pages.Compat().GET(peering.EnginePath, peering.EngineHandler(p.compiler.View))
+	p.suspectPages(pages)
 	return pages
 }
 
@@ -321,6 +331,7 @@
 	helpers.Pause(helpers.OrDefault(p.options.LameDuck, lameDuck), ctx.Done())
 	err := p.callers.Shutdown(ctx)
 	p.announcer.stop()
+	p.teller.Stop()
 	p.loads.Stop()
 	p.puller.Stop()
 	p.follower.Stop()
--- /dev/null
+++ b/daemon/router/suspects.go
@@ -0,0 +1,224 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/uptrace/bunrouter"
+
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/evidence"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/content"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/dispatch"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/quarantine"
+	"github.com/wheelcleat/wheelcleat/daemon/provider"
+)
+
+const (
+	// suspectTTL is how long a content that is held back stays in the store: as long as it
+	// is held back the first time, and the longest that stores allow.
+	suspectTTL = 10 * time.Minute
+	// suspectTimeout bounds the two calls that put it there.
+	suspectTimeout = 3 * time.Second
+)
+
+// source says from where a router knows something of a content.
+type source string
+
+// The sources.
+const (
+	sourceOwn    source = "own"    // a connection of this router broke
+	sourceRouter source = "router" // another router told
+	sourceAnswer source = "answer" // another router knew more of what it was told
+	sourceStore  source = "store"
+	sourceLifted source = "lifted" // an operator lifted it
+)
+
+// suspects are the contents under which upstreams ended, as far as this router knows.
+type suspects struct {
+	mu    sync.Mutex
+	table quarantine.Table
+}
+
+// judge says what may be done with a content.
+func (s *suspects) judge(name content.Name) quarantine.Verdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Judge(name, time.Now())
+}
+
+// take takes a note, and returns the verdicts before and after. It reports false where the
+// note was no news.
+func (s *suspects) take(note quarantine.Note) (before, after quarantine.Verdict, news bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	before = s.table.Judge(note.Content, now)
+	news = s.table.Take(note, now)
+	return before, s.table.Judge(note.Content, now), news
+}
+
+// end names the end of the upstream of a broken send.
+func (s *suspects) end(b dispatch.Break) quarantine.End {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.End(b.Content, b.Upstream.ID, b.Upstream.Started, time.Now().Add(-b.After))
+}
+
+func (s *suspects) note(name content.Name) quarantine.Note {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Note(name)
+}
+
+func (s *suspects) all() []quarantine.Note {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Notes()
+}
+
+// of returns what is known of the contents of some notes, but of those that are cleared:
+// whoever tells so would take it for news.
+func (s *suspects) of(notes []quarantine.Note) []quarantine.Note {
+	var known []quarantine.Note
+	for _, note := range notes {
+		if own := s.note(note.Content); !note.Cleared && len(own.Ends) > 0 {
+			known = append(known, own)
+		}
+	}
+	return known
+}
+
+// broke finds out whether the upstream ended under a send whose connection broke. The
+// request waits for that, one round trip, before it is sent again.
+func (p *Process) broke(b dispatch.Break) {
+	ended := p.witness.Ended(context.Background(), b.Upstream.Address)
+	p.recorder.broke(b, ended)
+	if !ended {
+		return
+	}
+	end := p.suspects.end(b)
+	p.tell(quarantine.Note{Content: b.Content, Ends: []quarantine.End{end}}, sourceOwn)
+}
+
+// answeredWhole clears a content.
+func (p *Process) answeredWhole(name content.Name) {
+	if known := p.suspects.note(name); len(known.Ends) > 0 {
+		p.tell(quarantine.Note{Content: name, Cleared: true}, sourceOwn)
+	}
+}
+
+// tell takes a note of this router's own and tells the others.
+func (p *Process) tell(note quarantine.Note, from source) {
+	p.learn(note, from, netip.AddrPort{})
+	if !p.teller.Tell(note) {
+		p.recorder.notTold()
+	}
+}
+
+// learn takes a note. A verdict that this router helped to reach goes to the store, for
+// routers that start later.
+func (p *Process) learn(note quarantine.Note, from source, peer netip.AddrPort) {
+	before, after, news := p.suspects.take(note)
+	if !news || before == after {
+		return
+	}
+	p.recorder.verdict(p.suspects.note(note.Content), before, after, from, peer)
+	held := before == quarantine.Held || after == quarantine.Held
+	if held && from != sourceRouter && from != sourceStore {
+		go p.keepVerdict(note.Content)
+	}
+}
+
+// keepVerdict writes what is known of a content to the store.
+func (p *Process) keepVerdict(name content.Name) {
+	if p.provider.EncodeSuspect == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), suspectTimeout)
+	defer cancel()
+	known := p.suspects.note(name)
+	known.Cleared = len(known.Ends) == 0
+	value, err := json.Marshal(known)
+	if err != nil {
+		return
+	}
+	lease, err := p.provider.Store.Grant(ctx, suspectTTL)
+	if err == nil {
+		put := p.provider.EncodeSuspect(name.String(), value)
+		put.Lease = lease
+		_, err = p.provider.Store.Write(ctx, []provider.Put{put})
+	}
+	if err != nil {
+		p.recorder.verdictNotKept(name, err)
+	}
+}
+
+// takeSuspect takes what the store holds of a content.
+func (p *Process) takeSuspect(value []byte) error {
+	var note quarantine.Note
+	if err := json.Unmarshal(value, &note); err != nil {
+		return err
+	}
+	p.learn(note, sourceStore, netip.AddrPort{})
+	return nil
+}
+
+// newTeller prepares the telling of other routers.
+func (p *Process) newTeller(client *http.Client) *evidence.Teller {
+	return &evidence.Teller{
+		Client: client, Peers: p.otherRouters, Peer: p.peer, OnFailed: p.recorder.routerNotTold,
+		Take: func(notes []quarantine.Note, peer netip.AddrPort) {
+			for _, note := range notes {
+				p.learn(note, sourceAnswer, peer)
+			}
+		},
+	}
+}
+
+// otherRouters are all known routers but this one.
+func (p *Process) otherRouters() []netip.AddrPort {
+	own := p.current.Load().Listen.Peers
+	var others []netip.AddrPort
+	for _, member := range p.compiler.View().Members {
+		if member.Peers != own {
+			others = append(others, member.Peers)
+		}
+	}
+	return others
+}
+
+// suspectPages hands out what is known, takes what others tell, and lets operators lift
+// what stands against a content.
+func (p *Process) suspectPages(pages *bunrouter.Router) {
+	known := &evidence.Known{
+		All: p.suspects.all, Of: p.suspects.of,
+		Take: func(notes []quarantine.Note) {
+			for _, note := range notes {
+				p.learn(note, sourceRouter, netip.AddrPort{})
+			}
+		},
+	}
+	pages.Compat().GET(evidence.Path, known.ServeAll)
+	pages.Compat().POST(evidence.Path, known.ServeTold)
+	pages.DELETE(evidence.Path+"/:content", bunrouter.HandlerFunc(p.lift))
+}
+
+// lift clears a content at an operator's wish, here and everywhere.
+func (p *Process) lift(w http.ResponseWriter, r bunrouter.Request) error {
+	var name content.Name
+	if err := name.UnmarshalText([]byte(r.Param("content"))); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return nil
+	}
+	if known := p.suspects.note(name); len(known.Ends) == 0 {
+		http.Error(w, "no upstream is known to have ended under this content", http.StatusNotFound)
+		return nil
+	}
+	p.tell(quarantine.Note{Content: name, Cleared: true}, sourceLifted)
+	w.WriteHeader(http.StatusNoContent)
+	return nil
+}
