Count the time for which a host is suspended in ages, leases, turns and deadlines

Cause: all ages came from the steady clock, which stands still while a host is suspended. A router suspended for 5 s took its copy of the store, its versions and the loads for 5 s fresher than they were, and sent to engines whose version was over for as long.

Routers and loaders take all times from it; a request whose time is over by it ends although its timer is late, and connections at rest are closed after a suspension, with a line.

Rejected: the boot clock alone, a system call each time.

--- a/daemon/internal/connection/peering/neighbours.go
+++ b/daemon/internal/connection/peering/neighbours.go
@@ -47,7 +47,7 @@
 	Hold func() bool
 	// OnMute is called when a neighbour is not asked for a while. It may be nil.
 	OnMute func(neighbour netip.AddrPort, reason error)
-	// Now is the clock; nil means time.Now.
+	// Now is the clock; nil means clock.Now.
 	Now func() time.Time
 
 	// muted are the neighbours that are not asked for a while, behind those of them that
--- a/daemon/internal/connection/places/ask.go
+++ b/daemon/internal/connection/places/ask.go
@@ -81,7 +81,7 @@
 // Client asks loaders. Client must be set.
 type Client struct {
 	Client *http.Client
-	// Now is the clock; nil means time.Now.
+	// Now is the clock; nil means clock.Now.
 	Now func() time.Time
 
 	// muted are the loaders that did not answer.
--- a/daemon/internal/connection/places/ledger.go
+++ b/daemon/internal/connection/places/ledger.go
@@ -45,7 +45,7 @@
 // Ledger counts the places of one engine. The zero value gives none until a load
 // was observed.
 type Ledger struct {
-	// Now is the clock; nil means time.Now.
+	// Now is the clock; nil means clock.Now.
 	Now func() time.Time
 
 	mu       sync.Mutex
--- a/daemon/internal/connection/witness/witness.go
+++ b/daemon/internal/connection/witness/witness.go
@@ -28,7 +28,7 @@
 // Witness looks at upstreams whose connections broke. Dial must be set.
 type Witness struct {
 	Dial dial.Func
-	// Now is the clock; nil means time.Now.
+	// Now is the clock; nil means clock.Now.
 	Now func() time.Time
 
 	mu sync.Mutex
--- a/daemon/internal/helpers/helpers.go
+++ b/daemon/internal/helpers/helpers.go
@@ -2,7 +2,11 @@
 // need.
 package helpers
 
-import "time"
+import (
+	"time"
+
+	"github.com/wheelcleat/wheelcleat/daemon/internal/clock"
+)
 
 // Pause waits and reports true, or false when stop closes first. A context's
 // Done and a tomb's Dying are both fit to stop it.
@@ -17,12 +21,12 @@
 	}
 }
 
-// Now reads a clock that may be nil, which stands for the system's.
-func Now(clock func() time.Time) time.Time {
-	if clock != nil {
-		return clock()
+// Now reads a clock that may be nil, which stands for package clock.
+func Now(now func() time.Time) time.Time {
+	if now != nil {
+		return now()
 	}
-	return time.Now()
+	return clock.Now()
 }
 
 // OrDefault returns value, or fallback where value is the zero value.
--- a/daemon/internal/process/balance/balance.go
+++ b/daemon/internal/process/balance/balance.go
@@ -69,7 +69,7 @@
 	// Hall is this process's own data hall: upstreams elsewhere are taken when
 	// those of the hall are busier, "" for no difference.
 	Hall string
-	// Now is the clock; nil means time.Now.
+	// Now is the clock; nil means clock.Now.
 	Now func() time.Time
 
 	mu     sync.Mutex
--- a/daemon/internal/process/members/members.go
+++ b/daemon/internal/process/members/members.go
@@ -44,7 +44,7 @@
 //
 // Lock order: mu is the only lock; it is not held while callers run.
 type Table struct {
-	// Now is the clock; nil means time.Now.
+	// Now is the clock; nil means clock.Now.
 	Now func() time.Time
 	// Silence and Forget vary the defaults; 0 takes them.
 	Silence, Forget time.Duration
--- a/daemon/internal/process/mirror/follower.go
+++ b/daemon/internal/process/mirror/follower.go
@@ -9,6 +9,7 @@
 
 	"gopkg.in/tomb.v2"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/clock"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/patience"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
@@ -68,6 +69,8 @@
 	OnContact func(prefix string, lost error)
 	// OnBytes is called with the bytes of answers as they come. It may be nil.
 	OnBytes func(bytes int)
+	// Now is the clock; nil means clock.Now.
+	Now func() time.Time
 
 	// at is the revision up to which the prefix is known; 0 means not at all. It
 	// only rises.
@@ -100,7 +103,7 @@
 
 // Start begins to follow; Stop ends it.
 func (f *Follower) Start() {
-	f.start = time.Now()
+	f.start = f.now()
 	f.generation.Store(rand.Uint64())
 	f.tomb.Go(f.run)
 }
@@ -111,16 +114,21 @@
 	_ = f.tomb.Wait()
 }
 
+func (f *Follower) now() time.Time { return helpers.Now(f.Now) }
+
+// elapsed is the time since the start.
+func (f *Follower) elapsed() time.Duration { return f.now().Sub(f.start) }
+
 // Age is the time since the store last answered, or since the start.
 func (f *Follower) Age() time.Duration {
-	return time.Since(f.start) - time.Duration(f.answered.Load())
+	return f.elapsed() - time.Duration(f.answered.Load())
 }
 
 // Regained is the time since the store last answered after a failure; false
 // where it never failed, or fails now.
 func (f *Follower) Regained() (time.Duration, bool) {
 	at := f.regained.Load()
-	return time.Since(f.start) - time.Duration(at), at != 0
+	return f.elapsed() - time.Duration(at), at != 0
 }
 
 // At returns the revision up to which the copy is complete, or 0.
@@ -128,7 +136,7 @@
 
 // Standing returns how well the copy keeps up with the store.
 func (f *Follower) Standing() Standing {
-	now := time.Since(f.start)
+	now := f.elapsed()
 	heard := max(f.heard.Load(), f.underWay.Load())
 	return Standing{
 		At: f.At(), Answered: f.Age(), Heard: now - time.Duration(heard), Lost: f.failures.Load() >= lostAfter,
@@ -178,7 +186,7 @@
 
 // progress takes note of a part of an answer.
 func (f *Follower) progress(bytes int) {
-	f.underWay.Store(int64(time.Since(f.start)))
+	f.underWay.Store(int64(f.elapsed()))
 	f.countBytes(bytes)
 }
 
@@ -208,7 +216,7 @@
 // long as it took, so that lists take half of the time at most. Watches go on once
 // little is new.
 func (f *Follower) catchUp(ctx context.Context) error {
-	started := time.Now()
+	started := clock.Now()
 	known := f.At()
 	listing, err := f.list(ctx)
 	if err != nil {
@@ -221,7 +229,7 @@
 		}
 	}
 	f.overtaken = 2*news > f.listed
-	f.settle(time.Since(started))
+	f.settle(clock.Since(started))
 	return nil
 }
 
@@ -311,7 +319,7 @@
 // whether the store was away. It was given some time ago, and a part of one came
 // last some time ago.
 func (f *Follower) hear(answered, heard time.Duration) {
-	now := time.Since(f.start)
+	now := f.elapsed()
 	f.answered.Store(max(f.answered.Load(), int64(now-answered), 1))
 	f.heard.Store(max(f.heard.Load(), int64(now-heard), 1))
 	if f.failing {
--- a/daemon/internal/process/mirror/table.go
+++ b/daemon/internal/process/mirror/table.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/clock"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
@@ -90,7 +91,7 @@
 	if t.entries == nil {
 		t.entries = map[string]kept{}
 	}
-	now := time.Now()
+	now := clock.Now()
 	var fresh []provider.Entry
 	for _, entry := range entries {
 		known, ok := t.entries[entry.Key]
--- a/daemon/internal/process/mirror/view.go
+++ b/daemon/internal/process/mirror/view.go
@@ -116,7 +116,7 @@
 	// used for lapseKept more, and whoever keeps the compiler is to call Take
 	// again then.
 	Lapses func() bool
-	// Now is the clock; nil means time.Now.
+	// Now is the clock; nil means clock.Now.
 	Now func() time.Time
 
 	view atomic.Pointer[View]
@@ -289,7 +289,7 @@
 // declare links a declaration to those before it, because an engine may be on
 // the way to one of them, and their time runs on.
 func (c *Compiler) declare(entry provider.Entry, target provider.Target) Declared {
-	declared := Declared{Target: target, Revision: entry.Revision, Learned: time.Now(), Found: !c.taken}
+	declared := Declared{Target: target, Revision: entry.Revision, Learned: c.now(), Found: !c.taken}
 	before, ok := c.targets[entry.Key]
 	if !ok {
 		return declared
--- a/daemon/internal/process/placer/placer.go
+++ b/daemon/internal/process/placer/placer.go
@@ -53,7 +53,7 @@
 	// Listed returns the host list; false where none was ever fetched.
 	Listed    func() ([]platform.Host, bool)
 	Telemetry *telemetry.Telemetry
-	// Now is the clock; nil means time.Now.
+	// Now is the clock; nil means clock.Now.
 	Now func() time.Time
 	// TTL, Every and ReplaceAfter vary the defaults; 0 takes them.
 	TTL, Every, ReplaceAfter time.Duration
--- a/daemon/internal/request/admission/callers.go
+++ b/daemon/internal/request/admission/callers.go
@@ -24,7 +24,7 @@
 // Where callers of a route name different times from the start nobody counts as come
 // back. The zero value is ready to use.
 type Callers struct {
-	// Now is the clock; nil means time.Now.
+	// Now is the clock; nil means clock.Now.
 	Now func() time.Time
 
 	mu     sync.Mutex
--- a/daemon/internal/request/dispatch/answer.go
+++ b/daemon/internal/request/dispatch/answer.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/clock"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/balance"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/exchange"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
@@ -104,7 +105,7 @@
 	if _, ok := header["Content-Type"]; !ok {
 		header["Content-Type"] = nil
 	}
-	q.story.FirstByte = time.Now()
+	q.story.FirstByte = clock.Now()
 }
 
 // giveUp ends a request that is not tried again.
--- a/daemon/internal/request/dispatch/broken.go
+++ b/daemon/internal/request/dispatch/broken.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/clock"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/balance"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/content"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/exchange"
@@ -77,7 +78,7 @@
 	}
 	q.Broke(Break{
 		Request: q.story.ID, Content: q.story.Content, Upstream: choice.Upstream,
-		After: time.Since(q.story.Started) - try.At,
+		After: clock.Since(q.story.Started) - try.At,
 	})
 }
 
--- a/daemon/internal/request/dispatch/budget.go
+++ b/daemon/internal/request/dispatch/budget.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 )
 
 const (
@@ -13,9 +15,6 @@
 	budgetMargin = 0.7
 )
 
-// steadyStart makes part numbers of the steady clock: the time of day jumps.
-var steadyStart = time.Now()
-
 // Budget allows second sends as a share of each service's requests and a fixed
 // number, over a sliding window and all processes together. This process spends
 // from its own requests and its part of the fixed number. The zero value allows
@@ -27,6 +26,8 @@
 	Window time.Duration
 	// Processes returns how many share the budget.
 	Processes func() int
+	// Now is the clock; nil means clock.Now.
+	Now func() time.Time
 
 	mu       sync.Mutex
 	services map[string]*usage
@@ -88,7 +89,7 @@
 	}
 	now := int64(0)
 	if b.Window > 0 {
-		now = int64(time.Since(steadyStart) / (b.Window / budgetParts))
+		now = helpers.Now(b.Now).UnixNano() / int64(b.Window/budgetParts)
 	}
 	u := b.services[service]
 	if u == nil {
--- a/daemon/internal/request/dispatch/budget_test.go
+++ b/daemon/internal/request/dispatch/budget_test.go
@@ -44,3 +44,17 @@
 	assert.False(t, budget.Take("a"))
 	assert.True(t, budget.Take("b"))
 }
+
+// TestASuspensionPassesTheWindow: what was sent before the host was suspended is as long ago
+// for the upstreams as it was.
+func TestASuspensionPassesTheWindow(t *testing.T) {
+	now := time.Unix(1000, 0)
+	budget := &dispatch.Budget{Slack: 10, Window: 10 * time.Second, Now: func() time.Time { return now }}
+	taken := 0
+	for budget.Take("s") {
+		taken++
+	}
+	assert.Equal(t, 7, taken)
+	now = now.Add(11 * time.Second)
+	assert.True(t, budget.Take("s"))
+}
--- a/daemon/internal/request/dispatch/dispatch.go
+++ b/daemon/internal/request/dispatch/dispatch.go
@@ -18,6 +18,7 @@
 	"strings"
 	"time"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/clock"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/places"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/balance"
@@ -151,12 +152,12 @@
 // ServeHTTP answers one request.
 func (d *Dispatcher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := &request{Dispatcher: d, Request: r, writer: w, view: d.View()}
-	q.story = &Story{ID: r.Header.Get(d.Headers.RequestID), Started: time.Now(), Configuration: q.view.ConfigurationRevision}
+	q.story = &Story{ID: r.Header.Get(d.Headers.RequestID), Started: clock.Now(), Configuration: q.view.ConfigurationRevision}
 	defer q.ended()
 	if !q.admit() {
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
+	ctx, cancel := context.WithTimeout(r.Context(), clock.Until(q.deadline))
 	defer cancel()
 	d.Budget.Request(q.service.Name)
 	q.run(ctx)
@@ -181,7 +182,7 @@
 			q.end(EndLeft, 0, "the caller left")
 			panic(http.ErrAbortHandler) // a handler that returns sends an empty answer
 		}
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || q.overdue() {
 			q.timeOut(result)
 			return
 		}
@@ -197,6 +198,10 @@
 	errOverloaded = errors.New("every upstream is so loaded that the answer would be late")
 )
 
+// overdue reports whether the request's time is over. A context's own timer stands still
+// while the host is suspended.
+func (q *request) overdue() bool { return clock.Until(q.deadline) <= 0 }
+
 // usualPrompt stands for the prompts that wait, in tokens, where the configuration does
 // not tell.
 const usualPrompt = 900.0
@@ -275,7 +280,7 @@
 
 func (q *request) noteTry(choice balance.Choice, result exchange.Result, started time.Time) {
 	try := Try{
-		Upstream: choice.Upstream.ID, Address: choice.Upstream.Address, At: started.Sub(q.story.Started), Took: time.Since(started), Fate: result.Fate.String(),
+		Upstream: choice.Upstream.ID, Address: choice.Upstream.Address, At: started.Sub(q.story.Started), Took: clock.Since(started), Fate: result.Fate.String(),
 		Version: choice.Version, InFlight: choice.InFlight, Candidates: choice.Candidates,
 		Waiting: choice.Waiting, Beyond: choice.Beyond, Running: choice.Running, Age: choice.Age,
 	}
--- a/daemon/internal/request/dispatch/pace.go
+++ b/daemon/internal/request/dispatch/pace.go
@@ -22,7 +22,7 @@
 // Pace keeps what this process sees of each service's load over time. The zero
 // value is ready to use.
 type Pace struct {
-	// Now is the clock; nil means time.Now.
+	// Now is the clock; nil means clock.Now.
 	Now func() time.Time
 
 	mu       sync.Mutex
--- a/daemon/internal/request/dispatch/place.go
+++ b/daemon/internal/request/dispatch/place.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/clock"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/places"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/balance"
@@ -118,11 +119,11 @@
 
 // ask asks for a place and notes the answer.
 func (q *request) ask(ctx context.Context, choice balance.Choice, limit places.Limit) (places.Load, bool, error) {
-	started := time.Now()
+	started := clock.Now()
 	load, given, err := q.AskPlace(ctx, choice.Upstream, limit)
 	asked := Asked{
 		Upstream: choice.Upstream.ID, Given: given, Running: load.Running, Waiting: load.Waiting,
-		Most: limit.Waiting, Taken: limit.Taken, Took: time.Since(started),
+		Most: limit.Waiting, Taken: limit.Taken, Took: clock.Since(started),
 	}
 	if err != nil {
 		asked.Cause = err.Error()
--- a/daemon/internal/request/dispatch/seek.go
+++ b/daemon/internal/request/dispatch/seek.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/clock"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/balance"
 )
@@ -69,7 +70,7 @@
 
 // gapLeft is how long a stream that has broken off may take to go on.
 func (s *stream) gapLeft() time.Duration {
-	return max(time.Until(s.passed.Add(gapMost)), seekLeast)
+	return max(clock.Until(s.passed.Add(gapMost)), seekLeast)
 }
 
 // drop ends a stream that is not needed.
--- a/daemon/internal/request/dispatch/send.go
+++ b/daemon/internal/request/dispatch/send.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/clock"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/balance"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/exchange"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/quarantine"
@@ -46,14 +47,14 @@
 // begin sends the request to an upstream.
 func (q *request) begin(ctx context.Context, choice balance.Choice, lastEvent string) *sending {
 	ctx, cancel := context.WithCancelCause(ctx)
-	s := &sending{choice: choice, started: time.Now(), cancel: cancel, result: make(chan exchange.Result, 1)}
+	s := &sending{choice: choice, started: clock.Now(), cancel: cancel, result: make(chan exchange.Result, 1)}
 	expected := 0
 	if q.query().Version > 0 {
 		expected = choice.Version // an engine that is not what it seems refuses
 	}
 	send := exchange.Send{
 		Incoming: q.Request, Body: q.body, Upstream: choice.Upstream, Account: q.accountName(),
-		Left: time.Until(q.deadline), Priority: q.priority, Version: expected, LastEvent: lastEvent,
+		Left: clock.Until(q.deadline), Priority: q.priority, Version: expected, LastEvent: lastEvent,
 		Fresh: q.route.Mode == provider.ModeUnsafe || q.route.Mode == provider.ModeStream && !q.route.Resumable,
 	}
 	q.tried = append(q.tried, choice.Upstream.ID)
@@ -144,6 +145,7 @@
 		case now := <-look.C:
 			q.endOutdated(first, second)
 			q.endHeld(first, second)
+			q.endOverdue(first, second)
 			if second == nil && q.slow(first) && now.After(seekAt) {
 				second = q.beginSecond(ctx, seeking, lastEvent)
 				seekAt = now.Add(seekAgain)
@@ -179,8 +181,15 @@
 	}
 }
 
+// endOverdue ends sends that have not begun once the request's time is over.
+func (q *request) endOverdue(sends ...*sending) {
+	if q.overdue() {
+		endAll(context.DeadlineExceeded, sends...)
+	}
+}
+
 func (q *request) slow(s *sending) bool {
-	waited := time.Since(s.started)
+	waited := clock.Since(s.started)
 	return waited > headPatience || waited > silentPatience && q.Pool.Silent(s.choice.Upstream.ID)
 }
 
--- a/daemon/internal/request/dispatch/stream.go
+++ b/daemon/internal/request/dispatch/stream.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/clock"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/balance"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/exchange"
 )
@@ -19,7 +20,7 @@
 // breaks off, the stream goes on at another after the last event that went out;
 // the head and its signature stay those of the first.
 func (q *request) stream(ctx context.Context, choice balance.Choice, response *http.Response) bool {
-	s := &stream{request: q, passed: time.Now()}
+	s := &stream{request: q, passed: clock.Now()}
 	s.last, s.hasLast = q.callersLast()
 	for {
 		reading := q.answering
@@ -29,7 +30,7 @@
 			if !s.headSent {
 				s.sendHead(response)
 			}
-			s.Pace.Ended(s.service.Name, time.Since(s.story.FirstByte))
+			s.Pace.Ended(s.service.Name, clock.Since(s.story.FirstByte))
 			q.endWhole(http.StatusOK)
 			return true
 		}
@@ -120,7 +121,7 @@
 	if _, err := s.writer.Write(event.Bytes); err != nil {
 		return fmt.Errorf("write to the caller: %w", err)
 	}
-	s.passed = time.Now()
+	s.passed = clock.Now()
 	if event.HasID {
 		s.last, s.hasLast = event.ID, true
 	}
--- a/daemon/internal/request/route/route.go
+++ b/daemon/internal/request/route/route.go
@@ -52,7 +52,7 @@
 type Router struct {
 	// Hall is the entry's own data hall.
 	Hall string
-	// Now is the clock; nil means time.Now.
+	// Now is the clock; nil means clock.Now.
 	Now func() time.Time
 
 	mu        sync.Mutex
--- a/daemon/internal/version/activate/activate.go
+++ b/daemon/internal/version/activate/activate.go
@@ -114,7 +114,7 @@
 	// Hold is how long an order without an answer may still be under way at an
 	// engine that checks no fence; 0 for one that does.
 	Hold time.Duration
-	// Now is the clock; nil means time.Now.
+	// Now is the clock; nil means clock.Now.
 	Now func() time.Time
 
 	// mu guards highest and heldUntil. It is not held during a load.
--- a/daemon/internal/version/keep/fetch.go
+++ b/daemon/internal/version/keep/fetch.go
@@ -7,8 +7,8 @@
 	"math/rand/v2"
 	"net/netip"
 	"sync"
-	"time"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/clock"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/version/swarm"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
@@ -22,7 +22,7 @@
 		return
 	}
 	k.stopFetch()
-	k.fetching, k.fetchSince = plan.Goal.Version, time.Now()
+	k.fetching, k.fetchSince = plan.Goal.Version, clock.Now()
 	fetchCtx, cancel := context.WithCancel(ctx)
 	k.cancel = cancel
 	k.fetched = make(chan struct{})
@@ -41,7 +41,7 @@
 		return false
 	}
 	count, _ := c.Count()
-	return float64(count) >= worthIt*float64(len(c.Manifest.Digests)) && time.Since(k.fetchSince) < fetchMost
+	return float64(count) >= worthIt*float64(len(c.Manifest.Digests)) && clock.Since(k.fetchSince) < fetchMost
 }
 
 func (k *Keeper) stopFetch() {
@@ -54,13 +54,13 @@
 
 // fetch brings a version to this host, over as many tries as it takes.
 func (k *Keeper) fetch(ctx context.Context, plan Plan) {
-	started := time.Now()
+	started := clock.Now()
 	for ctx.Err() == nil {
 		err := k.tryFetch(ctx, plan)
 		if ctx.Err() != nil {
 			return
 		}
-		k.OnStep(Step{Name: StepFetch, Version: plan.Goal.Version, Err: err, Took: time.Since(started)})
+		k.OnStep(Step{Name: StepFetch, Version: plan.Goal.Version, Err: err, Took: clock.Since(started)})
 		if err == nil || errors.Is(err, provider.ErrSuperseded) {
 			return
 		}
@@ -104,7 +104,7 @@
 
 // manifest finds the manifest of the goal's version.
 func (k *Keeper) manifest(ctx context.Context, plan Plan) (provider.Manifest, error) {
-	started := time.Now()
+	started := clock.Now()
 	goal := plan.Goal
 	inquiry := &Inquiry{
 		Own: k.Own, Ranked: k.Ranked(goal),
@@ -121,7 +121,7 @@
 		return provider.Manifest{}, fmt.Errorf("manifest of version %d: %w", goal.Version, err)
 	}
 	k.OnStep(Step{
-		Name: StepManifest, Version: goal.Version, Took: time.Since(started),
+		Name: StepManifest, Version: goal.Version, Took: clock.Since(started),
 		Reason: fmt.Sprintf("from %s after %d questions to other hosts", found.From, found.Asked),
 	})
 	return found.Manifest, nil
--- a/daemon/internal/version/keep/keep.go
+++ b/daemon/internal/version/keep/keep.go
@@ -16,6 +16,7 @@
 
 	"gopkg.in/tomb.v2"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/clock"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/version/swarm"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
@@ -93,7 +94,7 @@
 	NewFetch func(plan Plan, c *swarm.Copy) *swarm.Fetch
 	// AskPeer asks one peer for a manifest.
 	AskPeer func(ctx context.Context, peer netip.AddrPort, version int) (provider.Manifest, error)
-	// Now is the clock by which orders are given; nil means time.Now.
+	// Now is the clock by which orders are given; nil means clock.Now.
 	Now func() time.Time
 	// OnReport is called with each report of the engine.
 	OnReport func(report provider.EngineReport, err error)
@@ -301,7 +302,7 @@
 
 // order has the engine take what lies beside it.
 func (k *Keeper) order(ctx context.Context, goal Goal, report provider.EngineReport) {
-	started := time.Now()
+	started := clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	result, err := k.Engine.Start(ctx, k.Address, provider.Order{
@@ -310,5 +311,5 @@
 	k.ordered = k.now()
 	k.clearing = time.Time{}
 	reason := fmt.Sprintf("holds version %d, %d requests run, order %s", holds(report), report.Running, result)
-	k.OnStep(Step{Name: StepOrder, Version: goal.Version, Reason: reason, Err: err, Took: time.Since(started), Running: report.Running})
+	k.OnStep(Step{Name: StepOrder, Version: goal.Version, Reason: reason, Err: err, Took: clock.Since(started), Running: report.Running})
 }
--- a/daemon/internal/version/keep/stage.go
+++ b/daemon/internal/version/keep/stage.go
@@ -4,8 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
-	"time"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/clock"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/version/swarm"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
@@ -46,7 +46,7 @@
 // prepare lays a version beside the engine ahead of its turn. It is read back
 // right before the order, so not here.
 func (k *Keeper) prepare(ctx context.Context, goal Goal, c *swarm.Copy) {
-	started := time.Now()
+	started := clock.Now()
 	var err error
 	for index := 0; index < len(c.Manifest.Digests) && err == nil; index++ {
 		err = k.putChunk(ctx, goal.Model, index, c.Chunk(index))
@@ -54,7 +54,7 @@
 	if err == nil {
 		k.prepared = goal.Version
 	}
-	k.OnStep(Step{Name: StepStage, Version: goal.Version, Err: err, Took: time.Since(started)})
+	k.OnStep(Step{Name: StepStage, Version: goal.Version, Err: err, Took: clock.Since(started)})
 }
 
 // stage reads back every chunk beside the engine and mends what is not right.
@@ -87,11 +87,11 @@
 
 // check reads back what lies beside the engine, just before an order.
 func (k *Keeper) check(ctx context.Context, goal Goal, c *swarm.Copy) bool {
-	started := time.Now()
+	started := clock.Now()
 	mended, err := k.stage(ctx, goal, c)
 	if mended > 0 || err != nil {
 		reason := fmt.Sprintf("%d chunks had turned bad", mended)
-		k.OnStep(Step{Name: StepCheck, Version: goal.Version, Reason: reason, Err: err, Took: time.Since(started)})
+		k.OnStep(Step{Name: StepCheck, Version: goal.Version, Reason: reason, Err: err, Took: clock.Since(started)})
 	}
 	return err == nil
 }
--- a/daemon/internal/version/swarm/duty.go
+++ b/daemon/internal/version/swarm/duty.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/clock"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/rendezvous"
 )
 
@@ -42,7 +43,7 @@
 // offered reports whether a neighbour that is heard has the chunk.
 func (f *Fetch) offered(index int) bool {
 	for _, n := range f.known {
-		if n.have.Has(index) && time.Since(n.heard) < peerSilence {
+		if n.have.Has(index) && clock.Since(n.heard) < peerSilence {
 			return true
 		}
 	}
@@ -123,7 +124,7 @@
 // chunk.
 func (f *Fetch) offeredNear(index int) bool {
 	for _, n := range f.known {
-		if !n.far && n.have.Has(index) && time.Since(n.heard) < peerSilence {
+		if !n.far && n.have.Has(index) && clock.Since(n.heard) < peerSilence {
 			return true
 		}
 	}
--- a/daemon/internal/version/swarm/fetch.go
+++ b/daemon/internal/version/swarm/fetch.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/clock"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/lines"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/version/pace"
@@ -148,7 +149,7 @@
 // turns out to be wrong.
 func (f *Fetch) Run(ctx context.Context) error {
 	f.pace = pace.Pace{Chunks: len(f.Copy.Manifest.Digests), CopyTime: f.OriginTime}
-	f.pace.Begin(time.Now())
+	f.pace.Begin(clock.Now())
 	f.known = map[netip.AddrPort]*neighbour{}
 	f.taken = map[int]bool{}
 	f.seenAt = map[int]time.Time{}
@@ -246,7 +247,7 @@
 		n = &neighbour{far: host.Hall != f.Own.Hall}
 		f.known[host.Address] = n
 	}
-	now := time.Now()
+	now := clock.Now()
 	n.have, n.absent, n.heard = have, absent, now
 	for _, index := range f.Copy.Note(have) {
 		f.seenAt[index] = now
@@ -275,12 +276,12 @@
 	defer f.release(index)
 	ctx, cancel := context.WithTimeout(ctx, chunkTimeout)
 	defer cancel()
-	started := time.Now()
+	started := clock.Now()
 	chunk, err := Peer{Address: address, Client: f.Client, Urgent: f.First}.Chunk(ctx, f.Copy.Manifest.Version, index)
 	if err == nil {
 		err = f.Copy.Put(index, chunk)
 	}
-	f.settle(address, time.Since(started), err)
+	f.settle(address, clock.Since(started), err)
 	if err != nil {
 		return true, err
 	}
@@ -294,7 +295,7 @@
 func (f *Fetch) pickFromPeers(place int) (int, netip.AddrPort, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	if place >= f.allowed {
 		return 0, netip.AddrPort{}, false
 	}
@@ -357,16 +358,16 @@
 	n := f.known[address]
 	n.busy--
 	if IsBusy(err) {
-		n.until = time.Now().Add(busyRest)
+		n.until = clock.Now().Add(busyRest)
 		return
 	}
 	n.pace = (n.pace + took) / 2
 	switch {
 	case err != nil:
-		n.until = time.Now().Add(rest)
+		n.until = clock.Now().Add(rest)
 		f.allowed = max(1, f.allowed/2)
 	case took > slowChunk:
-		n.until = time.Now().Add(took)
+		n.until = clock.Now().Add(took)
 		f.allowed = max(1, f.allowed-1)
 	case took < quickChunk:
 		f.allowed = min(f.most, f.allowed+1)
@@ -392,7 +393,7 @@
 	}
 	if !errors.Is(err, errDigest) {
 		f.mu.Lock()
-		f.pace.Failed(index, time.Now())
+		f.pace.Failed(index, clock.Now())
 		f.mu.Unlock()
 		// The chunk is free for peers meanwhile: they may have it by now.
 		helpers.Pause(rand.N(askAgain), ctx.Done())
@@ -429,7 +430,7 @@
 func (f *Fetch) pickForOrigin() (int, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	f.rank(f.liveHosts(now))
 	have := f.Copy.Have()
 	backup := -1
@@ -456,7 +457,7 @@
 
 func (f *Fetch) tell(index int, chunk []byte, from string) {
 	f.mu.Lock()
-	now := time.Now()
+	now := clock.Now()
 	f.pace.Came(now)
 	if from == FromOrigin {
 		f.pace.Answered(f.seen(), now)
--- a/daemon/internal/version/swarm/uplink.go
+++ b/daemon/internal/version/swarm/uplink.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/clock"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 )
 
@@ -134,7 +135,7 @@
 	}
 	takes := time.Duration(float64(bytes) / (uplinkShare * u.BytesPerSecond()) * float64(time.Second))
 	u.mu.Lock()
-	now := time.Now()
+	now := clock.Now()
 	if u.free.Before(now) {
 		u.free = now
 	}
--- a/daemon/loader/needs.go
+++ b/daemon/loader/needs.go
@@ -9,6 +9,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/clock"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/peering"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/patience"
@@ -48,18 +49,18 @@
 
 // lookForNeeds looks now and then.
 func (p *Process) lookForNeeds() error {
-	started := time.Now()
+	started := clock.Now()
 	ctx := p.tomb.Context(nil) //nolint:staticcheck // nil asks the tomb for its own context
 	most := lookSoon
 	var known time.Time
 	for {
 		pause := lookAgain
-		starting := time.Since(started) < routersFirst
-		err := p.look(ctx, starting || time.Since(known) < needsKept)
+		starting := clock.Since(started) < routersFirst
+		err := p.look(ctx, starting || clock.Since(known) < needsKept)
 		switch {
 		case err == nil:
 			most = lookSoon
-			known = time.Now()
+			known = clock.Now()
 		case starting:
 			pause = lookAtStart/2 + rand.N(lookAtStart/2)
 		default:
--- a/daemon/loader/notes.go
+++ b/daemon/loader/notes.go
@@ -2,10 +2,10 @@
 
 import (
 	"sync/atomic"
-	"time"
 
 	"github.com/apex/log"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/clock"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/loadfeed"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/places"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/mirror"
@@ -39,7 +39,7 @@
 	p.telemetry.SetReady()
 	loading, closes := report.Loading || p.keeper.Clearing(), p.keeper.Closes()
 	p.feed.Publish(loadfeed.Line{
-		Running: report.Running, Waiting: report.Waiting, Loading: loading, ClosesIn: loadfeed.ClosesIn(closes, time.Now()), Models: report.Models,
+		Running: report.Running, Waiting: report.Waiting, Loading: loading, ClosesIn: loadfeed.ClosesIn(closes, clock.Now()), Models: report.Models,
 	})
 	p.ledger.Close(closes)
 	p.ledger.Observe(places.Load{Running: report.Running, Waiting: report.Waiting, Loading: loading}, true)
--- a/daemon/router/hall.go
+++ b/daemon/router/hall.go
@@ -84,6 +84,12 @@
 	return !p.follower.Known() || p.follower.Age() > p.silentAfter()
 }
 
+// needsPeer is asked a few times a second: whether another router is to be asked for news.
+func (p *Process) needsPeer() bool {
+	p.noteSuspension()
+	return p.cutOff()
+}
+
 // cutOff reports whether nothing at all came of the store for too long. An answer
 // that is long under way leaves a router silent, but not cut off.
 func (p *Process) cutOff() bool {
--- a/daemon/router/recorder.go
+++ b/daemon/router/recorder.go
@@ -11,6 +11,7 @@
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/time/rate"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/clock"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/mirror"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/telemetry"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/content"
@@ -68,7 +69,7 @@
 	fields := log.Fields{
 		fieldDecision: "route", "request": story.ID, "route": story.Route, "service": story.Service, "account": story.Account,
 		"outcome": story.Outcome, "status": story.Status, "tries": story.Tries, "configuration": story.Configuration,
-		"took": time.Since(story.Started).Round(time.Microsecond).String(),
+		"took": clock.Since(story.Started).Round(time.Microsecond).String(),
 	}
 	if !story.FirstByte.IsZero() {
 		fields["firstByte"] = story.FirstByte.Sub(story.Started).Round(time.Microsecond).String()
@@ -226,6 +227,13 @@
 	}
 }
 
+// suspended writes one line when the host was suspended: what this router believed is older
+// by that.
+func (r *recorder) suspended(took time.Duration) {
+	r.scope.Counter("suspensions").Inc(1)
+	r.log.WithField("for", took.Round(time.Millisecond).String()).Warn("the host was suspended")
+}
+
 func (r *recorder) started(s *settings.Router) {
 	r.log.WithFields(log.Fields{"callers": s.Listen.Callers, "peers": s.Listen.Peers, "store": s.Store}).Info("started")
 }
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -20,6 +20,7 @@
 
 	"github.com/uptrace/bunrouter"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/clock"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/dial"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/evidence"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/loadfeed"
@@ -107,6 +108,11 @@
 	// the list changes, and read for each line of a loader.
 	enginesAt atomic.Pointer[map[netip.Addr][]string]
 
+	// toUpstreams keeps connections to upstreams, and suspended is for how long the host was
+	// suspended by the last look, in nanoseconds.
+	toUpstreams *http.Transport
+	suspended   atomic.Int64
+
 	callers, ready, peers, metrics *server.Server
 	draining                       atomic.Bool
 	done                           chan struct{}
@@ -152,7 +158,7 @@
 		Near: p.neighbours.News, Before: p.provider.Prefixes.Members,
 	}
 	p.puller = &peering.Puller{
-		Client: client, Follower: p.follower, Peer: p.peer, Needed: p.cutOff, OnPull: p.recorder.pulled,
+		Client: client, Follower: p.follower, Peer: p.peer, Needed: p.needsPeer, OnPull: p.recorder.pulled,
 	}
 	p.announcer = &announcer{
 		store: p.provider.Store, onContact: p.recorder.contact,
@@ -265,6 +271,7 @@
 func (p *Process) dispatcher() *dispatch.Dispatcher {
 	bounds := p.current.Load().Bounds
 	connect := dial.Within(upstreamConnect, p.options.Dial)
+	p.toUpstreams = dial.NewHostTransport(connect, upstreamIdle)
 	p.budget = &dispatch.Budget{
 		Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, Window: bounds.RetryWindow.Std(),
 		Processes: func() int { return max(len(p.compiler.View().Members), len(p.current.Load().Seeds)) },
@@ -273,7 +280,7 @@
 		Headers: p.provider.Headers,
 		Client: &exchange.Client{
 			Headers: p.provider.Headers,
-			Kept:    dial.NewHostTransport(connect, upstreamIdle),
+			Kept:    p.toUpstreams,
 			Fresh:   dial.NewHostTransport(connect, 0),
 		},
 		Pool: p.pool, Budget: p.budget, Pace: &dispatch.Pace{}, Callers: &admission.Callers{}, View: p.compiler.View, Stale: p.silent,
@@ -290,7 +297,7 @@
 
 // demand says on which versions of a model requests may run.
 func (p *Process) demand(declared *mirror.Declared) mirror.Demand {
-	return declared.Demand(time.Now(), p.current.Load().Bounds.VersionApply.Std())
+	return declared.Demand(clock.Now(), p.current.Load().Bounds.VersionApply.Std())
 }
 
 // readyPages answers the balancer: ready while a configuration is known and no
--- a/daemon/router/suspects.go
+++ b/daemon/router/suspects.go
@@ -10,6 +10,7 @@
 
 	"github.com/uptrace/bunrouter"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/clock"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/evidence"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/content"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/dispatch"
@@ -47,7 +48,7 @@
 func (s *suspects) judge(name content.Name) quarantine.Verdict {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table.Judge(name, time.Now())
+	return s.table.Judge(name, clock.Now())
 }
 
 // take takes a note, and returns the verdicts before and after. It reports false where the
@@ -55,7 +56,7 @@
 func (s *suspects) take(note quarantine.Note) (before, after quarantine.Verdict, news bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	before = s.table.Judge(note.Content, now)
 	news = s.table.Take(note, now)
 	return before, s.table.Judge(note.Content, now), news
@@ -65,7 +66,7 @@
 func (s *suspects) end(b dispatch.Break) quarantine.End {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table.End(b.Content, b.Upstream.ID, b.Upstream.Started, time.Now().Add(-b.After))
+	return s.table.End(b.Content, b.Upstream.ID, b.Upstream.Started, clock.Now().Add(-b.After))
 }
 
 func (s *suspects) note(name content.Name) quarantine.Note {
