Have the soak send requests that end upstreams and spoil entries; try once what is held back

Change: a content is held back for 15 s at first, four times as long with each further end. Then one router, the first of a ranking by the content, sends it once; a whole answer clears it everywhere. Soak: requests-crash (an upstream ends as it begins the request, its port refuses, it starts again under its id), entries-spoiled, checks with mutants, two plans; proxies refuse connections to what has ended.

Replay: 4.5 engines end, 3.5 without the try.

--- /dev/null
+++ b/cli/internal/soak/deadly.go
@@ -0,0 +1,83 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/wheelcleat/wheelcleat/platform/standin"
+)
+
+// This file brings about the requests under which upstreams end, and entries that cannot be
+// read.
+
+const (
+	// deadlyEvery is the pause after which a caller comes back with a deadly request, and
+	// deadlyBack the time until an upstream that ended under one is back.
+	deadlyEvery = 250 * time.Millisecond
+	deadlyBack  = 1500 * time.Millisecond
+)
+
+// sendDeadly has one caller come to one router after the other for a while, always with the
+// same request.
+func (f *fleet) sendDeadly(lasts time.Duration) {
+	path := fmt.Sprintf("%s%d", standin.DeadlyPath, f.deadly.Add(1))
+	ctx, cancel := context.WithTimeout(context.Background(), lasts)
+	defer cancel()
+	end := f.oracle.Strike(RequestsCrash, path)
+	defer end()
+	for visit := 0; ctx.Err() == nil; visit++ {
+		router := f.routers[visit%len(f.routers)]
+		c := &caller{router: router.process, address: router.callers, oracle: f.oracle, number: &f.deadlySent}
+		c.client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: callTimeout}
+		c.send(ctx, request{path: path, key: constantKey})
+		wait(deadlyEvery, ctx.Done())
+		if f.stopped() {
+			return
+		}
+	}
+}
+
+func (f *fleet) stopped() bool {
+	select {
+	case <-f.stop:
+		return true
+	default:
+		return false
+	}
+}
+
+// endDeadly ends the upstream of a host under a request; another one is there a while later.
+func (f *fleet) endDeadly(h *host) { go f.crash(h, deadlyBack) }
+
+// spoiledEntries are what another writer leaves in an upstream's entry.
+var spoiledEntries = [][]byte{
+	{0xff, 0xfe, 0}, []byte("null"), []byte("{"), []byte("{}"),
+	[]byte(`{"service":["assistant"],"state":"ready"}`),
+	[]byte(`{"service":"assistant","address":"127.0.0.1:1","zone":"hall-1","capacity":"many","state":"ready"}`),
+	[]byte(`{"service":"assistant","address":"127.0.0.1:1","zone":"hall-1","capacity":4,"state":"resting"}`),
+}
+
+// spoil has something else stand in the entry of a host's upstream for a while.
+func (f *fleet) spoil(h *host, which int, lasts time.Duration) {
+	if !h.claim() {
+		return
+	}
+	defer h.release()
+	f.once(EntriesSpoiled, h.address.String(), func() {
+		u := h.current()
+		u.Spoil(spoiledEntries[which%len(spoiledEntries)])
+		f.oracle.Left(u.Record.ID)
+		f.wait(lasts)
+		f.oracle.Back(u.Record.ID)
+		u.Spoil(nil)
+	})
+}
+
+// rename has the host's next upstream be another one.
+func (h *host) rename() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.renamed = true
+}
--- a/cli/internal/soak/fleet.go
+++ b/cli/internal/soak/fleet.go
@@ -56,7 +56,9 @@
 	routers        []*router
 	hosts          []*host
 	newest         atomic.Int64
-	version        int
+	// deadly counts the deadly requests, and deadlySent how often they were sent.
+	deadly, deadlySent atomic.Int64
+	version            int
 	// stop ends all waits, done the stand-ins.
 	stop    <-chan struct{}
 	done    chan struct{}
@@ -87,10 +89,11 @@
 	mu       sync.Mutex
 	upstream *standin.Upstream
 	server   *serve.Server
-	// births counts the upstreams that this host had; busy says that one is coming or
-	// going.
-	births int
-	busy   bool
+	// births counts the upstreams that this host had, names the ids that they had: one that
+	// crashes starts again under its id unless renamed says so. busy says that one is
+	// coming or going.
+	births, names int
+	renamed, busy bool
 }
 
 // base is the first part of all addresses of this process, so that runs beside each
@@ -221,13 +224,18 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.births++
+	if h.renamed {
+		h.names++
+		h.renamed = false
+	}
 	u := &standin.Upstream{
 		Record: provider.Upstream{
-			ID: fmt.Sprintf("u-%d-%d", h.number, h.births), Service: h.service, Hall: h.hall,
+			ID: fmt.Sprintf("u-%d-%d", h.number, h.names), Started: time.Now(), Service: h.service, Hall: h.hall,
 			Address: at(h.address, linkPort), Places: plainPlaces,
 		},
 		Store: f.store, OnRun: f.oracle.Ran, OnReach: f.oracle.Reached,
-		OnFault: func(text string) { f.oracle.Violatef(CheckWeights, "%s", text) },
+		OnFault:  func(text string) { f.oracle.Violatef(CheckWeights, "%s", text) },
+		OnDeadly: func() { f.endDeadly(h) },
 	}
 	if h.loader != nil {
 		u.Origin, u.Record.Places = f.origin, enginePlaces
@@ -237,6 +245,9 @@
 		return err
 	}
 	h.upstream, h.server = u, server
+	if err := h.link.Listen(); err != nil {
+		return err
+	}
 	u.Announce()
 	return nil
 }
@@ -244,6 +255,7 @@
 // bury ends the upstream of a host, as a crash does; its entry goes a while later.
 func (f *fleet) bury(h *host, lapse time.Duration) {
 	h.mu.Lock()
+	h.link.Refuse()
 	h.server.Close()
 	id := h.upstream.Record.ID
 	h.mu.Unlock()
--- a/cli/internal/soak/oracle.go
+++ b/cli/internal/soak/oracle.go
@@ -29,6 +29,10 @@
 	retryRatio  = 0.2
 	retrySlack  = 100
 	retryWindow = 10 * time.Second
+	// A request under which heldAfter upstreams ended may begin mostLate times more later
+	// than heldBound after that, and mostDeadly times in all.
+	heldAfter, mostLate, mostDeadly = 3, 3, 8
+	heldBound                       = 3*time.Second + boundSlack
 )
 
 // Check names one promise.
@@ -50,6 +54,7 @@
 	CheckRecovery      Check = "service back"
 	CheckProcess       Check = "processes live and end well"
 	CheckUsage         Check = "memory and files"
+	CheckHeld          Check = "what ends upstreams is held back"
 )
 
 // Violation is one promise that was not kept.
@@ -111,6 +116,8 @@
 	named    map[int]time.Time
 	newest   int
 	version  int
+	// deadly holds when each deadly request began at an upstream, by its path.
+	deadly map[string][]time.Time
 	// inForce is the newest configuration that each start of a router has shown.
 	inForce map[string]shown
 }
@@ -187,6 +194,13 @@
 	set(&o.leaving, upstream, time.Now())
 }
 
+// Back notes that an upstream is to be used again.
+func (o *Oracle) Back(upstream string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.leaving, upstream)
+}
+
 // Sent notes that a caller is about to send a request.
 func (o *Oracle) Sent(id, router string) {
 	o.mu.Lock()
@@ -213,6 +227,9 @@
 	defer o.mu.Unlock()
 	count := o.runs[run.ID] + 1
 	set(&o.runs, run.ID, count)
+	if strings.HasPrefix(run.Path, standin.DeadlyPath) {
+		o.checkDeadly(run)
+	}
 	if count > 1 && strings.HasPrefix(run.Path, unsafePath) {
 		o.violatef(CheckOnce, run.ID, "%s began a request that may run once for the %d. time", run.Upstream, count)
 	}
@@ -224,6 +241,32 @@
 	}
 }
 
+// checkDeadly counts the upstreams that began a request under which they end.
+func (o *Oracle) checkDeadly(run standin.Run) {
+	began := append(o.deadly[run.Path], run.At)
+	set(&o.deadly, run.Path, began)
+	if o.disturbed(began[0], run.At, o.router[run.ID], "store", "router", "all", "link") {
+		return
+	}
+	if len(began) > mostDeadly {
+		o.violatef(CheckHeld, run.ID, "%s began a request under which %d upstreams ended", run.Upstream, len(began)-1)
+		return
+	}
+	if len(began) <= heldAfter {
+		return
+	}
+	late := 0
+	for _, at := range began[heldAfter:] {
+		if at.Sub(began[heldAfter-1]) > heldBound+o.Patience {
+			late++
+		}
+	}
+	if late > mostLate {
+		o.violatef(CheckHeld, run.ID, "%s began a request %s after three upstreams had ended under it, the %d. so late",
+			run.Upstream, run.At.Sub(began[heldAfter-1]).Round(time.Millisecond), late)
+	}
+}
+
 // Ended notes what a caller got.
 func (o *Oracle) Ended(outcome Outcome) {
 	o.mu.Lock()
--- a/cli/internal/soak/oracle_test.go
+++ b/cli/internal/soak/oracle_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -57,6 +58,16 @@
 	return outcome
 }
 
+// deadlyRuns has upstreams begin a deadly request some times, after a while.
+func deadlyRuns(o *Oracle, count int, after time.Duration) {
+	later(after)
+	for range count {
+		id := fmt.Sprint("deadly-", o.sent)
+		o.Sent(id, "router")
+		o.Ran(standin.Run{ID: id, Upstream: "u", Path: standin.DeadlyPath + "1", At: time.Now()})
+	}
+}
+
 func later(d time.Duration) { <-time.After(d) } // by the clock of the test's bubble
 
 // TestEachCheckFindsItsFault feeds the oracle with what a daemon that breaks one promise
@@ -142,6 +153,32 @@
 				o.Reached("id", "u")
 			},
 		},
+		"an entry that cannot be read": {
+			CheckLeaving,
+			func(o *Oracle) { o.Left("u"); later(leaveBound + 1); o.Reached("id", "u") },
+			func(o *Oracle) { o.Left("u"); o.Back("u"); later(leaveBound + 1); o.Reached("id", "u") },
+		},
+		"a request that ends upstream after upstream": {
+			CheckHeld,
+			func(o *Oracle) { deadlyRuns(o, mostDeadly+1, 0) },
+			func(o *Oracle) { deadlyRuns(o, mostDeadly, 0) },
+		},
+		"a request that ends upstreams long after it is known": {
+			CheckHeld,
+			func(o *Oracle) { deadlyRuns(o, heldAfter, 0); deadlyRuns(o, mostLate+1, heldBound+1) },
+			func(o *Oracle) { deadlyRuns(o, heldAfter, 0); deadlyRuns(o, mostLate, heldBound+1) },
+		},
+		"a request that ends upstreams while its router is frozen": {
+			CheckHeld,
+			func(o *Oracle) {
+				o.Strike(RouterFreeze, "other")
+				deadlyRuns(o, mostDeadly+1, 0)
+			},
+			func(o *Oracle) {
+				o.Strike(RouterFreeze, "router")
+				deadlyRuns(o, mostDeadly+1, 0)
+			},
+		},
 		"a version that cuts": {
 			CheckCut,
 			func(o *Oracle) {
--- a/cli/internal/soak/plan.go
+++ b/cli/internal/soak/plan.go
@@ -59,6 +59,11 @@
 	UpstreamCut     Kind = "upstream-cut"
 	UpstreamSurplus Kind = "upstream-surplus"
 	EngineRot       Kind = "engine-rot"
+	// RequestsCrash has a caller come again and again with a request that ends each upstream
+	// that begins it.
+	RequestsCrash Kind = "requests-crash"
+	// EntriesSpoiled has something that is no record stand in an upstream's entry.
+	EntriesSpoiled Kind = "entries-spoiled"
 	// Of the origin.
 	OriginDown  Kind = "origin-down"
 	OriginSpoil Kind = "origin-spoil"
@@ -74,6 +79,7 @@
 	StoreDown, StoreSilent, StoreSlow, StoreRefuse, StoreLose, StoreForget, StoreTurnOff,
 	LinkDelay, LinkReset, LinkOneWay, LinkSilent, LinkNarrow,
 	UpstreamCrash, UpstreamLeave, UpstreamShed, UpstreamFail, UpstreamHang, UpstreamReset, UpstreamCut, UpstreamSurplus, EngineRot,
+	RequestsCrash, EntriesSpoiled,
 	OriginDown, OriginSpoil, OriginSlow,
 	Configure, Configure, Version, Version,
 }
--- a/cli/internal/soak/proxy.go
+++ b/cli/internal/soak/proxy.go
@@ -27,10 +27,11 @@
 //
 // Lock order: mu is the only lock, and it is not held during reads and writes.
 type Proxy struct {
-	target   netip.AddrPort
-	listener *net.TCPListener
+	address, target netip.AddrPort
 
-	mu          sync.Mutex
+	mu sync.Mutex
+	// listener is nil while new connections are refused.
+	listener    *net.TCPListener
 	fault       LinkFault
 	changed     chan struct{}
 	connections map[net.Conn]struct{}
@@ -44,11 +45,42 @@
 	if err != nil {
 		return nil, fmt.Errorf("proxy to %s: %w", target, err)
 	}
-	p := &Proxy{target: target, listener: listener, changed: make(chan struct{}), connections: map[net.Conn]struct{}{}}
-	p.done.Go(p.accept)
+	p := &Proxy{
+		address: address, target: target, listener: listener,
+		changed: make(chan struct{}), connections: map[net.Conn]struct{}{},
+	}
+	p.done.Go(func() { p.accept(listener) })
 	return p, nil
 }
 
+// Refuse refuses new connections and cuts those that are open, as the port of a process
+// that has ended does; Listen takes them again.
+func (p *Proxy) Refuse() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil {
+		_ = p.listener.Close()
+		p.listener = nil
+	}
+	p.cut()
+}
+
+// Listen takes connections again after Refuse.
+func (p *Proxy) Listen() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil || p.closed {
+		return nil
+	}
+	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(p.address))
+	if err != nil {
+		return fmt.Errorf("proxy to %s: %w", p.target, err)
+	}
+	p.listener = listener
+	p.done.Go(func() { p.accept(listener) })
+	return nil
+}
+
 // Set changes what is wrong with the link.
 func (p *Proxy) Set(fault LinkFault) {
 	p.mu.Lock()
@@ -63,7 +95,7 @@
 
 // Close cuts all connections and waits for them to end.
 func (p *Proxy) Close() {
-	_ = p.listener.Close()
+	p.Refuse()
 	p.mu.Lock()
 	p.closed = true
 	p.cut()
@@ -87,9 +119,9 @@
 	_ = connection.Close()
 }
 
-func (p *Proxy) accept() {
+func (p *Proxy) accept(listener *net.TCPListener) {
 	for {
-		connection, err := p.listener.Accept()
+		connection, err := listener.Accept()
 		if err != nil {
 			return
 		}
--- a/cli/internal/soak/strike.go
+++ b/cli/internal/soak/strike.go
@@ -49,6 +49,10 @@
 		f.crash(host, lasts)
 	case step.Kind == UpstreamLeave:
 		f.leave(host)
+	case step.Kind == RequestsCrash:
+		f.sendDeadly(lasts)
+	case step.Kind == EntriesSpoiled:
+		f.spoil(host, step.Target, lasts)
 	case step.Kind == EngineRot:
 		f.once(step.Kind, engine.address.String(), func() {
 			engine.current().Rot()
@@ -236,6 +240,7 @@
 		f.oracle.Left(u.Record.ID)
 		f.wait(drainTime)
 		f.bury(h, 0)
+		h.rename()
 		f.bearAgain(h)
 	})
 }
--- a/daemon/internal/request/dispatch/admit.go
+++ b/daemon/internal/request/dispatch/admit.go
@@ -39,7 +39,7 @@
 		return false
 	}
 	q.story.Content = q.contentName()
-	if q.verdict() == quarantine.Held {
+	if q.Admit != nil && q.Admit(q.story.Content) == quarantine.Held {
 		q.hold()
 		return false
 	}
--- a/daemon/internal/request/dispatch/dispatch.go
+++ b/daemon/internal/request/dispatch/dispatch.go
@@ -50,10 +50,11 @@
 	// Broke is told of each send whose connection broke, before the request is sent again.
 	// It may be nil.
 	Broke func(Break)
-	// Judge says what may be done with a content under which upstreams ended, and Whole is
-	// told of each content that was answered whole. Both may be nil.
-	Judge func(content.Name) quarantine.Verdict
-	Whole func(content.Name)
+	// Admit says what may be done with a content under which upstreams ended, as a request
+	// comes, and Judge the same of one that was let in. Whole is told of each content that
+	// was answered whole. All may be nil.
+	Admit, Judge func(content.Name) quarantine.Verdict
+	Whole        func(content.Name)
 	// Report is told once of each request that ended.
 	Report func(*Story)
 }
--- a/daemon/internal/request/dispatch/hold.go
+++ b/daemon/internal/request/dispatch/hold.go
@@ -23,7 +23,7 @@
 }
 
 // endHeld ends sends that have not begun once their content is held back. Without it a
-// caller who comes twice a second ends 4.3 engines of 20 and not 3.5, because visits overlap.
+// caller who comes twice a second ends 5.3 engines of 20 and not 4.5, because visits overlap.
 func (q *request) endHeld(sends ...*sending) {
 	if q.verdict() == quarantine.Held {
 		endAll(errHeld, sends...)
--- a/daemon/internal/request/quarantine/quarantine.go
+++ b/daemon/internal/request/quarantine/quarantine.go
@@ -12,15 +12,16 @@
 // together, because their hall lost its power, are all of depth one, however many of them
 // ran the same popular request; only a request that ends one after the other is deep. What
 // was known when the request was sent does not do alone: visits of one caller overlap, and
-// up to 7 engines ended where 5 do at most.
+// up to 7 engines ended before the try where 5 do at most.
 //
 // The limits, from a replay of the load (7 routers, 20 engines, 150 requests a second, 40
 // seeds of 30 s): without quarantine 75 engines end. With two ends in depth a request is
 // sent to one upstream only, and with three to none; sends of it that have not begun are
-// taken back. So 3.5 engines end where news takes 20 ms from router to router, 8.0 where it
-// takes a second, and none of 120,000 others is held back. Holding back at two would have 2.2
-// end, but 15 others held back (191 where news takes a second), and more where engines end
-// for reasons of their own; sends that are not taken back would have 4.3 end.
+// taken back. After 15 s it is sent once, by one router. So 4.5 engines end where news takes
+// 20 ms from router to router, one of them for that try, 8.9 where it takes a second, and
+// none of 120,000 others is held back. Holding back at two, without a try, would have 2.2
+// end, but 15 others held back (192 where news takes a second), and more where engines end
+// for reasons of their own; sends that are not taken back would have 5.3 end.
 //
 // The package has no clock and no network. Routers tell each other of each end and keep
 // the same table (package evidence); what is held back lies in the store as well.
@@ -43,9 +44,18 @@
 	// heldAt is the depth of ends from which a content is held back, and onceAt the one from
 	// which it is sent to one upstream only.
 	heldAt, onceAt = 3, 2
-	// heldFor is how long a content is held back after its last end. Then one more end
-	// holds it back again, for twice as long, until longestHeld.
-	heldFor, longestHeld = 10 * time.Minute, 3 * time.Hour
+	// firstHeld is how long a content is held back at first. Then one router sends it once:
+	// that ends one more upstream, and holds it back heldGrowth times as long, or clears what
+	// was held back although other requests had ended its upstreams. A popular request would
+	// be refused for that long; a deadly one ends seven upstreams in a day.
+	firstHeld  = 15 * time.Second
+	heldGrowth = 4
+	// longestHeld bounds that time; longer after its last end a content is forgotten.
+	longestHeld = 3 * time.Hour
+	// suspectFor is how long ends count of a content that was never held back.
+	suspectFor = 10 * time.Minute
+	// tryTime is how long the outcome of the one send is waited for.
+	tryTime = 10 * time.Second
 	// together is how long after one end another is still taken for as deep: those that are
 	// killed together are heard of within a few milliseconds, or some ten over a narrow link.
 	together = 100 * time.Millisecond
@@ -121,9 +131,11 @@
 	// last is when the newest end was heard of.
 	last time.Time
 	// held is for how long the content is held back after that, 0 while it was not yet, and
-	// released says that this time is over: one more end then holds it back again.
+	// released says that this time is over: one more end then holds it back again. tried is
+	// when it was last sent for that, zero if it was not.
 	held     time.Duration
 	released bool
+	tried    time.Time
 }
 
 // depth is that of the deepest end.
@@ -157,7 +169,7 @@
 		news = known.take(end, now) || news
 	}
 	if before < heldAt && known.depth() >= heldAt {
-		known.held = min(max(heldFor, 2*known.held), longestHeld)
+		known.held = min(max(firstHeld, heldGrowth*known.held), longestHeld)
 	}
 	return news
 }
@@ -181,17 +193,15 @@
 	return true
 }
 
-// expire forgets what is too old to count: of a content that was held back so much that
-// one more end holds it back again, of others all.
+// expire releases what was held back long enough, and forgets what is too old to count.
 func (r *record) expire(now time.Time) {
-	if now.Sub(r.last) < max(r.held, heldFor) {
-		return
-	}
-	if r.held > 0 {
+	age := now.Sub(r.last)
+	switch {
+	case r.held == 0 && age >= suspectFor || age >= 2*longestHeld:
+		*r = record{last: r.last}
+	case r.held > 0 && age >= r.held:
 		r.released = true
-		return
 	}
-	r.ends = nil
 }
 
 func (t *Table) clear(name content.Name) bool {
@@ -229,7 +239,22 @@
 	return end
 }
 
-// Judge says what may be done with a request.
+// Admit says what may be done with a request that comes now. Of a content whose time is over
+// one request is let in to be sent once, where this router may try it.
+func (t *Table) Admit(name content.Name, mayTry bool, now time.Time) Verdict {
+	verdict := t.Judge(name, now)
+	known := t.contents[name]
+	if known == nil || !known.released {
+		return verdict
+	}
+	if !mayTry || now.Sub(known.tried) < tryTime {
+		return Held
+	}
+	known.tried = now
+	return Once
+}
+
+// Judge says what may be done with a request that was let in.
 func (t *Table) Judge(name content.Name, now time.Time) Verdict {
 	known := t.contents[name]
 	if known == nil {
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -285,7 +285,7 @@
 		},
 		Pool: p.pool, Budget: p.budget, Pace: &dispatch.Pace{}, Callers: &admission.Callers{}, View: p.compiler.View, Stale: p.silent,
 		Demand: p.demand, Report: p.recorder.request, AskPlace: p.askPlace, Broke: p.broke,
-		Judge: p.suspects.judge, Whole: p.answeredWhole,
+		Admit: p.admitContent, Judge: p.suspects.judge, Whole: p.answeredWhole,
 	}
 }
 
--- a/daemon/router/suspects.go
+++ b/daemon/router/suspects.go
@@ -12,6 +12,7 @@
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/clock"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/evidence"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/rendezvous"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/content"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/dispatch"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/quarantine"
@@ -51,6 +52,18 @@
 	return s.table.Judge(name, clock.Now())
 }
 
+// admit says what may be done with a content as a request comes; mayTry is asked only where
+// one was held back.
+func (s *suspects) admit(name content.Name, mayTry func(content.Name) bool) quarantine.Verdict {
+	if s.judge(name) == quarantine.Free {
+		return quarantine.Free
+	}
+	own := mayTry(name)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Admit(name, own, clock.Now())
+}
+
 // take takes a note, and returns the verdicts before and after. It reports false where the
 // note was no news.
 func (s *suspects) take(note quarantine.Note) (before, after quarantine.Verdict, news bool) {
@@ -107,6 +120,24 @@
 	p.tell(quarantine.Note{Content: b.Content, Ends: []quarantine.End{end}}, sourceOwn)
 }
 
+// admitContent says what may be done with a content as a request comes.
+func (p *Process) admitContent(name content.Name) quarantine.Verdict {
+	return p.suspects.admit(name, p.tries)
+}
+
+// tries reports whether it falls to this router to send a content again that was held back
+// long enough: to one of all, so that one upstream is risked.
+func (p *Process) tries(name content.Name) bool {
+	own := p.current.Load().Name
+	names := []string{own}
+	for member := range p.compiler.View().Members {
+		if member != own {
+			names = append(names, member)
+		}
+	}
+	return rendezvous.First("try "+name.String(), names) == own
+}
+
 // answeredWhole clears a content.
 func (p *Process) answeredWhole(name content.Name) {
 	if known := p.suspects.note(name); len(known.Ends) > 0 {
