--- a/cli/internal/soak/deadly.go
+++ b/cli/internal/soak/deadly.go
@@ -51,14 +51,6 @@
 // endDeadly ends the upstream of a host under a request; another one is there a while later.
 func (f *fleet) endDeadly(h *host) { go f.crash(h, deadlyBack) }
 
-// spoiledEntries are what another writer leaves in an upstream's entry.
-var spoiledEntries = [][]byte{
-	{0xff, 0xfe, 0}, []byte("null"), []byte("{"), []byte("{}"),
-	[]byte(`{"service":["assistant"],"state":"ready"}`),
-	[]byte(`{"service":"assistant","address":"127.0.0.1:1","zone":"hall-1","capacity":"many","state":"ready"}`),
-	[]byte(`{"service":"assistant","address":"127.0.0.1:1","zone":"hall-1","capacity":4,"state":"resting"}`),
-}
-
 // spoil has something else stand in the entry of a host's upstream for a while.
 func (f *fleet) spoil(h *host, which int, lasts time.Duration) {
 	if !h.claim() {
@@ -67,7 +59,7 @@
 	defer h.release()
 	f.once(EntriesSpoiled, h.address.String(), func() {
 		u := h.current()
-		u.Spoil(spoiledEntries[which%len(spoiledEntries)])
+		u.Spoil(standin.SpoiledEntries[which%len(standin.SpoiledEntries)])
 		f.oracle.Left(u.Record.ID)
 		f.wait(lasts)
 		f.oracle.Back(u.Record.ID)
--- a/cli/internal/soak/oracle.go
+++ b/cli/internal/soak/oracle.go
@@ -243,7 +243,8 @@
 
 // checkDeadly counts the upstreams that began a request under which they end.
 func (o *Oracle) checkDeadly(run standin.Run) {
-	began := append(o.deadly[run.Path], run.At)
+	began := o.deadly[run.Path]
+	began = append(began, run.At)
 	set(&o.deadly, run.Path, began)
 	if o.disturbed(began[0], run.At, o.router[run.ID], "store", "router", "all", "link") {
 		return
