--- a/cli/internal/command/command.go
+++ b/cli/internal/command/command.go
@@ -58,7 +58,7 @@
 		},
 		Commands: []*cli.Command{
 			applyCommand(), diffCommand(), getCommand(), deleteCommand(), watchCommand(), rolloutCommand(),
-			explainCommand(), settingsCommand(), devCommand(), standinsCommand(), benchCommand(), soakCommand(),
+			explainCommand(), suspectsCommand(), settingsCommand(), devCommand(), standinsCommand(), benchCommand(), soakCommand(),
 		},
 		// The caller prints the error and chooses the exit code.
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
--- a/cli/internal/explain/explain_test.go
+++ b/cli/internal/explain/explain_test.go
@@ -71,3 +71,16 @@
 	assert.Contains(t, got.String(), "the connection to u2 broke 101ms after it was sent there; the upstream itself ended\n")
 	assert.Contains(t, got.String(), "upstreams that ended while the same content c1 ran there: u1, u2\n")
 }
+
+// TestAHeldRequestNamesTheEvidence: whose ends a refusal rests on, and whence they are known.
+func TestAHeldRequestNamesTheEvidence(t *testing.T) {
+	const lines = `{"fields":{"name":"router-1","role":"router","decision":"quarantine","content":"c1","verdict":"once","from":"router","ends":[{"upstream":"u1","depth":1},{"upstream":"u2","depth":2}]},"timestamp":"2026-12-02T22:02:16Z","message":"verdict on a content changed"}
+{"fields":{"name":"router-1","role":"router","decision":"quarantine","content":"c1","verdict":"held","from":"answer","ends":[{"upstream":"u1","depth":1},{"upstream":"u2","depth":2},{"upstream":"u3","depth":3}]},"timestamp":"2026-12-02T22:02:17Z","message":"verdict on a content changed"}
+{"fields":{"name":"router-1","role":"router","request":"now","content":"c1","outcome":"held","status":503,"took":"1ms","reason":"too many upstreams ended under the same content"},"timestamp":"2026-12-02T22:02:19Z","message":"request ended"}`
+	story, err := explain.Tell("now", strings.NewReader(lines))
+	require.NoError(t, err)
+	var got bytes.Buffer
+	require.NoError(t, story.Print(&got))
+	assert.Contains(t, got.String(), "ended held, status 503")
+	assert.Contains(t, got.String(), "content c1 is held, since 2s before, by news from: answer; upstreams that ended under it: u1 (1 deep), u2 (2 deep), u3 (3 deep)\n")
+}
--- a/cli/internal/explain/line.go
+++ b/cli/internal/explain/line.go
@@ -29,6 +29,7 @@
 	messageLost     = "dependency lost"
 	messageRegained = "dependency regained"
 	messageWeights  = "weights"
+	messageVerdict  = "verdict on a content changed"
 	messageStarted  = "started"
 	messageDropped  = "log lines dropped"
 	messageLeftOut  = "request lines left out"
@@ -76,6 +77,12 @@
 	After    string `json:"after"`
 	Ended    bool   `json:"ended"`
 
+	// Of a verdict on a content: what may be done with it, whence the news came, and the
+	// ends that it rests on.
+	Verdict string `json:"verdict"`
+	From    string `json:"from"`
+	Ends    []End  `json:"ends"`
+
 	// Of beliefs.
 	Key      string         `json:"key"`
 	Revision uint64         `json:"revision"`
@@ -95,6 +102,12 @@
 	Count      int    `json:"count"`
 }
 
+// End is an upstream's end under a content; see package quarantine.
+type End struct {
+	Upstream string `json:"upstream"`
+	Depth    int    `json:"depth"`
+}
+
 // Try is one send of a request; see package dispatch.
 type Try struct {
 	Upstream string        `json:"upstream"`
--- a/cli/internal/explain/print.go
+++ b/cli/internal/explain/print.go
@@ -90,6 +90,14 @@
 	}
 }
 
+func endsText(ends []End) string {
+	names := make([]string, 0, len(ends))
+	for _, end := range ends {
+		names = append(names, fmt.Sprintf("%s (%d deep)", end.Upstream, end.Depth))
+	}
+	return strings.Join(names, ", ")
+}
+
 func afterwards(ended bool) string {
 	if ended {
 		return "the upstream itself ended"
@@ -140,6 +148,10 @@
 			p.linef(2, "%s (revision %d, since %s before)", text, belief.Fields.Revision, rounded(line.At.Sub(belief.At)))
 		}
 	}
+	if verdict, ok := process.verdict(line.Fields.Content, line.At); ok {
+		p.linef(2, "content %s is %s, since %s before, by news from: %s; upstreams that ended under it: %s",
+			line.Fields.Content, verdict.Fields.Verdict, rounded(line.At.Sub(verdict.At)), verdict.Fields.From, endsText(verdict.Fields.Ends))
+	}
 	for _, contact := range process.lost(line.At) {
 		p.linef(2, "%s lost since %s before: %s", contact.Fields.Dependency, rounded(line.At.Sub(contact.At)), contact.Fields.Reason)
 	}
--- a/cli/internal/explain/story.go
+++ b/cli/internal/explain/story.go
@@ -35,6 +35,7 @@
 type process struct {
 	name, role string
 	beliefs    []Line
+	verdicts   []Line
 	contacts   []Line
 	loads      []Line
 	// engine is the engine that a loader keeps.
@@ -70,6 +71,8 @@
 	switch line.Message {
 	case messageBelief:
 		p.beliefs = append(p.beliefs, line)
+	case messageVerdict:
+		p.verdicts = append(p.verdicts, line)
 	case messageLost, messageRegained:
 		p.contacts = append(p.contacts, line)
 	case messageWeights:
@@ -113,6 +116,18 @@
 	return lines
 }
 
+// verdict returns the last verdict of a process on a content before some time.
+func (p *process) verdict(content string, until time.Time) (Line, bool) {
+	var last Line
+	found := false
+	for _, line := range p.verdicts {
+		if line.Fields.Content == content && !line.At.After(until) {
+			last, found = line, true
+		}
+	}
+	return last, found
+}
+
 // lost returns the dependencies that a process had lost at some time.
 func (p *process) lost(at time.Time) []Line {
 	last := map[string]Line{}
