Give what comes from peers, from the origin, who reaches a router and how upstreams score files of their own

Moves only, but for one test: TestFewChunksArriveAtATime counted a chunk until its handler had returned, after its reader may have asked for the next, and failed so beside a load of 18.

--- a/daemon/internal/version/swarm/inbound_test.go
+++ b/daemon/internal/version/swarm/inbound_test.go
@@ -40,8 +40,8 @@
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Query().Has("index") {
 			s.add(1)
-			defer s.add(-1)
 			helpers.Pause(takes, r.Context().Done())
+			s.add(-1) // before the answer is out: its reader may ask for the next chunk at once
 		}
 		whole.ServeHTTP(w, r)
 	}))
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -18,9 +18,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/uptrace/bunrouter"
-
-	"github.com/wheelcleat/wheelcleat/daemon/internal/clock"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/dial"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/evidence"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/loadfeed"
@@ -32,9 +29,7 @@
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/mirror"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/server"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/telemetry"
-	"github.com/wheelcleat/wheelcleat/daemon/internal/request/admission"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/dispatch"
-	"github.com/wheelcleat/wheelcleat/daemon/internal/request/exchange"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 	"github.com/wheelcleat/wheelcleat/daemon/settings"
 )
@@ -172,72 +167,6 @@
 	}
 }
 
-// takeChanges compiles changes of the store's copy and follows the load of the
-// engines that it lists.
-func (p *Process) takeChanges(changed []provider.Entry) {
-	p.compiler.Take(changed)
-	if p.compiler.Lapsed() {
-		time.AfterFunc(lapseAgain, p.lookAtLapsed)
-	}
-	if p.compiler.View().Configuration != nil && !p.draining.Load() {
-		p.telemetry.SetReady()
-	}
-	port := p.current.Load().LoaderPort
-	if port == 0 {
-		return
-	}
-	engines := p.engines()
-	p.enginesAt.Store(byHost(engines))
-	p.loads.Follow(followed(engines, p.current.Load().Hall, p.current.Load().Name, port))
-}
-
-// byHost returns the ids of engines by the address of their host.
-func byHost(engines []*provider.Upstream) *map[netip.Addr][]string {
-	ids := map[netip.Addr][]string{}
-	for _, engine := range engines {
-		host := engine.Address.Addr()
-		ids[host] = append(ids[host], engine.ID)
-	}
-	return &ids
-}
-
-// lookAtLapsed drops the upstreams that were kept and are not back.
-func (p *Process) lookAtLapsed() {
-	if !p.draining.Load() {
-		p.table.Recompile()
-	}
-}
-
-// lapses reports whether entries of upstreams may go only because the store was
-// away: it is for this router, or was a moment ago.
-func (p *Process) lapses() bool {
-	ago, ever := p.follower.Regained()
-	return p.silent() || ever && ago < lapseAfter
-}
-
-// engines are the upstreams of services that run models.
-func (p *Process) engines() []*provider.Upstream {
-	view := p.compiler.View()
-	var engines []*provider.Upstream
-	for name, upstreams := range view.Upstreams {
-		if service := view.Service(name); service != nil && service.Engine != nil {
-			engines = append(engines, upstreams...)
-		}
-	}
-	return engines
-}
-
-// takeLoad hands on what a loader tells of the engine beside it.
-func (p *Process) takeLoad(host netip.AddrPort, line loadfeed.Line) {
-	told := balance.Told{
-		Running: line.Running, Waiting: line.Waiting, Loading: line.Loading,
-		ClosesIn: time.Duration(line.ClosesIn) * time.Millisecond, Models: line.Models,
-	}
-	for _, id := range (*p.enginesAt.Load())[host.Addr()] {
-		p.pool.Tell(id, told)
-	}
-}
-
 // Start opens the ports and begins to follow the store.
 func (p *Process) Start() error {
 	if err := p.listen(); err != nil {
@@ -252,88 +181,6 @@
 	return nil
 }
 
-func (p *Process) listen() error {
-	listens := []struct {
-		server  **server.Server
-		options server.Options
-	}{
-		{&p.callers, server.Options{
-			Name: "callers", Address: p.current.Load().Listen.Callers, Handler: p.dispatcher(), MaxHeaderBytes: maxHeaderBytes,
-		}},
-		{&p.ready, server.Options{Name: "readiness", Address: p.current.Load().Listen.Ready, Handler: p.readyPages()}},
-		{&p.peers, server.Options{Name: "peers", Address: p.current.Load().Listen.Peers, Handler: p.peerPages()}},
-		{&p.metrics, server.Options{Name: "metrics", Address: p.current.Load().Listen.Metrics, Handler: p.metricsPages()}},
-	}
-	for _, l := range listens {
-		s, err := server.Listen(l.options)
-		if err != nil {
-			return err
-		}
-		*l.server = s
-	}
-	return nil
-}
-
-func (p *Process) dispatcher() *dispatch.Dispatcher {
-	bounds := p.current.Load().Bounds
-	connect := dial.Within(upstreamConnect, p.options.Dial)
-	p.toUpstreams = dial.NewHostTransport(connect, upstreamIdle)
-	p.budget = &dispatch.Budget{
-		Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, Window: bounds.RetryWindow.Std(),
-		Processes: func() int { return max(len(p.compiler.View().Members), len(p.current.Load().Seeds)) },
-	}
-	return &dispatch.Dispatcher{
-		Headers: p.provider.Headers,
-		Client: &exchange.Client{
-			Headers: p.provider.Headers,
-			Kept:    p.toUpstreams,
-			Fresh:   dial.NewHostTransport(connect, 0),
-		},
-		Pool: p.pool, Budget: p.budget, Pace: &dispatch.Pace{}, Callers: &admission.Callers{}, View: p.compiler.View, Stale: p.silent,
-		Demand: p.demand, Report: p.recorder.request, AskPlace: p.askPlace, Broke: p.broke,
-		Admit: p.admitContent, Judge: p.suspects.judge, Whole: p.answeredWhole, Over: p.over,
-	}
-}
-
-// askPlace asks the loader beside an engine for a place there.
-func (p *Process) askPlace(ctx context.Context, engine *provider.Upstream, limit places.Limit) (places.Load, bool, error) {
-	loader := netip.AddrPortFrom(engine.Address.Addr(), p.current.Load().LoaderPort)
-	return p.asker.Ask(ctx, loader, limit)
-}
-
-// demand says on which versions of a model requests may run.
-func (p *Process) demand(declared *mirror.Declared) mirror.Demand {
-	return declared.Demand(clock.Now(), p.current.Load().Bounds.VersionApply.Std())
-}
-
-// readyPages answers the balancer: ready while a configuration is known and no
-// stop has begun. The store's silence is no reason to leave, because then all
-// routers would.
-func (p *Process) readyPages() http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		if p.draining.Load() || p.compiler.View().Configuration == nil {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-		w.WriteHeader(http.StatusOK)
-	})
-}
-
-func (p *Process) peerPages() http.Handler {
-	pages := bunrouter.New()
-	copies := &peering.Source{Table: p.table, Standing: p.follower.Standing}
-	pages.Compat().GET(peering.Path, copies.ServeHTTP)
-	pages.Compat().GET(peering.EnginePath, peering.EngineHandler(p.compiler.View))
-	p.suspectPages(pages)
-	return pages
-}
-
-func (p *Process) metricsPages() http.Handler {
-	mux := http.NewServeMux()
-	p.telemetry.Pages(mux)
-	return mux
-}
-
 // Stop takes this router off the balancer, finishes what is in flight and ends.
 // An error says that requests had to be cut.
 func (p *Process) Stop(ctx context.Context) error {
