Look for unread requests before a stop ends a connection, and send none on whose connection was ended

Change: a connection with something unread is not silent (a peek at its socket), and a request that was read as its connection was closed ends there.

Test: TestWhatHasComeIsNoSilence fails without the peek, passes with it.

--- a/daemon/internal/process/server/connections.go
+++ b/daemon/internal/process/server/connections.go
@@ -19,6 +19,8 @@
 type connections struct {
 	mu    sync.Mutex
 	known map[net.Conn]connection
+	// ended are the connections that were closed here and whose server has not noticed yet.
+	ended map[net.Conn]bool
 	// none is closed once no connection is left; nil while nobody waits for that.
 	none chan struct{}
 }
@@ -39,9 +41,17 @@
 	c.known[conn] = connection{state: state}
 	if state == http.StateClosed || state == http.StateHijacked {
 		c.forget(conn)
+		delete(c.ended, conn)
 	}
 }
 
+// hasEnded reports whether a connection was closed here.
+func (c *connections) hasEnded(conn net.Conn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ended[conn]
+}
+
 // forget drops a connection; the caller holds mu.
 func (c *connections) forget(conn net.Conn) {
 	delete(c.known, conn)
@@ -82,8 +92,19 @@
 	}
 }
 
+// end closes a connection; the caller holds mu.
+func (c *connections) end(conn net.Conn) {
+	_ = conn.Close()
+	c.forget(conn)
+	if c.ended == nil {
+		c.ended = map[net.Conn]bool{}
+	}
+	c.ended[conn] = true
+}
+
 // closeQuiet is one look at the connections: it closes those that were silent in enough
-// of them.
+// of them. What has come and was not read yet is no silence: a process that stood still
+// looks before it reads, and closed a connection 56 ms after its request had been sent.
 func (c *connections) closeQuiet() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -92,10 +113,12 @@
 			continue
 		}
 		known.silent++
+		if known.silent >= quietLooks && hasUnread(conn) {
+			known.silent = 0
+		}
 		c.known[conn] = known
 		if known.silent >= quietLooks {
-			_ = conn.Close()
-			c.forget(conn)
+			c.end(conn)
 		}
 	}
 }
--- a/daemon/internal/process/server/connections_test.go
+++ b/daemon/internal/process/server/connections_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 )
@@ -72,3 +75,63 @@
 		assert.Error(t, ctx.Err())
 	})
 }
+
+// A router that stopped closed a connection 56 ms after its request had been sent: it had
+// stood still, and looked at its connections before it read what had come. The request went
+// on to its upstream all the same, where it ran for nobody.
+
+// TestWhatHasComeIsNoSilence: a connection with something unread is not ended, however often
+// it is looked at, and is once that was read.
+func TestWhatHasComeIsNoSilence(t *testing.T) {
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	caller, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", listener.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = caller.Close() }()
+	here, err := listener.Accept()
+	require.NoError(t, err)
+	defer func() { _ = here.Close() }()
+	const request = "GET"
+	_, err = io.WriteString(caller, request)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return hasUnread(here) }, 10*time.Second, time.Millisecond)
+
+	c := &connections{}
+	c.note(here, http.StateIdle)
+	look := func() {
+		for range 3 * quietLooks {
+			c.closeQuiet()
+		}
+	}
+	look()
+	assert.Len(t, c.known, 1)
+	assert.False(t, c.hasEnded(here))
+	_, err = io.ReadFull(here, make([]byte, len(request)))
+	require.NoError(t, err)
+	look()
+	assert.Empty(t, c.known)
+	assert.True(t, c.hasEnded(here))
+	c.note(here, http.StateClosed)
+	assert.False(t, c.hasEnded(here), "its server has noticed")
+}
+
+// TestARequestOfAnEndedConnectionGoesNoFurther: it was read as the connection was closed.
+func TestARequestOfAnEndedConnectionGoesNoFurther(t *testing.T) {
+	here, there := net.Pipe()
+	defer func() { _ = there.Close() }()
+	s := &Server{}
+	passed := 0
+	handler := s.ending(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { passed++ }))
+	request := httptest.NewRequest(http.MethodGet, "/", nil)
+	request = request.WithContext(context.WithValue(request.Context(), connectionKey{}, here))
+	handler.ServeHTTP(httptest.NewRecorder(), request)
+	assert.Equal(t, 1, passed)
+
+	s.open.mu.Lock()
+	s.open.end(here)
+	s.open.mu.Unlock()
+	s.open.note(here, http.StateActive)
+	assert.PanicsWithError(t, http.ErrAbortHandler.Error(), func() { handler.ServeHTTP(httptest.NewRecorder(), request) })
+	assert.Equal(t, 1, passed)
+}
--- a/daemon/internal/process/server/server.go
+++ b/daemon/internal/process/server/server.go
@@ -64,6 +64,9 @@
 	}
 	s.http = &http.Server{
 		Handler: s.ending(options.Handler), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: options.MaxHeaderBytes, ConnState: s.open.note,
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return context.WithValue(ctx, connectionKey{}, conn)
+		},
 	}
 	go func() {
 		defer close(s.done)
@@ -72,10 +75,17 @@
 	return s, nil
 }
 
+// connectionKey is the key of a request's connection in its context.
+type connectionKey struct{}
+
 // ending has answers close their connections once the server is closing, so
-// that callers come back elsewhere.
+// that callers come back elsewhere. A request that was read as its connection was closed
+// goes no further: nobody would get its answer, and it would have run all the same.
 func (s *Server) ending(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if conn, ok := r.Context().Value(connectionKey{}).(net.Conn); ok && s.open.hasEnded(conn) {
+			panic(http.ErrAbortHandler)
+		}
 		if s.closing.Load() {
 			w.Header().Set("Connection", "close")
 		}
