--- a/daemon/router/recorder.go
+++ b/daemon/router/recorder.go
@@ -194,6 +194,9 @@
 	case record.Upstream != nil:
 		fields["service"], fields["address"] = record.Upstream.Service, record.Upstream.Address
 		fields["leaving"], fields["models"] = record.Upstream.Leaving, record.Upstream.Models
+		if !record.Upstream.Started.IsZero() {
+			fields["started"] = record.Upstream.Started
+		}
 	case record.Target != nil:
 		fields["model"], fields["version"] = record.Target.Model, record.Target.Version
 	case record.Member != nil:
