--- a/daemon/internal/request/quarantine/quarantine.go
+++ b/daemon/internal/request/quarantine/quarantine.go
@@ -47,7 +47,7 @@
 	// firstHeld is how long a content is held back at first. Then one router sends it once:
 	// that ends one more upstream, and holds it back heldGrowth times as long, or clears what
 	// was held back although other requests had ended its upstreams. A popular request would
-	// be refused for that long; a deadly one ends seven upstreams in a day.
+	// be refused for that long; a deadly one ends some fifteen upstreams in a day.
 	firstHeld  = 15 * time.Second
 	heldGrowth = 4
 	// longestHeld bounds that time; longer after its last end a content is forgotten.
@@ -112,6 +112,11 @@
 	Cleared bool `json:"cleared,omitempty"`
 }
 
+// Deep reports whether the ends are deep enough to hold the content back, or were.
+func (n Note) Deep() bool {
+	return slices.ContainsFunc(n.Ends, func(end End) bool { return end.Depth >= heldAt })
+}
+
 // Table is what a router knows. The zero value is empty and ready to use. It is not safe
 // for use by several goroutines.
 type Table struct {
--- a/daemon/internal/request/quarantine/quarantine_test.go
+++ b/daemon/internal/request/quarantine/quarantine_test.go
@@ -46,6 +46,8 @@
 	assert.Equal(t, quarantine.Held, table.Judge(named(1), start))
 	assert.Equal(t, quarantine.Free, table.Judge(named(2), start))
 	assert.Len(t, table.Note(named(1)).Ends, 3)
+	assert.True(t, table.Note(named(1)).Deep())
+	assert.False(t, note(2, end("a", 1, 2)).Deep())
 
 	assert.True(t, table.Take(quarantine.Note{Content: named(1), Cleared: true}, start))
 	assert.False(t, table.Take(quarantine.Note{Content: named(1), Cleared: true}, start))
--- a/daemon/router/suspects.go
+++ b/daemon/router/suspects.go
@@ -161,12 +161,13 @@
 // learn takes a note. A verdict that this router helped to reach goes to the store, for
 // routers that start later.
 func (p *Process) learn(note quarantine.Note, from source, peer netip.AddrPort) {
+	known := p.suspects.note(note.Content)
 	before, after, news := p.suspects.take(note)
 	if !news || before == after {
 		return
 	}
 	p.recorder.verdict(p.suspects.note(note.Content), before, after, from, peer)
-	held := before == quarantine.Held || after == quarantine.Held
+	held := after == quarantine.Held || known.Deep() // the store has it since it was held back
 	if held && from != sourceRouter && from != sourceStore {
 		go p.keepVerdict(note.Content)
 	}
