--- a/daemon/internal/request/dispatch/dispatch.go
+++ b/daemon/internal/request/dispatch/dispatch.go
@@ -255,8 +255,8 @@
 //	stream, not resumable yes     yes, within attempts  no
 //	safe, resumable       yes     yes, within attempts  yes, within attempts
 //
-// Of a content under which upstreams ended only what has not run is sent again, and nothing
-// of one that is held back.
+// Of a content under which upstreams ended one after the other only what has not run is sent
+// again, and nothing of one that is held back.
 func (q *request) mayRepeat(fate exchange.Fate) bool {
 	if fate == exchange.Answered || len(q.tried) >= maxTried {
 		return false
