Use one bounded call, one look at a content's table, and one of several twins

Found by reading the whole change once more; behaviour as it was. - evidence spelled out a bounded POST beside call.Get: call.PostJSON serves it. - a router looked at its table four times, under as many locks, for each note that it learned: once now, so that the verdicts before and after belong together. - whether a send wants a connection of its own is repeatable() the other way round. - keep's list of declared versions, the soak's proxy that listens, and a test's host that sends chunks slowly or not at all stood twice each; counters of the soak's hosts that nothing reads, and a flag that a count replaces, go. - a test's own wait is testify's. Three comments said what was so before.

--- a/cli/internal/soak/deadly.go
+++ b/cli/internal/soak/deadly.go
@@ -25,18 +25,15 @@
 	path := fmt.Sprintf("%s%d", standin.DeadlyPath, f.deadly.Add(1))
 	ctx, cancel := context.WithTimeout(context.Background(), lasts)
 	defer cancel()
-	end := f.oracle.Strike(RequestsCrash, path)
-	defer end()
-	for visit := 0; ctx.Err() == nil; visit++ {
-		router := f.routers[visit%len(f.routers)]
-		c := &caller{router: router.process, address: router.callers, oracle: f.oracle, number: &f.deadlySent}
-		c.client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: callTimeout}
-		c.send(ctx, request{path: path, key: constantKey})
-		wait(deadlyEvery, ctx.Done())
-		if f.stopped() {
-			return
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: callTimeout}
+	f.once(RequestsCrash, path, func() {
+		for visit := 0; ctx.Err() == nil && !f.stopped(); visit++ {
+			router := f.routers[visit%len(f.routers)]
+			c := &caller{router: router.process, address: router.callers, oracle: f.oracle, number: &f.deadlySent, client: client}
+			c.send(ctx, request{path: path, key: constantKey})
+			wait(deadlyEvery, ctx.Done())
 		}
-	}
+	})
 }
 
 func (f *fleet) stopped() bool {
@@ -71,5 +68,5 @@
 func (h *host) rename() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.renamed = true
+	h.names++
 }
--- a/cli/internal/soak/fleet.go
+++ b/cli/internal/soak/fleet.go
@@ -89,11 +89,10 @@
 	mu       sync.Mutex
 	upstream *standin.Upstream
 	server   *serve.Server
-	// births counts the upstreams that this host had, names the ids that they had: one that
-	// crashes starts again under its id unless renamed says so. busy says that one is
-	// coming or going.
-	births, names int
-	renamed, busy bool
+	// names counts the ids that this host's upstreams had before: one that crashes starts
+	// again under its id, one that leaves does not. busy says that one is coming or going.
+	names int
+	busy  bool
 }
 
 // base is the first part of all addresses of this process, so that runs beside each
@@ -223,11 +222,6 @@
 func (f *fleet) bear(h *host) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.births++
-	if h.renamed {
-		h.names++
-		h.renamed = false
-	}
 	u := &standin.Upstream{
 		Record: provider.Upstream{
 			ID: fmt.Sprintf("u-%d-%d", h.number, h.names), Started: time.Now(), Service: h.service, Hall: h.hall,
--- a/cli/internal/soak/proxy.go
+++ b/cli/internal/soak/proxy.go
@@ -41,15 +41,10 @@
 
 // StartProxy listens on an address.
 func StartProxy(address, target netip.AddrPort) (*Proxy, error) {
-	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(address))
-	if err != nil {
-		return nil, fmt.Errorf("proxy to %s: %w", target, err)
-	}
-	p := &Proxy{
-		address: address, target: target, listener: listener,
-		changed: make(chan struct{}), connections: map[net.Conn]struct{}{},
+	p := &Proxy{address: address, target: target, changed: make(chan struct{}), connections: map[net.Conn]struct{}{}}
+	if err := p.Listen(); err != nil {
+		return nil, err
 	}
-	p.done.Go(func() { p.accept(listener) })
 	return p, nil
 }
 
@@ -65,7 +60,7 @@
 	p.cut()
 }
 
-// Listen takes connections again after Refuse.
+// Listen takes connections, at first and again after Refuse.
 func (p *Proxy) Listen() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/daemon/internal/connection/call/call.go
+++ b/daemon/internal/connection/call/call.go
@@ -1,9 +1,10 @@
 // Package call makes the short calls between our processes that are no twirp calls:
-// plain GETs, because they are asked for each request or carry bytes as they are, over
+// plain HTTP, because they are asked for each request or carry bytes as they are, over
 // links of a few megabits a second that weights need too.
 package call
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -25,7 +26,20 @@
 // Get reads an answer of at most some bytes, and reports what comes through
 // provider.Progress. Errors do not name the peer: callers know what they asked it for.
 func Get(ctx context.Context, client *http.Client, url string, most int64) ([]byte, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+	return send(ctx, client, http.MethodGet, url, http.NoBody, most)
+}
+
+// PostJSON sends a JSON body and reads a JSON answer into target.
+func PostJSON(ctx context.Context, client *http.Client, url string, body []byte, most int64, target any) error {
+	data, err := send(ctx, client, http.MethodPost, url, bytes.NewReader(body), most)
+	if err != nil {
+		return err
+	}
+	return decode(data, target)
+}
+
+func send(ctx context.Context, client *http.Client, method, url string, body io.Reader, most int64) ([]byte, error) {
+	request, err := http.NewRequestWithContext(ctx, method, url, body)
 	if err != nil {
 		return nil, err
 	}
@@ -53,6 +67,10 @@
 	if err != nil {
 		return err
 	}
+	return decode(data, target)
+}
+
+func decode(data []byte, target any) error {
 	if err := json.Unmarshal(data, target); err != nil {
 		return fmt.Errorf("decode the answer: %w", err)
 	}
--- a/daemon/internal/connection/evidence/evidence.go
+++ b/daemon/internal/connection/evidence/evidence.go
@@ -6,7 +6,7 @@
 // must come through while the store is down. An end breaks some ten requests, of as many
 // routers: at 400 routers each of them is sent ten messages of 330 bytes for an end.
 // Who missed news hears of it in the answer to its own next one, which names the same
-// content, and a router that starts asks another for everything.
+// content, and a router that starts asks two others for everything.
 //
 // Rejected: the copies that routers of a hall follow, which pause after each change, and
 // end at the store; and one router that counts for all others, which saves messages, but has
@@ -15,7 +15,6 @@
 package evidence
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -195,33 +194,12 @@
 	ctx, cancel := context.WithTimeout(t.tomb.Context(nil), tellTimeout) //nolint:staticcheck // nil asks the tomb for its own context
 	defer cancel()
 	var answer Message
-	if err := post(ctx, t.Client, "http://"+peer.String()+Path, body, &answer); err != nil {
+	if err := call.PostJSON(ctx, t.Client, "http://"+peer.String()+Path, body, maxTold, &answer); err != nil {
 		return answer, fmt.Errorf("tell router %s of ended upstreams: %w", peer, err)
 	}
 	return answer, nil
 }
 
-func post(ctx context.Context, client *http.Client, url string, body []byte, answer *Message) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
-	if err != nil {
-		return err
-	}
-	request.Header["User-Agent"] = nil // some 30 bytes that nobody reads
-	response, err := client.Do(request)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxTold))
-	if err != nil {
-		return fmt.Errorf("read the answer: %w", err)
-	}
-	if response.StatusCode != http.StatusOK {
-		return &call.StatusError{Status: response.StatusCode}
-	}
-	return json.Unmarshal(data, answer)
-}
-
 // All asks a router for all that it knows.
 func All(ctx context.Context, client *http.Client, peer netip.AddrPort) ([]quarantine.Note, error) {
 	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
--- a/daemon/internal/request/dispatch/send.go
+++ b/daemon/internal/request/dispatch/send.go
@@ -11,7 +11,6 @@
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/balance"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/exchange"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/quarantine"
-	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
 // This file sends a request to an upstream and waits for the head of its answer. Where that
@@ -55,7 +54,7 @@
 	send := exchange.Send{
 		Incoming: q.Request, Body: q.body, Upstream: choice.Upstream, Account: q.accountName(),
 		Left: clock.Until(q.deadline), Priority: q.priority, Version: expected, LastEvent: lastEvent,
-		Fresh: q.route.Mode == provider.ModeUnsafe || q.route.Mode == provider.ModeStream && !q.route.Resumable,
+		Fresh: !q.repeatable(),
 	}
 	q.tried = append(q.tried, choice.Upstream.ID)
 	q.sent++
--- a/daemon/internal/request/quarantine/quarantine.go
+++ b/daemon/internal/request/quarantine/quarantine.go
@@ -50,7 +50,7 @@
 	// be refused for that long; a deadly one ends some fifteen upstreams in a day.
 	firstHeld  = 15 * time.Second
 	heldGrowth = 4
-	// longestHeld bounds that time; longer after its last end a content is forgotten.
+	// longestHeld bounds that time; twice as long after its last end a content is forgotten.
 	longestHeld = 3 * time.Hour
 	// suspectFor is how long ends count of a content that was never held back.
 	suspectFor = 10 * time.Minute
--- a/daemon/internal/version/keep/keep.go
+++ b/daemon/internal/version/keep/keep.go
@@ -77,6 +77,9 @@
 	OriginTime time.Duration
 }
 
+// goals are all declared versions, newest first.
+func (p Plan) goals() []Goal { return append([]Goal{p.Goal}, p.Earlier...) }
+
 // Keeper keeps one engine. The exported fields must be set.
 type Keeper struct {
 	Engine  provider.Engine
@@ -254,7 +257,7 @@
 // is whole by then does not matter: that shows too late for what runs.
 func closing(plan Plan, held int, now time.Time) time.Time {
 	var next time.Time
-	for _, goal := range append([]Goal{plan.Goal}, plan.Earlier...) {
+	for _, goal := range plan.goals() {
 		soon := now.Before(goal.Turn) && !now.Before(goal.Turn.Add(-closeAhead))
 		if held > 0 && goal.Version > held && soon && (next.IsZero() || goal.Turn.Before(next)) {
 			next = goal.Turn
@@ -270,7 +273,7 @@
 	held := holds(report)
 	var best Goal
 	var copied *swarm.Copy
-	for _, goal := range append([]Goal{plan.Goal}, plan.Earlier...) {
+	for _, goal := range plan.goals() {
 		c := k.Held.Get(goal.Version)
 		if goal.Version <= held || c == nil || !c.Complete() {
 			continue
--- a/daemon/internal/version/swarm/fetch_test.go
+++ b/daemon/internal/version/swarm/fetch_test.go
@@ -190,14 +190,19 @@
 
 // serveStuck serves a host that says it has a copy and never sends a chunk of it.
 func serveStuck(t *testing.T, c *swarm.Copy) netip.AddrPort {
+	t.Helper()
+	return serveChunks(t, c, func(r *http.Request) { <-r.Context().Done() })
+}
+
+// serveChunks serves a host that has a copy and does something before it sends a chunk.
+func serveChunks(t *testing.T, c *swarm.Copy, before func(r *http.Request)) netip.AddrPort {
 	t.Helper()
 	held := &swarm.Held{}
 	held.Add(c)
 	whole := pages(held)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Query().Has("index") {
-			<-r.Context().Done()
-			return
+			before(r)
 		}
 		whole.ServeHTTP(w, r)
 	}))
--- a/daemon/internal/version/swarm/inbound_test.go
+++ b/daemon/internal/version/swarm/inbound_test.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"net/http"
-	"net/http/httptest"
 	"net/netip"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -34,19 +32,11 @@
 // serveSlowly serves a host that has a copy and takes its time for each chunk.
 func (s *senders) serveSlowly(t *testing.T, c *swarm.Copy, takes time.Duration) netip.AddrPort {
 	t.Helper()
-	held := &swarm.Held{}
-	held.Add(c)
-	whole := pages(held)
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Query().Has("index") {
-			s.add(1)
-			helpers.Pause(takes, r.Context().Done())
-			s.add(-1) // before the answer is out: its reader may ask for the next chunk at once
-		}
-		whole.ServeHTTP(w, r)
-	}))
-	t.Cleanup(server.Close)
-	return netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	return serveChunks(t, c, func(r *http.Request) {
+		s.add(1)
+		helpers.Pause(takes, r.Context().Done())
+		s.add(-1) // before the answer is out: its reader may ask for the next chunk at once
+	})
 }
 
 // Four chunks at a time filled a host's link of 7 Mbit/s for 110 ms. Questions for a place
--- a/daemon/router/ends_test.go
+++ b/daemon/router/ends_test.go
@@ -118,16 +118,6 @@
 	return int64(strings.Count(string(data), `"upstream":`))
 }
 
-// soon reports whether a condition comes to hold.
-func soon(condition func() bool) bool {
-	for until := time.Now().Add(time.Second); time.Now().Before(until); pause() {
-		if condition() {
-			return true
-		}
-	}
-	return false
-}
-
 // A request of one account ended each engine that began it, 0.1 s after that. Its caller
 // came back about twice a second at any router, and each visit ended two engines: one play
 // had 44 ends under one request and 33 under another, and every other request of those
@@ -215,7 +205,7 @@
 		assert.Empty(t, got.header.Get("Retry-After"), "coming back is in vain")
 	}
 	for _, other := range f.routers {
-		assert.True(t, soon(func() bool { return endsKnown(other) == f.ends() }), "%s knows of each end", other.Name)
+		assert.Eventually(t, func() bool { return endsKnown(other) == f.ends() }, time.Second, 2*time.Millisecond, "%s knows of each end", other.Name)
 	}
 	for _, m := range f.upstreams {
 		m.restart(t)
--- a/daemon/router/recorder.go
+++ b/daemon/router/recorder.go
@@ -108,17 +108,17 @@
 }
 
 // verdict writes one line when it changes what may be done with a content.
-func (r *recorder) verdict(known quarantine.Note, before, after quarantine.Verdict, from source, peer netip.AddrPort) {
-	r.scope.Tagged(map[string]string{"verdict": after.String()}).Counter("content_verdicts").Inc(1)
+func (r *recorder) verdict(c change, from source, peer netip.AddrPort) {
+	r.scope.Tagged(map[string]string{"verdict": c.after.String()}).Counter("content_verdicts").Inc(1)
 	fields := log.Fields{
-		fieldDecision: "quarantine", "content": known.Content, "verdict": after.String(), "before": before.String(),
-		"ends": known.Ends, "from": from,
+		fieldDecision: "quarantine", "content": c.known.Content, "verdict": c.after.String(), "before": c.before.String(),
+		"ends": c.known.Ends, "from": from,
 	}
 	if peer.IsValid() {
 		fields["peer"] = peer
 	}
 	entry := r.log.WithFields(fields)
-	if after == quarantine.Held {
+	if c.after == quarantine.Held {
 		entry.Warn("verdict on a content changed")
 		return
 	}
--- a/daemon/router/suspects.go
+++ b/daemon/router/suspects.go
@@ -21,8 +21,8 @@
 )
 
 const (
-	// suspectTTL is how long a content that is held back stays in the store: as long as it
-	// is held back the first time, and the longest that stores allow.
+	// suspectTTL is how long a content that is held back stays in the store, for routers that
+	// start meanwhile: the longest that stores allow.
 	suspectTTL = 10 * time.Minute
 	// suspectTimeout bounds the two calls that put it there.
 	suspectTimeout = 3 * time.Second
@@ -69,15 +69,24 @@
 	return s.table.Admit(name, own, clock.Now())
 }
 
-// take takes a note, and returns the verdicts before and after. It reports false where the
-// note was no news.
-func (s *suspects) take(note quarantine.Note) (before, after quarantine.Verdict, news bool) {
+// change is what a note changed.
+type change struct {
+	// before and after are the verdicts, and known what is known of the content by now.
+	before, after quarantine.Verdict
+	known         quarantine.Note
+	// wasDeep says that the content had been held back before.
+	wasDeep bool
+}
+
+// take takes a note, and reports false where it changes no verdict.
+func (s *suspects) take(note quarantine.Note) (change, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := clock.Now()
-	before = s.table.Judge(note.Content, now)
-	news = s.table.Take(note, now)
-	return before, s.table.Judge(note.Content, now), news
+	c := change{before: s.table.Judge(note.Content, now), wasDeep: s.table.Note(note.Content).Deep()}
+	news := s.table.Take(note, now)
+	c.after, c.known = s.table.Judge(note.Content, now), s.table.Note(note.Content)
+	return c, news && c.before != c.after
 }
 
 // end names the end of the upstream of a broken send.
@@ -161,13 +170,12 @@
 // learn takes a note. A verdict that this router helped to reach goes to the store, for
 // routers that start later.
 func (p *Process) learn(note quarantine.Note, from source, peer netip.AddrPort) {
-	known := p.suspects.note(note.Content)
-	before, after, news := p.suspects.take(note)
-	if !news || before == after {
+	c, changed := p.suspects.take(note)
+	if !changed {
 		return
 	}
-	p.recorder.verdict(p.suspects.note(note.Content), before, after, from, peer)
-	held := after == quarantine.Held || known.Deep() // the store has it since it was held back
+	p.recorder.verdict(c, from, peer)
+	held := c.after == quarantine.Held || c.wasDeep // the store has it since it was held back
 	if held && from != sourceRouter && from != sourceStore {
 		go p.keepVerdict(note.Content)
 	}
