Tell callers who come back by the gap in their times

Cause: callers name times that differ by 15 in 100, and who came back was told by having less than the longest time of a route, within 2 in 100.

Change: nobody comes back before ShortestReturn, so whoever has within that of the longest time comes for the first time. The longest is that of callers seen while nobody was refused, until then the route's declared time. Malformed or absurd times and hints count as none. The search for a place is a value of admission (Search, Ways), so that it can be played without I/O; its limits are as before. Lines name the time left.

--- a/daemon/internal/process/balance/balance.go
+++ b/daemon/internal/process/balance/balance.go
@@ -71,6 +71,8 @@
 	Hall string
 	// Now is the clock; nil means clock.Now.
 	Now func() time.Time
+	// Draw returns a number from 0 to 1 by chance; nil means rand.Float64.
+	Draw func() float64
 
 	mu     sync.Mutex
 	states map[string]*state
@@ -172,7 +174,7 @@
 		if !s.fits(candidate, query, now) {
 			continue
 		}
-		score := s.score(candidate, query, now) + rand.Float64()*chance
+		score := s.score(candidate, query, now) + p.draw()*chance
 		if query.Preferred > 0 && s.holds(candidate, query.Model, now) < query.Preferred {
 			score += oldScore * query.Avoid
 		}
@@ -212,6 +214,13 @@
 
 func (p *Pool) now() time.Time { return helpers.Now(p.Now) }
 
+func (p *Pool) draw() float64 {
+	if p.Draw != nil {
+		return p.Draw()
+	}
+	return rand.Float64()
+}
+
 func (p *Pool) state(id string, now time.Time) *state {
 	if p.states == nil {
 		p.states = map[string]*state{}
--- a/daemon/internal/request/admission/admission.go
+++ b/daemon/internal/request/admission/admission.go
@@ -35,14 +35,25 @@
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/places"
 )
 
-// MostQuestions is how many engines are asked for a place before a request is given up
-// as not to be begun in time.
-const MostQuestions = 5
+// Ways are the parts of a search for a place that are open to measurement.
+type Ways struct {
+	// Questions is how many engines are asked for a place before a request is given up as
+	// not to be begun in time.
+	Questions int
+	// Each is how many engines are asked for a place where none waits, then as many for one
+	// behind one, and so on.
+	Each int
+	// Beyond is how many requests may be let in beyond the places of an engine, by the
+	// later questions.
+	Beyond int
+	// BackLeaves is the part of an engine's places that callers who came back leave free.
+	BackLeaves float64
+}
+
+// StandingWays are the ones that are kept.
+func StandingWays() Ways { return Ways{Questions: 5, Each: 2, Beyond: 0, BackLeaves: 0.25} }
 
 const (
-	// questionsEach is how many engines are asked for a place where none waits, then as
-	// many for one behind one, and so on.
-	questionsEach = 2
 	// passShare is by how much longer the reading of a prompt takes because of the passes
 	// between: an engine of 8 places 1.6, one of 16 the same.
 	passShare = 1.6
@@ -111,22 +122,23 @@
 
 // Limit is how loaded an engine may be that is asked after some others. Last says that
 // no other one will be.
-func Limit(s Service, r Request, asked int, last bool) places.Limit {
+func (w Ways) Limit(s Service, r Request, asked int, last bool) places.Limit {
 	free := max(0, s.Places-1-Reserve(s, r))
 	switch {
 	case last && (r.Sent || s.Objective <= 0):
 		return Unlimited
 	case r.Returned && !r.Sent:
-		return places.Limit{Taken: max(0, free-s.returnedFree())}
+		return places.Limit{Taken: max(0, free-w.returnedFree(s))}
 	case last:
-		return places.Limit{Waiting: s.mayWait(), Taken: free}
+		return places.Limit{Waiting: s.mayWait(), Taken: free + w.Beyond}
 	default:
-		return places.Limit{Waiting: min(asked/questionsEach, s.mayWait()), Taken: free}
+		step := asked / max(w.Each, 1)
+		return places.Limit{Waiting: min(step, s.mayWait()), Taken: free + min(step, w.Beyond)}
 	}
 }
 
 // returnedFree is how many places of each engine a request that came back leaves to others.
-func (s Service) returnedFree() int { return s.Places / 4 }
+func (w Ways) returnedFree(s Service) int { return int(w.BackLeaves * float64(s.Places)) }
 
 // mayWait is how many may wait at an engine for a request to be in time behind them.
 func (s Service) mayWait() int {
@@ -145,7 +157,7 @@
 	}
 	taken := load.Running + load.Waiting + 1
 	if r.Returned {
-		taken += s.returnedFree()
+		taken += StandingWays().returnedFree(s)
 	}
 	beyond := max(0, taken+keptFree+Reserve(s, r)-s.Places)
 	wait := time.Duration(load.Waiting)*s.ReadTime + time.Duration(beyond)*s.PlaceEvery
--- a/daemon/internal/request/dispatch/admit.go
+++ b/daemon/internal/request/dispatch/admit.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/admission"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/content"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/quarantine"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
@@ -18,6 +19,8 @@
 const (
 	// defaultDeadline holds for callers that name none.
 	defaultDeadline = time.Minute
+	// longestDeadline is the longest time that a caller may name.
+	longestDeadline = time.Hour
 	// defaultMaxBody bounds a body where the configuration does not.
 	defaultMaxBody = 4 << 20
 	// bodyTimeout bounds the time in which a body arrives.
@@ -44,7 +47,7 @@
 		return false
 	}
 	q.deadline = q.story.Started.Add(min(q.callerPatience(), q.routePatience()))
-	q.story.Returned = q.Callers.Returned(q.route.Name, q.callerPatience())
+	q.story.Left, q.story.Returned = q.callerStanding()
 	q.rank, q.ranks = q.view.Rank(q.service.Name, q.route, q.account)
 	q.priority = q.priorityOf()
 	return true
@@ -145,11 +148,30 @@
 
 // callerPatience is the time that the caller waits.
 func (q *request) callerPatience() time.Duration {
+	if told, ok := q.toldPatience(); ok {
+		return told
+	}
+	return defaultDeadline
+}
+
+// toldPatience is the time that the caller says it waits, false where it says none or one
+// that no caller can mean.
+func (q *request) toldPatience() (time.Duration, bool) {
 	ms, err := strconv.ParseFloat(q.Header.Get(q.Headers.Deadline), 64)
-	if err != nil || ms <= 0 {
-		return defaultDeadline
+	if err != nil || !(ms > 0 && ms <= float64(longestDeadline/time.Millisecond)) {
+		return 0, false
 	}
-	return time.Duration(ms * float64(time.Millisecond))
+	return time.Duration(ms * float64(time.Millisecond)), true
+}
+
+// callerStanding is the time that the caller says it has left, 0 where it does not, and
+// whether it was likely refused before.
+func (q *request) callerStanding() (left time.Duration, returned bool) {
+	left, told := q.toldPatience()
+	if !told {
+		return 0, false
+	}
+	return left, q.Callers.Returned(admission.Seen{Route: q.route.Name, Left: left, Most: q.route.Timeout})
 }
 
 // routePatience is the time that the operator wants the request held.
--- a/daemon/internal/request/dispatch/answer.go
+++ b/daemon/internal/request/dispatch/answer.go
@@ -8,20 +8,15 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/clock"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/balance"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/admission"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/exchange"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
 const (
-	// shortestReturn and longestReturn bound when a refused caller is told to
-	// come back. The time is drawn at random, so that refused callers do not
-	// come back together.
-	shortestReturn = 1200 * time.Millisecond
-	longestReturn  = 1900 * time.Millisecond
 	// maxWhole bounds an answer that is held until it is whole.
 	maxWhole = 16 << 20
 )
@@ -150,7 +145,8 @@
 		q.fail(http.StatusBadGateway, EndUnknown, cause)
 		return
 	}
-	wait := shortestReturn + rand.N(longestReturn-shortestReturn)
+	q.Callers.Refused()
+	wait := admission.Back(rand.Float64())
 	q.writer.Header().Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
 	q.fail(http.StatusServiceUnavailable, EndRefused, cause)
 }
--- a/daemon/internal/request/dispatch/dispatch.go
+++ b/daemon/internal/request/dispatch/dispatch.go
@@ -75,6 +75,8 @@
 	Tries     []Try
 	// Returned says that the caller was likely refused before.
 	Returned bool
+	// Left is the time that the caller said it had left, 0 where it did not.
+	Left time.Duration
 	// Asked are the questions for a place at an engine.
 	Asked []Asked
 	// Configuration is the revision that the request was decided by, and Stale
@@ -324,7 +326,7 @@
 // hint is the tokens that the caller expects of the answer, or those of a usual one.
 func (q *request) hint() float64 {
 	hint, err := strconv.ParseFloat(q.Header.Get(q.Headers.LengthHint), 64)
-	if err != nil {
+	if err != nil || !(hint > 0 && hint <= mostHint) {
 		return q.usualAnswer()
 	}
 	return hint
@@ -348,6 +350,8 @@
 	// usualLength stands for a missing hint, in tokens, where the configuration
 	// does not tell.
 	usualLength = 92.0
+	// mostHint is the most tokens that a caller can expect.
+	mostHint = 1e6
 	// hintWeight is what one hinted token counts beside the time of reading the
 	// prompt: less than it takes, because hints are often far off.
 	hintWeight = 2 * time.Millisecond
--- a/daemon/internal/request/dispatch/place.go
+++ b/daemon/internal/request/dispatch/place.go
@@ -13,10 +13,6 @@
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
-// mostSilent is how many loaders may give no answer to one request: each takes 50 ms of a
-// time to the first byte of some hundred.
-const mostSilent = 3
-
 // freshNews is how old news of a load may be to stand for a loader that does not
 // answer. While weights fill a host's link its answers take up to 50 ms, and its
 // news is up to 110 ms old; of a host that is cut off it grows older.
@@ -43,9 +39,8 @@
 	// The newest view counts here: an upstream may have left since the request
 	// came in.
 	candidates := q.View().Upstreams[q.service.Name]
-	denied, silent := 0, 0
-	full := true
-	for denied+silent < admission.MostQuestions && silent < mostSilent {
+	search := admission.Search{Request: q.standing()}
+	for !search.Over() {
 		choice, ok := q.Pool.Choose(candidates, query)
 		if !ok {
 			break
@@ -53,8 +48,8 @@
 		if !q.hasLoader(choice) {
 			return q.unlessOverloaded(choice)
 		}
-		last := denied+silent+1 == admission.MostQuestions || choice.Candidates == 1
-		limit := admission.Limit(q.engines(choice, q.view.Objective(q.service.Name)), q.standing(), denied, last)
+		search.Service = q.engines(choice, q.view.Objective(q.service.Name))
+		limit := search.Limit(choice.Candidates == 1)
 		if limit != admission.Unlimited {
 			limit.Lasts = query.Lasts
 		}
@@ -66,18 +61,18 @@
 		case err != nil && choice.Told && choice.Age < freshNews:
 			return q.unlessOverloaded(choice)
 		case err != nil:
-			silent++
+			search.Silent()
 		default:
-			denied++
-			full = full && load.Running+load.Waiting >= choice.Upstream.Places
+			search.Denied(load)
 		}
 		choice.Done(balance.Abandoned)
 		query.Tried = append(query.Tried[:len(query.Tried):len(query.Tried)], choice.Upstream.ID)
 	}
+	denied, silent := search.Asked()
 	if denied == 0 {
 		return q.placeByNews(candidates)
 	}
-	q.Pace.Full(q.service.Name, full)
+	q.Pace.Full(q.service.Name, search.AllFull())
 	return balance.Choice{}, fmt.Errorf("%w: no place at %d engines, %d more did not answer", errOverloaded, denied, silent)
 }
 
--- a/daemon/router/recorder.go
+++ b/daemon/router/recorder.go
@@ -90,6 +90,9 @@
 	if story.Returned {
 		fields["returned"] = true
 	}
+	if story.Left > 0 {
+		fields["left"] = story.Left.Round(time.Millisecond).String()
+	}
 	r.log.WithFields(fields).Info("request ended")
 }
 
