Play loads in simulated time: wheelcleat bench load

Cause: a way to decide took minutes of a fleet to measure, and nothing told how far from the best possible it was.

Change: package lab plays engines, loaders' ledgers, routers' pools and searches, and callers who return, in simulated time on the packages that daemons run, beside a bound by an oracle that knows arrivals and lengths. bench load prints a table, JSON lines or a plot by pattern, policy and seed.

--- /dev/null
+++ b/cli/internal/bench/load.go
@@ -0,0 +1,107 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+
+	"github.com/wheelcleat/wheelcleat/daemon/lab"
+)
+
+// Load describes plays of loads in simulated time: each pattern with each policy and seed.
+type Load struct {
+	Setup    lab.Setup
+	Patterns []lab.Pattern
+	Policies []lab.Policy
+	Seeds    []uint64
+	// Progress is told after each play how many of how many are done; nil means nobody is.
+	Progress func(done, all int)
+}
+
+// LoadResult is what came of one pattern and policy, the mean of all seeds.
+type LoadResult struct {
+	lab.Result
+	Seeds int `json:"seeds"`
+}
+
+// Run plays all, one after the other.
+func (b *Load) Run(ctx context.Context) ([]*LoadResult, error) {
+	var results []*LoadResult
+	all := len(b.Patterns) * len(b.Policies) * len(b.Seeds)
+	for _, pattern := range b.Patterns {
+		for _, policy := range b.Policies {
+			result, err := b.runSeeds(ctx, pattern, policy, func(done int) {
+				if b.Progress != nil {
+					b.Progress(len(results)*len(b.Seeds)+done, all)
+				}
+			})
+			if err != nil {
+				return nil, fmt.Errorf("pattern %s, policy %s: %w", pattern.Name, policy.Name, err)
+			}
+			results = append(results, result)
+		}
+	}
+	return results, nil
+}
+
+// runSeeds plays a pattern with a policy for each seed.
+func (b *Load) runSeeds(ctx context.Context, pattern lab.Pattern, policy lab.Policy, done func(int)) (*LoadResult, error) {
+	var plays []*lab.Result
+	for _, seed := range b.Seeds {
+		if err := ctx.Err(); err != nil {
+			return nil, fmt.Errorf("given up: %w", err)
+		}
+		setup := b.Setup
+		setup.Pattern, setup.Seed = pattern, seed
+		result, err := lab.Play(setup, policy)
+		if err != nil {
+			return nil, err
+		}
+		plays = append(plays, result)
+		done(len(plays))
+	}
+	return &LoadResult{Result: lab.Mean(plays), Seeds: len(plays)}, nil
+}
+
+// WriteLoadTable writes a line for each result.
+func WriteLoadTable(out io.Writer, results []*LoadResult) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(table, "pattern\tpolicy\tworth\tbest\tbest in turn\tin time\tlate\trefused\tagain\tcut\tback known\t")
+	for _, r := range results {
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.2f\t\n",
+			r.Pattern, r.Policy, r.Worth, r.Best, r.BestInTurn, r.InTime, r.Late, r.Refused, r.RefusedAgain, r.Cut, r.KnownBack)
+	}
+	if err := table.Flush(); err != nil {
+		return fmt.Errorf("write the table: %w", err)
+	}
+	return nil
+}
+
+// PlotLoad draws the worth of each time, a line for each pattern and policy.
+func PlotLoad(path string, results []*LoadResult) error {
+	p := plot.New()
+	p.X.Label.Text = "seconds since the begin"
+	p.Y.Label.Text = "worth of the callers of that time"
+	p.Y.Max = 1
+	p.Legend.Top = false
+	var lines []any
+	for _, result := range results {
+		points := make(plotter.XYs, 0, len(result.Windows))
+		for i, worth := range result.Windows {
+			points = append(points, plotter.XY{X: float64(i) * lab.WindowLength.Seconds(), Y: worth})
+		}
+		lines = append(lines, fmt.Sprintf("%s, %s", result.Pattern, result.Policy), points)
+	}
+	if err := plotutil.AddLines(p, lines...); err != nil {
+		return fmt.Errorf("plot: %w", err)
+	}
+	if err := p.Save(plotWidth, plotHeight, path); err != nil {
+		return fmt.Errorf("save plot: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/cli/internal/bench/load_test.go
@@ -0,0 +1,47 @@
+package bench_test
+
+import (
+	"bytes"
+	"context"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wheelcleat/wheelcleat/cli/internal/bench"
+	"github.com/wheelcleat/wheelcleat/daemon/lab"
+)
+
+// TestLoadsAreCompared: each pattern with each policy is one line, and one more of a plot.
+func TestLoadsAreCompared(t *testing.T) {
+	setup := lab.Default()
+	setup.Engines, setup.Rate, setup.Length = 6, 50, 6*time.Second
+	var patterns []lab.Pattern
+	for _, name := range []string{"steady:0.5", "steady:1.2"} {
+		pattern, err := lab.ParsePattern(name)
+		require.NoError(t, err)
+		patterns = append(patterns, pattern)
+	}
+	done := 0
+	load := bench.Load{
+		Setup: setup, Patterns: patterns, Policies: lab.Policies()[:2], Seeds: []uint64{1, 2},
+		Progress: func(now, all int) { done = now; assert.Equal(t, 8, all) },
+	}
+	results, err := load.Run(context.Background())
+	require.NoError(t, err)
+	require.Len(t, results, 4)
+	assert.Equal(t, 8, done)
+	assert.Greater(t, results[0].Worth, results[2].Worth, "half of what they bear is borne better")
+	var table bytes.Buffer
+	require.NoError(t, bench.WriteLoadTable(&table, results))
+	assert.Len(t, strings.Split(strings.TrimSpace(table.String()), "\n"), 5)
+	require.NoError(t, bench.PlotLoad(filepath.Join(t.TempDir(), "load.png"), results))
+
+	stopped, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err = load.Run(stopped)
+	require.ErrorIs(t, err, context.Canceled)
+}
--- /dev/null
+++ b/cli/internal/command/load.go
@@ -0,0 +1,108 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/wheelcleat/wheelcleat/cli/internal/bench"
+	"github.com/wheelcleat/wheelcleat/daemon/lab"
+)
+
+// progressAfter is the time after which a long run tells how far it is.
+const progressAfter = 2 * time.Second
+
+func benchLoadCommand() *cli.Command {
+	setup := lab.Default()
+	return &cli.Command{
+		Name: "load", Usage: "what callers get under load, by way to decide, beside the best possible; in simulated time",
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "engines", Value: setup.Engines, Usage: "engines, `N`"},
+			&cli.IntFlag{Name: "routers", Value: setup.Routers, Usage: "routers, `N`"},
+			&cli.IntFlag{Name: "data-halls", Value: setup.Halls, Usage: "data halls, `N`"},
+			&cli.FloatFlag{Name: "rate", Value: setup.Rate, Usage: "callers a second at a pattern's level 1, `N`"},
+			&cli.DurationFlag{Name: "length", Value: setup.Length, Usage: "`TIME` for which callers come"},
+			&cli.FloatFlag{Name: "patience", Value: setup.Patience, Usage: "`PART` by which the times of callers differ"},
+			&cli.StringFlag{Name: "pattern", Value: "steady:1,steady:1.25,burst", Usage: "`PATTERNS`, by comma, each with a level as in steady:1.25, or all: " + strings.Join(lab.PatternNames(), ", ")},
+			&cli.StringFlag{Name: "policy", Value: "now", Usage: "`POLICIES`, by comma, or all: " + strings.Join(lab.PolicyNames(), ", ")},
+			&cli.StringFlag{Name: "seeds", Value: "1", Usage: "`SEEDS`, by comma; figures are their means"},
+			&cli.BoolFlag{Name: "json", Usage: "only the JSON lines, one a pattern and policy"},
+			&cli.StringFlag{Name: "plot", Usage: "draw the worth over time into `FILE.png`"},
+		},
+		Action: benchLoad,
+	}
+}
+
+func benchLoad(ctx context.Context, command *cli.Command) error {
+	load, err := loadOf(command)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errUsage, err)
+	}
+	began, told := time.Now(), time.Now()
+	load.Progress = func(done, all int) {
+		if time.Since(told) > progressAfter {
+			told = time.Now()
+			_, _ = fmt.Fprintf(command.Root().ErrWriter, "%d of %d plays after %s\n", done, all, time.Since(began).Round(time.Second))
+		}
+	}
+	results, err := load.Run(ctx)
+	if err != nil {
+		return err
+	}
+	out := command.Root().Writer
+	if command.Bool("json") {
+		encoder := json.NewEncoder(out)
+		for _, r := range results {
+			if err := encoder.Encode(r); err != nil {
+				return fmt.Errorf("write a result: %w", err)
+			}
+		}
+	} else if err := bench.WriteLoadTable(out, results); err != nil {
+		return err
+	}
+	if path := command.String("plot"); path != "" {
+		return bench.PlotLoad(path, results)
+	}
+	return nil
+}
+
+// loadOf reads the flags.
+func loadOf(command *cli.Command) (*bench.Load, error) {
+	load := &bench.Load{Setup: lab.Default()}
+	load.Setup.Engines, load.Setup.Routers, load.Setup.Halls = command.Int("engines"), command.Int("routers"), command.Int("data-halls")
+	load.Setup.Rate, load.Setup.Length, load.Setup.Patience = command.Float("rate"), command.Duration("length"), command.Float("patience")
+	patterns := strings.Split(command.String("pattern"), ",")
+	if command.String("pattern") == "all" {
+		patterns = lab.PatternNames()
+	}
+	for _, name := range patterns {
+		pattern, err := lab.ParsePattern(name)
+		if err != nil {
+			return nil, fmt.Errorf("--pattern: %w", err)
+		}
+		load.Patterns = append(load.Patterns, pattern)
+	}
+	policies := strings.Split(command.String("policy"), ",")
+	if command.String("policy") == "all" {
+		policies = lab.PolicyNames()
+	}
+	for _, name := range policies {
+		policy, err := lab.FindPolicy(name)
+		if err != nil {
+			return nil, fmt.Errorf("--policy: %w", err)
+		}
+		load.Policies = append(load.Policies, policy)
+	}
+	for _, text := range strings.Split(command.String("seeds"), ",") {
+		var seed uint64
+		if _, err := fmt.Sscanf(text, "%d", &seed); err != nil {
+			return nil, fmt.Errorf("--seeds: %q is not a number", text)
+		}
+		load.Seeds = append(load.Seeds, seed)
+	}
+	return load, nil
+}
