Decode the rate that an origin's link is declared with

Cause: loaders took the origin for as fast as their own link, 7.3 Mbit/s, which was so in all deployments; here it has 4.38, and was asked for each chunk long before it could send it.

--- a/daemon/internal/process/mirror/needs.go
+++ b/daemon/internal/process/mirror/needs.go
@@ -12,6 +12,8 @@
 	Engine provider.EngineSpec `json:"engine"`
 	// Origin is where weights come from.
 	Origin netip.AddrPort `json:"origin"`
+	// OriginRate is the bytes that its link carries in a second, 0 where not declared.
+	OriginRate float64 `json:"originRate,omitempty"`
 }
 
 // Complete reports whether a loader can work by it.
@@ -28,7 +30,7 @@
 			needs.Engine = *declared.Engine
 		}
 		if declared.Origin.IsValid() {
-			needs.Origin = declared.Origin
+			needs.Origin, needs.OriginRate = declared.Origin, declared.OriginRate
 		}
 	}
 	if !needs.Complete() {
--- a/daemon/internal/process/mirror/needs_test.go
+++ b/daemon/internal/process/mirror/needs_test.go
@@ -17,10 +17,10 @@
 	origin := netip.MustParseAddrPort("10.0.0.1:80")
 	engine := provider.Service{Name: "s", Engine: &provider.EngineSpec{Model: "m", Places: 4}}
 	other := provider.Service{Name: "t", Engine: &provider.EngineSpec{Model: "n"}}
-	weights := provider.Service{Name: "o", Origin: origin}
+	weights := provider.Service{Name: "o", Origin: origin, OriginRate: 5e5}
 	needs, err := mirror.NeedsOf(&provider.Configuration{Services: []provider.Service{other, engine, weights}}, "s")
 	require.NoError(t, err)
-	assert.Equal(t, mirror.EngineNeeds{Engine: *engine.Engine, Origin: origin}, needs)
+	assert.Equal(t, mirror.EngineNeeds{Engine: *engine.Engine, Origin: origin, OriginRate: 5e5}, needs)
 	for _, services := range [][]provider.Service{{other, weights}, {engine}, nil} {
 		_, err := mirror.NeedsOf(&provider.Configuration{Services: services}, "s")
 		require.ErrorIs(t, err, mirror.ErrNoEngine)
--- a/daemon/provider/configuration.go
+++ b/daemon/provider/configuration.go
@@ -74,6 +74,8 @@
 	Engine *EngineSpec
 	// Origin is set for the service that weights come from.
 	Origin netip.AddrPort
+	// OriginRate is the bytes that its link carries in a second, 0 where not declared.
+	OriginRate float64
 }
 
 // EngineSpec describes the engines of a service.
