Pace by the origin's link, take late versions in turn, and ask a store that is gone once a process

Pace by the origin's declared link.

A host whose copy is whole when its turn has passed takes the rest of the time with the others, one after the other; before, 69 engines of 76 were ordered within 0.7 s.

Three followers of a loader asked a store that was gone each for itself: one does now, and pauses up to 2.4 s.

--- a/daemon/internal/process/mirror/demand_test.go
+++ b/daemon/internal/process/mirror/demand_test.go
@@ -26,6 +26,18 @@
 	assert.Equal(t, mirror.Demand{Lowest: 2, Preferred: 2, Avoid: 1}, over)
 }
 
+// TestLongTimesLeaveOldVersionsLonger: what waits at an upstream needs as long however much
+// time a version has.
+func TestLongTimesLeaveOldVersionsLonger(t *testing.T) {
+	declared := time.Unix(1000, 0)
+	target := &mirror.Declared{Target: provider.Target{Model: "m", Version: 2}, Learned: declared}
+	for _, apply := range []time.Duration{8 * time.Second, 13400 * time.Millisecond, time.Minute} {
+		assert.Zero(t, target.Demand(declared.Add(apply-time.Second), apply).Lowest, "%s", apply)
+		assert.Equal(t, 2, target.Demand(declared.Add(apply-900*time.Millisecond), apply).Lowest, "%s", apply)
+		assert.Zero(t, target.Demand(declared.Add(apply-2300*time.Millisecond), apply).Preferred, "%s", apply)
+	}
+}
+
 // TestDemandsOnlyRise while no version is declared, whatever lies between the
 // declarations; the lowest is never above the preferred one.
 func TestDemandsOnlyRise(t *testing.T) {
--- a/daemon/internal/process/mirror/follower.go
+++ b/daemon/internal/process/mirror/follower.go
@@ -64,6 +64,10 @@
 	// Before, where it is not empty, is a prefix that is listed before anything
 	// else: that of the records by which daemons near this one are found.
 	Before string
+	// Outage is shared with the other followers of the process; nil means with none.
+	Outage *Outage
+	// LongestPause bounds the pause after a failed call; 0 means 1.2 s.
+	LongestPause time.Duration
 	// OnContact is called when the store answers after a failure, and the other
 	// way round, with the cause. It may be nil.
 	OnContact func(prefix string, lost error)
@@ -159,6 +163,7 @@
 			pause = firstPause
 			continue
 		}
+		f.Outage.leave(f)
 		err := f.step(calls)
 		f.underWay.Store(0)
 		f.note(err)
@@ -167,7 +172,7 @@
 			continue
 		}
 		helpers.Pause(rand.N(pause), f.tomb.Dying())
-		pause = min(2*pause, longestPause)
+		pause = min(2*pause, helpers.OrDefault(f.LongestPause, longestPause))
 	}
 	return nil
 }
@@ -331,8 +336,10 @@
 	failing := err != nil && !errors.Is(err, provider.ErrCompacted) && f.tomb.Alive()
 	if failing {
 		f.failures.Add(1)
+		f.Outage.failed(f)
 	} else {
 		f.failures.Store(0)
+		f.Outage.answered()
 	}
 	if failing != f.failing && f.OnContact != nil {
 		f.OnContact(f.Prefix, err)
--- a/daemon/internal/version/swarm/held.go
+++ b/daemon/internal/version/swarm/held.go
@@ -14,7 +14,9 @@
 	"errors"
 	"fmt"
 	"sync"
+	"time"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/clock"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
@@ -32,6 +34,8 @@
 	mu     sync.Mutex
 	chunks [][]byte
 	count  int
+	// completed is when the last chunk came, zero before.
+	completed time.Time
 	// seen are the chunks that some host is known to have had, and seenCount how many.
 	seen      []bool
 	seenCount int
@@ -58,6 +62,9 @@
 		c.chunks[index] = chunk
 		c.count++
 		c.see(index)
+		if c.count == len(c.chunks) {
+			c.completed = clock.Now()
+		}
 		close(c.changed)
 		c.changed = make(chan struct{})
 	}
@@ -117,6 +124,13 @@
 	return count == len(c.Manifest.Digests)
 }
 
+// Completed is when the last chunk came, zero before.
+func (c *Copy) Completed() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.completed
+}
+
 // Have returns which chunks are here.
 func (c *Copy) Have() []bool {
 	c.mu.Lock()
--- a/daemon/internal/version/turn/turn.go
+++ b/daemon/internal/version/turn/turn.go
@@ -14,11 +14,12 @@
 )
 
 const (
-	// firstPart and lastPart are the parts of the time for a version between
-	// which turns lie: before the first the chunks are on their way, and what
-	// is after the last is for the load itself.
+	// firstPart is the part of the time for a version before which no turns lie: the
+	// chunks are on their way. lastLeft is the time after the last turn, for what runs then
+	// and for the load itself, lastPart the same as a part where the whole time is short.
 	firstPart = 0.45
 	lastPart  = 0.86
+	lastLeft  = 1120 * time.Millisecond
 	// earlyPart is before any host can have the chunks: the early hosts' turn
 	// has come once they do.
 	earlyPart = 0.25
@@ -45,9 +46,9 @@
 func NewWindow(declared time.Time, apply time.Duration, due time.Time) Window {
 	w := Window{
 		Early: declared.Add(part(earlyPart, apply)),
-		First: declared.Add(part(firstPart, apply)), Last: declared.Add(part(lastPart, apply)),
+		First: declared.Add(part(firstPart, apply)), Last: declared.Add(apply - left(apply)),
 	}
-	if earlier := due.Add(-part(1-lastPart, apply)); !due.IsZero() && earlier.Before(w.Last) {
+	if earlier := due.Add(-left(apply)); !due.IsZero() && earlier.Before(w.Last) {
 		w.Last = earlier
 	}
 	if w.Last.Before(w.First) {
@@ -56,6 +57,25 @@
 	return w
 }
 
+// left is the time after the last turn.
+func left(apply time.Duration) time.Duration { return min(part(1-lastPart, apply), lastLeft) }
+
+// After returns the window of a host whose copy was whole at some time. Hosts that have it
+// late, because the origin was away, take the rest of the time one after the other; taken
+// at once, as all turns had passed, 69 engines of 76 served nothing for two seconds.
+func (w Window) After(whole time.Time) Window {
+	if whole.After(w.First) {
+		w.First = whole
+	}
+	if whole.After(w.Early) {
+		w.Early = whole
+	}
+	if w.Last.Before(w.First) {
+		w.Last = w.First
+	}
+	return w
+}
+
 // Of returns the turn of the host at a place among some hosts.
 func (w Window) Of(place, hosts int) time.Time {
 	if IsEarly(place) {
--- a/daemon/internal/version/turn/turn_test.go
+++ b/daemon/internal/version/turn/turn_test.go
@@ -44,6 +44,34 @@
 	assert.Equal(t, late.First, late.Last, "at once where the time is over")
 }
 
+// TestLateCopiesAreTakenInTurn: hosts that have a version when all turns have passed, or in
+// the middle of them, take the rest of the time one after the other and none at once.
+func TestLateCopiesAreTakenInTurn(t *testing.T) {
+	const apply, hosts = 13400 * time.Millisecond, 76
+	w := turn.NewWindow(declared, apply, time.Time{})
+	assert.Equal(t, w, w.After(declared.Add(time.Second)), "in time")
+	assert.Equal(t, w, w.After(time.Time{}), "not whole yet")
+	for _, whole := range []time.Duration{8 * time.Second, 11600 * time.Millisecond} {
+		late := w.After(declared.Add(whole))
+		assert.Equal(t, declared.Add(whole), late.Of(0, hosts))
+		assert.Equal(t, declared.Add(whole), late.Of(2, hosts))
+		assert.Equal(t, w.Last, late.Of(hosts-1, hosts))
+		assert.True(t, late.Of(hosts/2, hosts).After(declared.Add(whole)))
+	}
+	over := w.After(declared.Add(apply))
+	assert.Equal(t, declared.Add(apply), over.Of(hosts-1, hosts), "at once where the time is over")
+}
+
+// TestLongerTimesAreUsed: the time after the last turn is what a load takes, however long a
+// version may take in all.
+func TestLongerTimesAreUsed(t *testing.T) {
+	left := func(apply time.Duration) time.Duration {
+		return declared.Add(apply).Sub(turn.NewWindow(declared, apply, time.Time{}).Last)
+	}
+	assert.Equal(t, left(8*time.Second), left(20*time.Second))
+	assert.Less(t, left(2*time.Second), left(8*time.Second))
+}
+
 // TestPlacesArePermutation: every host has a place of its own, and all hosts
 // agree on it, whatever order they know each other in.
 func TestPlacesArePermutation(t *testing.T) {
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -44,6 +44,9 @@
 	// hostsEvery is the interval in which the list of hosts is read. It only
 	// says which hosts may have chunks.
 	hostsEvery = 2 * time.Second
+	// longestPause bounds the pause after a failed call to the store. What a loader needs
+	// of it can wait longer than what routers do, and there are more loaders.
+	longestPause = 2400 * time.Millisecond
 	// routersEvery is the interval in which the list of routers is read. One that is
 	// not known yet is only not asked.
 	routersEvery = 10 * time.Second
@@ -142,8 +145,12 @@
 // and all took it at once. The list of hosts comes from a router of
 // this hall while one answers.
 func (p *Process) addFollowers() {
+	outage := &mirror.Outage{}
 	follower := func(prefix string) *mirror.Follower {
-		return &mirror.Follower{Store: p.provider.Store, Prefix: prefix, Table: p.table, OnContact: p.telemetry.Contact}
+		return &mirror.Follower{
+			Store: p.provider.Store, Prefix: prefix, Table: p.table, OnContact: p.telemetry.Contact,
+			Outage: outage, LongestPause: longestPause,
+		}
 	}
 	p.versions = follower(p.provider.Prefixes.Versions)
 	p.versions.FirstStale = true
@@ -199,7 +206,7 @@
 		Goal:   keep.Goal{Model: model, Version: firstVersion, Fence: p.table.Newest()},
 		Origin: known.Origin, Places: known.Engine.Places,
 		Chunks: known.Engine.Chunks, ChunkBytes: known.Engine.ChunkBytes,
-		OriginTime: p.linkTime(known.Engine.Chunks * known.Engine.ChunkBytes),
+		OriginTime: p.originTime(known),
 	}
 	if declared, ok := p.compiler.View().Targets[model]; ok {
 		plan.Goal = p.goal(&declared, held)
@@ -218,6 +225,9 @@
 		due = before.Since(apply).Add(apply)
 	}
 	window := turn.NewWindow(declared.Since(apply), apply, due)
+	if c := p.held.Get(declared.Version); c != nil {
+		window = window.After(c.Completed())
+	}
 	place, hosts := p.place(declared.Model, declared.Version)
 	return keep.Goal{Model: declared.Model, Version: declared.Version, Fence: p.table.Newest(), Turn: window.Of(place, hosts)}
 }
@@ -228,12 +238,28 @@
 	return r.place(fmt.Sprintf("%s/%d", model, version)), len(r.names)
 }
 
+// originTime is how long the origin takes for one copy: by its own link where that is
+// declared. Taken for as fast as this host's, which carries 7.3 Mbit/s, an origin of 4.38 was
+// asked for each chunk long before it could send it.
+func (p *Process) originTime(known *mirror.EngineNeeds) time.Duration {
+	bytes := known.Engine.Chunks * known.Engine.ChunkBytes
+	if known.OriginRate <= 0 {
+		return p.linkTime(bytes)
+	}
+	return transferTime(bytes, known.OriginRate)
+}
+
 // linkTime is how long a link like this host's takes for some bytes.
 func (p *Process) linkTime(bytes int) time.Duration {
 	rate := p.linkBytes()
 	if rate <= 0 {
 		return 0
 	}
+	return transferTime(bytes, rate)
+}
+
+// transferTime is how long some bytes take at a rate in bytes a second.
+func transferTime(bytes int, rate float64) time.Duration {
 	return time.Duration(float64(bytes) / rate * float64(time.Second))
 }
 
