--- /dev/null
+++ b/cli/internal/command/load_test.go
@@ -0,0 +1,42 @@
+package command
+
+import (
+	"encoding/json"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wheelcleat/wheelcleat/cli/internal/bench"
+)
+
+// TestBenchLoad prints a line for each pattern and policy, as a table and as JSON.
+func TestBenchLoad(t *testing.T) {
+	args := []string{
+		"bench", "load", "--engines", "6", "--routers", "3", "--rate", "50", "--length", "6s",
+		"--pattern", "steady:0.5,burst", "--policy", "now,look-5", "--seeds", "1,2",
+	}
+	table := run(t.Context(), args...)
+	require.NoError(t, table.err)
+	assert.Len(t, strings.Split(strings.TrimSpace(table.stdout), "\n"), 5)
+	lines := run(t.Context(), append(args, "--json", "--plot", filepath.Join(t.TempDir(), "load.png"))...)
+	require.NoError(t, lines.err)
+	for _, line := range strings.Split(strings.TrimSpace(lines.stdout), "\n") {
+		var result bench.LoadResult
+		require.NoError(t, json.Unmarshal([]byte(line), &result))
+		assert.Equal(t, 2, result.Seeds)
+		assert.Len(t, result.Windows, 3)
+	}
+}
+
+// TestBenchLoadSaysWhatIsWrong with its flags.
+func TestBenchLoadSaysWhatIsWrong(t *testing.T) {
+	for flag, value := range map[string]string{"--pattern": "steady:x", "--policy": "best", "--seeds": "one"} {
+		got := run(t.Context(), "bench", "load", flag, value)
+		assert.Equal(t, ExitUsage, got.code, flag)
+		assert.ErrorContains(t, got.err, flag)
+	}
+	assert.ErrorContains(t, run(t.Context(), "bench", "load", "--engines", "0").err, "at least one engine")
+}
--- a/cli/internal/explain/explain_test.go
+++ b/cli/internal/explain/explain_test.go
@@ -84,3 +84,16 @@
 	assert.Contains(t, got.String(), "ended held, status 503")
 	assert.Contains(t, got.String(), "content c1 is held, since 2s before, by news from: answer; upstreams that ended under it: u1 (1 deep), u2 (2 deep), u3 (3 deep)\n")
 }
+
+// TestARefusalNamesTheTimes that its caller had and was told.
+func TestARefusalNamesTheTimes(t *testing.T) {
+	const line = `{"fields":{"name":"router-1","role":"router","request":"late-2","outcome":"refused","status":503,"took":"9ms",` +
+		`"left":"4.485s","retryAfter":"1.311s","returned":true},"level":"info","timestamp":"2026-05-04T09:18:47Z","message":"request ended"}`
+	story, err := explain.Tell("late-2", strings.NewReader(line))
+	require.NoError(t, err)
+	var got bytes.Buffer
+	require.NoError(t, story.Print(&got))
+	assert.Contains(t, got.String(), "the caller said that it had 4.485s left")
+	assert.Contains(t, got.String(), "it was told to come back after 1.311s")
+	assert.Contains(t, got.String(), "likely refused before")
+}
--- a/daemon/lab/caller.go
+++ b/daemon/lab/caller.go
@@ -64,25 +64,35 @@
 // newCaller draws a caller.
 func (p *play) newCaller(at time.Duration) *caller {
 	kind := &p.Kinds[p.Pattern.kindAt(at, p.Kinds, p.rates.Float64())]
-	time0 := float64(kind.Deadline) * (1 - p.Patience*p.rates.Float64())
-	c := &caller{play: p, kind: kind, came: at, leaves: at + time.Duration(time0), content: p.rates.Uint64()}
+	patience := time.Duration((1 - p.Patience*p.rates.Float64()) * float64(kind.Deadline))
+	c := &caller{play: p, kind: kind, came: at, leaves: at + patience, content: p.rates.Uint64()}
 	c.prompt = int(bounded(kind.Prompt*lengthFactor(p.rates.NormFloat64()), kind.MostPrompt))
 	c.answer = int(bounded(kind.Answer*lengthFactor(p.rates.NormFloat64()), kind.MostAnswer))
 	c.hint = float64(c.answer) * math.Exp(hintSpread*p.rates.NormFloat64())
-	const fixed, most = 0.3, 4
-	size := (float64(c.prompt) + 10*float64(c.answer)) / (kind.Prompt + 10*kind.Answer)
-	part := min(fixed+(1-fixed)*size, most)
-	c.worth, c.late = kind.Worth*part, kind.Late*part
+	c.worth, c.late = kind.Worth*c.size(), kind.Late*c.size()
 	return c
 }
 
+// size is how much more a caller's answer is worth than a usual one of its kind: a part is
+// the same for all, the rest grows with the tokens.
+func (c *caller) size() float64 {
+	const same, most, answerWeight = 0.3, 4, 10
+	tokens := float64(c.prompt) + answerWeight*float64(c.answer)
+	usual := c.kind.Prompt + answerWeight*c.kind.Answer
+	return min(same+(1-same)*tokens/usual, most)
+}
+
 // lengthFactor spreads lengths about their mean.
 func lengthFactor(normal float64) float64 {
 	const spread = 0.8
 	return math.Exp(spread*normal - spread*spread/2)
 }
 
-func bounded(tokens, most float64) float64 { return min(max(tokens, 5), most) }
+// bounded keeps tokens between the least of an answer and some most.
+func bounded(tokens, most float64) float64 {
+	const least = 5
+	return min(max(tokens, least), most)
+}
 
 // left is the time that the caller still has.
 func (c *caller) left() time.Duration { return c.leaves - c.play.events.now }
--- a/daemon/lab/router.go
+++ b/daemon/lab/router.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/places"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/balance"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/admission"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/dispatch"
@@ -119,7 +118,7 @@
 			limit.Lasts = lasts
 		}
 		e := r.engine(choice)
-		load, given := e.ask(limit)
+		load, given := e.ledger.Take(limit)
 		r.pool.TellLoad(choice.Upstream.ID, load.Running, load.Waiting, load.Loading)
 		if given {
 			r.pace.Full(service, load.Running+load.Waiting >= choice.Upstream.Places)
@@ -133,9 +132,6 @@
 	return nil, balance.Choice{}, false
 }
 
-// ask asks the loader for a place; that of a lost engine does not answer.
-func (e *engine) ask(limit places.Limit) (places.Load, bool) { return e.ledger.Take(limit) }
-
 // engine returns the chosen one.
 func (r *router) engine(choice balance.Choice) *engine {
 	for _, e := range r.play.engines {
