--- a/cli/internal/command/load.go
+++ b/cli/internal/command/load.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"strings"
 	"time"
 
@@ -75,34 +76,40 @@
 	load := &bench.Load{Setup: lab.Default()}
 	load.Setup.Engines, load.Setup.Routers, load.Setup.Halls = command.Int("engines"), command.Int("routers"), command.Int("data-halls")
 	load.Setup.Rate, load.Setup.Length, load.Setup.Patience = command.Float("rate"), command.Duration("length"), command.Float("patience")
-	patterns := strings.Split(command.String("pattern"), ",")
-	if command.String("pattern") == "all" {
-		patterns = lab.PatternNames()
+	var err error
+	if load.Patterns, err = parseList(command.String("pattern"), lab.PatternNames(), lab.ParsePattern); err != nil {
+		return nil, fmt.Errorf("--pattern: %w", err)
 	}
-	for _, name := range patterns {
-		pattern, err := lab.ParsePattern(name)
-		if err != nil {
-			return nil, fmt.Errorf("--pattern: %w", err)
-		}
-		load.Patterns = append(load.Patterns, pattern)
+	if load.Policies, err = parseList(command.String("policy"), lab.PolicyNames(), lab.FindPolicy); err != nil {
+		return nil, fmt.Errorf("--policy: %w", err)
+	}
+	if load.Seeds, err = parseList(command.String("seeds"), nil, parseSeed); err != nil {
+		return nil, fmt.Errorf("--seeds: %w", err)
 	}
-	policies := strings.Split(command.String("policy"), ",")
-	if command.String("policy") == "all" {
-		policies = lab.PolicyNames()
+	return load, nil
+}
+
+// parseList parses each of a list of names by comma; "all" stands for all there are.
+func parseList[T any](text string, all []string, parse func(string) (T, error)) ([]T, error) {
+	names := strings.Split(text, ",")
+	if text == "all" && len(all) > 0 {
+		names = all
 	}
-	for _, name := range policies {
-		policy, err := lab.FindPolicy(name)
+	values := make([]T, 0, len(names))
+	for _, name := range names {
+		value, err := parse(name)
 		if err != nil {
-			return nil, fmt.Errorf("--policy: %w", err)
+			return nil, err
 		}
-		load.Policies = append(load.Policies, policy)
+		values = append(values, value)
 	}
-	for _, text := range strings.Split(command.String("seeds"), ",") {
-		var seed uint64
-		if _, err := fmt.Sscanf(text, "%d", &seed); err != nil {
-			return nil, fmt.Errorf("--seeds: %q is not a number", text)
-		}
-		load.Seeds = append(load.Seeds, seed)
+	return values, nil
+}
+
+func parseSeed(text string) (uint64, error) {
+	seed, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, fmt.Errorf("%q is not a whole number from 0 on", text)
 	}
-	return load, nil
+	return seed, nil
 }
--- a/daemon/router/fixture_test.go
+++ b/daemon/router/fixture_test.go
@@ -201,7 +201,7 @@
 	seen []*http.Request
 }
 
-func startUpstream(t *testing.T, id string, answer upstreamFunc) *upstream {
+func startUpstream(t testing.TB, id string, answer upstreamFunc) *upstream {
 	t.Helper()
 	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -282,13 +282,13 @@
 func cutting(_ *http.Request, connection net.Conn) { _ = connection.Close() }
 
 // startRouter starts a router and waits until it is ready.
-func startRouter(t *testing.T, s *surroundings, name string, seeds ...netip.AddrPort) settings.Router {
+func startRouter(t testing.TB, s *surroundings, name string, seeds ...netip.AddrPort) settings.Router {
 	t.Helper()
 	return startRouterIn(t, s, "hall", name, seeds...)
 }
 
 // startRouterIn starts a router in a data hall.
-func startRouterIn(t *testing.T, s *surroundings, hall, name string, seeds ...netip.AddrPort) settings.Router {
+func startRouterIn(t testing.TB, s *surroundings, hall, name string, seeds ...netip.AddrPort) settings.Router {
 	t.Helper()
 	p, set := newRouter(t, s, settings.Router{Name: name, Hall: hall, Seeds: seeds})
 	require.NoError(t, p.Start())
@@ -301,7 +301,7 @@
 }
 
 // newRouter prepares a router on free ports.
-func newRouter(t *testing.T, s *surroundings, set settings.Router) (*router.Process, settings.Router) {
+func newRouter(t testing.TB, s *surroundings, set settings.Router) (*router.Process, settings.Router) {
 	t.Helper()
 	ports := freePorts(t, 4)
 	set.Role, set.Store, set.Drain = settings.RoleRouter, netip.MustParseAddrPort("127.0.0.1:1"), api.Duration(5*time.Second)
@@ -316,7 +316,7 @@
 
 // startServing starts a router with the basic configuration and one upstream, and
 // waits until it is ready.
-func startServing(t *testing.T, id string, answer upstreamFunc) (*surroundings, *upstream, settings.Router) {
+func startServing(t testing.TB, id string, answer upstreamFunc) (*surroundings, *upstream, settings.Router) {
 	t.Helper()
 	s := &surroundings{}
 	s.configure(basic(1))
@@ -327,7 +327,7 @@
 	return s, u, set
 }
 
-func freePorts(t *testing.T, count int) []netip.AddrPort {
+func freePorts(t testing.TB, count int) []netip.AddrPort {
 	t.Helper()
 	var ports []netip.AddrPort
 	for range count {
@@ -339,7 +339,7 @@
 }
 
 // await waits until a condition holds.
-func await(t *testing.T, what string, condition func() bool) {
+func await(t testing.TB, what string, condition func() bool) {
 	t.Helper()
 	require.Eventually(t, condition, 10*time.Second, 5*time.Millisecond, what)
 }
@@ -363,7 +363,7 @@
 }
 
 // call sends one request to a router.
-func call(t *testing.T, set settings.Router, id, method, target, body string, headers ...string) reply {
+func call(t testing.TB, set settings.Router, id, method, target, body string, headers ...string) reply {
 	t.Helper()
 	connection, err := net.Dial("tcp", set.Listen.Callers.String())
 	require.NoError(t, err)
