--- a/daemon/internal/request/admission/callers.go
+++ b/daemon/internal/request/admission/callers.go
@@ -44,9 +44,9 @@
 // time that they still have: a caller takes the time until it gives up off with each try,
 // and nobody who was refused comes back before ShortestReturn. So whoever has within that
 // of the longest time of a route's callers comes for the first time. With first times that
-// differ by 15 in 100 this knows all of 4,952 callers who came back and takes 3 in 100 of
-// the others for one (lines of 40 routers at 1.25 times what 45 engines bear); asking for
-// the same time of all knows none of them, and 19 in 100 fewer are served in time.
+// differ by 15 in 100, at 1.25 times what 45 engines bear, this knows 2,912 of 2,914 callers
+// who came back, takes 13 of 14,173 others for one, and 77 in 100 streams are served in time;
+// asking for the same time of all knows none of them, and 60 are (lines of 40 routers).
 //
 // The longest time is that of the callers seen. Until some came while nobody was refused it
 // is the route's declared time, if some callers have it: right after a start all may come
--- a/daemon/internal/version/pace/pace_test.go
+++ b/daemon/internal/version/pace/pace_test.go
@@ -113,3 +113,13 @@
 	p.Begin(time.Unix(1000, 0))
 	assert.Equal(t, chunks, p.Due(time.Unix(1000, 0), 0))
 }
+
+// TestUnderWayTakesWhatTheOriginTakes for all chunks that are asked of it at the same time,
+// and no time where that is not known.
+func TestUnderWayTakesWhatTheOriginTakes(t *testing.T) {
+	quick := &pace.Pace{Chunks: 96, CopyTime: 2580 * time.Millisecond}
+	slow := &pace.Pace{Chunks: 96, CopyTime: 4310 * time.Millisecond}
+	assert.InDelta(t, 0.32, quick.UnderWay().Seconds(), 0.01)
+	assert.InDelta(t, 0.54, slow.UnderWay().Seconds(), 0.01)
+	assert.Zero(t, (&pace.Pace{}).UnderWay())
+}
