--- a/daemon/internal/process/mirror/outage.go
+++ b/daemon/internal/process/mirror/outage.go
@@ -10,9 +10,10 @@
 const longestLeft = 2500 * time.Millisecond
 
 // Outage has the followers of one process share what they find of the store: while one
-// finds it gone, the others leave it to that one. Three followers beside each of 76 engines
-// else make three times as many calls in vain, 2,500 in an outage of 6 s, and all come back
-// together at its end. The zero value is ready to use.
+// finds it gone, the others leave it to that one. Three followers make 18 calls in vain in an
+// outage of 6 s instead of 43 (means of 40 in simulated time), and a day with 76 loaders and
+// an outage of 8 s has 4,281 calls to the store instead of 5,670. The zero value is ready to
+// use.
 type Outage struct {
 	mu sync.Mutex
 	// prober is the follower that found the store gone, nil while none does.
--- a/daemon/internal/request/admission/back.go
+++ b/daemon/internal/request/admission/back.go
@@ -2,6 +2,12 @@
 
 import "time"
 
+// This file says when a refused caller is to come back. It answers an overload that lasts: a
+// caller who comes back is known by the time that has gone, so nobody is to come sooner than
+// first times differ. At 1.25 times what 45 engines bear callers told 0.3 to 0.9 s leave
+// 0.629 of the worth, those told 1.2 to 1.9 s 0.732, and later ones no more (package lab).
+// Callers wait for a third of their time at most, so 6 s leave no more than 2 s.
+
 // Why is why a caller is refused.
 type Why int
 
--- a/daemon/internal/request/dispatch/answer.go
+++ b/daemon/internal/request/dispatch/answer.go
@@ -110,7 +110,7 @@
 		cause = result.Err.Error()
 	}
 	if result.Fate.NotRun() && q.neverRan() {
-		q.refuse(whyNot(result.Fate), cause)
+		q.refuse(whyNotRun(result.Fate), cause)
 		return
 	}
 	q.fail(http.StatusBadGateway, EndUnknown, cause)
@@ -139,8 +139,8 @@
 	q.fail(http.StatusGatewayTimeout, EndTimedOut, cause)
 }
 
-// whyNot is why a request that did not run at an upstream is refused.
-func whyNot(fate exchange.Fate) admission.Why {
+// whyNotRun is why a request that did not run at an upstream is refused.
+func whyNotRun(fate exchange.Fate) admission.Why {
 	if fate == exchange.Refused {
 		return admission.EnginesFull
 	}
--- a/daemon/internal/request/dispatch/dispatch.go
+++ b/daemon/internal/request/dispatch/dispatch.go
@@ -176,7 +176,7 @@
 	for {
 		choice, result, err := q.try(ctx, "")
 		if err != nil {
-			q.refuse(whyNone(err), err.Error())
+			q.refuse(whyUnplaced(err), err.Error())
 			return
 		}
 		if result.Fate == exchange.Answered {
@@ -205,8 +205,8 @@
 	errOverloaded = errors.New("every upstream is so loaded that the answer would be late")
 )
 
-// whyNone is why no upstream was chosen.
-func whyNone(err error) admission.Why {
+// whyUnplaced is why no upstream was chosen.
+func whyUnplaced(err error) admission.Why {
 	if errors.Is(err, errNoneFit) {
 		return admission.NotReady
 	}
--- a/daemon/internal/version/turn/turn.go
+++ b/daemon/internal/version/turn/turn.go
@@ -61,8 +61,9 @@
 func left(apply time.Duration) time.Duration { return min(part(1-lastPart, apply), lastLeft) }
 
 // After returns the window of a host whose copy was whole at some time. Hosts that have it
-// late, because the origin was away, take the rest of the time one after the other; taken
-// at once, as all turns had passed, 69 engines of 76 served nothing for two seconds.
+// late, because the origin was away, take the rest of the time one after the other. As all
+// turns had passed 69 engines of 76 were ordered within 0.7 s, and half of the worth of the
+// two seconds after that was lost.
 func (w Window) After(whole time.Time) Window {
 	if whole.After(w.First) {
 		w.First = whole
--- a/daemon/lab/best.go
+++ b/daemon/lab/best.go
@@ -6,11 +6,12 @@
 	"time"
 )
 
-// This file works out the best possible: a bound on what engines could earn. An oracle knows
+// This file works out the best possible, nearly: what engines could earn. An oracle knows
 // who comes and how long answers are, and begins only what will be in time. In each time of
 // an objective's length it spends what the engines can do on the callers of that time, the
-// ones of the most worth for their work first, or in turn. Nobody is split among engines
-// more finely than by their passes, so a policy cannot reach it quite.
+// ones of the most worth for their work first, or in turn. A policy cannot reach that quite,
+// because engines work in passes. Each time is taken for itself, though work goes on into the
+// next: where callers bring nearly what engines bear a play can be better by 0.001.
 
 // work is how long a caller keeps an engine busy that runs all its places.
 func (c *caller) work() time.Duration {
