Say in lines what an answer names as its upstream's limit, and what let a request through

Lines could not tell the hypotheses on the limit apart: which answer named which limit, and whether a send had a place of the loader beside the engine, went by news because that was silent, or had none to ask. Each try says both now, and explain prints them. What is named is read by a pure function: decimal numbers of 0 or more, the lowest of several; a value that cannot be read neither names a limit nor ends one. Nothing is decided by it yet.

--- a/cli/internal/explain/line.go
+++ b/cli/internal/explain/line.go
@@ -124,6 +124,8 @@
 	Beyond   int           `json:"beyond"`
 	Running  int           `json:"running"`
 	Age      time.Duration `json:"age"`
+	Door     string        `json:"door"`
+	Limit    string        `json:"limit"`
 }
 
 // Asked is a question for a place at an engine; see package dispatch.
--- a/cli/internal/explain/print.go
+++ b/cli/internal/explain/print.go
@@ -129,6 +129,9 @@
 	if try.Age > 0 {
 		p.linef(2, "chosen by: version %d, %d running, %d waiting, %d beyond its places, told %s before", try.Version, try.Running, try.Waiting, try.Beyond, rounded(try.Age))
 	}
+	if try.Limit != "" {
+		p.linef(2, "its answer named a limit, in requests a second of all routers: %s; let through by: %s", try.Limit, orNone(try.Door))
+	}
 	if try.Cause != "" {
 		p.linef(2, "cause: %s", try.Cause)
 	}
--- a/daemon/internal/request/dispatch/dispatch.go
+++ b/daemon/internal/request/dispatch/dispatch.go
@@ -110,8 +110,22 @@
 	Beyond  int           `json:"beyond"`
 	Running int           `json:"running"`
 	Age     time.Duration `json:"age"`
+	// Door says what let the request through to the upstream, and Limit what the answer
+	// said of the upstream's limit, nothing where it named none.
+	Door  Door   `json:"door,omitempty"`
+	Limit string `json:"limit,omitempty"`
 }
 
+// Door is what lets a request through to an upstream.
+type Door string
+
+// The doors.
+const (
+	DoorLoader Door = "loader" // the loader beside the engine gave a place
+	DoorNews   Door = "news"   // it did not answer, and what it told last allowed it
+	DoorOwn    Door = "own"    // there is none to ask
+)
+
 // Ending is how a request ended for its caller.
 type Ending string
 
@@ -149,6 +163,8 @@
 	// sent is the number of upstreams that have been given the request.
 	sent  int
 	tried []string
+	// doors are what let the request through, by upstream.
+	doors map[string]Door
 	// answering is the try whose answer is read.
 	answering int
 	// failure is an upstream's own failure, kept until another upstream has answered.
@@ -305,6 +321,7 @@
 		Upstream: choice.Upstream.ID, Address: choice.Upstream.Address, At: started.Sub(q.story.Started), Took: clock.Since(started), Fate: result.Fate.String(),
 		Version: choice.Version, InFlight: choice.InFlight, Candidates: choice.Candidates,
 		Waiting: choice.Waiting, Beyond: choice.Beyond, Running: choice.Running, Age: choice.Age,
+		Door: q.doors[choice.Upstream.ID], Limit: result.Said.String(),
 	}
 	if result.Err != nil {
 		q.broken(&try, result.Err)
--- a/daemon/internal/request/dispatch/place.go
+++ b/daemon/internal/request/dispatch/place.go
@@ -46,7 +46,7 @@
 			break
 		}
 		if !q.hasLoader(choice) {
-			return q.unlessOverloaded(choice)
+			return q.unlessOverloaded(choice, DoorOwn)
 		}
 		search.Service = q.engines(choice, q.view.Objective(q.service.Name))
 		limit := search.Limit(choice.Candidates == 1)
@@ -57,9 +57,10 @@
 		switch {
 		case given:
 			q.Pace.Full(q.service.Name, load.Running+load.Waiting >= choice.Upstream.Places)
+			q.through(choice, DoorLoader)
 			return choice.WithLoad(load.Running, load.Waiting), nil
 		case err != nil && choice.Told && choice.Age < freshNews:
-			return q.unlessOverloaded(choice)
+			return q.unlessOverloaded(choice, DoorNews)
 		case err != nil:
 			search.Silent()
 		default:
@@ -83,7 +84,7 @@
 	if !ok {
 		return choice, errNoneFit
 	}
-	return q.unlessOverloaded(choice)
+	return q.unlessOverloaded(choice, DoorNews)
 }
 
 // hasLoader reports whether there is a loader to ask for a place. Those are asked as well
@@ -95,14 +96,23 @@
 // unlessOverloaded returns an upstream that was chosen by news of loads, unless the
 // request would be late there. Refused at once it may come back; let in it would be late
 // and delay others.
-func (q *request) unlessOverloaded(choice balance.Choice) (balance.Choice, error) {
+func (q *request) unlessOverloaded(choice balance.Choice, door Door) (balance.Choice, error) {
 	if !q.overloaded(choice) {
+		q.through(choice, door)
 		return choice, nil
 	}
 	choice.Done(balance.Abandoned)
 	return choice, fmt.Errorf("%w: at the best, %s, %d wait and %d must end first", errOverloaded, choice.Upstream.ID, choice.Waiting, choice.Beyond)
 }
 
+// through notes what lets the request through to an upstream.
+func (q *request) through(choice balance.Choice, door Door) {
+	if q.doors == nil {
+		q.doors = map[string]Door{}
+	}
+	q.doors[choice.Upstream.ID] = door
+}
+
 func (q *request) overloaded(choice balance.Choice) bool {
 	if q.service.Engine == nil || choice.Upstream.Places == 0 {
 		return false
--- a/daemon/internal/request/exchange/exchange.go
+++ b/daemon/internal/request/exchange/exchange.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/upstream"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/ratelimit"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
@@ -55,6 +56,9 @@
 	Fate     Fate
 	Response *http.Response
 	Err      error
+	// Said is what the answer says of the upstream's limit, where there was an answer of
+	// the upstream's.
+	Said ratelimit.Said
 }
 
 // Errors of answers that are not the upstream's answer to this request.
@@ -112,6 +116,7 @@
 		return Result{Fate: fate, Err: fmt.Errorf("send to %s at %s: %w", send.Upstream.ID, send.Upstream.Address, err)}
 	}
 	result := c.judge(send.Incoming, response)
+	result.Said = c.said(result, response.Header)
 	if result.Fate != Answered {
 		_ = response.Body.Close()
 		result.Err = fmt.Errorf("answer of %s at %s: %w", send.Upstream.ID, send.Upstream.Address, result.Err)
@@ -144,6 +149,20 @@
 	}
 }
 
+// said reads what an answer says of its upstream's limit. One that another upstream gave,
+// or that belongs to another request and may be old, says nothing. One that is broken may
+// name a limit, but not end one.
+func (c *Client) said(result Result, header http.Header) ratelimit.Said {
+	if result.Fate == Misdirected || errors.Is(result.Err, errOtherRequest) {
+		return ratelimit.Said{}
+	}
+	said := ratelimit.Parse(header.Values(c.Headers.Limit))
+	if result.Fate == Unknown && said.Kind == ratelimit.Unlimited {
+		return ratelimit.Said{}
+	}
+	return said
+}
+
 // request builds what the upstream gets.
 func (c *Client) request(ctx context.Context, send Send) *http.Request {
 	in := send.Incoming
--- /dev/null
+++ b/daemon/internal/request/ratelimit/said_test.go
@@ -0,0 +1,43 @@
+package ratelimit_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/ratelimit"
+)
+
+// TestParse: only decimal numbers of 0 or more are limits, the lowest of several counts, and
+// what cannot be read neither names a limit nor ends one.
+func TestParse(t *testing.T) {
+	for _, c := range []struct {
+		values []string
+		kind   ratelimit.Kind
+		want   float64
+		text   string
+	}{
+		{nil, ratelimit.Unlimited, 0, ""},
+		{[]string{"2.3"}, ratelimit.Limited, 2.3, "2.3"},
+		{[]string{" 0 "}, ratelimit.Limited, 0, "0"},
+		{[]string{"1e3"}, ratelimit.Limited, 1000, "1000"},
+		{[]string{"5", "2"}, ratelimit.Limited, 2, "2"},
+		{[]string{"5, 2"}, ratelimit.Limited, 2, "2"},
+		{[]string{"5, x"}, ratelimit.Limited, 5, `unread "x"`},
+		{[]string{""}, ratelimit.Silent, 0, `unread "nothing"`},
+		{[]string{"-1"}, ratelimit.Silent, 0, `unread "-1"`},
+		{[]string{"nan"}, ratelimit.Silent, 0, `unread "nan"`},
+		{[]string{"inf"}, ratelimit.Silent, 0, `unread "inf"`},
+		{[]string{"1e999"}, ratelimit.Silent, 0, `unread "1e999"`},
+		{[]string{"0x10"}, ratelimit.Silent, 0, `unread "0x10"`},
+		{[]string{"2/s"}, ratelimit.Silent, 0, `unread "2/s"`},
+	} {
+		said := ratelimit.Parse(c.values)
+		assert.Equal(t, c.kind, said.Kind, "%q", c.values)
+		assert.InDelta(t, c.want, said.PerSecond, 0, "%q", c.values)
+		assert.Equal(t, c.text, said.String(), "%q", c.values)
+	}
+	long := ratelimit.Parse([]string{strings.Repeat("x", 1000)})
+	assert.Less(t, len(long.String()), 60, "a long value does not fill the log")
+}
--- a/daemon/provider/provider.go
+++ b/daemon/provider/provider.go
@@ -144,4 +144,7 @@
 	NotRun string
 	// Tokens is "prompt,most out", LengthHint the caller's guess of tokens out.
 	Tokens, LengthHint string
+	// Limit stands in the answers of an upstream in need: the requests a second that it
+	// takes from all routers together, a decimal number, for as long as it says so.
+	Limit string
 }
--- a/daemon/router/fixture_test.go
+++ b/daemon/router/fixture_test.go
@@ -41,7 +41,7 @@
 var testHeaders = provider.Headers{
 	RequestID: "Request-Id", Deadline: "Deadline", LastEvent: "Last-Event-Id", Signature: "Signature", Account: "Account",
 	ExpectedUpstream: "Expect-Upstream", ExpectedVersion: "Expect-Version", Priority: "Priority", NotRun: "Not-Run",
-	Tokens: "Tokens", LengthHint: "Length",
+	Tokens: "Tokens", LengthHint: "Length", Limit: "Limit",
 }
 
 // provider returns the surroundings as the named router sees them.
