--- a/daemon/internal/connection/evidence/bench_test.go
+++ b/daemon/internal/connection/evidence/bench_test.go
@@ -22,7 +22,7 @@
 	const routers = 400
 	var told atomic.Int64
 	all := make(chan struct{}, 1)
-	known := &evidence.Known{
+	known := &evidence.Known[quarantine.Note]{
 		All: func() []quarantine.Note { return nil }, Of: func([]quarantine.Note) []quarantine.Note { return nil },
 		Take: func([]quarantine.Note) {
 			if told.Add(1)%routers == 0 {
@@ -36,7 +36,8 @@
 		b.Cleanup(server.Close)
 		peers = append(peers, netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")))
 	}
-	teller := &evidence.Teller{
+	teller := &evidence.Teller[quarantine.Note]{
+		Path:   evidence.SuspectsPath,
 		Client: &http.Client{Transport: dial.NewHostTransport(dial.Direct, time.Minute)},
 		Peers:  func() []netip.AddrPort { return peers }, Take: func([]quarantine.Note, netip.AddrPort) {},
 	}
--- a/daemon/internal/connection/evidence/evidence.go
+++ b/daemon/internal/connection/evidence/evidence.go
@@ -1,12 +1,14 @@
-// Package evidence carries what routers know of contents under which upstreams ended from
-// router to router; package quarantine says what it means.
+// Package evidence carries from router to router what they saw at upstreams: the contents
+// under which upstreams ended, and the limits that upstreams named. Packages quarantine and
+// ratelimit say what that means; here both are notes.
 //
 // Each router tells all others at once, over the port on which they hand out their copies of
 // the store: the news is worth most within the second in which the caller comes back, and
 // must come through while the store is down. An end breaks some ten requests, of as many
 // routers: at 400 routers each of them is sent ten messages of 330 bytes for an end.
-// Who missed news hears of it in the answer to its own next one, which names the same
-// content, and a router that starts asks two others for everything.
+// A limit is told when it begins and ends, and when it changes by much, by those who read it in
+// an answer. Who missed news hears of it in the answer to its own next one, which is about the
+// same content or upstream, and a router that starts asks two others for everything.
 //
 // Rejected: the copies that routers of a hall follow, which pause after each change, and
 // end at the store; and one router that counts for all others, which saves messages, but has
@@ -27,11 +29,14 @@
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/call"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
-	"github.com/wheelcleat/wheelcleat/daemon/internal/request/quarantine"
 )
 
-// Path is the calls' path: GET for all that a router knows, POST to tell it something.
-const Path = "/suspects"
+// The paths of the calls about each kind of notes: GET for all that a router knows, POST to
+// tell it something.
+const (
+	SuspectsPath = "/suspects"
+	LimitsPath   = "/limits"
+)
 
 const (
 	// gather is how long notes are gathered for one message: all that broke with one end
@@ -60,66 +65,76 @@
 )
 
 // Message is what a router tells another, and the answer.
-type Message struct {
-	Notes []quarantine.Note `json:"notes"`
+type Message[N any] struct {
+	Notes []N `json:"notes"`
 }
 
-// Teller tells other routers. Client, Peers and Take must be set before Start.
-type Teller struct {
+// Teller tells other routers notes of one kind. Client, Path, Peers and Take must be set
+// before Start.
+type Teller[N any] struct {
 	Client *http.Client
+	// Path is the one of the kind.
+	Path string
 	// Peers returns the other routers.
 	Peers func() []netip.AddrPort
 	// Peer returns a router to ask for all that it knows; false while none is known. It may
 	// be nil.
 	Peer func() (netip.AddrPort, bool)
 	// Take takes what another router answered that it knows.
-	Take func(notes []quarantine.Note, from netip.AddrPort)
+	Take func(notes []N, from netip.AddrPort)
 	// OnFailed is called where a router could not be told. It may be nil.
 	OnFailed func(peer netip.AddrPort, err error)
 
-	queue chan quarantine.Note
+	queue chan N
 	// underWay holds a token for each message under way.
 	underWay chan struct{}
 	tomb     tomb.Tomb
 }
 
 // Start begins to tell; Stop ends it.
-func (t *Teller) Start() {
-	t.queue = make(chan quarantine.Note, mostQueued)
+func (t *Teller[N]) Start() {
+	t.queue = make(chan N, mostQueued)
 	t.underWay = make(chan struct{}, mostMessages)
-	t.tomb.Go(t.run)
+	t.tomb.Go(until(t.run))
 	if t.Peer != nil {
-		t.tomb.Go(t.catchUp)
+		t.tomb.Go(until(t.catchUp))
+	}
+}
+
+// until has a tomb run what ends by itself or with the tomb.
+func until(run func()) func() error {
+	return func() error {
+		run()
+		return nil
 	}
 }
 
 // catchUp asks other routers for all that they know, after the start.
-func (t *Teller) catchUp() error {
+func (t *Teller[N]) catchUp() {
 	ctx := t.tomb.Context(nil) //nolint:staticcheck // nil asks the tomb for its own context
 	for answered, asked := 0, 0; answered < askedAtStart && asked < mostAskedAtStart; asked++ {
 		if !helpers.Pause(askAgain, t.tomb.Dying()) {
-			return nil
+			return
 		}
 		peer, ok := t.Peer()
 		if !ok {
 			continue
 		}
-		if notes, err := All(ctx, t.Client, peer); err == nil {
+		if notes, err := All[N](ctx, t.Client, peer, t.Path); err == nil {
 			t.Take(notes, peer)
 			answered++
 		}
 	}
-	return nil
 }
 
 // Stop ends the teller and waits for it. What was not told is lost.
-func (t *Teller) Stop() {
+func (t *Teller[N]) Stop() {
 	t.tomb.Kill(nil)
 	_ = t.tomb.Wait()
 }
 
 // Tell has all others told. It never waits, and reports false where too much waits already.
-func (t *Teller) Tell(note quarantine.Note) bool {
+func (t *Teller[N]) Tell(note N) bool {
 	select {
 	case t.queue <- note:
 		return true
@@ -128,13 +143,13 @@
 	}
 }
 
-func (t *Teller) run() error {
+func (t *Teller[N]) run() {
 	for {
 		notes := t.gathered()
 		if len(notes) == 0 {
-			return nil
+			return
 		}
-		body, err := json.Marshal(Message{Notes: notes})
+		body, err := json.Marshal(Message[N]{Notes: notes})
 		if err != nil {
 			continue
 		}
@@ -148,8 +163,8 @@
 }
 
 // gathered waits for notes and returns those that come together, none at the end.
-func (t *Teller) gathered() []quarantine.Note {
-	var notes []quarantine.Note
+func (t *Teller[N]) gathered() []N {
+	var notes []N
 	var over <-chan time.Time
 	for len(notes) < mostGathered {
 		select {
@@ -168,7 +183,7 @@
 }
 
 // tellPeer tells one router, again where it does not answer.
-func (t *Teller) tellPeer(peer netip.AddrPort, body []byte) {
+func (t *Teller[N]) tellPeer(peer netip.AddrPort, body []byte) {
 	for try := 1; ; try++ {
 		answer, err := t.send(peer, body)
 		if err == nil {
@@ -184,47 +199,48 @@
 	}
 }
 
-func (t *Teller) send(peer netip.AddrPort, body []byte) (Message, error) {
+func (t *Teller[N]) send(peer netip.AddrPort, body []byte) (Message[N], error) {
 	select {
 	case t.underWay <- struct{}{}:
 		defer func() { <-t.underWay }()
 	case <-t.tomb.Dying():
-		return Message{}, t.tomb.Err()
+		return Message[N]{}, t.tomb.Err()
 	}
 	ctx, cancel := context.WithTimeout(t.tomb.Context(nil), tellTimeout) //nolint:staticcheck // nil asks the tomb for its own context
 	defer cancel()
-	var answer Message
-	if err := call.PostJSON(ctx, t.Client, "http://"+peer.String()+Path, body, maxTold, &answer); err != nil {
-		return answer, fmt.Errorf("tell router %s of ended upstreams: %w", peer, err)
+	var answer Message[N]
+	if err := call.PostJSON(ctx, t.Client, "http://"+peer.String()+t.Path, body, maxTold, &answer); err != nil {
+		return answer, fmt.Errorf("tell router %s news at %s: %w", peer, t.Path, err)
 	}
 	return answer, nil
 }
 
 // All asks a router for all that it knows.
-func All(ctx context.Context, client *http.Client, peer netip.AddrPort) ([]quarantine.Note, error) {
+func All[N any](ctx context.Context, client *http.Client, peer netip.AddrPort, path string) ([]N, error) {
 	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
-	var answer Message
-	if err := call.JSON(ctx, client, "http://"+peer.String()+Path, maxAll, &answer); err != nil {
-		return nil, fmt.Errorf("ask router %s for ended upstreams: %w", peer, err)
+	var answer Message[N]
+	if err := call.JSON(ctx, client, "http://"+peer.String()+path, maxAll, &answer); err != nil {
+		return nil, fmt.Errorf("ask router %s for news at %s: %w", peer, path, err)
 	}
 	return answer.Notes, nil
 }
 
 // Known is what a router knows, for the others. Its fields must be set.
-type Known struct {
-	// All returns everything, Of what is known of some contents, and Take takes news.
-	All  func() []quarantine.Note
-	Of   func(notes []quarantine.Note) []quarantine.Note
-	Take func(notes []quarantine.Note)
+type Known[N any] struct {
+	// All returns everything, Of what is known of what some notes are about, and Take takes
+	// news.
+	All  func() []N
+	Of   func(notes []N) []N
+	Take func(notes []N)
 }
 
 // ServeAll answers with everything that is known.
-func (k *Known) ServeAll(w http.ResponseWriter, _ *http.Request) { reply(w, k.All()) }
+func (k *Known[N]) ServeAll(w http.ResponseWriter, _ *http.Request) { reply(w, k.All()) }
 
-// ServeTold takes a message, and answers with what was known before of its contents.
-func (k *Known) ServeTold(w http.ResponseWriter, r *http.Request) {
-	var message Message
+// ServeTold takes a message, and answers with what was known before of the same.
+func (k *Known[N]) ServeTold(w http.ResponseWriter, r *http.Request) {
+	var message Message[N]
 	if err := json.NewDecoder(io.LimitReader(r.Body, maxTold)).Decode(&message); err != nil {
 		http.Error(w, "decode the notes: "+err.Error(), http.StatusBadRequest)
 		return
@@ -234,8 +250,8 @@
 	reply(w, known)
 }
 
-func reply(w http.ResponseWriter, notes []quarantine.Note) {
+func reply[N any](w http.ResponseWriter, notes []N) {
 	w.Header()["Date"] = nil
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(Message{Notes: notes})
+	_ = json.NewEncoder(w).Encode(Message[N]{Notes: notes})
 }
--- a/daemon/internal/connection/evidence/evidence_test.go
+++ b/daemon/internal/connection/evidence/evidence_test.go
@@ -43,14 +43,14 @@
 func startPeer(t *testing.T) *peer {
 	t.Helper()
 	p := &peer{}
-	known := &evidence.Known{
+	known := &evidence.Known[quarantine.Note]{
 		All:  p.notes,
 		Of:   func([]quarantine.Note) []quarantine.Note { return p.notes() },
 		Take: p.take,
 	}
 	pages := bunrouter.New()
-	pages.Compat().GET(evidence.Path, known.ServeAll)
-	pages.Compat().POST(evidence.Path, func(w http.ResponseWriter, r *http.Request) {
+	pages.Compat().GET(evidence.SuspectsPath, known.ServeAll)
+	pages.Compat().POST(evidence.SuspectsPath, func(w http.ResponseWriter, r *http.Request) {
 		if p.failing() {
 			http.Error(w, "not now", http.StatusServiceUnavailable)
 			return
@@ -90,9 +90,10 @@
 	return p.table.Judge(deadly, time.Now())
 }
 
-func startTeller(t *testing.T, own *peer, others ...netip.AddrPort) *evidence.Teller {
+func startTeller(t *testing.T, own *peer, others ...netip.AddrPort) *evidence.Teller[quarantine.Note] {
 	t.Helper()
-	teller := &evidence.Teller{
+	teller := &evidence.Teller[quarantine.Note]{
+		Path:   evidence.SuspectsPath,
 		Client: http.DefaultClient, Peers: func() []netip.AddrPort { return others },
 		Take: func(notes []quarantine.Note, _ netip.AddrPort) { own.take(notes) },
 	}
@@ -136,7 +137,8 @@
 func TestAStartingRouterAsks(t *testing.T) {
 	own, other := &peer{}, startPeer(t)
 	other.take([]quarantine.Note{noted("a", "b", "c")})
-	teller := &evidence.Teller{
+	teller := &evidence.Teller[quarantine.Note]{
+		Path:   evidence.SuspectsPath,
 		Client: http.DefaultClient, Peers: func() []netip.AddrPort { return nil },
 		Peer: func() (netip.AddrPort, bool) { return other.address, true },
 		Take: func(notes []quarantine.Note, _ netip.AddrPort) { own.take(notes) },
@@ -152,7 +154,8 @@
 	asked := make(chan struct{}, 1)
 	client := &http.Client{Transport: silent{asked}}
 	failed := make(chan error, 1)
-	teller := &evidence.Teller{
+	teller := &evidence.Teller[quarantine.Note]{
+		Path:   evidence.SuspectsPath,
 		Client: client, Peers: func() []netip.AddrPort { return []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:1")} },
 		Take: func([]quarantine.Note, netip.AddrPort) {}, OnFailed: func(_ netip.AddrPort, err error) { failed <- err },
 	}
--- a/daemon/internal/connection/places/ask.go
+++ b/daemon/internal/connection/places/ask.go
@@ -8,11 +8,13 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"net/url"
 	"strconv"
 	"time"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/call"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/mute"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/ratelimit"
 )
 
 // Path is the call's path. A question is a GET with a short query and its answer a
@@ -40,26 +42,90 @@
 	Running int  `json:"running"`
 	Waiting int  `json:"waiting"`
 	Loading bool `json:"loading,omitempty"`
+	// Wait is in milliseconds, Limit what the loader knows of the engine's limit.
+	Wait  int64           `json:"wait,omitempty"`
+	Limit *ratelimit.Note `json:"limit,omitempty"`
+}
+
+// Answer is what a loader says.
+type Answer struct {
+	Load
+	// Given says that the place is the router's.
+	Given bool
+	// Limit is what the loader knows of the engine's limit, nil for nothing.
+	Limit *ratelimit.Note
 }
 
 // Handler answers questions from a ledger. OnAnswer is called after each.
-func Handler(ledger *Ledger, onAnswer func(given bool)) http.HandlerFunc {
+func Handler(ledger *Ledger, onAnswer func(Answer)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		limit, err := parse(r)
+		question, err := parse(r)
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		load, given := ledger.Take(limit)
-		onAnswer(given)
+		load, given := ledger.Take(question)
+		onAnswer(Answer{Load: load, Given: given})
 		w.Header()["Date"] = nil
 		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(answer{Given: given, Running: load.Running, Waiting: load.Waiting, Loading: load.Loading})
+		_ = json.NewEncoder(w).Encode(answer{
+			Given: given, Running: load.Running, Waiting: load.Waiting, Loading: load.Loading,
+			Wait: load.Wait.Milliseconds(), Limit: ledger.Known(question.Engine),
+		})
 	}
 }
 
-func parse(r *http.Request) (Limit, error) {
+func parse(r *http.Request) (Question, error) {
 	query := r.URL.Query()
+	limit, err := parseLimit(query)
+	if err != nil {
+		return Question{}, err
+	}
+	question := Question{Limit: limit, Engine: ratelimit.Upstream{ID: query.Get(ofParam)}}
+	if started, err := strconv.ParseInt(query.Get(startedParam), 10, 64); err == nil {
+		question.Engine.Started = time.Unix(0, started)
+	}
+	question.Known, err = parseKnown(query)
+	return question, err
+}
+
+// The parameters that tell of the engine and its limit. They are left out where there is
+// nothing to tell.
+const (
+	ofParam      = "of"
+	startedParam = "started"
+	knownParam   = "limit"
+	ageParam     = "age" // in milliseconds
+	endedValue   = "ended"
+)
+
+// parseKnown reads what a router knows of the engine's limit.
+func parseKnown(query url.Values) (*ratelimit.Note, error) {
+	text := query.Get(knownParam)
+	if text == "" {
+		return nil, nil //nolint:nilnil // nothing is known
+	}
+	age, err := strconv.ParseInt(query.Get(ageParam), 10, 64)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", ageParam, err)
+	}
+	note := &ratelimit.Note{Age: time.Duration(age) * time.Millisecond}
+	if text == endedValue {
+		note.Ended = true
+		return note, nil
+	}
+	said := ratelimit.Parse([]string{text})
+	if said.Kind != ratelimit.Limited {
+		return nil, fmt.Errorf("%s: %w: %s", knownParam, errNoLimit, said)
+	}
+	note.PerSecond = said.PerSecond
+	return note, nil
+}
+
+// errNoLimit says that a limit is no number.
+var errNoLimit = errors.New("not a number of requests a second")
+
+func parseLimit(query url.Values) (Limit, error) {
 	waiting, err := strconv.Atoi(query.Get("waiting"))
 	if err != nil {
 		return Limit{}, fmt.Errorf("waiting: %w", err)
@@ -88,26 +154,46 @@
 	muted mute.List
 }
 
+// text returns the parameters of a question.
+func (q *Question) text() string {
+	text := fmt.Sprintf("waiting=%d&taken=%d&lasts=%d", q.Waiting, q.Taken, q.Lasts.Milliseconds())
+	if q.Engine.ID != "" {
+		text += "&" + ofParam + "=" + url.QueryEscape(q.Engine.ID)
+	}
+	if !q.Engine.Started.IsZero() {
+		text += "&" + startedParam + "=" + strconv.FormatInt(q.Engine.Started.UnixNano(), 10)
+	}
+	if q.Known == nil {
+		return text
+	}
+	limit := endedValue
+	if !q.Known.Ended {
+		limit = strconv.FormatFloat(q.Known.PerSecond, 'f', -1, 64)
+	}
+	return text + "&" + knownParam + "=" + limit + "&" + ageParam + "=" + strconv.FormatInt(q.Known.Age.Milliseconds(), 10)
+}
+
 // Ask asks a loader for a place. An error says that nothing is known: no answer
 // came in time, or the loader did not answer a moment ago.
-func (c *Client) Ask(ctx context.Context, loader netip.AddrPort, limit Limit) (Load, bool, error) {
+func (c *Client) Ask(ctx context.Context, loader netip.AddrPort, question Question) (Answer, error) {
 	if c.muted.Has(loader, c.Now) {
-		return Load{}, false, ErrMuted
+		return Answer{}, ErrMuted
 	}
-	load, given, err := c.ask(ctx, loader, limit)
+	answer, err := c.ask(ctx, loader, question)
 	if err != nil && ctx.Err() == nil {
 		c.muted.Add(loader, shortestMute+rand.N(longestMute-shortestMute), c.Now)
 	}
-	return load, given, err
+	return answer, err
 }
 
-func (c *Client) ask(ctx context.Context, loader netip.AddrPort, limit Limit) (Load, bool, error) {
+func (c *Client) ask(ctx context.Context, loader netip.AddrPort, question Question) (Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
-	url := fmt.Sprintf("http://%s%s?waiting=%d&taken=%d&lasts=%d", loader, Path, limit.Waiting, limit.Taken, limit.Lasts.Milliseconds())
+	address := "http://" + loader.String() + Path + "?" + question.text()
 	var a answer
-	if err := call.JSON(ctx, c.Client, url, maxAnswer, &a); err != nil {
-		return Load{}, false, fmt.Errorf("ask %s for a place: %w", loader, err)
+	if err := call.JSON(ctx, c.Client, address, maxAnswer, &a); err != nil {
+		return Answer{}, fmt.Errorf("ask %s for a place: %w", loader, err)
 	}
-	return Load{Running: a.Running, Waiting: a.Waiting, Loading: a.Loading}, a.Given, nil
+	load := Load{Running: a.Running, Waiting: a.Waiting, Loading: a.Loading, Wait: time.Duration(a.Wait) * time.Millisecond}
+	return Answer{Load: load, Given: a.Given, Limit: a.Limit}, nil
 }
--- a/daemon/internal/connection/places/ledger.go
+++ b/daemon/internal/connection/places/ledger.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/ratelimit"
 )
 
 // showsAfter is how long after a place was given the request shows in the
@@ -29,6 +30,9 @@
 	Running, Waiting int
 	// Loading says that it serves nothing, or is about to stop serving.
 	Loading bool
+	// Wait is after what time to ask again, where no place was given because the engine's
+	// limit is used up, else 0.
+	Wait time.Duration
 }
 
 // Limit is how loaded an engine may be for a request to be let in.
@@ -42,11 +46,22 @@
 	Lasts time.Duration
 }
 
+// Question is what a router asks.
+type Question struct {
+	Limit
+	// Engine is the start of the engine that the place is to be at, and Known what the router
+	// knows of its limit, nil for nothing.
+	Engine ratelimit.Upstream
+	Known  *ratelimit.Note
+}
+
 // Ledger counts the places of one engine. The zero value gives none until a load
 // was observed.
 type Ledger struct {
 	// Now is the clock; nil means clock.Now.
 	Now func() time.Time
+	// OnLimit is told what changes of the engine's limit. It may be nil.
+	OnLimit func(engine ratelimit.Upstream, change ratelimit.Change)
 
 	mu       sync.Mutex
 	load     Load
@@ -56,6 +71,8 @@
 	// given holds when places were given that the load does not show yet, oldest
 	// first.
 	given []time.Time
+	// limits holds that of the engine, by its starts.
+	limits ratelimit.Table
 }
 
 // Observe takes what the engine said of itself just now, false where it did not
@@ -91,16 +108,53 @@
 	l.given = l.given[first:]
 }
 
-// Take gives a place if the engine's load is within the limit. It returns the
-// load that decided, with the places given and not shown yet as waiting.
-func (l *Ledger) Take(limit Limit) (Load, bool) {
+// Take gives a place if the engine's load is within the limit, and what it takes from all
+// routers in a second is not used up. It returns the load that decided, with the places given
+// and not shown yet as waiting.
+func (l *Ledger) Take(question Question) (Load, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	load := l.load
-	load.Waiting += len(l.given)
-	if !l.observed || load.Loading || l.tooLong(limit) || load.Waiting > limit.Waiting || load.Running+load.Waiting > limit.Taken {
+	l.learn(question)
+	load, fits := l.fits(question.Limit)
+	if !fits {
+		return load, false
+	}
+	now := helpers.Now(l.Now)
+	wait, ok := l.limits.Allow(question.Engine, ratelimit.Whole, now)
+	if !ok {
+		load.Wait = max(wait, time.Millisecond)
 		return load, false
 	}
-	l.given = append(l.given, helpers.Now(l.Now))
+	l.given = append(l.given, now)
 	return load, true
 }
+
+// learn takes what a router knows of the engine's limit; the caller holds mu.
+func (l *Ledger) learn(question Question) {
+	if question.Known == nil {
+		return
+	}
+	change := l.limits.Told(question.Engine, *question.Known, helpers.Now(l.Now))
+	if change.Changed && l.OnLimit != nil {
+		l.OnLimit(question.Engine, change)
+	}
+}
+
+// Known returns what is known of an engine's limit, nil for nothing.
+func (l *Ledger) Known(engine ratelimit.Upstream) *ratelimit.Note {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	note, ok := l.limits.Known(engine, helpers.Now(l.Now))
+	if !ok {
+		return nil
+	}
+	return &note
+}
+
+// fits reports whether the engine's load is within the limit; the caller holds mu.
+func (l *Ledger) fits(limit Limit) (Load, bool) {
+	load := l.load
+	load.Waiting += len(l.given)
+	closed := !l.observed || load.Loading || l.tooLong(limit)
+	return load, !closed && load.Waiting <= limit.Waiting && load.Running+load.Waiting <= limit.Taken
+}
--- a/daemon/internal/connection/places/places_test.go
+++ b/daemon/internal/connection/places/places_test.go
@@ -15,6 +15,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/places"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/ratelimit"
 )
 
 // clock is set by hand.
@@ -22,6 +23,9 @@
 
 func (c *clock) read() time.Time { return c.now }
 
+// question asks for a place within a limit.
+func question(limit places.Limit) places.Question { return places.Question{Limit: limit} }
+
 // settled is longer than a place that was given takes to show in a report.
 const settled = 100 * time.Millisecond
 
@@ -43,7 +47,7 @@
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			switch rapid.IntRange(0, 3).Draw(t, "step") {
 			case 0, 1:
-				if _, given := ledger.Take(places.Limit{Waiting: count, Taken: count - 1}); given {
+				if _, given := ledger.Take(question(places.Limit{Waiting: count, Taken: count - 1})); given {
 					coming++
 				}
 			case 2: // given places show, or their routers died
@@ -60,7 +64,7 @@
 		running, coming = 0, 0
 		c.now = c.now.Add(settled)
 		observe()
-		load, given := ledger.Take(places.Limit{Taken: count - 1})
+		load, given := ledger.Take(question(places.Limit{Taken: count - 1}))
 		assert.True(t, given, "places that nobody used are free again: %+v", load)
 	})
 }
@@ -68,26 +72,26 @@
 // TestLimits: what waits and what runs count as the limit says.
 func TestLimits(t *testing.T) {
 	ledger := &places.Ledger{}
-	_, given := ledger.Take(places.Limit{Waiting: 9, Taken: 99})
+	_, given := ledger.Take(question(places.Limit{Waiting: 9, Taken: 99}))
 	assert.False(t, given, "nothing is known yet")
 
 	ledger.Observe(places.Load{Running: 3, Waiting: 1}, true)
-	_, given = ledger.Take(places.Limit{Waiting: 0, Taken: 99})
+	_, given = ledger.Take(question(places.Limit{Waiting: 0, Taken: 99}))
 	assert.False(t, given, "one waits")
-	_, given = ledger.Take(places.Limit{Waiting: 1, Taken: 3})
+	_, given = ledger.Take(question(places.Limit{Waiting: 1, Taken: 3}))
 	assert.False(t, given, "four are taken")
-	load, given := ledger.Take(places.Limit{Waiting: 1, Taken: 4})
+	load, given := ledger.Take(question(places.Limit{Waiting: 1, Taken: 4}))
 	assert.True(t, given)
 	assert.Equal(t, places.Load{Running: 3, Waiting: 1}, load)
-	load, given = ledger.Take(places.Limit{Waiting: 1, Taken: 99})
+	load, given = ledger.Take(question(places.Limit{Waiting: 1, Taken: 99}))
 	assert.False(t, given, "the place given before counts as waiting")
 	assert.Equal(t, 2, load.Waiting)
 
 	ledger.Observe(places.Load{Loading: true}, true)
-	_, given = ledger.Take(places.Limit{Waiting: 99, Taken: 99})
+	_, given = ledger.Take(question(places.Limit{Waiting: 99, Taken: 99}))
 	assert.False(t, given, "the engine loads")
 	ledger.Observe(places.Load{}, false)
-	_, given = ledger.Take(places.Limit{Waiting: 99, Taken: 99})
+	_, given = ledger.Take(question(places.Limit{Waiting: 99, Taken: 99}))
 	assert.False(t, given, "the engine does not answer")
 }
 
@@ -103,16 +107,15 @@
 	ledger := &places.Ledger{}
 	ledger.Observe(places.Load{Running: 2, Waiting: 1}, true)
 	var answers []bool
-	address := serve(t, places.Handler(ledger, func(given bool) { answers = append(answers, given) }))
+	address := serve(t, places.Handler(ledger, func(answer places.Answer) { answers = append(answers, answer.Given) }))
 	client := &places.Client{Client: http.DefaultClient}
 
-	load, given, err := client.Ask(context.Background(), address, places.Limit{Waiting: 1, Taken: 3})
+	answer, err := client.Ask(context.Background(), address, question(places.Limit{Waiting: 1, Taken: 3}))
 	require.NoError(t, err)
-	assert.True(t, given)
-	assert.Equal(t, places.Load{Running: 2, Waiting: 1}, load)
-	_, given, err = client.Ask(context.Background(), address, places.Limit{Waiting: 1, Taken: 3})
+	assert.Equal(t, places.Answer{Load: places.Load{Running: 2, Waiting: 1}, Given: true}, answer)
+	answer, err = client.Ask(context.Background(), address, question(places.Limit{Waiting: 1, Taken: 3}))
 	require.NoError(t, err)
-	assert.False(t, given)
+	assert.False(t, answer.Given)
 	assert.Equal(t, []bool{true, false}, answers)
 
 	response, err := http.Get("http://" + address.String() + places.Path + "?waiting=x&taken=1")
@@ -132,7 +135,7 @@
 	c := &clock{now: time.Unix(1000, 0)}
 	client := &places.Client{Client: http.DefaultClient, Now: c.read}
 	ask := func(ctx context.Context) error {
-		_, _, err := client.Ask(ctx, address, places.Limit{})
+		_, err := client.Ask(ctx, address, places.Question{})
 		return err
 	}
 	left, leave := context.WithCancel(context.Background())
@@ -156,7 +159,7 @@
 	ledger := &places.Ledger{Now: func() time.Time { return now }}
 	ledger.Observe(places.Load{}, true)
 	take := func(lasts time.Duration) bool {
-		_, given := ledger.Take(places.Limit{Waiting: 99, Taken: 99, Lasts: lasts})
+		_, given := ledger.Take(question(places.Limit{Waiting: 99, Taken: 99, Lasts: lasts}))
 		return given
 	}
 	assert.True(t, take(time.Hour), "it is not to be ordered soon")
@@ -169,3 +172,43 @@
 	ledger.Close(time.Time{})
 	assert.True(t, take(time.Hour))
 }
+
+// TestAnEnginesLimitCountsForAllRouters: what one router read in an answer holds for every
+// question, also of routers that know nothing of it; all hear of it, and when to ask again; and
+// an engine that has started again begins without one.
+func TestAnEnginesLimitCountsForAllRouters(t *testing.T) {
+	c := &clock{now: time.Unix(1000, 0)}
+	ledger := &places.Ledger{Now: c.read}
+	ledger.Observe(places.Load{}, true)
+	address := serve(t, places.Handler(ledger, func(places.Answer) {}))
+	client := &places.Client{Client: http.DefaultClient}
+	ask := func(engine ratelimit.Upstream, known *ratelimit.Note) places.Answer {
+		c.now = c.now.Add(settled)
+		ledger.Observe(places.Load{}, true)
+		answer, err := client.Ask(context.Background(), address, places.Question{Limit: places.Limit{Taken: 3}, Engine: engine, Known: known})
+		require.NoError(t, err)
+		return answer
+	}
+	engine := ratelimit.Upstream{ID: "u/1 &", Started: time.Unix(0, 12345)}
+	assert.Nil(t, ask(engine, nil).Limit)
+	assert.True(t, ask(engine, &ratelimit.Note{PerSecond: 0.5, Age: 20 * time.Millisecond}).Given)
+	unaware := ask(engine, nil)
+	assert.False(t, unaware.Given)
+	assert.Equal(t, &ratelimit.Note{PerSecond: 0.5, Age: 20*time.Millisecond + settled}, unaware.Limit)
+	assert.Positive(t, unaware.Wait)
+	later := ask(engine, nil)
+	assert.Greater(t, later.Wait, unaware.Wait, "whoever asks next is told to come after the one before")
+
+	again := engine
+	again.Started = time.Unix(0, 54321)
+	assert.True(t, ask(again, nil).Given)
+	assert.True(t, ask(engine, &ratelimit.Note{Ended: true}).Given)
+	assert.True(t, ask(engine, nil).Given)
+
+	for _, query := range []string{"&limit=x&age=1", "&limit=-1&age=1", "&limit=1", "&limit=1&age=x"} {
+		response, err := http.Get("http://" + address.String() + places.Path + "?waiting=1&taken=1&lasts=1&of=u" + query)
+		require.NoError(t, err)
+		_ = response.Body.Close()
+		assert.Equal(t, http.StatusBadRequest, response.StatusCode, query)
+	}
+}
--- a/daemon/internal/process/balance/balance.go
+++ b/daemon/internal/process/balance/balance.go
@@ -96,6 +96,8 @@
 	// closes is when the upstream is to take a version, zero where that is not soon.
 	closes    time.Time
 	sentSince int
+	// heldUntil is until when it gets no request, because it named a limit that is used up.
+	heldUntil time.Time
 	used      time.Time
 }
 
@@ -289,6 +291,42 @@
 	s.toldAt, s.sentSince = now, 0
 }
 
+// Hold has an upstream get no request for a while: what it takes from all routers in a second
+// is used up. A time of 0 ends that.
+func (p *Pool) Hold(id string, wait time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	p.state(id, now).heldUntil = now.Add(wait)
+}
+
+// Holds reports whether an upstream is held.
+func (p *Pool) Holds(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.states[id]
+	return s != nil && s.heldUntil.After(p.now())
+}
+
+// Held reports whether some of the upstreams that do not leave are held, and for how long the
+// first of them is.
+func (p *Pool) Held(upstreams []*provider.Upstream) (time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	var least time.Duration
+	for _, candidate := range upstreams {
+		s := p.states[candidate.ID]
+		if s == nil || candidate.Leaving || !s.heldUntil.After(now) {
+			continue
+		}
+		if left := s.heldUntil.Sub(now); least == 0 || left < least {
+			least = left
+		}
+	}
+	return least, least > 0
+}
+
 func (s *state) fade(now time.Time) {
 	factor := math.Exp(-float64(now.Sub(s.faded)) / float64(fadeTime))
 	s.failures *= factor
--- a/daemon/internal/process/balance/balance_test.go
+++ b/daemon/internal/process/balance/balance_test.go
@@ -304,3 +304,27 @@
 	assert.Zero(t, choice.InFlight)
 	assert.Less(t, choice.Score, 20.0, "an older entry, read late, brings nothing back")
 }
+
+// TestHeldUpstreamsGetNothing, also where no other is left, until their time or news ends it.
+func TestHeldUpstreamsGetNothing(t *testing.T) {
+	now := time.Unix(1000, 0)
+	pool := &balance.Pool{Now: func() time.Time { return now }}
+	list := []*provider.Upstream{{ID: "a"}, {ID: "b"}}
+	pool.Hold("a", time.Second)
+	for range 20 {
+		choice, ok := pool.Choose(list, balance.Query{})
+		require.True(t, ok)
+		assert.Equal(t, "b", choice.Upstream.ID)
+	}
+	pool.Hold("b", 3*time.Second)
+	_, ok := pool.Choose(list, balance.Query{})
+	assert.False(t, ok)
+	wait, held := pool.Held(list)
+	assert.True(t, held)
+	assert.Equal(t, time.Second, wait)
+	pool.Hold("b", 0)
+	_, ok = pool.Choose(list, balance.Query{})
+	assert.True(t, ok)
+	now = now.Add(time.Second)
+	assert.False(t, pool.Holds("a"))
+}
--- a/daemon/internal/process/balance/score.go
+++ b/daemon/internal/process/balance/score.go
@@ -10,7 +10,7 @@
 
 // fits reports whether an upstream may get the request at all.
 func (s *state) fits(candidate *provider.Upstream, query Query, now time.Time) bool {
-	if candidate.Leaving {
+	if candidate.Leaving || now.Before(s.heldUntil) {
 		return false
 	}
 	for _, id := range query.Tried {
--- a/daemon/internal/request/dispatch/dispatch.go
+++ b/daemon/internal/request/dispatch/dispatch.go
@@ -27,6 +27,7 @@
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/content"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/exchange"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/quarantine"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/ratelimit"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
@@ -47,6 +48,12 @@
 	// AskPlace asks the loader beside an engine for a place there. An error says
 	// that it did not answer. Nil means that there are no loaders.
 	AskPlace func(ctx context.Context, engine *provider.Upstream, limit places.Limit) (places.Load, bool, error)
+	// Heard is told what each answer says of its upstream's limit.
+	Heard func(Heard)
+	// Allow reports whether a request may go to an upstream now that no loader has given a
+	// place at, by this router's share of the upstream's limit, and counts it. Else it returns
+	// after what time to ask again. Both may be nil.
+	Allow func(upstream *provider.Upstream, door Door) (time.Duration, bool)
 	// Broke is told of each send whose connection broke, before the request is sent again.
 	// It may be nil.
 	Broke func(Break)
@@ -61,6 +68,15 @@
 	Report func(*Story)
 }
 
+// Heard is what an answer says of its upstream's limit.
+type Heard struct {
+	Request  string
+	Upstream *provider.Upstream
+	// Sent is when the request went out.
+	Sent time.Time
+	Said ratelimit.Said
+}
+
 // Story is what happened to one request, for logs and metrics.
 type Story struct {
 	ID, Route, Service, Account string
@@ -219,6 +235,7 @@
 var (
 	errNoneFit    = errors.New("no upstream is fit")
 	errOverloaded = errors.New("every upstream is so loaded that the answer would be late")
+	errLimited    = errors.New("every upstream that is fit has used up the limit that it named")
 )
 
 // whyUnplaced is why no upstream was chosen.
--- a/daemon/internal/request/dispatch/place.go
+++ b/daemon/internal/request/dispatch/place.go
@@ -27,46 +27,38 @@
 	Most     int           `json:"most"`  // waiting
 	Taken    int           `json:"taken"` // most that run or wait
 	Took     time.Duration `json:"took"`
-	Cause    string        `json:"cause,omitempty"`
+	// Wait is after what time to ask again, where the engine's limit is used up.
+	Wait  time.Duration `json:"wait,omitempty"`
+	Cause string        `json:"cause,omitempty"`
 }
 
 // place chooses an upstream. At an engine it asks the loader there for a place,
 // and elsewhere where there is none. A loader that does not answer leaves it to the
 // news of its engine's load; one that has sent no news of late either is passed
-// over, because its host may be cut off.
+// over, because its host may be cut off. So is an upstream whose limit is used up, which
+// does not count among those that are asked: where none is left after it, the others are asked
+// once more, because the one that was to be the last had no say.
 func (q *request) place(ctx context.Context) (balance.Choice, error) {
 	query := q.query()
 	// The newest view counts here: an upstream may have left since the request
 	// came in.
 	candidates := q.View().Upstreams[q.service.Name]
 	search := admission.Search{Request: q.standing()}
+	limited, again := false, false
 	for !search.Over() {
 		choice, ok := q.Pool.Choose(candidates, query)
+		if !ok && limited && !again {
+			again, query.Tried = true, q.tried
+			continue
+		}
 		if !ok {
 			break
 		}
-		if !q.hasLoader(choice) {
-			return q.unlessOverloaded(choice, DoorOwn)
-		}
-		search.Service = q.engines(choice, q.view.Objective(q.service.Name))
-		limit := search.Limit(choice.Candidates == 1)
-		if limit != admission.Unlimited {
-			limit.Lasts = query.Lasts
+		choice, through, err := q.tryFor(ctx, choice, &search, query.Lasts)
+		if through || err != nil {
+			return choice, err
 		}
-		load, given, err := q.ask(ctx, choice, limit)
-		switch {
-		case given:
-			q.Pace.Full(q.service.Name, load.Running+load.Waiting >= choice.Upstream.Places)
-			q.through(choice, DoorLoader)
-			return choice.WithLoad(load.Running, load.Waiting), nil
-		case err != nil && choice.Told && choice.Age < freshNews:
-			return q.unlessOverloaded(choice, DoorNews)
-		case err != nil:
-			search.Silent()
-		default:
-			search.Denied(load)
-		}
-		choice.Done(balance.Abandoned)
+		limited = limited || q.Pool.Holds(choice.Upstream.ID)
 		query.Tried = append(query.Tried[:len(query.Tried):len(query.Tried)], choice.Upstream.ID)
 	}
 	denied, silent := search.Asked()
@@ -77,14 +69,59 @@
 	return balance.Choice{}, fmt.Errorf("%w: no place at %d engines, %d more did not answer", errOverloaded, denied, silent)
 }
 
+// tryFor tries for a place at a chosen upstream, and returns whether the request may go there.
+// Where it may not, without an error, another one is to be chosen.
+func (q *request) tryFor(ctx context.Context, choice balance.Choice, search *admission.Search, lasts time.Duration) (balance.Choice, bool, error) {
+	if !q.hasLoader(choice) {
+		return q.unasked(choice, DoorOwn)
+	}
+	search.Service = q.engines(choice, q.view.Objective(q.service.Name))
+	limit := search.Limit(choice.Candidates == 1)
+	if limit != admission.Unlimited {
+		limit.Lasts = lasts
+	}
+	load, given, err := q.ask(ctx, choice, limit)
+	switch {
+	case given:
+		q.Pace.Full(q.service.Name, load.Running+load.Waiting >= choice.Upstream.Places)
+		q.through(choice, DoorLoader)
+		return choice.WithLoad(load.Running, load.Waiting), true, nil
+	case err != nil && choice.Told && choice.Age < freshNews:
+		return q.unasked(choice, DoorNews)
+	case err != nil:
+		search.Silent()
+	case load.Wait > 0:
+		q.Pool.Hold(choice.Upstream.ID, load.Wait)
+	default:
+		search.Denied(load)
+	}
+	choice.Done(balance.Abandoned)
+	return choice, false, nil
+}
+
 // placeByNews chooses an upstream by what is known of loads, where no loader
 // answered.
 func (q *request) placeByNews(candidates []*provider.Upstream) (balance.Choice, error) {
-	choice, ok := q.Pool.Choose(candidates, q.query())
-	if !ok {
-		return choice, errNoneFit
+	query := q.query()
+	for {
+		choice, ok := q.Pool.Choose(candidates, query)
+		if !ok {
+			return choice, q.noneFit(candidates)
+		}
+		choice, through, err := q.unasked(choice, DoorNews)
+		if through || err != nil {
+			return choice, err
+		}
+		query.Tried = append(query.Tried[:len(query.Tried):len(query.Tried)], choice.Upstream.ID)
 	}
-	return q.unlessOverloaded(choice, DoorNews)
+}
+
+// noneFit says why no upstream can be chosen.
+func (q *request) noneFit(candidates []*provider.Upstream) error {
+	if wait, held := q.Pool.Held(candidates); held {
+		return fmt.Errorf("%w, soonest to be asked again in %s", errLimited, wait.Round(time.Millisecond))
+	}
+	return errNoneFit
 }
 
 // hasLoader reports whether there is a loader to ask for a place. Those are asked as well
@@ -93,16 +130,29 @@
 	return q.AskPlace != nil && q.service.Engine != nil && choice.Upstream.Places > 0
 }
 
-// unlessOverloaded returns an upstream that was chosen by news of loads, unless the
-// request would be late there. Refused at once it may come back; let in it would be late
-// and delay others.
-func (q *request) unlessOverloaded(choice balance.Choice, door Door) (balance.Choice, error) {
-	if !q.overloaded(choice) {
-		q.through(choice, door)
-		return choice, nil
+// unasked lets the request through to an upstream that was chosen by news of loads, unless the
+// request would be late there: refused at once it may come back, and let in it would be late
+// and delay others. Where the upstream's limit leaves no room, another one is to be chosen.
+func (q *request) unasked(choice balance.Choice, door Door) (balance.Choice, bool, error) {
+	if q.overloaded(choice) {
+		choice.Done(balance.Abandoned)
+		return choice, false, fmt.Errorf("%w: at the best, %s, %d wait and %d must end first", errOverloaded, choice.Upstream.ID, choice.Waiting, choice.Beyond)
 	}
-	choice.Done(balance.Abandoned)
-	return choice, fmt.Errorf("%w: at the best, %s, %d wait and %d must end first", errOverloaded, choice.Upstream.ID, choice.Waiting, choice.Beyond)
+	if wait, ok := q.allowed(choice, door); !ok {
+		q.Pool.Hold(choice.Upstream.ID, wait)
+		choice.Done(balance.Abandoned)
+		return choice, false, nil
+	}
+	q.through(choice, door)
+	return choice, true, nil
+}
+
+// allowed asks for this router's share of the limit of an upstream at which no loader counts.
+func (q *request) allowed(choice balance.Choice, door Door) (time.Duration, bool) {
+	if q.Allow == nil {
+		return 0, true
+	}
+	return q.Allow(choice.Upstream, door)
 }
 
 // through notes what lets the request through to an upstream.
@@ -128,7 +178,7 @@
 	load, given, err := q.AskPlace(ctx, choice.Upstream, limit)
 	asked := Asked{
 		Upstream: choice.Upstream.ID, Given: given, Running: load.Running, Waiting: load.Waiting,
-		Most: limit.Waiting, Taken: limit.Taken, Took: clock.Since(started),
+		Most: limit.Waiting, Taken: limit.Taken, Took: clock.Since(started), Wait: load.Wait,
 	}
 	if err != nil {
 		asked.Cause = err.Error()
--- a/daemon/internal/request/dispatch/send.go
+++ b/daemon/internal/request/dispatch/send.go
@@ -60,6 +60,9 @@
 	q.sent++
 	go func() {
 		result := q.Client.Do(ctx, send)
+		if q.Heard != nil {
+			q.Heard(Heard{Request: q.story.ID, Upstream: choice.Upstream, Sent: s.started, Said: result.Said})
+		}
 		if !s.settled.CompareAndSwap(false, true) && result.Fate == exchange.Answered {
 			_ = result.Response.Body.Close()
 			result = exchange.Result{Fate: exchange.Unknown, Err: context.Cause(ctx)}
--- a/daemon/lab/router.go
+++ b/daemon/lab/router.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/places"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/balance"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/admission"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/dispatch"
@@ -118,7 +119,7 @@
 			limit.Lasts = lasts
 		}
 		e := r.engine(choice)
-		load, given := e.ledger.Take(limit)
+		load, given := e.ledger.Take(places.Question{Limit: limit})
 		r.pool.TellLoad(choice.Upstream.ID, load.Running, load.Waiting, load.Loading)
 		if given {
 			r.pace.Full(service, load.Running+load.Waiting >= choice.Upstream.Places)
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -18,6 +18,7 @@
 
 	"github.com/apex/log"
 	"github.com/uptrace/bunrouter"
+	"golang.org/x/time/rate"
 	"gopkg.in/tomb.v2"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/dial"
@@ -85,6 +86,7 @@
 	keeper                   *keep.Keeper
 	feed                     *loadfeed.Feed
 	ledger                   *places.Ledger
+	limitLines               *rate.Limiter
 	client                   *http.Client
 
 	// needs is what the configuration says of the engine's service.
@@ -118,10 +120,11 @@
 	}
 	p := &Process{
 		telemetry: t, output: output, log: t.Log,
-		table: &mirror.Table{}, held: &swarm.Held{}, feed: loadfeed.NewFeed(), ledger: &places.Ledger{}, done: make(chan struct{}),
+		table: &mirror.Table{}, held: &swarm.Held{}, feed: loadfeed.NewFeed(), ledger: &places.Ledger{}, limitLines: rate.NewLimiter(limitLines, limitLines), done: make(chan struct{}),
 		client: &http.Client{Transport: dial.NewHostTransport(options.Dial, hostIdle)},
 	}
 	p.current.Store(&s)
+	p.ledger.OnLimit = p.noteLimit
 	calls := &http.Client{Transport: dial.NewHostTransport(options.Dial, originIdle)}
 	p.provider = options.Provider(s.Store, p.client, calls)
 	p.compiler = &mirror.Compiler{Decode: p.provider.Decode, OnBelief: p.noteBelief}
--- a/daemon/loader/needs.go
+++ b/daemon/loader/needs.go
@@ -85,7 +85,7 @@
 	}
 	if known := p.needs.Swap(&news.EngineNeeds); known == nil || *known != news.EngineNeeds {
 		p.log.WithFields(log.Fields{
-			"decision": "believe", "model": news.Engine.Model, "origin": news.Origin, "revision": news.Revision,
+			fieldDecision: "believe", "model": news.Engine.Model, "origin": news.Origin, "revision": news.Revision,
 		}).Info("belief changed")
 	}
 	return nil
--- a/daemon/loader/notes.go
+++ b/daemon/loader/notes.go
@@ -9,15 +9,19 @@
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/loadfeed"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/places"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/mirror"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/ratelimit"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/version/keep"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/version/swarm"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
+// fieldDecision names the kind of decision that a line tells.
+const fieldDecision = "decision"
+
 // noteBelief writes one line for a change of the declared version; changes of
 // other hosts' engines are the routers' to log.
 func (p *Process) noteBelief(belief mirror.Belief) {
-	fields := log.Fields{"decision": "believe", "key": belief.Entry.Key, "revision": belief.Entry.Revision}
+	fields := log.Fields{fieldDecision: "believe", "key": belief.Entry.Key, "revision": belief.Entry.Revision}
 	switch target := belief.Record.Target; {
 	case belief.Err != nil:
 		fields["reason"] = belief.Err.Error()
@@ -47,17 +51,34 @@
 }
 
 // noteAnswer counts an answer to a router that asked for a place.
-func (p *Process) noteAnswer(given bool) {
+func (p *Process) noteAnswer(answer places.Answer) {
 	name := "places_given"
-	if !given {
+	switch {
+	case answer.Wait > 0:
+		name = "places_denied_by_limit"
+	case !answer.Given:
 		name = "places_denied"
 	}
 	p.telemetry.Scope.Counter(name).Inc(1)
 }
 
+// limitLines bounds the lines a second about limits: one may change with each answer.
+const limitLines = 5
+
+// noteLimit writes one line when the engine's limit changes, by which all routers are counted.
+func (p *Process) noteLimit(engine ratelimit.Upstream, change ratelimit.Change) {
+	p.telemetry.Scope.Counter("limits_changed").Inc(1)
+	if !p.limitLines.Allow() {
+		return
+	}
+	p.log.WithFields(log.Fields{
+		fieldDecision: "limit", "upstream": engine.ID, "engine": p.current.Load().Engine, "perSecond": change.After.PerSecond, "ended": change.After.Ended,
+	}).Info("limit of an upstream changed")
+}
+
 // noteStep writes one line for a decision about weights.
 func (p *Process) noteStep(step keep.Step) {
-	fields := log.Fields{"decision": step.Name, "version": step.Version, "took": step.Took.String()}
+	fields := log.Fields{fieldDecision: step.Name, "version": step.Version, "took": step.Took.String()}
 	switch step.Name {
 	case keep.StepFetch:
 		fields["bytes"] = p.received.fields()
--- a/daemon/loader/notes_test.go
+++ b/daemon/loader/notes_test.go
@@ -22,7 +22,7 @@
 	require.NoError(t, err)
 	t.Cleanup(output.Close)
 	p := &Process{telemetry: told, feed: loadfeed.NewFeed(), ledger: &places.Ledger{}, keeper: &keep.Keeper{}}
-	anywhere := places.Limit{Waiting: 9, Taken: 9}
+	anywhere := places.Question{Limit: places.Limit{Waiting: 9, Taken: 9}}
 
 	p.noteReport(provider.EngineReport{}, nil)
 	_, given := p.ledger.Take(anywhere)
--- a/daemon/router/limit_test.go
+++ b/daemon/router/limit_test.go
@@ -14,8 +14,10 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/evidence"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/loadfeed"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/places"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/ratelimit"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 	"github.com/wheelcleat/wheelcleat/daemon/settings"
 )
@@ -39,20 +41,40 @@
 	*upstream
 	mu       sync.Mutex
 	arrivals []time.Time
+	// limit is what it names, "" for none.
+	limit string
 }
 
 func startNeedy(t *testing.T, id, limit string) *needy {
 	t.Helper()
-	n := &needy{}
+	n := &needy{limit: limit}
 	n.upstream = startUpstream(t, id, func(request *http.Request, connection net.Conn) {
 		n.mu.Lock()
 		n.arrivals = append(n.arrivals, time.Now())
+		named := n.limit
 		n.mu.Unlock()
-		answerNaming(request, connection, limit)
+		if named == "" {
+			good(request, connection)
+			return
+		}
+		answerNaming(request, connection, named)
 	})
 	return n
 }
 
+// name has the upstream name another limit, "" for none.
+func (n *needy) name(limit string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.limit = limit
+}
+
+func (n *needy) count() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.arrivals)
+}
+
 // answerNaming answers well and names a limit.
 func answerNaming(request *http.Request, connection net.Conn, limit string) {
 	body := "answer to " + request.Header.Get("Request-Id")
@@ -84,9 +106,10 @@
 
 // limitFleet is three routers and two upstreams, of which one names a limit.
 type limitFleet struct {
-	routers []settings.Router
-	needy   *needy
-	other   *upstream
+	surroundings *surroundings
+	routers      []settings.Router
+	needy        *needy
+	other        *upstream
 }
 
 // fleetOf starts routers that know each other. Their upstreams are engines where there is a
@@ -95,7 +118,7 @@
 	t.Helper()
 	s := &surroundings{}
 	configuration := basic(1)
-	f := &limitFleet{needy: startNeedy(t, "u1", limit), other: startUpstream(t, "u2", good)}
+	f := &limitFleet{surroundings: s, needy: startNeedy(t, "u1", limit), other: startUpstream(t, "u2", good)}
 	records := []provider.Upstream{f.needy.record(), f.other.record()}
 	for _, record := range records {
 		record.Places = 16
@@ -162,6 +185,78 @@
 	}
 }
 
+// TestALimitBoundsSecondSends: where the other upstream fails each request, all are to be sent
+// a second time, to the one that names a limit.
+func TestALimitBoundsSecondSends(t *testing.T) {
+	const limit, each = 1.0, 20
+	f := fleetOf(t, fmt.Sprint(limit), 0)
+	failing := upstreamFunc(func(request *http.Request, connection net.Conn) {
+		whole(request, connection, http.StatusInternalServerError, "failed", "")
+	})
+	f.other.answer.Store(&failing)
+	f.press(t, 4, 0)
+	f.needy.forget()
+	f.press(t, each, 0)
+	assert.LessOrEqual(t, f.needy.worst(), int(limitSlack*limit*limitWindow.Seconds()+limitExtra))
+}
+
+// limitsOf returns the limits that a router knows, as others see it.
+func limitsOf(t *testing.T, set settings.Router) []ratelimit.Named {
+	t.Helper()
+	all, err := evidence.All[ratelimit.Named](t.Context(), http.DefaultClient, set.Listen.Peers, evidence.LimitsPath)
+	require.NoError(t, err)
+	return all
+}
+
+// TestOneAnswerTellsAllRouters: the others know a limit before an answer has told them, one
+// that starts hears of it, and all know when it ends.
+func TestOneAnswerTellsAllRouters(t *testing.T) {
+	f := fleetOf(t, "1.5", 0)
+	knows := func(set settings.Router, ended bool) bool {
+		all := limitsOf(t, set)
+		return len(all) == 1 && all[0].Upstream.ID == "u1" && all[0].Ended == ended && (ended || all[0].PerSecond == 1.5)
+	}
+	for i := 0; f.needy.count() == 0; i++ {
+		call(t, f.routers[0], fmt.Sprint("first-", i), "GET", "/safe/x", "")
+	}
+	for _, set := range f.routers {
+		await(t, "the limit is known", func() bool { return knows(set, false) })
+	}
+	started := startRouter(t, f.surroundings, "r4")
+	await(t, "who starts knows it", func() bool { return knows(started, false) })
+
+	f.needy.name("")
+	for i, count := 0, f.needy.count(); f.needy.count() == count; i++ {
+		call(t, f.routers[i%len(f.routers)], fmt.Sprint("last-", i), "GET", "/safe/x", "")
+	}
+	for _, set := range append(f.routers, started) {
+		await(t, "its end is known", func() bool { return knows(set, true) })
+	}
+	f.needy.forget()
+	const each = 20
+	assert.Equal(t, each*len(f.routers), f.press(t, each, 0))
+	assert.Greater(t, f.needy.count(), each/2, "it has its usual share again")
+}
+
+// TestBadLimitsHarmNothing: what cannot be read, in whatever answer, leaves callers served and
+// the last good limit in force; a limit in a caller's own headers is nobody's.
+func TestBadLimitsHarmNothing(t *testing.T) {
+	f := fleetOf(t, "1", 0)
+	f.press(t, 4, 0)
+	for _, bad := range []string{"x", "-1", "nan", "inf", "1e999", "5,x"} {
+		f.needy.name(bad)
+		for _, set := range f.routers {
+			answer := call(t, set, "bad"+set.Name, "GET", "/safe/x", "", "Limit", "0.1")
+			assert.Equal(t, http.StatusOK, answer.status, bad)
+		}
+	}
+	all := limitsOf(t, f.routers[0])
+	require.Len(t, all, 1)
+	assert.False(t, all[0].Ended)
+	assert.GreaterOrEqual(t, all[0].PerSecond, 1.0)
+	assert.Equal(t, "u1", all[0].Upstream.ID)
+}
+
 // startLoader answers questions for places at all engines of this host, which are idle, and
 // returns its port.
 func startLoader(t *testing.T) uint16 {
@@ -172,7 +267,11 @@
 	feed := loadfeed.NewFeed()
 	feed.Publish(loadfeed.Line{Models: []provider.Loaded{{Model: "m", Version: 1}}})
 	pages.Handle(loadfeed.Path, feed)
-	pages.Handle(places.Path, places.Handler(ledger, func(bool) { ledger.Observe(places.Load{}, true) }))
+	answer := places.Handler(ledger, func(places.Answer) {})
+	pages.HandleFunc(places.Path, func(w http.ResponseWriter, r *http.Request) {
+		ledger.Observe(places.Load{}, true)
+		answer(w, r)
+	})
 	return serveAt(t, freePorts(t, 1)[0], pages)
 }
 
--- a/daemon/router/recorder.go
+++ b/daemon/router/recorder.go
@@ -17,6 +17,7 @@
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/content"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/dispatch"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/quarantine"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/ratelimit"
 	"github.com/wheelcleat/wheelcleat/daemon/settings"
 )
 
@@ -36,7 +37,9 @@
 	log            *log.Entry
 	scope          tally.Scope
 	served, failed *rate.Limiter
-	latency        tally.Histogram
+	// unread bounds the lines on limits that cannot be read: each answer may name one.
+	unread  *rate.Limiter
+	latency tally.Histogram
 	// leftOut counts the lines that the bounds kept back since telling said so.
 	leftOut atomic.Int64
 	telling *rate.Limiter
@@ -49,6 +52,7 @@
 		served:  rate.NewLimiter(servedLines, servedLines),
 		failed:  rate.NewLimiter(failedLines, failedLines),
 		telling: rate.NewLimiter(1, 1),
+		unread:  rate.NewLimiter(1, 1),
 		latency: t.Scope.Histogram("request_first_byte_seconds", tally.MustMakeExponentialDurationBuckets(first, factor, buckets)),
 	}
 }
@@ -137,19 +141,70 @@
 	r.log.WithFields(log.Fields{"content": name, "reason": err.Error()}).Warn("verdict on a content not kept in the store")
 }
 
-// routerNotTold writes one line where another router did not hear of an end. It does with
-// its own next one.
+// routerNotTold writes one line where another router did not hear of an end or a limit. It
+// does with its own next one.
 func (r *recorder) routerNotTold(peer netip.AddrPort, err error) {
 	r.scope.Counter("routers_not_told").Inc(1)
 	if !r.failed.Allow() {
 		r.leftOut.Add(1)
 		return
 	}
-	r.log.WithFields(log.Fields{"dependency": "router", "peer": peer, "reason": err.Error()}).Warn("router not told of ended upstreams")
+	r.log.WithFields(log.Fields{"dependency": "router", "peer": peer, "reason": err.Error()}).Warn("router not told of what upstreams did")
 }
 
 // notTold counts a note that was one too many to be told.
-func (r *recorder) notTold() { r.scope.Counter("ends_not_told").Inc(1) }
+func (r *recorder) notTold() { r.scope.Counter("notes_not_told").Inc(1) }
+
+// limitSaid counts what answers say of limits, and writes a line for what cannot be read.
+func (r *recorder) limitSaid(heard dispatch.Heard) {
+	if heard.Said.Kind == ratelimit.Limited {
+		r.scope.Counter("answers_naming_limits").Inc(1)
+	}
+	if heard.Said.Unread == "" {
+		return
+	}
+	r.scope.Counter("limits_unread").Inc(1)
+	if !r.unread.Allow() {
+		r.leftOut.Add(1)
+		return
+	}
+	r.log.WithFields(log.Fields{
+		"request": heard.Request, "upstream": heard.Upstream.ID, "address": heard.Upstream.Address, "limit": heard.Said.String(),
+	}).Warn("limit of an upstream not read, the last good one stays")
+}
+
+// limitChanged writes one line when this router knows another limit of an upstream.
+func (r *recorder) limitChanged(news limitNews) {
+	r.scope.Tagged(map[string]string{"from": string(news.from)}).Counter("limits_changed").Inc(1)
+	if !r.failed.Allow() {
+		r.leftOut.Add(1)
+		return
+	}
+	fields := log.Fields{
+		fieldDecision: "limit", "upstream": news.upstream.ID, "address": news.upstream.Address,
+		"limit": limitText(news.change.After), "before": limitText(news.change.Before), "from": news.from,
+	}
+	if news.peer.IsValid() {
+		fields["peer"] = news.peer
+	}
+	if news.request != "" {
+		fields["request"] = news.request
+	}
+	r.log.WithFields(fields).Info("limit of an upstream changed")
+}
+
+// limitText is a limit in requests a second of all routers, or "none".
+func limitText(note ratelimit.Note) string {
+	if note.Ended {
+		return "none"
+	}
+	return strconv.FormatFloat(note.PerSecond, 'g', -1, 64)
+}
+
+// limitDenied counts requests that went elsewhere because an upstream's limit was used up.
+func (r *recorder) limitDenied(door dispatch.Door) {
+	r.scope.Tagged(map[string]string{"by": string(door)}).Counter("limit_denied").Inc(1)
+}
 
 // tellLeftOut writes, once a second at most, how many lines were left out, so
 // that whoever looks for one knows why it may not be there.
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -30,6 +30,8 @@
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/server"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/telemetry"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/dispatch"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/quarantine"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/ratelimit"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 	"github.com/wheelcleat/wheelcleat/daemon/settings"
 )
@@ -101,7 +103,10 @@
 	// tells the other routers.
 	witness  *witness.Witness
 	suspects *suspects
-	teller   *evidence.Teller
+	teller   *evidence.Teller[quarantine.Note]
+	// limits are those that upstreams named, and limitTeller tells the other routers.
+	limits      *limits
+	limitTeller *evidence.Teller[ratelimit.Named]
 	// enginesAt holds the ids of the engines on each host. It is replaced when
 	// the list changes, and read for each line of a loader.
 	enginesAt atomic.Pointer[map[netip.Addr][]string]
@@ -136,7 +141,7 @@
 	p := &Process{
 		options: options, telemetry: t, output: output, recorder: newRecorder(t),
 		table: &mirror.Table{}, pool: &balance.Pool{Hall: s.Hall}, done: make(chan struct{}),
-		witness: &witness.Witness{Dial: dial.Within(witnessConnect, options.Dial)}, suspects: &suspects{},
+		witness: &witness.Witness{Dial: dial.Within(witnessConnect, options.Dial)}, suspects: &suspects{}, limits: &limits{},
 		over: make(chan struct{}),
 	}
 	p.current.Store(&s)
@@ -146,7 +151,7 @@
 	p.table.OnChange = p.takeChanges
 	p.loads = &loadfeed.Reader{Client: client, OnLine: p.takeLoad}
 	p.asker = &places.Client{Client: client}
-	p.teller = p.newTeller(client)
+	p.teller, p.limitTeller = p.newTeller(client), p.newLimitTeller(client)
 	p.addFollowers(client)
 	return p, nil
 }
@@ -177,6 +182,7 @@
 	p.puller.Start()
 	p.announcer.start()
 	p.teller.Start()
+	p.limitTeller.Start()
 	p.recorder.started(p.current.Load())
 	return nil
 }
@@ -193,6 +199,7 @@
 	err := p.callers.Shutdown(ctx)
 	p.announcer.stop()
 	p.teller.Stop()
+	p.limitTeller.Stop()
 	p.loads.Stop()
 	p.puller.Stop()
 	p.follower.Stop()
--- a/daemon/router/serving.go
+++ b/daemon/router/serving.go
@@ -1,22 +1,18 @@
 package router
 
 import (
-	"context"
 	"net/http"
-	"net/netip"
 
 	"github.com/uptrace/bunrouter"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/clock"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/dial"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/peering"
-	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/places"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/mirror"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/server"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/admission"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/dispatch"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/exchange"
-	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
 // This file puts together what callers, the balancer, other daemons and operators reach.
@@ -60,16 +56,11 @@
 		},
 		Pool: p.pool, Budget: p.budget, Pace: &dispatch.Pace{}, Callers: &admission.Callers{}, View: p.compiler.View, Stale: p.silent,
 		Demand: p.demand, Report: p.recorder.request, AskPlace: p.askPlace, Broke: p.broke,
+		Heard: p.heard, Allow: p.allow,
 		Admit: p.admitContent, Judge: p.suspects.judge, Whole: p.answeredWhole, Over: p.over,
 	}
 }
 
-// askPlace asks the loader beside an engine for a place there.
-func (p *Process) askPlace(ctx context.Context, engine *provider.Upstream, limit places.Limit) (places.Load, bool, error) {
-	loader := netip.AddrPortFrom(engine.Address.Addr(), p.current.Load().LoaderPort)
-	return p.asker.Ask(ctx, loader, limit)
-}
-
 // demand says on which versions of a model requests may run.
 func (p *Process) demand(declared *mirror.Declared) mirror.Demand {
 	return declared.Demand(clock.Now(), p.current.Load().Bounds.VersionApply.Std())
@@ -94,6 +85,7 @@
 	pages.Compat().GET(peering.Path, copies.ServeHTTP)
 	pages.Compat().GET(peering.EnginePath, peering.EngineHandler(p.compiler.View))
 	p.suspectPages(pages)
+	p.limitPages(pages)
 	return pages
 }
 
--- a/daemon/router/suspects.go
+++ b/daemon/router/suspects.go
@@ -32,16 +32,17 @@
 	keepAgain = 3 * time.Second
 )
 
-// source says from where a router knows something of a content.
+// source says from where a router knows something of a content, or of a limit.
 type source string
 
 // The sources.
 const (
-	sourceOwn    source = "own"    // a connection of this router broke
+	sourceOwn    source = "own"    // a connection of this router broke, an answer to it named it
 	sourceRouter source = "router" // another router told
 	sourceAnswer source = "answer" // another router knew more of what it was told
 	sourceStore  source = "store"
 	sourceLifted source = "lifted" // an operator lifted it
+	sourceLoader source = "loader" // the loader beside the engine told with its answer
 )
 
 // suspects are the contents under which upstreams ended, as far as this router knows.
@@ -226,9 +227,9 @@
 }
 
 // newTeller prepares the telling of other routers.
-func (p *Process) newTeller(client *http.Client) *evidence.Teller {
-	return &evidence.Teller{
-		Client: client, Peers: p.otherRouters, Peer: p.peer, OnFailed: p.recorder.routerNotTold,
+func (p *Process) newTeller(client *http.Client) *evidence.Teller[quarantine.Note] {
+	return &evidence.Teller[quarantine.Note]{
+		Client: client, Path: evidence.SuspectsPath, Peers: p.otherRouters, Peer: p.peer, OnFailed: p.recorder.routerNotTold,
 		Take: func(notes []quarantine.Note, peer netip.AddrPort) {
 			for _, note := range notes {
 				p.learn(note, sourceAnswer, peer)
@@ -252,7 +253,7 @@
 // suspectPages hands out what is known, takes what others tell, and lets operators lift
 // what stands against a content.
 func (p *Process) suspectPages(pages *bunrouter.Router) {
-	known := &evidence.Known{
+	known := &evidence.Known[quarantine.Note]{
 		All: p.suspects.all, Of: p.suspects.of,
 		Take: func(notes []quarantine.Note) {
 			for _, note := range notes {
@@ -260,9 +261,9 @@
 			}
 		},
 	}
-	pages.Compat().GET(evidence.Path, known.ServeAll)
-	pages.Compat().POST(evidence.Path, known.ServeTold)
-	pages.DELETE(evidence.Path+"/:content", bunrouter.HandlerFunc(p.lift))
+	pages.Compat().GET(evidence.SuspectsPath, known.ServeAll)
+	pages.Compat().POST(evidence.SuspectsPath, known.ServeTold)
+	pages.DELETE(evidence.SuspectsPath+"/:content", bunrouter.HandlerFunc(p.lift))
 }
 
 // lift clears a content at an operator's wish, here and everywhere.
