Tell others how old the end of a limit is

An end is as old as the request whose answer named nothing; it was told as if it were new, so that it could have won over a limit that was named meanwhile elsewhere.

--- a/daemon/internal/request/ratelimit/ratelimit.go
+++ b/daemon/internal/request/ratelimit/ratelimit.go
@@ -110,7 +110,8 @@
 	Changed bool
 	// Tell says that others are to hear of it.
 	Tell bool
-	// Before and After are what was known before, which may be nothing, and by now.
+	// Before and After are what was known before, which may be nothing, and by now. Others are
+	// told After, with its age: an end is as old as the request that showed it.
 	Before, After Note
 }
 
@@ -196,10 +197,9 @@
 		}
 		return Change{}
 	}
-	note.Age = 0
-	change := Change{Changed: true, Before: known.note, After: note}
+	change := Change{Changed: true, Before: known.note}
 	known.note, known.at = note, at
-	change.Tell = known.tell(now)
+	change.After, change.Tell = known.noted(now), known.tell(now)
 	return change
 }
 
--- a/daemon/internal/request/ratelimit/ratelimit_test.go
+++ b/daemon/internal/request/ratelimit/ratelimit_test.go
@@ -181,7 +181,9 @@
 		note, _ = other.Known(engine, at(ms))
 		other.Told(engine, note, at(ms+10))
 	}
-	assert.True(t, other.Heard(engine, unlimited, at(450), at(4000)).Changed, "an end that is newer than what named it")
+	ended := other.Heard(engine, unlimited, at(450), at(4000))
+	assert.True(t, ended.Changed && ended.Tell, "an end that is newer than what named it")
+	assert.Equal(t, 3550*time.Millisecond, ended.After.Age, "others are told how old it is")
 
 	assert.True(t, table.Told(engine, ratelimit.Note{Ended: true, Age: 10 * time.Millisecond}, at(5000)).Changed)
 	assert.False(t, table.Told(engine, ratelimit.Note{PerSecond: 2, Age: time.Second}, at(5000)).Changed, "older than the end")
