Soak and load lab with upstreams that name limits

A step of the soak has upstreams name a limit; the oracle counts what comes to them. The load lab has patterns in which a third of the engines name 2 a second, or all 5.

--- a/cli/internal/bench/load.go
+++ b/cli/internal/bench/load.go
@@ -71,10 +71,10 @@
 // WriteLoadTable writes a line for each result.
 func WriteLoadTable(out io.Writer, results []*LoadResult) error {
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	_, _ = fmt.Fprintln(table, "pattern\tpolicy\tworth\tbest\tbest in turn\tin time\tlate\trefused\tagain\tcut\tback known\t")
+	_, _ = fmt.Fprintln(table, "pattern\tpolicy\tworth\tbest\tbest in turn\tin time\tlate\trefused\tagain\tcut\tback known\tlimit used\t")
 	for _, r := range results {
-		_, _ = fmt.Fprintf(table, "%s\t%s\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.2f\t\n",
-			r.Pattern, r.Policy, r.Worth, r.Best, r.BestInTurn, r.InTime, r.Late, r.Refused, r.RefusedAgain, r.Cut, r.KnownBack)
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.2f\t%.2f\t\n",
+			r.Pattern, r.Policy, r.Worth, r.Best, r.BestInTurn, r.InTime, r.Late, r.Refused, r.RefusedAgain, r.Cut, r.KnownBack, r.LimitUsed)
 	}
 	if err := table.Flush(); err != nil {
 		return fmt.Errorf("write the table: %w", err)
--- a/cli/internal/soak/oracle.go
+++ b/cli/internal/soak/oracle.go
@@ -55,6 +55,7 @@
 	CheckProcess       Check = "processes live and end well"
 	CheckUsage         Check = "memory and files"
 	CheckHeld          Check = "what ends upstreams is held back"
+	CheckLimit         Check = "limits are kept"
 )
 
 // Violation is one promise that was not kept.
@@ -118,6 +119,8 @@
 	version  int
 	// deadly holds when each deadly request began at an upstream, by its path.
 	deadly map[string][]time.Time
+	// limits are those that upstreams name, by id.
+	limits map[string]*namedLimit
 	// inForce is the newest configuration that each start of a router has shown.
 	inForce map[string]shown
 }
@@ -215,6 +218,7 @@
 	defer o.mu.Unlock()
 	o.reached++
 	now := time.Now()
+	o.checkLimit(id, upstream, now)
 	left, leaves := o.leaving[upstream]
 	if leaves && now.Sub(left) > leaveBound+o.Patience && !o.disturbed(left, now, o.router[id], "store", "router", "all") {
 		o.violatef(CheckLeaving, id, "%s got a request from %s %s after it had said that it leaves", upstream, o.router[id], now.Sub(left).Round(time.Millisecond))
--- a/cli/internal/soak/plan.go
+++ b/cli/internal/soak/plan.go
@@ -58,6 +58,9 @@
 	UpstreamReset   Kind = "upstream-reset"
 	UpstreamCut     Kind = "upstream-cut"
 	UpstreamSurplus Kind = "upstream-surplus"
+	// UpstreamLimited has an upstream name the requests a second that it takes from all
+	// routers.
+	UpstreamLimited Kind = "upstream-limited"
 	EngineRot       Kind = "engine-rot"
 	// RequestsCrash has a caller come again and again with a request that ends each upstream
 	// that begins it.
@@ -78,7 +81,7 @@
 	RouterStop, RouterKill, RouterFreeze, RouterReload, LoaderStop, LoaderKill, LoaderFreeze, AllKill,
 	StoreDown, StoreSilent, StoreSlow, StoreRefuse, StoreLose, StoreForget, StoreTurnOff,
 	LinkDelay, LinkReset, LinkOneWay, LinkSilent, LinkNarrow,
-	UpstreamCrash, UpstreamLeave, UpstreamShed, UpstreamFail, UpstreamHang, UpstreamReset, UpstreamCut, UpstreamSurplus, EngineRot,
+	UpstreamCrash, UpstreamLeave, UpstreamShed, UpstreamFail, UpstreamHang, UpstreamReset, UpstreamCut, UpstreamSurplus, UpstreamLimited, EngineRot,
 	RequestsCrash, EntriesSpoiled,
 	OriginDown, OriginSpoil, OriginSlow,
 	Configure, Configure, Version, Version,
--- a/cli/internal/soak/strike.go
+++ b/cli/internal/soak/strike.go
@@ -51,6 +51,8 @@
 		f.leave(host)
 	case step.Kind == RequestsCrash:
 		f.sendDeadly(lasts)
+	case step.Kind == UpstreamLimited:
+		f.limit(host, step)
 	case step.Kind == EntriesSpoiled:
 		f.spoil(host, step.Target, lasts)
 	case step.Kind == EngineRot:
--- a/daemon/lab/engine.go
+++ b/daemon/lab/engine.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/places"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/ratelimit"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
@@ -59,6 +60,8 @@
 	// waits for what runs, taken that it has the version.
 	turn          time.Duration
 	taking, taken bool
+	// arrived is when requests came while it named a limit.
+	arrived []time.Duration
 }
 
 func newEngine(p *play, number int) *engine {
@@ -97,12 +100,45 @@
 	return start.Add(e.turn)
 }
 
+// limited reports whether the engine names a limit.
+func (e *engine) limited() bool {
+	return e.play.Pattern.Limits.names(e.number, len(e.play.engines), e.play.events.now)
+}
+
+// known is what routers know of the engine's limit: they tell each other within milliseconds,
+// so here all know at once.
+func (e *engine) known() *ratelimit.Note {
+	switch limits := e.play.Pattern.Limits; {
+	case limits == nil:
+		return nil
+	case e.limited():
+		return &ratelimit.Note{PerSecond: limits.PerSecond}
+	default:
+		return &ratelimit.Note{Ended: true}
+	}
+}
+
+// worst is the most requests that came in a window while the engine named a limit.
+func (e *engine) worst(window time.Duration) int {
+	most, first := 0, 0
+	for last, at := range e.arrived {
+		for at-e.arrived[first] >= window {
+			first++
+		}
+		most = max(most, last-first+1)
+	}
+	return most
+}
+
 // add gives the engine a request, which a loss of it ends.
 func (e *engine) add(c *caller) {
 	if e.play.events.now < e.out {
 		c.broken()
 		return
 	}
+	if e.limited() {
+		e.arrived = append(e.arrived, e.play.events.now)
+	}
 	e.waiting = append(e.waiting, c)
 	if !e.busy {
 		e.pass()
--- a/daemon/lab/pattern.go
+++ b/daemon/lab/pattern.go
@@ -23,6 +23,7 @@
 	BurstKind    string
 	Disturbances []Disturbance
 	Version      *Version
+	Limits       *Limits
 }
 
 // Span is a time, from its begin to its end.
@@ -48,6 +49,18 @@
 	return v.Turns.From + (v.Turns.To-v.Turns.From)*time.Duration(number)/time.Duration(max(engines-1, 1))
 }
 
+// Limits is that engines are in need for a time, and name the requests a second that they take.
+type Limits struct {
+	Span
+	// Share is the part of the engines that do.
+	Share     float64
+	PerSecond float64
+}
+
+func (l *Limits) names(number, engines int, at time.Duration) bool {
+	return l != nil && l.holds(at) && float64(number) < l.Share*float64(engines)
+}
+
 // rate is the load at a time.
 func (p Pattern) rate(at time.Duration) float64 {
 	rate := p.Level
@@ -89,7 +102,7 @@
 
 // PatternNames lists what ParsePattern knows.
 func PatternNames() []string {
-	return []string{"steady", "burst", "swing", "one-kind", "half-gone", "all-back", "version"}
+	return []string{"steady", "burst", "swing", "one-kind", "half-gone", "all-back", "version", "some-limited", "all-limited"}
 }
 
 // ParsePattern reads a pattern and its level, such as "steady:1.25"; without one it is 1.
@@ -118,6 +131,10 @@
 		p.Disturbances = []Disturbance{{At: 10 * second, For: 2 * second, Share: 1}}
 	case "version":
 		p.Version = &Version{Turns: Span{10 * second, 15500 * time.Millisecond}}
+	case "some-limited":
+		p.Limits = &Limits{Span: Span{10 * second, 20 * second}, Share: 1.0 / 3, PerSecond: 2}
+	case "all-limited":
+		p.Limits = &Limits{Span: Span{10 * second, 20 * second}, Share: 1, PerSecond: 5}
 	default:
 		return p, fmt.Errorf("pattern %q: use one of %s", text, strings.Join(PatternNames(), ", "))
 	}
--- a/daemon/lab/result.go
+++ b/daemon/lab/result.go
@@ -28,6 +28,9 @@
 	// the part of those who were refused at their first try after they were taken for one.
 	KnownBack    float64 `json:"known_back"`
 	TakenForBack float64 `json:"taken_for_back"`
+	// LimitUsed is the most that came to an engine in 4 s while it named a limit, in parts of
+	// what the limit allows in that time; 0 where none did.
+	LimitUsed float64 `json:"limit_used"`
 	// KindWorth is the worth by kind, Windows that of each 2 s.
 	KindWorth map[string]float64 `json:"kind_worth"`
 	Windows   []float64          `json:"windows"`
@@ -99,9 +102,25 @@
 		r.Windows = append(r.Windows, windows[i].share())
 	}
 	r.Best, r.BestInTurn = p.best(measured)
+	r.LimitUsed = p.limitUsed()
 	return r
 }
 
+// limitWindow is the time over which an engine's limit counts.
+const limitWindow = 4 * time.Second
+
+// limitUsed is the worst use of a limit.
+func (p *play) limitUsed() float64 {
+	worst := 0
+	for _, e := range p.engines {
+		worst = max(worst, e.worst(limitWindow))
+	}
+	if p.Pattern.Limits == nil {
+		return 0
+	}
+	return float64(worst) / (p.Pattern.Limits.PerSecond * limitWindow.Seconds())
+}
+
 func (p *play) kindIndex(c *caller) int {
 	return slices.IndexFunc(p.Kinds, func(k Kind) bool { return k.Name == c.kind.Name })
 }
@@ -147,6 +166,7 @@
 			{&mean.Cut, r.Cut},
 			{&mean.KnownBack, r.KnownBack},
 			{&mean.TakenForBack, r.TakenForBack},
+			{&mean.LimitUsed, r.LimitUsed},
 		}
 		for _, sum := range sums {
 			*sum.to += each * sum.from
--- a/daemon/lab/router.go
+++ b/daemon/lab/router.go
@@ -7,6 +7,7 @@
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/balance"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/admission"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/dispatch"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/ratelimit"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
@@ -119,13 +120,17 @@
 			limit.Lasts = lasts
 		}
 		e := r.engine(choice)
-		load, given := e.ledger.Take(places.Question{Limit: limit})
+		load, given := e.ledger.Take(places.Question{Limit: limit, Engine: ratelimit.Upstream{ID: e.record.ID}, Known: e.known()})
 		r.pool.TellLoad(choice.Upstream.ID, load.Running, load.Waiting, load.Loading)
 		if given {
 			r.pace.Full(service, load.Running+load.Waiting >= choice.Upstream.Places)
 			return e, choice, true
 		}
-		search.Denied(load)
+		if load.Wait > 0 {
+			r.pool.Hold(choice.Upstream.ID, load.Wait)
+		} else {
+			search.Denied(load)
+		}
 		choice.Done(balance.Abandoned)
 		query.Tried = append(query.Tried, choice.Upstream.ID)
 	}
