Take signals first thing, a stop apart from reloads, and tell a stop before the start from a failure

Found on the way: one channel with room for one signal took both reloads and stops, so that a stop behind a reload was dropped, and the process ran on until it was killed.

--- a/cli/internal/soak/process.go
+++ b/cli/internal/soak/process.go
@@ -41,6 +41,8 @@
 	state   State
 	command *exec.Cmd
 	ended   chan struct{}
+	// written is the size of the log at the last start.
+	written int64
 	// starts counts the starts; started is when the last one was.
 	starts  int
 	started time.Time
@@ -52,6 +54,8 @@
 
 func (p *process) settingsPath() string { return filepath.Join(p.folder, p.name+".json") }
 
+func (p *process) logPath() string { return filepath.Join(p.folder, p.name+".log") }
+
 // writeSettings must be called with mu held.
 func (p *process) writeSettings() error {
 	text, err := json.MarshalIndent(p.settings, "", "  ")
@@ -71,17 +75,22 @@
 	if err := p.writeSettings(); err != nil {
 		return err
 	}
-	output, err := os.OpenFile(filepath.Join(p.folder, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	output, err := os.OpenFile(p.logPath(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return fmt.Errorf("open the log of %s: %w", p.name, err)
 	}
 	defer func() { _ = output.Close() }()
+	info, err := output.Stat()
+	if err != nil {
+		return fmt.Errorf("look at the log of %s: %w", p.name, err)
+	}
 	command := exec.Command(p.binary, p.settingsPath()) //nolint:gosec,noctx // the caller named it, and signals end it
 	command.Stdout, command.Stderr = output, output
 	if err := command.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", p.name, err)
 	}
 	ended := make(chan struct{})
+	p.written = info.Size()
 	p.command, p.ended, p.state = command, ended, Running
 	p.starts++
 	p.started = time.Now()
@@ -96,7 +105,7 @@
 	if p.state == Running {
 		p.failure = fmt.Errorf("%s ended by itself: %w", p.name, errors.Join(errEnded, err))
 	}
-	if p.state == Stopping && err != nil {
+	if p.state == Stopping && err != nil && !p.endedBeforeItBegan(err) {
 		p.failure = fmt.Errorf("%s did not stop well: %w", p.name, err)
 	}
 	p.state = Down
@@ -106,6 +115,22 @@
 
 var errEnded = errors.New("no signal was sent")
 
+// endedBeforeItBegan reports whether a process was told to stop before it took signals: the
+// signal ended it, as it ends any process in its first milliseconds. It has opened no port
+// then, and written nothing. It must be called with mu held.
+func (p *process) endedBeforeItBegan(err error) bool {
+	var exit *exec.ExitError
+	if !errors.As(err, &exit) {
+		return false
+	}
+	status, ok := exit.Sys().(syscall.WaitStatus)
+	if !ok || !status.Signaled() || status.Signal() != syscall.SIGTERM {
+		return false
+	}
+	info, err := os.Stat(p.logPath())
+	return err == nil && info.Size() == p.written
+}
+
 // freeze stops a running process in its tracks, and thaw lets it go on.
 func (p *process) freeze() { p.signal(syscall.SIGSTOP, Running, Frozen) }
 
--- a/daemon/cmd/wheelcleatd/main.go
+++ b/daemon/cmd/wheelcleatd/main.go
@@ -37,12 +37,28 @@
 	exitUsage  = 2
 )
 
+// signals are those that a process takes.
+type signals struct {
+	// stop and reload have a channel each: in one for both a stop that came while a reload
+	// waited there was dropped, and the process never ended.
+	stop, reload chan os.Signal
+}
+
+// takeSignals has signals come to the process. Before that a stop ends it with a failure.
+func takeSignals() signals {
+	s := signals{stop: make(chan os.Signal, 1), reload: make(chan os.Signal, 1)}
+	signal.Notify(s.stop, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(s.reload, syscall.SIGHUP)
+	return s
+}
+
 func main() {
+	taken := takeSignals()
 	command := &cli.Command{
 		Name:      "wheelcleatd",
 		Usage:     "run an entry, agent, router or loader from its settings file",
 		ArgsUsage: "[SETTINGS.json]",
-		Action:    run,
+		Action:    func(_ context.Context, command *cli.Command) error { return run(command, taken) },
 		ExitErrHandler: func(_ context.Context, _ *cli.Command, err error) {
 			fmt.Fprintln(os.Stderr, err)
 		},
@@ -68,7 +84,7 @@
 	drain  time.Duration
 }
 
-func run(_ context.Context, command *cli.Command) error {
+func run(command *cli.Command, taken signals) error {
 	log.SetFlags(0)
 	log.SetOutput(telemetry.NewStandard(telemetry.NewBounded(os.Stdout)))
 	path, err := settingsPath(command)
@@ -83,12 +99,10 @@
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	if err := p.start(); err != nil {
 		return err
 	}
-	followSettings(path, p, signals)
+	followSettings(path, p, taken)
 	ctx, cancel := context.WithTimeout(context.Background(), p.drain)
 	defer cancel()
 	return p.stop(ctx)
@@ -108,15 +122,14 @@
 
 // followSettings reads the settings again when told to or when the file has
 // changed, until the process is to stop.
-func followSettings(path string, p process, signals <-chan os.Signal) {
+func followSettings(path string, p process, taken signals) {
 	watcher := settings.NewWatcher(path)
 	defer watcher.Stop()
 	for {
 		select {
-		case received := <-signals:
-			if received != syscall.SIGHUP {
-				return
-			}
+		case <-taken.stop:
+			return
+		case <-taken.reload:
 			watcher.ReadAgain()
 		case result := <-watcher.Changed:
 			applySettings(p, result)
