Let no stale news undo a clearing, and hold nothing back that was answered whole a moment before

For ten seconds ends that were known at a clearing, or are deeper than one since could be, are no news; an end counts against no content that its router saw answered whole within two seconds.

--- a/daemon/internal/request/quarantine/quarantine.go
+++ b/daemon/internal/request/quarantine/quarantine.go
@@ -23,6 +23,13 @@
 // end, but 15 others held back (192 where news takes a second), and more where engines end
 // for reasons of their own; sends that are not taken back would have 5.3 end.
 //
+// A content that was answered whole within the last two seconds is not the cause of an end:
+// several deadly requests at once end engines one after the other, and a request that many
+// callers send alike runs at each of them. One that is deadly is not answered whole.
+//
+// What was cleared stays cleared: for ten seconds, longer than any message takes, the ends that
+// were known then are no news, and neither are ends deeper than one since could be.
+//
 // The package has no clock and no network. Routers tell each other of each end and keep
 // the same table (package evidence); what is held back lies in the store as well.
 //
@@ -59,6 +66,12 @@
 	// together is how long after one end another is still taken for as deep: those that are
 	// killed together are heard of within a few milliseconds, or some ten over a narrow link.
 	together = 100 * time.Millisecond
+	// clearedFor is how long a clearing stands against messages that were under way.
+	clearedFor = 10 * time.Second
+	// wholeFor is how long a whole answer tells that a content is not the cause of an end, and
+	// mostWhole how many such contents are known: 40 s of a hundred requests a second.
+	wholeFor  = 2 * time.Second
+	mostWhole = 4096
 	// mostContents bounds the table: 4,096 are 1 MB. Contents with the shallowest ends
 	// go first, so that a caller who sends a thousand others does not free the one that is
 	// held back.
@@ -121,6 +134,10 @@
 // for use by several goroutines.
 type Table struct {
 	contents map[content.Name]*record
+	// whole are the contents that were answered whole since turned, and wholeBefore those of
+	// the time before that.
+	whole, wholeBefore map[content.Name]time.Time
+	turned             time.Time
 }
 
 // heard is an end and when it was heard of.
@@ -141,6 +158,18 @@
 	held     time.Duration
 	released bool
 	tried    time.Time
+	// cleared are the ends that a clearing undid, and clearedAt when that was.
+	cleared   []heard
+	clearedAt time.Time
+}
+
+// stale reports whether an end is older than the last clearing.
+func (r *record) stale(end End, now time.Time) bool {
+	if r.clearedAt.IsZero() || now.Sub(r.clearedAt) > clearedFor {
+		return false
+	}
+	known := slices.ContainsFunc(r.cleared, func(undone heard) bool { return undone.equal(end) })
+	return known || end.Depth > r.depth()+1
 }
 
 // depth is that of the deepest end.
@@ -159,7 +188,7 @@
 // that was news.
 func (t *Table) Take(note Note, now time.Time) bool {
 	if note.Cleared {
-		return t.clear(note.Content)
+		return t.clear(note.Content, now)
 	}
 	if len(note.Ends) == 0 {
 		return false
@@ -184,6 +213,8 @@
 func (r *record) take(end End, now time.Time) bool {
 	at := slices.IndexFunc(r.ends, func(known heard) bool { return known.equal(end) })
 	switch {
+	case r.stale(end, now):
+		return false
 	case at >= 0 && r.ends[at].Depth >= end.Depth:
 		return false
 	case at >= 0:
@@ -209,10 +240,33 @@
 	}
 }
 
-func (t *Table) clear(name content.Name) bool {
-	_, known := t.contents[name]
-	delete(t.contents, name)
-	return known
+// clear undoes what stands against a content, and reports whether something did. Where nothing
+// does the ends may be on their way.
+func (t *Table) clear(name content.Name, now time.Time) bool {
+	known := t.contents[name]
+	if known == nil {
+		known = t.add(name, now)
+	}
+	stood, undone := len(known.ends) > 0, slices.Concat(known.ends, known.cleared)
+	*known = record{last: now, cleared: undone[:min(len(undone), mostEnds)], clearedAt: now}
+	return stood
+}
+
+// Whole notes that a content was answered whole.
+func (t *Table) Whole(name content.Name, now time.Time) {
+	if t.whole == nil || len(t.whole) >= mostWhole || now.Sub(t.turned) >= wholeFor {
+		t.whole, t.wholeBefore, t.turned = map[content.Name]time.Time{}, t.whole, now
+	}
+	t.whole[name] = now
+}
+
+// wasWhole reports whether a content was answered whole of late.
+func (t *Table) wasWhole(name content.Name, now time.Time) bool {
+	at, ok := t.whole[name]
+	if !ok {
+		at, ok = t.wholeBefore[name]
+	}
+	return ok && now.Sub(at) < wholeFor
 }
 
 // Sent is a send under which an upstream ended.
@@ -223,13 +277,17 @@
 	Started, At time.Time
 }
 
-// End names the end of an upstream under a send, which was heard of now. Ends by the same id
-// and start that were heard of before it was sent are others.
-func (t *Table) End(sent Sent, now time.Time) End {
+// End names the end of an upstream under a send, which was heard of now, and reports whether
+// it counts against the content. Ends by the same id and start that were heard of before it was
+// sent are others.
+func (t *Table) End(sent Sent, now time.Time) (End, bool) {
 	end := End{Upstream: sent.Upstream, Started: sent.Started, Depth: 1}
+	if t.wasWhole(sent.Content, now) {
+		return end, false
+	}
 	known := t.contents[sent.Content]
 	if known == nil {
-		return end
+		return end, true
 	}
 	known.expire(now)
 	for _, before := range known.ends {
@@ -241,7 +299,12 @@
 			end.Depth = max(end.Depth, min(before.Depth, known.depth())+1)
 		}
 	}
-	return end
+	for _, before := range known.cleared {
+		if before.at.Before(sent.At) && before.sameEntry(end) {
+			end.Again = max(end.Again, before.Again+1)
+		}
+	}
+	return end, true
 }
 
 // Admit says what may be done with a request that comes now. Of a content whose time is over
@@ -290,8 +353,10 @@
 // Notes returns what is known of all contents.
 func (t *Table) Notes() []Note {
 	notes := make([]Note, 0, len(t.contents))
-	for name := range t.contents {
-		notes = append(notes, t.Note(name))
+	for name, known := range t.contents {
+		if len(known.ends) > 0 {
+			notes = append(notes, t.Note(name))
+		}
 	}
 	return notes
 }
--- a/daemon/internal/request/quarantine/quarantine_test.go
+++ b/daemon/internal/request/quarantine/quarantine_test.go
@@ -30,6 +30,15 @@
 	return quarantine.Note{Content: named(number), Ends: ends}
 }
 
+// ended is an end that counts.
+func ended(table *quarantine.Table, sent quarantine.Sent, now time.Time) quarantine.End {
+	one, counts := table.End(sent, now)
+	if !counts {
+		panic("the end does not count")
+	}
+	return one
+}
+
 // TestVerdictsFollowTheDepth: each end counts once, by whomever it is told, and an upstream
 // that started again under its id counts anew.
 func TestVerdictsFollowTheDepth(t *testing.T) {
@@ -63,13 +72,13 @@
 	now := start
 	for i := range upstreams {
 		now = now.Add(5 * time.Millisecond)
-		one := table.End(quarantine.Sent{Content: named(1), Upstream: fmt.Sprint("u", i), At: start}, now)
+		one := ended(table, quarantine.Sent{Content: named(1), Upstream: fmt.Sprint("u", i), At: start}, now)
 		assert.Equal(t, 1, one.Depth)
 		table.Take(note(1, one), now)
 	}
 	assert.Equal(t, quarantine.Free, table.Judge(named(1), now))
 	now = now.Add(time.Second)
-	next := table.End(quarantine.Sent{Content: named(1), Upstream: "v", At: now}, now)
+	next := ended(table, quarantine.Sent{Content: named(1), Upstream: "v", At: now}, now)
 	assert.Equal(t, 2, next.Depth)
 	assert.True(t, table.Take(note(1, next), now), "a deeper one counts in a full record too")
 	assert.Equal(t, quarantine.Once, table.Judge(named(1), now))
@@ -83,7 +92,7 @@
 	for depth, want := range []quarantine.Verdict{quarantine.Free, quarantine.Once, quarantine.Held} {
 		sent := quarantine.Sent{Content: named(1), Upstream: fmt.Sprint("u", depth), At: now.Add(time.Millisecond)}
 		now = now.Add(2 * time.Millisecond)
-		table.Take(note(1, table.End(sent, now)), now)
+		table.Take(note(1, ended(table, sent, now)), now)
 		assert.Equal(t, want, table.Judge(named(1), now))
 	}
 }
@@ -96,16 +105,16 @@
 	sent := func(seconds int, started int64) quarantine.Sent {
 		return quarantine.Sent{Content: named(1), Upstream: "a", Started: time.UnixMilli(started), At: at(seconds)}
 	}
-	first := table.End(sent(0, 1), at(1))
+	first := ended(table, sent(0, 1), at(1))
 	assert.Equal(t, end("a", 1, 1), first)
 	table.Take(note(1, first), at(1))
-	assert.Zero(t, table.End(sent(1, 1), at(1)).Again, "under way when it ended")
-	again := table.End(sent(2, 1), at(3))
+	assert.Zero(t, ended(table, sent(1, 1), at(1)).Again, "under way when it ended")
+	again := ended(table, sent(2, 1), at(3))
 	assert.Equal(t, 1, again.Again)
 	assert.True(t, table.Take(note(1, again), at(3)))
 	assert.Equal(t, quarantine.Once, table.Judge(named(1), at(3)))
-	assert.Equal(t, 2, table.End(sent(4, 1), at(5)).Again)
-	assert.Zero(t, table.End(sent(4, 2), at(5)).Again)
+	assert.Equal(t, 2, ended(table, sent(4, 1), at(5)).Again)
+	assert.Zero(t, ended(table, sent(4, 2), at(5)).Again)
 }
 
 // TestHeldBackForABoundedTime: then one router sends it once, and one more end holds the
@@ -122,7 +131,7 @@
 		assert.Equal(t, quarantine.Once, table.Admit(named(1), true, now))
 		assert.Equal(t, quarantine.Held, table.Admit(named(1), true, now), "one at a time")
 		assert.Equal(t, quarantine.Once, table.Judge(named(1), now), "the one that was let in goes on")
-		one := table.End(quarantine.Sent{Content: named(1), Upstream: fmt.Sprint("d", round), At: now}, now.Add(time.Second))
+		one := ended(table, quarantine.Sent{Content: named(1), Upstream: fmt.Sprint("d", round), At: now}, now.Add(time.Second))
 		assert.Equal(t, 3, one.Depth)
 		table.Take(note(1, one), now)
 		assert.Equal(t, quarantine.Held, table.Judge(named(1), now))
@@ -176,3 +185,62 @@
 		}
 	})
 }
+
+// TestStaleNewsDoesNotUndoAClearing: messages about ends were on their way to a router when an
+// operator lifted what stood against their content. They came after it, and the content was
+// held back again, at that router alone, for as long as at first.
+func TestStaleNewsDoesNotUndoAClearing(t *testing.T) {
+	table := &quarantine.Table{}
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	ends := []quarantine.End{end("a", 1, 1), end("b", 1, 2), end("c", 1, 3)}
+	table.Take(note(1, ends[:2]...), at(0))
+	assert.True(t, table.Take(quarantine.Note{Content: named(1), Cleared: true}, at(10)))
+	assert.Empty(t, table.Note(named(1)).Ends)
+	for _, stale := range ends {
+		assert.False(t, table.Take(note(1, stale), at(300)), "%s was known, or is deeper than any end since could be", stale.Upstream)
+	}
+	assert.Equal(t, quarantine.Free, table.Judge(named(1), at(300)))
+	assert.Empty(t, table.Notes())
+
+	next := ended(table, quarantine.Sent{Content: named(1), Upstream: "a", Started: time.UnixMilli(1), At: at(400)}, at(500))
+	assert.Equal(t, quarantine.End{Upstream: "a", Started: time.UnixMilli(1), Again: 1, Depth: 1}, next, "a new end by the same entry")
+	assert.True(t, table.Take(note(1, next), at(500)))
+	for depth := 2; depth <= 3; depth++ {
+		assert.True(t, table.Take(note(1, end("d", int64(depth), depth)), at(500+depth)), "ends since the clearing count")
+	}
+	assert.Equal(t, quarantine.Held, table.Judge(named(1), at(600)))
+
+	unaware := &quarantine.Table{}
+	assert.False(t, unaware.Take(quarantine.Note{Content: named(1), Cleared: true}, at(10)), "nothing stood against it here")
+	assert.False(t, unaware.Take(note(1, ends[2]), at(300)), "an end that it would have heard of before")
+	later := &quarantine.Table{}
+	later.Take(note(1, ends[:2]...), at(0))
+	later.Take(quarantine.Note{Content: named(1), Cleared: true}, at(10))
+	assert.True(t, later.Take(note(1, ends[2]), at(60_000)), "a clearing does not count for ever")
+}
+
+// TestWhatIsAnsweredWholeIsNotTheCause: three deadly requests ended four engines within 0.12 s,
+// one after the other, and a request that many callers send alike ran at each of them: it was
+// three ends deep and held back, though it had been answered whole a moment before.
+func TestWhatIsAnsweredWholeIsNotTheCause(t *testing.T) {
+	popular, deadly := named(1), named(2)
+	table := &quarantine.Table{}
+	now := start
+	for i := range 4 {
+		table.Whole(popular, now)
+		now = now.Add(30 * time.Millisecond)
+		for _, name := range []content.Name{popular, deadly} {
+			one, counts := table.End(quarantine.Sent{Content: name, Upstream: fmt.Sprint("u", i), At: now.Add(-10 * time.Millisecond)}, now)
+			assert.Equal(t, name == deadly, counts)
+			if counts {
+				table.Take(quarantine.Note{Content: name, Ends: []quarantine.End{one}}, now)
+			}
+		}
+	}
+	assert.Equal(t, quarantine.Free, table.Judge(popular, now))
+	assert.Equal(t, quarantine.Held, table.Judge(deadly, now))
+
+	now = now.Add(4 * time.Second)
+	_, counts := table.End(quarantine.Sent{Content: popular, Upstream: "u9", At: now}, now)
+	assert.True(t, counts, "what has become deadly since has no whole answers")
+}
--- a/daemon/internal/request/quarantine/replay_test.go
+++ b/daemon/internal/request/quarantine/replay_test.go
@@ -139,7 +139,7 @@
 	broken := f.running[engine]
 	f.running[engine] = nil
 	for _, v := range broken {
-		end := f.tables[v.router].End(quarantine.Sent{
+		end := ended(&f.tables[v.router], quarantine.Sent{
 			Content: v.content, Upstream: fmt.Sprint("e", engine), Started: time.Unix(f.started[engine], 0),
 			At: time.Unix(1000, 0).Add(v.sent),
 		}, f.time())
--- a/daemon/router/suspects.go
+++ b/daemon/router/suspects.go
@@ -90,8 +90,16 @@
 	return c, news && c.before != c.after
 }
 
-// end names the end of the upstream of a broken send.
-func (s *suspects) end(b dispatch.Break) quarantine.End {
+// whole notes that a content was answered whole, and reports whether ends stand against it.
+func (s *suspects) whole(name content.Name) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Whole(name, clock.Now())
+	return len(s.table.Note(name).Ends) > 0
+}
+
+// end names the end of the upstream of a broken send, and reports whether it counts.
+func (s *suspects) end(b dispatch.Break) (quarantine.End, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := clock.Now()
@@ -131,7 +139,10 @@
 	if !ended {
 		return
 	}
-	end := p.suspects.end(b)
+	end, counts := p.suspects.end(b)
+	if !counts {
+		return
+	}
 	p.tell(quarantine.Note{Content: b.Content, Ends: []quarantine.End{end}}, sourceOwn)
 }
 
@@ -155,7 +166,7 @@
 
 // answeredWhole clears a content.
 func (p *Process) answeredWhole(name content.Name) {
-	if known := p.suspects.note(name); len(known.Ends) > 0 {
+	if p.suspects.whole(name) {
 		p.tell(quarantine.Note{Content: name, Cleared: true}, sourceOwn)
 	}
 }
