Keep what an engine's host told of versions apart from answers for a place

An answer to a question for a place tells of the load alone, and made the news fresh: an engine whose load a router does not follow was taken for one that holds nothing for 0.8 s after each question. TestAnAnswerForAPlaceHidesNoVersion fails without it. Found while a test of limits was written.

--- a/daemon/internal/process/balance/balance.go
+++ b/daemon/internal/process/balance/balance.go
@@ -93,6 +93,9 @@
 	// sent there since, by this process.
 	told   Told
 	toldAt time.Time
+	// modelsAt is when it last told what the upstream holds: an answer to a question for a
+	// place tells of the load alone.
+	modelsAt time.Time
 	// closes is when the upstream is to take a version, zero where that is not soon.
 	closes    time.Time
 	sentSince int
@@ -273,7 +276,7 @@
 	defer p.mu.Unlock()
 	now := p.now()
 	s := p.state(id, now)
-	s.told, s.toldAt, s.sentSince = told, now, 0
+	s.told, s.toldAt, s.modelsAt, s.sentSince = told, now, now, 0
 	s.closes = time.Time{}
 	if told.ClosesIn > 0 {
 		s.closes = now.Add(told.ClosesIn)
--- a/daemon/internal/process/balance/balance_test.go
+++ b/daemon/internal/process/balance/balance_test.go
@@ -328,3 +328,26 @@
 	now = now.Add(time.Second)
 	assert.False(t, pool.Holds("a"))
 }
+
+// TestAnAnswerForAPlaceHidesNoVersion: a router does not follow the load of each engine of a
+// large fleet. One that it does not was asked for a place, its answer names no versions, and
+// the engine was taken for one that holds none for 0.8 s.
+func TestAnAnswerForAPlaceHidesNoVersion(t *testing.T) {
+	now := time.Unix(1000, 0)
+	pool := &balance.Pool{Now: func() time.Time { return now }}
+	list := upstreams(1)
+	query := balance.Query{Model: "m", Version: 1}
+	pool.TellLoad(list[0].ID, 3, 0, false)
+	choice, ok := pool.Choose(list, query)
+	require.True(t, ok, "its entry says what it holds")
+	assert.Equal(t, 1, choice.Version)
+	assert.Equal(t, 3, choice.Running)
+
+	pool.Tell(list[0].ID, balance.Told{Models: []provider.Loaded{{Model: "m", Version: 2}}})
+	now = now.Add(500 * time.Millisecond)
+	pool.TellLoad(list[0].ID, 3, 0, false)
+	now = now.Add(500 * time.Millisecond)
+	choice, ok = pool.Choose(list, query)
+	require.True(t, ok)
+	assert.Equal(t, 1, choice.Version, "what its host told of versions is old by now, and its entry counts")
+}
--- a/daemon/internal/process/balance/score.go
+++ b/daemon/internal/process/balance/score.go
@@ -28,7 +28,7 @@
 // holds returns the version that an upstream holds: what its host told, or what
 // its record says where the host told nothing of late.
 func (s *state) holds(candidate *provider.Upstream, model string, now time.Time) int {
-	if now.Sub(s.toldAt) > toldFor {
+	if now.Sub(s.modelsAt) > toldFor {
 		return candidate.Holds(model)
 	}
 	told := provider.Upstream{Models: s.told.Models}
