--- a/cli/internal/explain/explain_test.go
+++ b/cli/internal/explain/explain_test.go
@@ -97,3 +97,18 @@
 	assert.Contains(t, got.String(), "it was told to come back after 1.311s")
 	assert.Contains(t, got.String(), "likely refused before")
 }
+
+// TestALimitIsTheReasonOfAChoice: which upstream was passed over because its limit is used up,
+// what the router knew of that, and what an answer named.
+func TestALimitIsTheReasonOfAChoice(t *testing.T) {
+	const lines = `{"fields":{"name":"router-1","role":"router","decision":"limit","upstream":"u1","limit":"2.5","before":"none","from":"loader"},"timestamp":"2026-12-02T22:02:16Z","message":"limit of an upstream changed"}
+{"fields":{"name":"router-2","role":"router","decision":"limit","upstream":"u1","limit":"none","before":"2.5","from":"own"},"timestamp":"2026-12-02T22:02:16Z","message":"limit of an upstream changed"}
+{"fields":{"name":"router-1","role":"router","request":"now","outcome":"served","status":200,"took":"1ms","asked":[{"upstream":"u1","wait":400000000},{"upstream":"u2","given":true}],"tries":[{"upstream":"u2","fate":"answered","door":"loader","limit":"4"}]},"timestamp":"2026-12-02T22:02:19Z","message":"request ended"}`
+	story, err := explain.Tell("now", strings.NewReader(lines))
+	require.NoError(t, err)
+	var got bytes.Buffer
+	require.NoError(t, story.Print(&got))
+	assert.Contains(t, got.String(), "asked for a place at u1: none after 0s, the limit that it named is used up; not asked again for 400ms\n")
+	assert.Contains(t, got.String(), "u1 takes at most, in requests a second of all routers: 2.5 (since 3s before, by news from: loader)\n")
+	assert.Contains(t, got.String(), "its answer named a limit, in requests a second of all routers: 4; let through by: loader\n")
+}
--- a/cli/internal/explain/line.go
+++ b/cli/internal/explain/line.go
@@ -15,6 +15,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 	"time"
 )
 
@@ -30,6 +31,7 @@
 	messageRegained = "dependency regained"
 	messageWeights  = "weights"
 	messageVerdict  = "verdict on a content changed"
+	messageLimit    = "limit of an upstream changed"
 	messageStarted  = "started"
 	messageDropped  = "log lines dropped"
 	messageLeftOut  = "request lines left out"
@@ -85,6 +87,9 @@
 	From    string `json:"from"`
 	Ends    []End  `json:"ends"`
 
+	// Of a limit that an upstream names, in requests a second, or "none".
+	Limit string `json:"limit"`
+
 	// Of beliefs.
 	Key      string         `json:"key"`
 	Revision uint64         `json:"revision"`
@@ -136,6 +141,7 @@
 	Waiting  int           `json:"waiting"`
 	Most     int           `json:"most"`
 	Taken    int           `json:"taken"`
+	Wait     time.Duration `json:"wait"`
 	Took     time.Duration `json:"took"`
 	Cause    string        `json:"cause"`
 }
@@ -167,3 +173,16 @@
 	}
 	return nil
 }
+
+// upstreams are those that a request was sent to, or for which it asked for a place.
+func (l *Line) upstreams() []string {
+	var ids []string
+	for _, try := range l.Fields.Tries {
+		ids = append(ids, try.Upstream)
+	}
+	for _, asked := range l.Fields.Asked {
+		ids = append(ids, asked.Upstream)
+	}
+	slices.Sort(ids)
+	return slices.Compact(ids)
+}
--- a/cli/internal/explain/print.go
+++ b/cli/internal/explain/print.go
@@ -116,6 +116,8 @@
 	switch {
 	case asked.Cause != "":
 		p.linef(1, "asked for a place at %s: no answer after %s: %s", asked.Upstream, rounded(asked.Took), asked.Cause)
+	case asked.Wait > 0:
+		p.linef(1, "asked for a place at %s: none after %s, the limit that it named is used up; not asked again for %s", asked.Upstream, rounded(asked.Took), rounded(asked.Wait))
 	case asked.Given:
 		p.linef(1, "asked for a place at %s: given after %s, %d running, %d waiting", asked.Upstream, rounded(asked.Took), asked.Running, asked.Waiting)
 	default:
@@ -164,6 +166,12 @@
 	for _, contact := range process.lost(line.At) {
 		p.linef(2, "%s lost since %s before: %s", contact.Fields.Dependency, rounded(line.At.Sub(contact.At)), contact.Fields.Reason)
 	}
+	for _, upstream := range line.upstreams() {
+		if limit, ok := process.limit(upstream, line.At); ok {
+			p.linef(2, "%s takes at most, in requests a second of all routers: %s (since %s before, by news from: %s)",
+				upstream, limit.Fields.Limit, rounded(line.At.Sub(limit.At)), limit.Fields.From)
+		}
+	}
 	for _, try := range line.Fields.Tries {
 		s.printLoads(p, process, line, try.Upstream)
 	}
--- a/cli/internal/explain/story.go
+++ b/cli/internal/explain/story.go
@@ -36,6 +36,7 @@
 	name, role string
 	beliefs    []Line
 	verdicts   []Line
+	limits     []Line
 	contacts   []Line
 	loads      []Line
 	// engine is the engine that a loader keeps.
@@ -60,6 +61,10 @@
 
 func (s *Story) take(line Line) {
 	s.Total++
+	if line.Message == messageLimit {
+		p := s.process(line)
+		p.limits = append(p.limits, line)
+	}
 	if line.Message == messageBroke && line.Fields.Ended {
 		s.ends = append(s.ends, line)
 	}
@@ -128,6 +133,18 @@
 	return last, found
 }
 
+// limit returns the last line of a process on an upstream's limit before some time.
+func (p *process) limit(upstream string, until time.Time) (Line, bool) {
+	var last Line
+	found := false
+	for _, line := range p.limits {
+		if line.Fields.Upstream == upstream && !line.At.After(until) {
+			last, found = line, true
+		}
+	}
+	return last, found
+}
+
 // lost returns the dependencies that a process had lost at some time.
 func (p *process) lost(at time.Time) []Line {
 	last := map[string]Line{}
