Use one writer of results, one look for the last line, and the loader's own intervals in the lab

The lab had copies of two intervals of package keep, which could drift; two commands of the bench wrote their results by the same lines. Behaviour as it was.

--- a/cli/internal/command/limit.go
+++ b/cli/internal/command/limit.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"strconv"
 	"strings"
@@ -45,21 +44,7 @@
 	if err != nil {
 		return err
 	}
-	out := command.Root().Writer
-	if command.Bool("json") {
-		encoder := json.NewEncoder(out)
-		for _, r := range results {
-			if err := encoder.Encode(r); err != nil {
-				return fmt.Errorf("write a result: %w", err)
-			}
-		}
-	} else if err := bench.WriteLimitTable(out, results); err != nil {
-		return err
-	}
-	if path := command.String("plot"); path != "" {
-		return bench.PlotLimits(path, results)
-	}
-	return nil
+	return writeResults(command, results, bench.WriteLimitTable, bench.PlotLimits)
 }
 
 // limitSetups reads the flags: a play for each of their values with each.
--- a/cli/internal/command/load.go
+++ b/cli/internal/command/load.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"strconv"
 	"strings"
 	"time"
@@ -54,6 +55,12 @@
 	if err != nil {
 		return err
 	}
+	return writeResults(command, results, bench.WriteLoadTable, bench.PlotLoad)
+}
+
+// writeResults writes results as JSON lines or as a table, and draws them where that is asked
+// for.
+func writeResults[R any](command *cli.Command, results []R, table func(io.Writer, []R) error, plot func(string, []R) error) error {
 	out := command.Root().Writer
 	if command.Bool("json") {
 		encoder := json.NewEncoder(out)
@@ -62,11 +69,11 @@
 				return fmt.Errorf("write a result: %w", err)
 			}
 		}
-	} else if err := bench.WriteLoadTable(out, results); err != nil {
+	} else if err := table(out, results); err != nil {
 		return err
 	}
 	if path := command.String("plot"); path != "" {
-		return bench.PlotLoad(path, results)
+		return plot(path, results)
 	}
 	return nil
 }
--- a/cli/internal/explain/story.go
+++ b/cli/internal/explain/story.go
@@ -123,26 +123,24 @@
 
 // verdict returns the last verdict of a process on a content before some time.
 func (p *process) verdict(content string, until time.Time) (Line, bool) {
-	var last Line
-	found := false
-	for _, line := range p.verdicts {
-		if line.Fields.Content == content && !line.At.After(until) {
-			last, found = line, true
-		}
-	}
-	return last, found
+	return last(p.verdicts, until, func(f *Fields) bool { return f.Content == content })
 }
 
 // limit returns the last line of a process on an upstream's limit before some time.
 func (p *process) limit(upstream string, until time.Time) (Line, bool) {
-	var last Line
-	found := false
-	for _, line := range p.limits {
-		if line.Fields.Upstream == upstream && !line.At.After(until) {
-			last, found = line, true
+	return last(p.limits, until, func(f *Fields) bool { return f.Upstream == upstream })
+}
+
+// last returns the last of some lines that was written before some time and is about a thing.
+func last(lines []Line, until time.Time, about func(*Fields) bool) (Line, bool) {
+	var found Line
+	ok := false
+	for i := range lines {
+		if about(&lines[i].Fields) && !lines[i].At.After(until) {
+			found, ok = lines[i], true
 		}
 	}
-	return last, found
+	return found, ok
 }
 
 // lost returns the dependencies that a process had lost at some time.
--- a/daemon/internal/version/keep/keep.go
+++ b/daemon/internal/version/keep/keep.go
@@ -23,11 +23,11 @@
 )
 
 const (
-	// roundEvery is the interval of rounds, and busyEvery the one while the engine
-	// is busy: routers then need its report the fresher, and each report costs
-	// processor time on this host and on theirs.
+	// roundEvery is the interval of rounds.
 	roundEvery = 50 * time.Millisecond
-	busyEvery  = 20 * time.Millisecond
+	// BusyEvery is the one while the engine is busy: routers then need its report the
+	// fresher, and each report costs processor time on this host and on theirs.
+	BusyEvery = 20 * time.Millisecond
 	// busyShare is the part of an engine's places from which it is busy.
 	busyShare = 0.6
 	// callTimeout bounds a call to the engine on this host.
@@ -38,12 +38,12 @@
 	// sent, and clearMost the longest that an order waits for what waits.
 	clearLeast = 200 * time.Millisecond
 	clearMost  = 2 * time.Second
-	// closeAhead is how long before its turn an engine takes only requests that are
+	// CloseAhead is how long before its turn an engine takes only requests that are
 	// likely to be done by then, about as long as most streams run. An order cuts nothing,
 	// and what runs at it keeps the engine from all else until the longest has ended: 2.0 s
 	// from the order to the new version without this, 1.1 s with it (means of 358 orders on
 	// quiet days of three small fleets).
-	closeAhead = 1600 * time.Millisecond
+	CloseAhead = 1600 * time.Millisecond
 	// fetchMost is the longest that a fetch is not given up for a newer version.
 	fetchMost = 6 * time.Second
 	// orderAgain is the time after an order in which its effect must show in
@@ -157,7 +157,7 @@
 	for helpers.Pause(pause, k.tomb.Dying()) {
 		pause = roundEvery
 		if k.round(ctx) {
-			pause = busyEvery
+			pause = BusyEvery
 		}
 	}
 	k.stopFetch()
@@ -258,7 +258,7 @@
 func closing(plan Plan, held int, now time.Time) time.Time {
 	var next time.Time
 	for _, goal := range plan.goals() {
-		soon := now.Before(goal.Turn) && !now.Before(goal.Turn.Add(-closeAhead))
+		soon := now.Before(goal.Turn) && !now.Before(goal.Turn.Add(-CloseAhead))
 		if held > 0 && goal.Version > held && soon && (next.IsZero() || goal.Turn.Before(next)) {
 			next = goal.Turn
 		}
--- a/daemon/lab/engine.go
+++ b/daemon/lab/engine.go
@@ -7,6 +7,7 @@
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/places"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/ratelimit"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/version/keep"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
@@ -35,13 +36,11 @@
 }
 
 const (
-	// lookEvery is how often a loader looks at its engine, tellEvery how often a router
-	// hears of a load, and travel what a message takes one way.
-	lookEvery = 20 * time.Millisecond
+	// lookEvery is how often a loader looks at its engine, as one does at a busy one, tellEvery
+	// how often a router hears of a load, and travel what a message takes one way.
+	lookEvery = keep.BusyEvery
 	tellEvery = 50 * time.Millisecond
 	travel    = 2 * time.Millisecond
-	// closeAhead is how long before its turn an engine takes only what is done by then.
-	closeAhead = 1600 * time.Millisecond
 )
 
 // engine is one engine and the loader beside it.
@@ -94,7 +93,7 @@
 
 // closes is the engine's turn if that is soon.
 func (e *engine) closes() time.Time {
-	if e.turn == 0 || e.taken || e.turn-e.play.events.now > closeAhead {
+	if e.turn == 0 || e.taken || e.turn-e.play.events.now > keep.CloseAhead {
 		return time.Time{}
 	}
 	return start.Add(e.turn)
