Bound the engines with used-up limits that one request asks, and the lines about limits

A limit that changes with each answer took the lines that are kept for failures: limits have a bound of their own.

--- a/daemon/internal/request/admission/search.go
+++ b/daemon/internal/request/admission/search.go
@@ -6,6 +6,11 @@
 // time to the first byte of some hundred.
 const MostSilent = 3
 
+// mostLimited is how many engines may say that their limit is used up, in parts of the
+// questions: none of these costs the request a question, but where most engines of a large
+// fleet name limits a request would ask hundreds, a millisecond or two each.
+const mostLimited = 2
+
 // Search is one request's search for a place: how many engines may be asked, and with which
 // limits. Service and Request must be set.
 type Search struct {
@@ -16,6 +21,8 @@
 
 	// denied and silent count the engines that gave no place and those that did not answer.
 	denied, silent int
+	// limited counts those whose limit is used up.
+	limited int
 	// spare says that one that gave none had a place.
 	spare bool
 }
@@ -30,9 +37,13 @@
 
 // Over reports whether no further engine is to be asked.
 func (s *Search) Over() bool {
-	return s.denied+s.silent >= s.ways().Questions || s.silent >= MostSilent
+	return s.denied+s.silent >= s.ways().Questions || s.silent >= MostSilent || s.TooLimited()
 }
 
+// TooLimited reports whether so many engines have used up their limits that no further one is
+// to be asked.
+func (s *Search) TooLimited() bool { return s.limited >= mostLimited*s.ways().Questions }
+
 // Limit is how loaded the next engine may be. Only says that there is no other one.
 func (s *Search) Limit(only bool) places.Limit {
 	last := only || s.denied+s.silent+1 >= s.ways().Questions
@@ -45,6 +56,9 @@
 	s.spare = s.spare || load.Running+load.Waiting < s.Service.Places
 }
 
+// Limited takes that an engine's limit is used up.
+func (s *Search) Limited() { s.limited++ }
+
 // Silent takes that an engine's loader did not answer.
 func (s *Search) Silent() { s.silent++ }
 
--- a/daemon/internal/request/dispatch/limit_test.go
+++ b/daemon/internal/request/dispatch/limit_test.go
@@ -64,6 +64,18 @@
 	}
 }
 
+// TestManyUsedUpLimitsEndTheSearch: where most of hundreds of engines name limits a request does
+// not ask them all.
+func TestManyUsedUpLimitsEndTheSearch(t *testing.T) {
+	const engines, most = 200, 20
+	f := newFleet(t, engines, nil)
+	q := f.request("patient", 0)
+	f.limitedBut(q, "")
+	_, err := q.place(context.Background())
+	require.ErrorIs(t, err, errLimited)
+	assert.LessOrEqual(t, len(q.story.Asked), most)
+}
+
 // TestWhoWasAskedFirstIsAskedAgain: an engine that gives no place to the first who asks may
 // give one to the last. Where that was to be one whose limit is used up, it is asked once more.
 func TestWhoWasAskedFirstIsAskedAgain(t *testing.T) {
--- a/daemon/internal/request/dispatch/place.go
+++ b/daemon/internal/request/dispatch/place.go
@@ -62,6 +62,9 @@
 		query.Tried = append(query.Tried[:len(query.Tried):len(query.Tried)], choice.Upstream.ID)
 	}
 	denied, silent := search.Asked()
+	if denied == 0 && search.TooLimited() {
+		return balance.Choice{}, q.noneFit(candidates)
+	}
 	if denied == 0 {
 		return q.placeByNews(candidates)
 	}
@@ -91,6 +94,7 @@
 	case err != nil:
 		search.Silent()
 	case load.Wait > 0:
+		search.Limited()
 		q.Pool.Hold(choice.Upstream.ID, load.Wait)
 	default:
 		search.Denied(load)
--- a/daemon/router/recorder.go
+++ b/daemon/router/recorder.go
@@ -26,6 +26,8 @@
 	// Failures have a bound of their own, so that success never hides them.
 	servedLines = 100
 	failedLines = 200
+	// limitLines is the same about the limits that upstreams name.
+	limitLines = 20
 )
 
 // fieldDecision names the kind of decision that a line tells.
@@ -37,8 +39,8 @@
 	log            *log.Entry
 	scope          tally.Scope
 	served, failed *rate.Limiter
-	// unread bounds the lines on limits that cannot be read: each answer may name one.
-	unread  *rate.Limiter
+	// limits bounds the lines on limits, which may change with each answer.
+	limits  *rate.Limiter
 	latency tally.Histogram
 	// leftOut counts the lines that the bounds kept back since telling said so.
 	leftOut atomic.Int64
@@ -52,7 +54,7 @@
 		served:  rate.NewLimiter(servedLines, servedLines),
 		failed:  rate.NewLimiter(failedLines, failedLines),
 		telling: rate.NewLimiter(1, 1),
-		unread:  rate.NewLimiter(1, 1),
+		limits:  rate.NewLimiter(limitLines, limitLines),
 		latency: t.Scope.Histogram("request_first_byte_seconds", tally.MustMakeExponentialDurationBuckets(first, factor, buckets)),
 	}
 }
@@ -164,7 +166,7 @@
 		return
 	}
 	r.scope.Counter("limits_unread").Inc(1)
-	if !r.unread.Allow() {
+	if !r.limits.Allow() {
 		r.leftOut.Add(1)
 		return
 	}
@@ -176,7 +178,7 @@
 // limitChanged writes one line when this router knows another limit of an upstream.
 func (r *recorder) limitChanged(news limitNews) {
 	r.scope.Tagged(map[string]string{"from": string(news.from)}).Counter("limits_changed").Inc(1)
-	if !r.failed.Allow() {
+	if !r.limits.Allow() {
 		r.leftOut.Add(1)
 		return
 	}
