--- a/cli/internal/soak/plan.go
+++ b/cli/internal/soak/plan.go
@@ -10,6 +10,7 @@
 package soak
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -162,5 +163,7 @@
 			return plan, fmt.Errorf("%s: steps[%d].kind: unknown %q", path, i, step.Kind)
 		}
 	}
+	// A step out of order would wait for those before it, and strike with them.
+	slices.SortStableFunc(plan.Steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return plan, nil
 }
--- a/cli/internal/soak/soak_test.go
+++ b/cli/internal/soak/soak_test.go
@@ -48,6 +48,16 @@
 	}
 }
 
+// TestStepsAreInTheOrderOfTheirTimes, however a plan lists them.
+func TestStepsAreInTheOrderOfTheirTimes(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "plan.json")
+	second := api.Duration(time.Second)
+	require.NoError(t, writeJSON(path, Plan{Steps: []Step{{At: 2 * second, Kind: StoreDown}, {At: second, Kind: StoreSlow}}}))
+	plan, err := Load(path)
+	require.NoError(t, err)
+	assert.Equal(t, []Step{{At: second, Kind: StoreSlow}, {At: 2 * second, Kind: StoreDown}}, plan.Steps)
+}
+
 func TestLoadNamesTheFault(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "plan.json")
 	require.NoError(t, writeJSON(path, Plan{Steps: []Step{{Kind: StoreDown}, {Kind: "flood"}}}))
