Look at the versions beside the watch for them

A store that answers nothing for 3 s never answers the calls of that time, while it serves new ones: 11 of 15 loaders heard of a version 15.7 s late, at the end of their watch. Each 4 s the versions are read from an answer that may be old, at a tenth of a call's price; what is new is taken, and the deaf watch is given up. TestAWatchThatIsNeverAnsweredHidesNothing fails without.

--- a/daemon/internal/process/mirror/follower.go
+++ b/daemon/internal/process/mirror/follower.go
@@ -61,6 +61,10 @@
 	// revision, all of it where that is 0. ErrNoneNear has the store read instead;
 	// any other error has Near called again. It may be nil.
 	Near func(ctx context.Context, prefix string, after provider.Revision) (News, error)
+	// LookEvery is how often, beside a watch that waits, the prefix is read from an answer that
+	// may be old. What is new in it is taken, and the watch, which did not tell of it, is given
+	// up. 0 means never.
+	LookEvery time.Duration
 	// Before, where it is not empty, is a prefix that is listed before anything
 	// else: that of the records by which daemons near this one are found.
 	Before string
@@ -267,10 +271,12 @@
 	wait := f.watchWait()
 	ctx, endPulses := f.pulsing(ctx)
 	defer endPulses()
+	ctx, endLooks := f.looking(ctx)
+	defer endLooks()
 	ctx, end := readLimit(wait).Context(ctx)
 	defer end()
 	changes, err := f.Store.Watch(ctx, f.Prefix, f.At(), wait)
-	if cause := context.Cause(ctx); errors.Is(cause, errNoPulse) {
+	if cause := context.Cause(ctx); errors.Is(cause, errNoPulse) || errors.Is(cause, errDeaf) {
 		return changes, errors.Join(err, cause)
 	}
 	return changes, patience.Explain(ctx, err)
--- a/daemon/internal/process/mirror/pulse.go
+++ b/daemon/internal/process/mirror/pulse.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
@@ -53,11 +54,17 @@
 	if f.PulseEvery <= 0 || f.failing {
 		return ctx, func() {}
 	}
+	return beside(ctx, f.pulse)
+}
+
+// beside returns a context for a watch that ends when what runs beside it fails. End must be
+// called when the watch has ended: it waits for what runs.
+func beside(ctx context.Context, run func(context.Context) error) (_ context.Context, end func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		if err := f.pulse(ctx); err != nil {
+		if err := run(ctx); err != nil {
 			cancel(err)
 		}
 	}()
@@ -67,6 +74,42 @@
 	}
 }
 
+// errDeaf is the cause for which a watch is given up that did not tell of a change.
+var errDeaf = errors.New("an old answer has a change that the watch did not tell of")
+
+// looking is pulsing for a follower that looks at its prefix itself. A store that was silent
+// for a moment may never answer the calls of that time, while it answers new ones.
+func (f *Follower) looking(ctx context.Context) (_ context.Context, end func()) {
+	if f.LookEvery <= 0 {
+		return ctx, func() {}
+	}
+	return beside(ctx, f.look)
+}
+
+// look reads the prefix again and again until the context ends, and returns why the watch
+// beside it is to be given up. What fails says nothing: the watch may be sound.
+func (f *Follower) look(ctx context.Context) error {
+	for helpers.Pause(f.LookEvery, ctx.Done()) {
+		known := f.At()
+		listing, err := f.lookBeside(ctx)
+		if err != nil || ctx.Err() != nil || f.underWay.Load() != 0 {
+			continue
+		}
+		listing.Entries = slices.DeleteFunc(listing.Entries, func(entry provider.Entry) bool { return entry.Revision <= known })
+		if len(listing.Entries) > 0 && f.Table.Apply(listing.Entries) > 0 {
+			return errDeaf
+		}
+	}
+	return nil
+}
+
+func (f *Follower) lookBeside(ctx context.Context) (provider.Listing, error) {
+	ctx, end := readLimit(0).Context(provider.WithProgress(ctx, f.countBytes))
+	defer end()
+	listing, err := f.Store.ListStale(ctx, f.Prefix)
+	return listing, patience.Explain(ctx, err)
+}
+
 // pulse asks the store again and again until the context ends, and returns why the
 // watch beside it is to be given up. A watch whose answer is under way shows by itself
 // that the store is there, and is let finish however long it takes.
--- a/daemon/internal/process/mirror/pulse_test.go
+++ b/daemon/internal/process/mirror/pulse_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -208,3 +209,54 @@
 		c.set(func() { assert.Equal(t, before+1, c.watches, "the next one waits for the next change") })
 	})
 }
+
+// TestAWatchThatIsNeverAnsweredHidesNothing: a store answered nothing for three seconds, and never
+// the watch that was opened meanwhile. Eleven of fifteen loaders heard of a version 15.7 s late.
+func TestAWatchThatIsNeverAnsweredHidesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var at atomic.Uint64
+		at.Store(1)
+		watches, lists := atomic.Int64{}, atomic.Int64{}
+		listing := func() provider.Listing {
+			return provider.Listing{At: provider.Revision(at.Load()), Entries: []provider.Entry{{Key: "v/m", Value: []byte("x"), Revision: provider.Revision(at.Load())}}}
+		}
+		table := &mirror.Table{}
+		var newest provider.Revision
+		table.OnChange = func(changed []provider.Entry) { newest = changed[len(changed)-1].Revision }
+		follower := &mirror.Follower{
+			Store: provider.Store{
+				List: func(context.Context, string) (provider.Listing, error) { return listing(), nil },
+				ListStale: func(context.Context, string) (provider.Listing, error) {
+					lists.Add(1)
+					return listing(), nil
+				},
+				Watch: func(ctx context.Context, _ string, after provider.Revision, wait time.Duration) (provider.Listing, error) {
+					if watches.Add(1) == 1 {
+						<-ctx.Done()
+						return provider.Listing{}, ctx.Err()
+					}
+					if at.Load() > uint64(after) {
+						return listing(), nil
+					}
+					helpers.Pause(wait, ctx.Done())
+					return provider.Listing{At: after}, ctx.Err()
+				},
+			},
+			Prefix: "v/", Table: table, LookEvery: 4 * time.Second, Wait: func() time.Duration { return 15 * time.Second },
+		}
+		follower.Start()
+		defer follower.Stop()
+		helpers.Pause(time.Second, nil)
+		at.Store(2)
+		helpers.Pause(5*time.Second, nil)
+		synctest.Wait()
+		assert.Equal(t, provider.Revision(2), newest)
+		assert.Equal(t, int64(3), watches.Load(), "the deaf one is given up, the next tells of the change, and a third waits")
+
+		before := lists.Load()
+		helpers.Pause(40*time.Second, nil)
+		synctest.Wait()
+		assert.LessOrEqual(t, lists.Load()-before, int64(10), "a look each four seconds")
+		assert.LessOrEqual(t, watches.Load(), int64(5), "a watch that tells of nothing new is let wait")
+	})
+}
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -37,6 +37,10 @@
 )
 
 const (
+	// versionsLook is how often the versions are looked at beside a watch that waits, at a
+	// tenth of a call's price: a store that was silent for 3 s never answered the watches of
+	// that time, and 11 of 15 loaders heard of a version 15.7 s late.
+	versionsLook = 4 * time.Second
 	// versionsWait is how long one watch for declared versions waits. A cut in
 	// silence is noticed sooner, by the connection; versions seldom change, so nearly
 	// every shorter wait would be a call for nothing, from each loader. A longer one
@@ -155,6 +159,7 @@
 	p.versions = follower(p.provider.Prefixes.Versions)
 	p.versions.FirstStale = true
 	p.versions.Wait = func() time.Duration { return versionsWait }
+	p.versions.LookEvery = versionsLook
 	p.hosts = follower(p.provider.Prefixes.Upstreams)
 	p.hosts.ListEvery = hostsEvery
 	p.hosts.Near = p.neighbours.News
