--- a/daemon/internal/request/ratelimit/ratelimit.go
+++ b/daemon/internal/request/ratelimit/ratelimit.go
@@ -29,8 +29,8 @@
 // answers cross, the head of a stream is older than it looks, and some answers, such as those
 // of what stands before an upstream, may not name it. An upstream that names a limit for half
 // of each second got 3.3 times what that allows without this second, and 1.9 times with it
-// (40 routers, 2 a second); for the other halves it names none. A limit of 0 lets one request through in 5 s, of all
-// routers, because only an answer can tell that it is over.
+// (40 routers, 2 a second); for the other halves it names none. A limit of 0 lets one request
+// through in 5 s, of all routers, because only an answer can tell that it is over.
 //
 // The package has no clock and no network. Rejected: one router that counts for upstreams
 // without a loader, which has to be found, and of which there are two while views of the
