--- a/daemon/internal/request/exchange/exchange_test.go
+++ b/daemon/internal/request/exchange/exchange_test.go
@@ -17,7 +17,7 @@
 
 var headers = provider.Headers{
 	RequestID: "Id", Signature: "Signature", NotRun: "Not-Run", Limit: "Limit", Deadline: "Deadline",
-	Account: "Account", ExpectedUpstream: "Expect", ExpectedVersion: "Expect-Version", Priority: "Priority",
+	Account: "Account", ExpectedUpstream: "Expect-Upstream", ExpectedVersion: "Expect-Version", Priority: "Priority",
 }
 
 // TestWhatAnswersSayOfALimit: any answer of the upstream's own may name one, also a refusal or a
@@ -55,13 +55,13 @@
 			}
 			w.WriteHeader(c.status)
 		}))
-		client := &exchange.Client{Headers: headers, Kept: http.DefaultTransport, Fresh: http.DefaultTransport}
+		client := &exchange.Client{Headers: headers, Kept: &http.Transport{}, Fresh: &http.Transport{}}
 		incoming := httptest.NewRequest(http.MethodGet, "/x", nil)
 		incoming.Header.Set("Id", "own")
 		result := client.Do(context.Background(), exchange.Send{
 			Incoming: incoming, Upstream: &provider.Upstream{ID: "u", Address: netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))}, Priority: -1,
 		})
-		assert.Equal(t, c.fate, result.Fate, name)
+		assert.Equal(t, c.fate, result.Fate, "%s: %v", name, result.Err)
 		assert.Equal(t, c.want, result.Said.Kind, name)
 		if result.Response != nil {
 			_ = result.Response.Body.Close()
