List the limit faults' names and save plots in one place each

A flag's error named the usage twice. No daemon is touched; figures, plots and checks are as they were.

--- a/cli/internal/bench/limit.go
+++ b/cli/internal/bench/limit.go
@@ -9,7 +9,6 @@
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
-	"gonum.org/v1/plot/plotutil"
 
 	"github.com/wheelcleat/wheelcleat/daemon/lab"
 )
@@ -57,11 +56,5 @@
 		}
 		lines = append(lines, fmt.Sprintf("%s, %d routers, %g", result.Fault, result.Routers, result.PerSecond), points)
 	}
-	if err := plotutil.AddLines(p, lines...); err != nil {
-		return fmt.Errorf("plot: %w", err)
-	}
-	if err := p.Save(plotWidth, plotHeight, path); err != nil {
-		return fmt.Errorf("save plot: %w", err)
-	}
-	return nil
+	return saveLines(p, path, lines)
 }
--- a/cli/internal/bench/load.go
+++ b/cli/internal/bench/load.go
@@ -8,7 +8,6 @@
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
-	"gonum.org/v1/plot/plotutil"
 
 	"github.com/wheelcleat/wheelcleat/daemon/lab"
 )
@@ -97,11 +96,5 @@
 		}
 		lines = append(lines, fmt.Sprintf("%s, %s", result.Pattern, result.Policy), points)
 	}
-	if err := plotutil.AddLines(p, lines...); err != nil {
-		return fmt.Errorf("plot: %w", err)
-	}
-	if err := p.Save(plotWidth, plotHeight, path); err != nil {
-		return fmt.Errorf("save plot: %w", err)
-	}
-	return nil
+	return saveLines(p, path, lines)
 }
--- a/cli/internal/bench/plot.go
+++ b/cli/internal/bench/plot.go
@@ -37,6 +37,11 @@
 		bound := plotter.XYs{{X: results[0].Bound, Y: 0}, {X: results[0].Bound, Y: float64(results[0].Hosts)}}
 		lines = append(lines, "least time to all", bound)
 	}
+	return saveLines(p, path, lines)
+}
+
+// saveLines draws lines, each a name and its points, and saves the plot.
+func saveLines(p *plot.Plot, path string, lines []any) error {
 	if err := plotutil.AddLines(p, lines...); err != nil {
 		return fmt.Errorf("plot: %w", err)
 	}
--- a/cli/internal/command/limit.go
+++ b/cli/internal/command/limit.go
@@ -14,10 +14,6 @@
 
 func benchLimitCommand() *cli.Command {
 	setup := lab.DefaultLimit()
-	var faults []string
-	for _, fault := range lab.LimitFaults() {
-		faults = append(faults, string(fault))
-	}
 	return &cli.Command{
 		Name: "limit", Usage: "what comes to upstreams that name limits, while parts of the fleet are gone; in simulated time",
 		Flags: []cli.Flag{
@@ -26,7 +22,7 @@
 			&cli.IntFlag{Name: "upstreams", Value: setup.Upstreams, Usage: "upstreams, `N`; one of three names a limit"},
 			&cli.FloatFlag{Name: "rate", Value: setup.Rate, Usage: "requests a second of all callers, `N`"},
 			&cli.StringFlag{Name: "limit", Value: "2", Usage: "requests a second that are named, `NUMBERS` by comma, such as 0.2,1,5,50"},
-			&cli.StringFlag{Name: "fault", Value: "none", Usage: "`FAULTS`, by comma, or all: " + strings.Join(faults, ", ")},
+			&cli.StringFlag{Name: "fault", Value: "none", Usage: "`FAULTS`, by comma, or all: " + strings.Join(lab.LimitFaultNames(), ", ")},
 			&cli.StringFlag{Name: "seeds", Value: "1", Usage: "`SEEDS`, by comma, a play each"},
 			&cli.BoolFlag{Name: "json", Usage: "only the JSON lines, one a play"},
 			&cli.StringFlag{Name: "plot", Usage: "draw what comes to the limited upstreams over time into `FILE.png`"},
@@ -57,11 +53,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("--limit: %w", err)
 	}
-	var names []string
-	for _, fault := range lab.LimitFaults() {
-		names = append(names, string(fault))
-	}
-	faults, err := parseList(command.String("fault"), names, lab.FindLimitFault)
+	faults, err := parseList(command.String("fault"), lab.LimitFaultNames(), lab.FindLimitFault)
 	if err != nil {
 		return nil, fmt.Errorf("--fault: %w", err)
 	}
@@ -88,7 +80,7 @@
 func parseNumber(text string) (float64, error) {
 	number, err := strconv.ParseFloat(text, 64)
 	if err != nil || !(number >= 0 && number <= mostNumber) {
-		return 0, fmt.Errorf("%q is not a number from 0 to %g: %w", text, mostNumber, errUsage)
+		return 0, fmt.Errorf("%q is not a number from 0 to %g", text, mostNumber)
 	}
 	return number, nil
 }
--- a/daemon/lab/limit.go
+++ b/daemon/lab/limit.go
@@ -40,14 +40,19 @@
 	}
 }
 
+// LimitFaultNames lists what FindLimitFault knows.
+func LimitFaultNames() []string {
+	var names []string
+	for _, fault := range LimitFaults() {
+		names = append(names, string(fault))
+	}
+	return names
+}
+
 // FindLimitFault finds one by its name.
 func FindLimitFault(name string) (LimitFault, error) {
 	if !slices.Contains(LimitFaults(), LimitFault(name)) {
-		names := make([]string, 0, len(LimitFaults()))
-		for _, fault := range LimitFaults() {
-			names = append(names, string(fault))
-		}
-		return "", fmt.Errorf("fault %q: use one of %s", name, strings.Join(names, ", "))
+		return "", fmt.Errorf("fault %q: use one of %s", name, strings.Join(LimitFaultNames(), ", "))
 	}
 	return LimitFault(name), nil
 }
