Have chunk uploads ask again when a probe took their slot

Cause: TestUploadsBeyondAFewAreTurnedAway starts three uploads and then probes until one is turned away. A probe that arrives before the third upload takes the last slot; the upload is turned away for good, and each later probe waits in that slot until its own time is over, so that none is ever turned away. The test failed after 10 s and then hung for 10 minutes, because its cleanup waits for uploads that it holds itself (seen once, beside other tests).

Change: an upload that was turned away asks again. The check is as strict: probes must be turned away, and all three uploads must be served.

Ruled out: package swarm itself; the stack shows one upload being sent, two slots taken and nobody else asking.

--- a/daemon/internal/version/swarm/serve_test.go
+++ b/daemon/internal/version/swarm/serve_test.go
@@ -119,6 +119,8 @@
 	held := &swarm.Held{}
 	held.Add(c)
 	pages := bunrouter.New()
+	// The call that looks whether all are taken may itself take the last of them, so one that
+	// was turned away for that asks again.
 	entered, goOn := make(chan struct{}, 8), make(chan struct{})
 	slow := func() float64 { // called for each slice, before it is written
 		entered <- struct{}{}
@@ -135,6 +137,9 @@
 	for range taken {
 		go func() {
 			_, err := peer.Chunk(context.Background(), 2, 1)
+			for swarm.IsBusy(err) {
+				_, err = peer.Chunk(context.Background(), 2, 1)
+			}
 			results <- err
 		}()
 	}
