Keep requests in their regions, leave evacuated halls, pace cold upstreams, bound slow readers

Change: - residency: a route's and an account's regions bind together, for first sends, second sends and streams that go on. The region of each hall is a setting.

Rejected: a second counter for cold upstreams; cutting the slowest reader.

--- a/daemon/internal/connection/places/ask.go
+++ b/daemon/internal/connection/places/ask.go
@@ -85,7 +85,10 @@
 	if started, err := strconv.ParseInt(query.Get(startedParam), 10, 64); err == nil {
 		question.Engine.Started = time.Unix(0, started)
 	}
-	question.Known, err = parseKnown(query)
+	if question.Known, err = parseKnown(query); err != nil {
+		return question, err
+	}
+	question.Cold, err = parseCold(query)
 	return question, err
 }
 
@@ -97,8 +100,27 @@
 	knownParam   = "limit"
 	ageParam     = "age" // in milliseconds
 	endedValue   = "ended"
+	coldParam    = "cold"    // requests a second
+	coldForParam = "coldFor" // in milliseconds
 )
 
+// parseCold reads that the router takes the engine for cold.
+func parseCold(query url.Values) (*ratelimit.Cold, error) {
+	text := query.Get(coldParam)
+	if text == "" {
+		return nil, nil //nolint:nilnil // it does not
+	}
+	perSecond, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(perSecond > 0) {
+		return nil, fmt.Errorf("%s: %w: %q", coldParam, errNoLimit, text)
+	}
+	left, err := strconv.ParseInt(query.Get(coldForParam), 10, 64)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", coldForParam, err)
+	}
+	return &ratelimit.Cold{PerSecond: perSecond, Left: time.Duration(left) * time.Millisecond}, nil
+}
+
 // parseKnown reads what a router knows of the engine's limit.
 func parseKnown(query url.Values) (*ratelimit.Note, error) {
 	text := query.Get(knownParam)
@@ -163,6 +185,10 @@
 	if !q.Engine.Started.IsZero() {
 		text += "&" + startedParam + "=" + strconv.FormatInt(q.Engine.Started.UnixNano(), 10)
 	}
+	if q.Cold != nil {
+		text += "&" + coldParam + "=" + strconv.FormatFloat(q.Cold.PerSecond, 'f', -1, 64)
+		text += "&" + coldForParam + "=" + strconv.FormatInt(q.Cold.Left.Milliseconds(), 10)
+	}
 	if q.Known == nil {
 		return text
 	}
--- a/daemon/internal/connection/places/ledger.go
+++ b/daemon/internal/connection/places/ledger.go
@@ -53,6 +53,8 @@
 	// knows of its limit, nil for nothing.
 	Engine ratelimit.Upstream
 	Known  *ratelimit.Note
+	// Cold says that the router takes the engine for cold, nil where it does not.
+	Cold *ratelimit.Cold
 }
 
 // Ledger counts the places of one engine. The zero value gives none until a load
@@ -73,6 +75,8 @@
 	given []time.Time
 	// limits holds that of the engine, by its starts.
 	limits ratelimit.Table
+	// warming bounds what it gets while it is cold.
+	warming ratelimit.Warming
 }
 
 // Observe takes what the engine said of itself just now, false where it did not
@@ -120,7 +124,10 @@
 		return load, false
 	}
 	now := helpers.Now(l.Now)
-	wait, ok := l.limits.Allow(question.Engine, ratelimit.Whole, now)
+	wait, ok := l.warming.Allow(question.Engine, ratelimit.Whole, now)
+	if ok {
+		wait, ok = l.limits.Allow(question.Engine, ratelimit.Whole, now)
+	}
 	if !ok {
 		load.Wait = max(wait, time.Millisecond)
 		return load, false
@@ -129,8 +136,11 @@
 	return load, true
 }
 
-// learn takes what a router knows of the engine's limit; the caller holds mu.
+// learn takes what a router knows of the engine; the caller holds mu.
 func (l *Ledger) learn(question Question) {
+	if question.Cold != nil {
+		l.warming.Told(question.Engine, *question.Cold, helpers.Now(l.Now))
+	}
 	if question.Known == nil {
 		return
 	}
--- a/daemon/internal/connection/places/places_test.go
+++ b/daemon/internal/connection/places/places_test.go
@@ -212,3 +212,32 @@
 		assert.Equal(t, http.StatusBadRequest, response.StatusCode, query)
 	}
 }
+
+// TestColdEngineIsCountedOnceForAllRouters: the loader counts the places that it gives while
+// some router says that the engine is cold, also to routers that do not know it yet.
+func TestColdEngineIsCountedOnceForAllRouters(t *testing.T) {
+	c := &clock{now: time.Unix(1000, 0)}
+	ledger := &places.Ledger{Now: c.read}
+	given := 0
+	for step := range 100 {
+		ledger.Observe(places.Load{}, true)
+		asked := question(places.Limit{Waiting: 100, Taken: 100})
+		asked.Engine = ratelimit.Upstream{ID: "e"}
+		if step%2 == 0 {
+			asked.Cold = &ratelimit.Cold{PerSecond: 10, Left: time.Second - time.Duration(step)*10*time.Millisecond}
+		}
+		if _, ok := ledger.Take(asked); ok {
+			given++
+		}
+		c.now = c.now.Add(10 * time.Millisecond)
+	}
+	assert.InDelta(t, 10, given, 2)
+	c.now = c.now.Add(settled)
+	ledger.Observe(places.Load{}, true)
+	for range 20 {
+		asked := question(places.Limit{Waiting: 100, Taken: 100})
+		asked.Engine = ratelimit.Upstream{ID: "e"}
+		_, ok := ledger.Take(asked)
+		assert.True(t, ok, "it is warm")
+	}
+}
--- a/daemon/internal/process/mirror/view.go
+++ b/daemon/internal/process/mirror/view.go
@@ -19,8 +19,11 @@
 	Configuration *provider.Configuration
 	// ConfigurationRevision is the revision of the configuration's entry.
 	ConfigurationRevision provider.Revision
-	// Upstreams holds the upstreams of each service, leaving ones included.
+	// Upstreams holds the upstreams of each service, leaving ones included, but none of a
+	// hall that is evacuated.
 	Upstreams map[string][]*provider.Upstream
+	// Evacuated holds the halls whose upstreams get nothing.
+	Evacuated map[string]bool
 	// Targets holds the declared version of each model.
 	Targets map[string]Declared
 	// Members holds the known routers by name.
@@ -125,6 +128,8 @@
 	upstreams map[string]listed
 	targets   map[string]Declared
 	members   map[string]*provider.Member
+	// evacuated holds the halls that get nothing, by key.
+	evacuated map[string]string
 	// lapsed holds, by key, upstreams whose entry lapsed a short time ago.
 	lapsed map[string]lapsed
 	// taken is set once any entry was taken but for those of routers, which a router
@@ -175,6 +180,7 @@
 		c.targets = map[string]Declared{}
 		c.members = map[string]*provider.Member{}
 		c.lapsed = map[string]lapsed{}
+		c.evacuated = map[string]string{}
 	}
 	next := *c.View()
 	for _, entry := range changed {
@@ -182,8 +188,15 @@
 	}
 	c.taken = c.taken || slices.ContainsFunc(changed, c.isNotMember)
 	c.forgetLapsed()
+	next.Evacuated = map[string]bool{}
+	for _, hall := range c.evacuated {
+		next.Evacuated[hall] = true
+	}
 	next.Upstreams = map[string][]*provider.Upstream{}
 	for _, upstream := range c.occupants() {
+		if next.Evacuated[upstream.Hall] {
+			continue
+		}
 		next.Upstreams[upstream.Service] = append(next.Upstreams[upstream.Service], upstream.Upstream)
 	}
 	next.Targets = map[string]Declared{}
@@ -233,6 +246,7 @@
 		c.keepLapsed(entry.Key)
 		delete(c.upstreams, entry.Key)
 		delete(c.members, entry.Key)
+		delete(c.evacuated, entry.Key)
 		c.believe(Belief{Entry: entry})
 		return
 	}
@@ -246,7 +260,12 @@
 	case record.Configuration != nil:
 		next.ConfigurationRevision = entry.Revision
 		next.takeConfiguration(record.Configuration)
+	case record.Evacuated != "":
+		c.evacuated[entry.Key] = record.Evacuated
 	case record.Upstream != nil:
+		if record.Upstream.ColdFor > 0 {
+			record.Upstream.ColdUntil = c.now().Add(record.Upstream.ColdFor)
+		}
 		c.upstreams[entry.Key] = listed{record.Upstream, helpers.OrDefault(entry.Created, entry.Revision)}
 	case record.Target != nil:
 		c.targets[entry.Key] = c.declare(entry, *record.Target)
--- a/daemon/internal/request/dispatch/admit.go
+++ b/daemon/internal/request/dispatch/admit.go
@@ -12,6 +12,7 @@
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/admission"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/content"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/holding"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/quarantine"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
@@ -124,13 +125,17 @@
 		limit = defaultMaxBody
 	}
 	_ = http.NewResponseController(q.writer).SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(q.writer, q.Body, limit))
+	q.reading = &holding.Body{Reader: http.MaxBytesReader(q.writer, q.Body, limit), Budget: &q.Holding}
+	body, err := io.ReadAll(q.reading)
 	_ = http.NewResponseController(q.writer).SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		q.reject(http.StatusRequestEntityTooLarge, "the body is too large")
 		return false
+	case errors.Is(err, holding.ErrFull):
+		q.refuse(admission.EnginesFull, err.Error())
+		return false
 	case err != nil:
 		q.end(EndLeft, 0, "the body did not arrive: "+err.Error())
 		panic(http.ErrAbortHandler)
--- a/daemon/internal/request/dispatch/answer.go
+++ b/daemon/internal/request/dispatch/answer.go
@@ -16,10 +16,9 @@
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
-const (
-	// maxWhole bounds an answer that is held until it is whole.
-	maxWhole = 16 << 20
-)
+// maxWhole bounds an answer that is held until it is whole. A longer one is passed on as it
+// comes: a thousand callers that read slowly hold 64 MB.
+const maxWhole = 64 << 10
 
 // answer passes an upstream's answer on. It reports false where nothing went
 // out and the budget was charged for another send.
@@ -30,11 +29,15 @@
 	return q.whole(choice, response)
 }
 
-// whole reads an answer to its end before a byte of it goes out, so that one
-// that breaks off is never taken for whole.
+// whole reads an answer to its end before a byte of it goes out, so that the request can be
+// sent again where it breaks off. Of a long one that is given up.
 func (q *request) whole(choice balance.Choice, response *http.Response) bool {
+	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxWhole))
-	_ = response.Body.Close()
+	if err == nil && len(body) == maxWhole {
+		q.passLong(choice, response, body)
+		return true
+	}
 	if err != nil {
 		choice.Done(q.outcomeOf(exchange.Unknown))
 		q.amendTry(choice, q.answering, fmt.Errorf("the answer broke off: %w", err))
@@ -60,6 +63,36 @@
 	return true
 }
 
+// passLong passes an answer on as it comes, after its first part. One that breaks off is cut,
+// so that it does not look complete.
+func (q *request) passLong(choice balance.Choice, response *http.Response, first []byte) {
+	q.passHead(response)
+	if response.ContentLength >= 0 {
+		q.writer.Header().Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
+	}
+	q.writer.WriteHeader(response.StatusCode)
+	_, err := q.writer.Write(first)
+	if err == nil {
+		_, err = io.Copy(q.writer, response.Body)
+	}
+	if err != nil {
+		choice.Done(q.outcomeOf(exchange.Unknown))
+		q.amendTry(choice, q.answering, fmt.Errorf("the answer broke off: %w", err))
+		ending := EndCut
+		if q.Context().Err() != nil {
+			ending = EndLeft
+		}
+		q.end(ending, 0, err.Error())
+		panic(http.ErrAbortHandler)
+	}
+	outcome := balance.Served
+	if response.StatusCode >= http.StatusInternalServerError {
+		outcome = balance.Failed
+	}
+	choice.Done(outcome)
+	q.endWhole(response.StatusCode)
+}
+
 // wholeAnswer is an upstream's answer and its body, to the end.
 type wholeAnswer struct {
 	*http.Response
--- a/daemon/internal/request/dispatch/broken.go
+++ b/daemon/internal/request/dispatch/broken.go
@@ -105,6 +105,9 @@
 		q.end(EndPanicked, 0, fmt.Sprint(failure))
 	}
 	q.Report(q.story)
+	if q.reading != nil {
+		q.reading.Release()
+	}
 	if failure != nil {
 		panic(failure)
 	}
--- a/daemon/internal/request/dispatch/dispatch.go
+++ b/daemon/internal/request/dispatch/dispatch.go
@@ -26,6 +26,7 @@
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/admission"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/content"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/exchange"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/holding"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/quarantine"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/ratelimit"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
@@ -43,6 +44,10 @@
 	// View returns what is in force, Stale whether it may be out of date.
 	View  func() *mirror.View
 	Stale func() bool
+	// Holding bounds the bytes that are held for callers and upstreams that are slow.
+	Holding holding.Budget
+	// Region returns the region of a data hall, "" where it is not known. It may be nil.
+	Region func(hall string) string
 	// Demand says on which versions of a model requests may run.
 	Demand func(declared *mirror.Declared) mirror.Demand
 	// AskPlace asks the loader beside an engine for a place there. An error says
@@ -169,6 +174,8 @@
 	service *provider.Service
 	account *provider.Account
 	body    []byte
+	// reading is what read the body, nil before that.
+	reading *holding.Body
 	// deadline is when the caller or the route gives up, whichever is first.
 	deadline time.Time
 	// rank is the place of the request's priority among the ranks of its service,
@@ -196,6 +203,7 @@
 	if !q.admit() {
 		return
 	}
+	defer q.boundWrites()()
 	ctx, cancel := context.WithTimeout(r.Context(), clock.Until(q.deadline))
 	defer cancel()
 	d.Budget.Request(q.service.Name)
@@ -203,6 +211,18 @@
 	q.story.BudgetLeft = d.Budget.Left(q.service.Name)
 }
 
+// writeGrace is how long after the request's deadline its answer may still be written: it is
+// delivered late too, but a caller that reads nothing any more holds memory.
+const writeGrace = 10 * time.Second
+
+// boundWrites ends the writing of the answer some time after the deadline. What it returns is
+// called at the end, because the connection may be used again.
+func (q *request) boundWrites() func() {
+	controller := http.NewResponseController(q.writer)
+	_ = controller.SetWriteDeadline(time.Now().Add(clock.Until(q.deadline) + writeGrace))
+	return func() { _ = controller.SetWriteDeadline(time.Time{}) }
+}
+
 // run sends the request until it has an answer.
 func (q *request) run(ctx context.Context) {
 	for {
--- a/daemon/internal/request/dispatch/place.go
+++ b/daemon/internal/request/dispatch/place.go
@@ -40,9 +40,10 @@
 // once more, because the one that was to be the last had no say.
 func (q *request) place(ctx context.Context) (balance.Choice, error) {
 	query := q.query()
-	// The newest view counts here: an upstream may have left since the request
-	// came in.
-	candidates := q.View().Upstreams[q.service.Name]
+	candidates, err := q.candidates()
+	if err != nil {
+		return balance.Choice{}, err
+	}
 	search := admission.Search{Request: q.standing()}
 	limited, again := false, false
 	for !search.Over() {
--- a/daemon/internal/request/dispatch/stream.go
+++ b/daemon/internal/request/dispatch/stream.go
@@ -12,10 +12,14 @@
 	"github.com/wheelcleat/wheelcleat/daemon/internal/clock"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/balance"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/exchange"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/holding"
 )
 
 var errGap = errors.New("an event is missing")
 
+// aheadMost is how far a stream is read ahead of its caller, in bytes: most streams whole.
+const aheadMost = 64 << 10
+
 // stream passes events on as they come, whole ones only. Where an upstream
 // breaks off, the stream goes on at another after the last event that went out;
 // the head and its signature stay those of the first.
@@ -74,6 +78,7 @@
 // copy passes one upstream's events on until its end; no error means a good one. Where the
 // stream has begun at another upstream meanwhile, it returns that.
 func (s *stream) copy(ctx context.Context, choice balance.Choice, response *http.Response) (*begun, error) {
+	response.Body = holding.ReadAhead(response.Body, &s.Holding, aheadMost)
 	defer func() { _ = response.Body.Close() }()
 	stalled := s.watch(ctx, response)
 	defer func() { stalled.cancel() }()
--- a/daemon/provider/configuration.go
+++ b/daemon/provider/configuration.go
@@ -59,6 +59,8 @@
 	Public bool
 	// Resumable streams may go on at another upstream after the last event.
 	Resumable bool
+	// Homes are the regions in which requests may run; empty means all.
+	Homes []string
 }
 
 // Share is a service's part of a route.
@@ -76,6 +78,9 @@
 	Origin netip.AddrPort
 	// OriginRate is the bytes that its link carries in a second, 0 where not declared.
 	OriginRate float64
+	// ColdRate is the requests a second that an upstream carries while it is cold, 0 where
+	// upstreams are never cold.
+	ColdRate float64
 }
 
 // EngineSpec describes the engines of a service.
@@ -98,6 +103,9 @@
 	Keys []string
 	// Priority goes before the route's where it is set.
 	Priority *int
+	// Homes are the regions in which requests may run; empty means all. Those of the route
+	// bind too.
+	Homes []string
 }
 
 // Limits bound what callers may send.
@@ -120,8 +128,15 @@
 	Leaving bool
 	// Models is what an engine holds; empty for a new engine and plain upstreams.
 	Models []Loaded
+	// ColdFor is how long after the record was written the upstream is cold, and ColdUntil
+	// when that ends by the clock of the daemon that read it.
+	ColdFor   time.Duration
+	ColdUntil time.Time
 }
 
+// Cold returns how much longer the upstream is cold, 0 where it is not.
+func (u *Upstream) Cold(now time.Time) time.Duration { return max(u.ColdUntil.Sub(now), 0) }
+
 // Loaded is a version that an engine holds whole.
 type Loaded struct {
 	Model   string
--- a/daemon/provider/provider.go
+++ b/daemon/provider/provider.go
@@ -88,12 +88,25 @@
 	Versions string
 	// Upstreams holds the upstreams' own records.
 	Upstreams string
-	// Members holds the routers' own records, written under leases.
-	Members string
+	// Members holds the routers' own records, written under leases, and MembersOf returns
+	// the part of it for the routers of a data hall, or of a shard of them. MembersOf may be
+	// nil.
+	Members   string
+	MembersOf func(hall, shard string) string
 	// Configuration is the key of the configuration.
 	Configuration string
 }
 
+// OfHall returns the prefix of the records of the routers of a data hall, and of one shard of
+// them where that is not empty. It is that of all routers where the store does not keep them
+// apart.
+func (p Prefixes) OfHall(hall, shard string) string {
+	if p.MembersOf == nil {
+		return p.Members
+	}
+	return p.MembersOf(hall, shard)
+}
+
 // Record is one decoded entry; at most one field is set. None is set for an
 // entry that the daemons have no use for.
 type Record struct {
@@ -101,6 +114,8 @@
 	Upstream      *Upstream
 	Target        *Target
 	Member        *Member
+	// Evacuated is the data hall whose upstreams get nothing while the entry stands.
+	Evacuated string
 	// Suspect is what routers keep of a content under which upstreams ended, as they
 	// encoded it.
 	Suspect []byte
@@ -125,8 +140,13 @@
 type Member struct {
 	Name string `json:"name"`
 	Hall string `json:"hall"`
+	// Shard is the part of the hall's routers that it is listed with, so that whoever starts
+	// need not list them all.
+	Shard string `json:"shard,omitempty"`
 	// Peers is where other daemons reach it.
 	Peers netip.AddrPort `json:"peers"`
+	// LinkMbps is the rate of its link in megabits a second, 0 where it is not known.
+	LinkMbps float64 `json:"linkMbps,omitempty"`
 }
 
 // Target is a declared version of a model. Versions start at 1 and rise.
--- a/daemon/router/limits.go
+++ b/daemon/router/limits.go
@@ -25,6 +25,8 @@
 type limits struct {
 	mu    sync.Mutex
 	table ratelimit.Table
+	// warming bounds what this router sends to cold upstreams that no loader counts for.
+	warming ratelimit.Warming
 }
 
 // do works on the table.
@@ -83,7 +85,12 @@
 	}
 	share = share.Among(p.routerCount())
 	p.limits.do(func(table *ratelimit.Table, now time.Time) {
-		wait, ok = table.Allow(startOf(upstream), share, now)
+		if cold := p.coldness(upstream, now); cold != nil {
+			p.limits.warming.Told(startOf(upstream), *cold, now)
+		}
+		if wait, ok = p.limits.warming.Allow(startOf(upstream), share, now); ok {
+			wait, ok = table.Allow(startOf(upstream), share, now)
+		}
 	})
 	if !ok {
 		p.recorder.limitDenied(door)
@@ -91,6 +98,20 @@
 	return wait, ok
 }
 
+// coldness returns that an upstream is cold, nil where it is not, or where its service does
+// not say what it carries then.
+func (p *Process) coldness(upstream *provider.Upstream, now time.Time) *ratelimit.Cold {
+	left := upstream.Cold(now)
+	if left == 0 {
+		return nil
+	}
+	service := p.compiler.View().Service(upstream.Service)
+	if service == nil || service.ColdRate <= 0 {
+		return nil
+	}
+	return &ratelimit.Cold{PerSecond: service.ColdRate, Left: left}
+}
+
 // routerCount is how many routers there are, this one and those that only its settings name
 // among them.
 func (p *Process) routerCount() int {
@@ -110,6 +131,7 @@
 		if note, known := table.Known(upstream, now); known {
 			question.Known = &note
 		}
+		question.Cold = p.coldness(engine, now)
 	})
 	loader := netip.AddrPortFrom(engine.Address.Addr(), p.current.Load().LoaderPort)
 	answer, err := p.asker.Ask(ctx, loader, question)
--- a/daemon/router/recorder.go
+++ b/daemon/router/recorder.go
@@ -260,8 +260,13 @@
 		if !record.Upstream.Started.IsZero() {
 			fields["started"] = record.Upstream.Started
 		}
+		if record.Upstream.ColdFor > 0 {
+			fields["coldFor"] = record.Upstream.ColdFor.String()
+		}
 	case record.Target != nil:
 		fields["model"], fields["version"] = record.Target.Model, record.Target.Version
+	case record.Evacuated != "":
+		fields["evacuated"] = record.Evacuated
 	case record.Member != nil:
 		fields["peers"] = record.Member.Peers
 	}
--- a/daemon/router/serving.go
+++ b/daemon/router/serving.go
@@ -13,6 +13,7 @@
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/admission"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/dispatch"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/exchange"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/holding"
 )
 
 // This file puts together what callers, the balancer, other daemons and operators reach.
@@ -55,12 +56,21 @@
 			Fresh:   dial.NewHostTransport(connect, 0),
 		},
 		Pool: p.pool, Budget: p.budget, Pace: &dispatch.Pace{}, Callers: &admission.Callers{}, View: p.compiler.View, Stale: p.silent,
-		Demand: p.demand, Report: p.recorder.request, AskPlace: p.askPlace, Broke: p.broke,
+		Holding: holding.Budget{Most: p.holdMost()},
+		Region:  func(hall string) string { return p.current.Load().RegionOf(hall) },
+		Demand:  p.demand, Report: p.recorder.request, AskPlace: p.askPlace, Broke: p.broke,
 		Heard: p.heard, Allow: p.allow,
 		Admit: p.admitContent, Judge: p.suspects.judge, Whole: p.answeredWhole, Over: p.over,
 	}
 }
 
+// holdMost is how many bytes may be held for slow callers: a part of the process's memory, and
+// no bound where that is not known.
+func (p *Process) holdMost() int64 {
+	const parts, megabyte = 4, 1 << 20
+	return int64(p.current.Load().Bounds.MemoryMB) * megabyte / parts
+}
+
 // demand says on which versions of a model requests may run.
 func (p *Process) demand(declared *mirror.Declared) mirror.Demand {
 	return declared.Demand(clock.Now(), p.current.Load().Bounds.VersionApply.Std())
--- a/daemon/settings/direct.go
+++ b/daemon/settings/direct.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"fmt"
 	"net/netip"
 	"time"
 
@@ -20,13 +21,32 @@
 	Seeds []netip.AddrPort `json:"seeds,omitempty"`
 	// LoaderPort is the port on which the loaders of all hosts take peers; 0
 	// means that there are none.
-	LoaderPort uint16       `json:"loaderPort,omitempty"`
-	Bounds     RouterBounds `json:"bounds,omitzero"`
+	LoaderPort uint16 `json:"loaderPort,omitempty"`
+	// Regions tells the region of each data hall. Requests that may run in some regions
+	// only go to no hall that is missing here.
+	Regions []HallRegion `json:"regions,omitempty"`
+	Bounds  RouterBounds `json:"bounds,omitzero"`
 	// Drain bounds a stop.
 	Drain api.Duration `json:"drain,omitempty"`
 	Log   Log          `json:"log,omitzero"`
 }
 
+// HallRegion is the region that a data hall stands in.
+type HallRegion struct {
+	Hall   string `json:"hall"`
+	Region string `json:"region"`
+}
+
+// RegionOf returns the region of a data hall, "" where it is not known.
+func (r *Router) RegionOf(hall string) string {
+	for _, known := range r.Regions {
+		if known.Hall == hall {
+			return known.Region
+		}
+	}
+	return ""
+}
+
 // RouterListen names the router's ports.
 type RouterListen struct {
 	// Callers takes the requests that are routed.
@@ -49,6 +69,10 @@
 	RetryRatio  float64      `json:"retryRatio,omitempty"`
 	RetrySlack  float64      `json:"retrySlack,omitempty"`
 	RetryWindow api.Duration `json:"retryWindow,omitempty"`
+	// LinkMbps is the rate of the host's link in megabits a second; 0 means unknown.
+	LinkMbps float64 `json:"linkMbps,omitempty"`
+	// MemoryMB is the memory that the process may take, in MiB; 0 means unknown.
+	MemoryMB float64 `json:"memoryMb,omitempty"`
 }
 
 // Loader is the settings file of a loader: the process beside an engine that
@@ -119,7 +143,14 @@
 	c.address("listen.peers", r.Listen.Peers)
 	c.address("listen.metrics", r.Listen.Metrics)
 	c.address("store", r.Store)
+	for i, known := range r.Regions {
+		if known.Hall == "" || known.Region == "" {
+			c.add(fmt.Sprintf("regions[%d]", i), "names no hall or no region", "each entry has both, once for each hall")
+		}
+	}
 	c.duration("bounds.versionApply", r.Bounds.VersionApply)
+	c.atLeastZero("bounds.linkMbps", r.Bounds.LinkMbps)
+	c.atLeastZero("bounds.memoryMb", r.Bounds.MemoryMB)
 	c.duration("bounds.retryWindow", r.Bounds.RetryWindow)
 	c.atLeastZero("bounds.retryRatio", r.Bounds.RetryRatio)
 	c.atLeastZero("bounds.retrySlack", r.Bounds.RetrySlack)
