--- /dev/null
+++ b/cli/internal/bench/fleet.go
@@ -0,0 +1,74 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+
+	"github.com/wheelcleat/wheelcleat/daemon/lab"
+)
+
+// RunFleets plays fleets one after the other. Progress is told after each play how many of
+// how many are done; it may be nil.
+func RunFleets(ctx context.Context, setups []lab.Fleet, progress func(done, all int)) ([]*lab.FleetResult, error) {
+	var results []*lab.FleetResult
+	for i, setup := range setups {
+		if err := ctx.Err(); err != nil {
+			return nil, fmt.Errorf("given up: %w", err)
+		}
+		result, err := lab.PlayFleet(setup)
+		if err != nil {
+			return nil, fmt.Errorf("fault %s, %d routers: %w", setup.Fault, setup.Routers, err)
+		}
+		results = append(results, result)
+		if progress != nil {
+			progress(i+1, len(setups))
+		}
+	}
+	return results, nil
+}
+
+// WriteFleetTable writes a line for each result.
+func WriteFleetTable(out io.Writer, results []*lab.FleetResult) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(table, "fault\tspread\trouters\tloaders\tfirst s\thalf s\t99 in 100 s\tlast s\tstore calls\treaders\tregion KB\tsender KB\twasted KB\t")
+	const kilo = 1000
+	for _, r := range results {
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t%d\t%d\t%d\t%d\t%d\t\n",
+			r.Fault, r.Spread, r.Routers, r.Loaders, r.First, r.Half, r.Most, r.Last, r.StoreCalls, r.Readers,
+			r.RegionBytes/kilo, r.SenderBytes/kilo, r.Wasted/kilo)
+	}
+	if err := table.Flush(); err != nil {
+		return fmt.Errorf("write the table: %w", err)
+	}
+	return nil
+}
+
+// PlotFleets draws when the last router had the change by the number of routers, a line for
+// each fault and spread, both axes in powers of ten.
+func PlotFleets(path string, results []*lab.FleetResult) error {
+	p := plot.New()
+	p.X.Label.Text, p.Y.Label.Text = "routers", "seconds to the last"
+	p.X.Scale, p.Y.Scale = plot.LogScale{}, plot.LogScale{}
+	p.X.Tick.Marker, p.Y.Tick.Marker = plot.LogTicks{}, plot.LogTicks{}
+	var lines []any
+	points := map[string]plotter.XYs{}
+	for _, r := range results {
+		name := fmt.Sprintf("%s, %s", r.Fault, r.Spread)
+		if points[name] == nil {
+			lines = append(lines, name, nil)
+		}
+		if r.Last > 0 {
+			points[name] = append(points[name], plotter.XY{X: float64(r.Routers), Y: r.Last})
+		}
+	}
+	for i := 0; i < len(lines); i += 2 {
+		name, _ := lines[i].(string)
+		lines[i+1] = points[name]
+	}
+	return saveLines(p, path, lines)
+}
--- a/cli/internal/command/bench.go
+++ b/cli/internal/command/bench.go
@@ -17,7 +17,7 @@
 func benchCommand() *cli.Command {
 	return &cli.Command{
 		Name: "bench", Usage: "measure wheelcleat on a small fleet in this process",
-		Commands: []*cli.Command{benchDistributeCommand(), benchControlCommand(), benchRouteCommand(), benchLoadCommand(), benchLimitCommand()},
+		Commands: []*cli.Command{benchDistributeCommand(), benchControlCommand(), benchRouteCommand(), benchLoadCommand(), benchLimitCommand(), benchFleetCommand()},
 	}
 }
 
--- /dev/null
+++ b/cli/internal/command/fleet.go
@@ -0,0 +1,95 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/wheelcleat/wheelcleat/cli/internal/bench"
+	"github.com/wheelcleat/wheelcleat/daemon/lab"
+)
+
+func benchFleetCommand() *cli.Command {
+	setup := lab.DefaultFleet()
+	return &cli.Command{
+		Name: "fleet", Usage: "when a start or a change reaches every router, and what links and the store carry; in simulated time",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "routers", Value: strconv.Itoa(setup.Routers), Usage: "routers, `NUMBERS` by comma, such as 30,546,4000"},
+			&cli.FloatFlag{Name: "loaders", Value: float64(setup.Loaders) / float64(setup.Routers), Usage: "loaders for each router, `N`"},
+			&cli.IntFlag{Name: "data-halls", Value: setup.Halls, Usage: "data halls, `N`"},
+			&cli.FloatFlag{Name: "wide", Value: setup.Wide, Usage: "`PART` of the routers whose links are wide"},
+			&cli.StringFlag{Name: "configuration-bytes", Value: strconv.Itoa(setup.ConfigurationBytes) + "B", Usage: "`SIZE` of a configuration"},
+			&cli.StringFlag{Name: "fault", Value: "all", Usage: "`FAULTS`, by comma, or all: " + strings.Join(lab.FleetFaultNames(), ", ")},
+			&cli.StringFlag{Name: "spread", Value: setup.Spread.Name, Usage: "`WAYS` to spread changes, by comma: now, flat"},
+			&cli.StringFlag{Name: "seed", Aliases: []string{"seeds"}, Value: "1", Usage: "`SEEDS`, by comma, a play each"},
+			&cli.BoolFlag{Name: "json", Usage: "only the JSON lines, one a play"},
+			&cli.StringFlag{Name: "plot", Usage: "draw the time to the last router by their number into `FILE.png`"},
+		},
+		Action: benchFleet,
+	}
+}
+
+func benchFleet(ctx context.Context, command *cli.Command) error {
+	setups, err := fleetSetups(command)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errUsage, err)
+	}
+	began, told := time.Now(), time.Now()
+	results, err := bench.RunFleets(ctx, setups, func(done, all int) {
+		if time.Since(told) > progressAfter {
+			told = time.Now()
+			_, _ = fmt.Fprintf(command.Root().ErrWriter, "%d of %d plays after %s\n", done, all, time.Since(began).Round(time.Second))
+		}
+	})
+	if err != nil {
+		return err
+	}
+	return writeResults(command, results, bench.WriteFleetTable, bench.PlotFleets)
+}
+
+// fleetSetups reads the flags: a play for each of their values with each.
+func fleetSetups(command *cli.Command) ([]lab.Fleet, error) {
+	routers, err := parseList(command.String("routers"), nil, strconv.Atoi)
+	if err != nil {
+		return nil, fmt.Errorf("--routers: %w", err)
+	}
+	faults, err := parseList(command.String("fault"), lab.FleetFaultNames(), lab.FindFleetFault)
+	if err != nil {
+		return nil, fmt.Errorf("--fault: %w", err)
+	}
+	spreads, err := parseList(command.String("spread"), nil, lab.FindFleetSpread)
+	if err != nil {
+		return nil, fmt.Errorf("--spread: %w", err)
+	}
+	seeds, err := parseList(command.String("seed"), nil, parseSeed)
+	if err != nil {
+		return nil, fmt.Errorf("--seed: %w", err)
+	}
+	bytes, err := ParseSize(command.String("configuration-bytes"))
+	if err != nil {
+		return nil, fmt.Errorf("--configuration-bytes: %w", err)
+	}
+	var setups []lab.Fleet
+	for _, fault := range faults {
+		for _, spread := range spreads {
+			for _, count := range routers {
+				for _, seed := range seeds {
+					setup := lab.DefaultFleet()
+					setup.Routers, setup.Loaders = count, int(float64(count)*command.Float("loaders"))
+					setup.Halls, setup.Wide = command.Int("data-halls"), command.Float("wide")
+					setup.ConfigurationBytes = int(bytes)
+					setup.Fault, setup.Spread, setup.Seed = fault, spread, seed
+					if err := setup.Check(); err != nil {
+						return nil, err
+					}
+					setups = append(setups, setup)
+				}
+			}
+		}
+	}
+	return setups, nil
+}
--- a/daemon/lab/event.go
+++ b/daemon/lab/event.go
@@ -38,6 +38,15 @@
 	}
 }
 
+// runUntil has everything happen up to a time, or until done reports true.
+func (e *events) runUntil(end time.Duration, done func() bool) {
+	for e.queue.Len() > 0 && e.queue[0].at <= end && !done() {
+		next := heap.Pop(&e.queue).(event) //nolint:forcetypeassert // only events are pushed
+		e.now = next.at
+		next.do()
+	}
+}
+
 // eventQueue is a heap of events.
 type eventQueue []event
 
