--- a/daemon/internal/request/ratelimit/ratelimit.go
+++ b/daemon/internal/request/ratelimit/ratelimit.go
@@ -1,40 +1,18 @@
-// Package ratelimit decides which requests may go to an upstream in need: one that names in
-// its answers the requests a second that it takes from all routers together, for as long as
-// it says so.
+// Package ratelimit decides which requests may go to an upstream that names, in its answers,
+// the requests a second that it takes from all routers together.
 //
-// The load that it answers: engines that bear five requests a second name a limit of one or
-// two, while all routers go on sending there. A limit that each router keeps by itself is
-// exceeded as many times as there are routers, of which there are 7 to 400. So there is one
-// place that counts: the loader beside the engine, which gives each place there anyhow
-// (package places), and needs no agreement. It counts all routers, also those that were not
-// told yet. Routers tell it what they read with their next question, and it tells them.
+// One process counts for all routers: the loader beside the upstream, which gives each place
+// there anyhow (package places). Where no loader answers, or there is none, each router takes
+// turns: an equal share of a part of the limit, at times that differ by chance. A turn that is
+// not used in time is over, because hundreds of idle routers would save up a burst.
 //
-// Where no loader answers, and for upstreams that have none, each router takes its turn: an
-// equal share of the limit, by the routers in force, at times that differ by chance. A turn
-// that is not used in time is over. Were each router to keep it, 400 that had nothing to
-// send for a while would send 400 requests at once; a share of less than one request, rounded
-// down, would keep every router away for ever.
+// Invariants: the newest answer decides, from whichever process it was heard, and the end of a
+// limit is as old as the request whose answer named none. Loader and turns together stay within
+// what an upstream allows beyond its limit. The package has no clock and no network.
 //
-// Who counts alone aims at the limit itself, with no burst but what comes within a tenth of a
-// second. What upstreams allow beyond is for routers that were not told yet, and for a loader
-// and routers that do not hear it, each of whom count without the other: the turns of those
-// add up to a quarter of the limit. With a half, 400 routers of which half hear no loader sent
-// 19 requests in 4 s where 18 are allowed, in one minute of five. Turns at an upstream without
-// a loader add up to 0.7 of it, because they fall together by chance: of 400 routers at 1 a
-// second 2.8 come in 4 s in the mean, and more than the 11 that are allowed then in 4 of
-// 100,000 such times (0.9 of 1,000 with turns that add up to the limit).
-//
-// What is known is as old as the answer that named it, and what is newer counts, from wherever
-// it came. An end is as old as the request whose answer named nothing, and a second more:
-// answers cross, the head of a stream is older than it looks, and some answers, such as those
-// of what stands before an upstream, may not name it. An upstream that names a limit for half
-// of each second got 3.3 times what that allows without this second, and 1.9 times with it
-// (40 routers, 2 a second); for the other halves it names none. A limit of 0 lets one request
-// through in 5 s, of all routers, because only an answer can tell that it is over.
-//
-// The package has no clock and no network. Rejected: one router that counts for upstreams
-// without a loader, which has to be found, and of which there are two while views of the
-// fleet differ; a limit kept in the store, whose calls are bounded, and which may be away.
+// Rejected: one router that counts for upstreams without a loader, of which there are two while
+// views of the fleet differ; a limit kept in the store, whose calls are bounded, and which may be
+// away.
 package ratelimit
 
 import (
@@ -47,21 +25,19 @@
 const (
 	// leastPerSecond is the limit by which those below it are kept.
 	leastPerSecond = 0.2
-	// saved is how long the one who counts alone may be behind: requests come in clumps.
-	saved = 100 * time.Millisecond
-	// turnLasts is how long a turn is there to be used.
+	// maxBurst bounds the credit that an idle limiter accumulates.
+	maxBurst = 100 * time.Millisecond
+	// turnLasts is how long a turn may be used.
 	turnLasts = time.Second
 	// longestPeriod bounds the time between two turns.
 	longestPeriod = time.Hour
-	// mostWait bounds the time after which an upstream is looked at again, which may have
-	// ended its limit meanwhile.
+	// mostWait bounds the time after which an upstream is tried again, which may have ended
+	// its limit meanwhile.
 	mostWait = 2 * time.Second
-	// quiet is how long no answer may have named a limit that has ended.
-	quiet = time.Second
-	// crossing is how much newer the same news must be to count as newer. Its age is taken
-	// anew on each way, which adds a few milliseconds: news that is passed to and fro would
-	// never age, and no end would be newer.
-	crossing = 300 * time.Millisecond
+	// endGrace delays the end of a limit, since responses may arrive out of order.
+	endGrace = time.Second
+	// clockSkew is the difference below which two reports count as equally old.
+	clockSkew = 300 * time.Millisecond
 	// tellEvery and tellStep bound what is told of a limit that changes with each answer: a
 	// change of a quarter, twice a second.
 	tellEvery = 500 * time.Millisecond
@@ -173,7 +149,7 @@
 	case Limited:
 		return t.take(upstream, Note{PerSecond: said.PerSecond}, now, now, 0)
 	case Unlimited:
-		return t.take(upstream, Note{Ended: true}, sent.Add(-quiet), now, 0)
+		return t.take(upstream, Note{Ended: true}, sent.Add(-endGrace), now, 0)
 	default:
 		return Change{}
 	}
@@ -181,7 +157,7 @@
 
 // Told takes what another process knows.
 func (t *Table) Told(upstream Upstream, note Note, now time.Time) Change {
-	return t.take(upstream, note, now.Add(-max(note.Age, 0)), now, crossing)
+	return t.take(upstream, note, now.Add(-max(note.Age, 0)), now, clockSkew)
 }
 
 // take takes what was so at some time. What says the same as is known is no news unless it is
@@ -316,7 +292,7 @@
 // catchUp moves the next request of who counts alone: what was not used is lost but for a
 // little, and a limit that rose counts at once.
 func (l *limit) catchUp(period time.Duration, now time.Time) {
-	if least := now.Add(-saved); l.due.Before(least) {
+	if least := now.Add(-maxBurst); l.due.Before(least) {
 		l.due = least
 	}
 	if most := now.Add(period); l.due.After(most) {
