--- a/daemon/internal/connection/mute/mute.go
+++ b/daemon/internal/connection/backoff/backoff.go
@@ -1,6 +1,6 @@
-// Package mute remembers which daemons are not asked for a while, because they did
-// not answer of late.
-package mute
+// Package backoff remembers which daemons not to call for a while, because they did not
+// answer of late.
+package backoff
 
 import (
 	"net/netip"
@@ -10,14 +10,14 @@
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 )
 
-// List is the daemons that are not asked. The zero value is empty and ready to use.
+// List holds the daemons that are not called. The zero value is empty and ready to use.
 type List struct {
 	mu sync.Mutex
-	// until holds until when each is not asked.
+	// until holds when each may be called again.
 	until map[netip.AddrPort]time.Time
 }
 
-// Add mutes a daemon for some time. Clock may be nil, which means time.Now.
+// Add keeps a daemon from being called for some time. Clock may be nil, which means clock.Now.
 func (l *List) Add(daemon netip.AddrPort, rest time.Duration, clock func() time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -27,7 +27,7 @@
 	l.until[daemon] = helpers.Now(clock).Add(rest)
 }
 
-// Has reports whether a daemon is not to be asked now.
+// Has reports whether a daemon is not to be called now.
 func (l *List) Has(daemon netip.AddrPort, clock func() time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/daemon/internal/connection/peering/neighbours.go
+++ b/daemon/internal/connection/peering/neighbours.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/call"
-	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/mute"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/backoff"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/mirror"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/readers"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
@@ -52,7 +52,7 @@
 
 	// muted are the neighbours that are not asked for a while, behind those of them that
 	// answered.
-	muted, behind mute.List
+	muted, behind backoff.List
 	// followed is the neighbour whose whole copy was taken last, and generation that
 	// copy's. Only News touches them, which one follower calls.
 	followed   netip.AddrPort
--- a/daemon/internal/connection/places/ask.go
+++ b/daemon/internal/connection/places/ask.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/call"
-	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/mute"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/backoff"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/ratelimit"
 )
 
@@ -173,7 +173,7 @@
 	Now func() time.Time
 
 	// muted are the loaders that did not answer.
-	muted mute.List
+	muted backoff.List
 }
 
 // text returns the parameters of a question.
