Rename package witness to livenessprobe

It probes whether an upstream whose connection broke has ended. Log lines keep their decision's name, by which operators and explain find them.

--- a/daemon/internal/connection/witness/witness.go
+++ b/daemon/internal/connection/livenessprobe/livenessprobe.go
@@ -1,4 +1,4 @@
-// Package witness tells an upstream that ended from a connection that did.
+// Package livenessprobe tells an upstream that ended from a connection that did.
 //
 // A connection breaks in the same way where its upstream ended, where it was reset on the
 // way, and where a sound upstream gave up one answer. What follows tells: nobody listens
@@ -7,7 +7,7 @@
 //
 // The entry in the store was rejected as the sign: it goes some heartbeats later, and of
 // an upstream that starts again under its id it does not go at all.
-package witness
+package livenessprobe
 
 import (
 	"context"
@@ -25,8 +25,8 @@
 // its connections break within a few milliseconds, and it is back after some hundred.
 const endedStays = 100 * time.Millisecond
 
-// Witness looks at upstreams whose connections broke. Dial must be set.
-type Witness struct {
+// Probe checks upstreams whose connections broke. Dial must be set.
+type Probe struct {
 	Dial dial.Func
 	// Now is the clock; nil means clock.Now.
 	Now func() time.Time
@@ -47,11 +47,11 @@
 
 // Ended reports whether nobody listens at an upstream's address, for a connection to it
 // that broke just now. Those that ask together share one look.
-func (w *Witness) Ended(ctx context.Context, upstream netip.AddrPort) bool {
-	l, own := w.join(upstream)
+func (p *Probe) Ended(ctx context.Context, upstream netip.AddrPort) bool {
+	l, own := p.join(upstream)
 	if own {
-		l.ended = w.refused(ctx, upstream)
-		l.until = helpers.Now(w.Now).Add(endedStays)
+		l.ended = p.refused(ctx, upstream)
+		l.until = helpers.Now(p.Now).Add(endedStays)
 		close(l.done)
 	}
 	<-l.done
@@ -59,30 +59,30 @@
 }
 
 // join returns the look to wait for, and whether it is the caller's to carry out.
-func (w *Witness) join(upstream netip.AddrPort) (*look, bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.forget()
-	if known, ok := w.looks[upstream]; ok {
+func (p *Probe) join(upstream netip.AddrPort) (*look, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.forget()
+	if known, ok := p.looks[upstream]; ok {
 		return known, false
 	}
-	if w.looks == nil {
-		w.looks = map[netip.AddrPort]*look{}
+	if p.looks == nil {
+		p.looks = map[netip.AddrPort]*look{}
 	}
 	own := &look{done: make(chan struct{})}
-	w.looks[upstream] = own
+	p.looks[upstream] = own
 	return own, true
 }
 
 // forget drops findings that do not stand any more; the caller holds mu. That an upstream
 // listens stands for nobody: it may have ended since.
-func (w *Witness) forget() {
-	now := helpers.Now(w.Now)
-	for address, l := range w.looks {
+func (p *Probe) forget() {
+	now := helpers.Now(p.Now)
+	for address, l := range p.looks {
 		select {
 		case <-l.done:
 			if !l.ended || !now.Before(l.until) {
-				delete(w.looks, address)
+				delete(p.looks, address)
 			}
 		default:
 		}
@@ -90,8 +90,8 @@
 }
 
 // refused reports whether a connection to the address is refused.
-func (w *Witness) refused(ctx context.Context, upstream netip.AddrPort) bool {
-	connection, err := w.Dial(ctx, "tcp", upstream.String())
+func (p *Probe) refused(ctx context.Context, upstream netip.AddrPort) bool {
+	connection, err := p.Dial(ctx, "tcp", upstream.String())
 	if err == nil {
 		_ = connection.Close()
 		return false
--- a/daemon/internal/connection/witness/witness_test.go
+++ b/daemon/internal/connection/livenessprobe/livenessprobe_test.go
@@ -1,4 +1,4 @@
-package witness_test
+package livenessprobe_test
 
 import (
 	"context"
@@ -13,7 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/dial"
-	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/witness"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/livenessprobe"
 )
 
 // TestOnlyWhoEndedHasEnded: a process that listens, one that ended, one that says nothing.
@@ -21,12 +21,12 @@
 	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	address := listener.Addr().(*net.TCPAddr).AddrPort()
-	w := &witness.Witness{Dial: dial.Direct}
+	w := &livenessprobe.Probe{Dial: dial.Direct}
 	assert.False(t, w.Ended(context.Background(), address))
 	require.NoError(t, listener.Close())
 	assert.True(t, w.Ended(context.Background(), address), "that it listened before stands for nothing")
 
-	silent := &witness.Witness{Dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
+	silent := &livenessprobe.Probe{Dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}}
@@ -41,7 +41,7 @@
 	now := time.Unix(1000, 0)
 	var dialed atomic.Int32
 	begin := make(chan struct{})
-	w := &witness.Witness{
+	w := &livenessprobe.Probe{
 		Now: func() time.Time { return now },
 		Dial: func(context.Context, string, string) (net.Conn, error) {
 			dialed.Add(1)
--- a/daemon/internal/connection/peering/neighbours.go
+++ b/daemon/internal/connection/peering/neighbours.go
@@ -9,8 +9,8 @@
 	"syscall"
 	"time"
 
-	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/call"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/backoff"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/call"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/mirror"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/readers"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
--- a/daemon/internal/connection/places/ask.go
+++ b/daemon/internal/connection/places/ask.go
@@ -12,8 +12,8 @@
 	"strconv"
 	"time"
 
-	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/call"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/backoff"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/call"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/ratelimit"
 )
 
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -20,10 +20,10 @@
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/dial"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/evidence"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/livenessprobe"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/loadfeed"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/peering"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/places"
-	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/witness"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/balance"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/mirror"
@@ -48,9 +48,9 @@
 	// an opening packet that is lost comes again only after a second, when another
 	// upstream has long answered.
 	upstreamConnect = 200 * time.Millisecond
-	// witnessConnect bounds the look at an upstream whose connection broke, for which a
+	// probeConnect bounds the look at an upstream whose connection broke, for which a
 	// request waits: a refusal comes in one round trip, 1 to 6 ms.
-	witnessConnect = 50 * time.Millisecond
+	probeConnect = 50 * time.Millisecond
 	// storeIdle is the same for connections to the store and to peers.
 	storeIdle = 30 * time.Second
 	// lapseAfter is how long after the store is back entries may still be gone
@@ -100,9 +100,9 @@
 	asker      *places.Client
 	pool       *balance.Pool
 	budget     *dispatch.Budget
-	// witness tells upstreams that ended, suspects what was under way there, and teller
+	// probe tells upstreams that ended, suspects what was under way there, and teller
 	// tells the other routers.
-	witness  *witness.Witness
+	probe    *livenessprobe.Probe
 	suspects *suspects
 	teller   *evidence.Teller[quarantine.Note]
 	// limits are those that upstreams named, and limitTeller tells the other routers.
@@ -142,7 +142,7 @@
 	p := &Process{
 		options: options, telemetry: t, output: output, recorder: newRecorder(t),
 		table: &mirror.Table{}, pool: &balance.Pool{Hall: s.Hall}, done: make(chan struct{}),
-		witness: &witness.Witness{Dial: dial.Within(witnessConnect, options.Dial)}, suspects: &suspects{}, limits: &limits{},
+		probe: &livenessprobe.Probe{Dial: dial.Within(probeConnect, options.Dial)}, suspects: &suspects{}, limits: &limits{},
 		over: make(chan struct{}),
 	}
 	p.current.Store(&s)
