--- a/cli/internal/command/command.go
+++ b/cli/internal/command/command.go
@@ -2,12 +2,14 @@
 package command
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"os"
+	"runtime/debug"
 	"text/tabwriter"
 
 	"github.com/urfave/cli/v3"
@@ -50,8 +52,9 @@
 // New returns the whole command line.
 func New() *cli.Command {
 	return &cli.Command{
-		Name:  "wheelcleat",
-		Usage: "declare, follow and try out model distribution and routing",
+		Name:    "wheelcleat",
+		Usage:   "declare, follow and try out model distribution and routing",
+		Version: version(),
 		Flags: []cli.Flag{
 			&cli.StringSliceFlag{Name: "entry", Usage: "operators' address of an entry, `URL`; repeat for more", Sources: cli.EnvVars("WHEELCLEAT_ENTRY"), Value: []string{"http://127.0.0.1:7001"}},
 			&cli.StringFlag{Name: "key", Usage: "operator's bearer `KEY`", Sources: cli.EnvVars("WHEELCLEAT_KEY")},
@@ -65,6 +68,21 @@
 	}
 }
 
+// version is the module's version, or the revision that the program was built from.
+func version() string {
+	const unknown = "unknown"
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return unknown
+	}
+	for _, setting := range info.Settings {
+		if setting.Key == "vcs.revision" {
+			return setting.Value
+		}
+	}
+	return cmp.Or(info.Main.Version, unknown)
+}
+
 // operator returns a client for the entries that the command line names.
 func operator(command *cli.Command) *client.Client {
 	return &client.Client{Entries: command.StringSlice("entry"), Key: command.String("key")}
--- a/cli/internal/command/limit.go
+++ b/cli/internal/command/limit.go
@@ -23,7 +23,7 @@
 			&cli.FloatFlag{Name: "rate", Value: setup.Rate, Usage: "requests a second of all callers, `N`"},
 			&cli.StringFlag{Name: "limit", Value: "2", Usage: "requests a second that are named, `NUMBERS` by comma, such as 0.2,1,5,50"},
 			&cli.StringFlag{Name: "fault", Value: "none", Usage: "`FAULTS`, by comma, or all: " + strings.Join(lab.LimitFaultNames(), ", ")},
-			&cli.StringFlag{Name: "seeds", Value: "1", Usage: "`SEEDS`, by comma, a play each"},
+			&cli.StringFlag{Name: "seed", Aliases: []string{"seeds"}, Value: "1", Usage: "`SEEDS`, by comma, a play each"},
 			&cli.BoolFlag{Name: "json", Usage: "only the JSON lines, one a play"},
 			&cli.StringFlag{Name: "plot", Usage: "draw what comes to the limited upstreams over time into `FILE.png`"},
 		},
@@ -57,9 +57,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("--fault: %w", err)
 	}
-	seeds, err := parseList(command.String("seeds"), nil, parseSeed)
+	seeds, err := parseList(command.String("seed"), nil, parseSeed)
 	if err != nil {
-		return nil, fmt.Errorf("--seeds: %w", err)
+		return nil, fmt.Errorf("--seed: %w", err)
 	}
 	var setups []lab.LimitSetup
 	for _, count := range routers {
--- a/cli/internal/command/load.go
+++ b/cli/internal/command/load.go
@@ -31,7 +31,7 @@
 			&cli.FloatFlag{Name: "patience", Value: setup.Patience, Usage: "`PART` by which the times of callers differ"},
 			&cli.StringFlag{Name: "pattern", Value: "steady:1,steady:1.25,burst", Usage: "`PATTERNS`, by comma, each with a level as in steady:1.25, or all: " + strings.Join(lab.PatternNames(), ", ")},
 			&cli.StringFlag{Name: "policy", Value: "now", Usage: "`POLICIES`, by comma, or all: " + strings.Join(lab.PolicyNames(), ", ")},
-			&cli.StringFlag{Name: "seeds", Value: "1", Usage: "`SEEDS`, by comma; figures are their means"},
+			&cli.StringFlag{Name: "seed", Aliases: []string{"seeds"}, Value: "1", Usage: "`SEEDS`, by comma; figures are their means"},
 			&cli.BoolFlag{Name: "json", Usage: "only the JSON lines, one a pattern and policy"},
 			&cli.StringFlag{Name: "plot", Usage: "draw the worth over time into `FILE.png`"},
 		},
@@ -90,8 +90,8 @@
 	if load.Policies, err = parseList(command.String("policy"), lab.PolicyNames(), lab.FindPolicy); err != nil {
 		return nil, fmt.Errorf("--policy: %w", err)
 	}
-	if load.Seeds, err = parseList(command.String("seeds"), nil, parseSeed); err != nil {
-		return nil, fmt.Errorf("--seeds: %w", err)
+	if load.Seeds, err = parseList(command.String("seed"), nil, parseSeed); err != nil {
+		return nil, fmt.Errorf("--seed: %w", err)
 	}
 	return load, nil
 }
--- a/cli/internal/command/load_test.go
+++ b/cli/internal/command/load_test.go
@@ -34,7 +34,7 @@
 
 // TestBenchLoadSaysWhatIsWrong with its flags.
 func TestBenchLoadSaysWhatIsWrong(t *testing.T) {
-	for flag, value := range map[string]string{"--pattern": "steady:x", "--policy": "best", "--seeds": "one"} {
+	for flag, value := range map[string]string{"--pattern": "steady:x", "--policy": "best", "--seed": "one"} {
 		got := run(t.Context(), "bench", "load", flag, value)
 		assert.Equal(t, ExitUsage, got.code, flag)
 		assert.ErrorContains(t, got.err, flag)
@@ -56,7 +56,7 @@
 		require.NoError(t, json.Unmarshal([]byte(line), &result))
 		assert.Positive(t, result.Served)
 	}
-	for flag, value := range map[string]string{"--routers": "x", "--limit": "-1", "--fault": "flood", "--seeds": "one"} {
+	for flag, value := range map[string]string{"--routers": "x", "--limit": "-1", "--fault": "flood", "--seed": "one"} {
 		got := run(t.Context(), "bench", "limit", flag, value)
 		assert.Equal(t, ExitUsage, got.code, flag)
 		assert.ErrorContains(t, got.err, flag)
