--- a/daemon/internal/connection/peering/peering_test.go
+++ b/daemon/internal/connection/peering/peering_test.go
@@ -286,3 +286,18 @@
 	require.Error(t, err)
 	assert.False(t, errors.Is(err, mirror.ErrNoneNear))
 }
+
+// TestHallIsAskedForBeforeTheWholeCopy: a router that the store turns away and that knows nothing
+// asks a seed for the records of its hall only, which are no copy of the store, and for all next.
+func TestHallIsAskedForBeforeTheWholeCopy(t *testing.T) {
+	d := startDaemon(t, mirror.Standing{At: 9})
+	d.table.Apply([]provider.Entry{{Key: "c", Value: make([]byte, 1000), Revision: 8}, {Key: "m/hall/1", Value: []byte("v"), Revision: 9}})
+	follower := &mirror.Follower{Table: &mirror.Table{}}
+	puller := &Puller{Client: d.client, Follower: follower, First: "m/hall/"}
+	require.NoError(t, puller.ask(t.Context(), d.address))
+	assert.Len(t, follower.Table.Since(0).Entries, 1)
+	assert.Zero(t, follower.At(), "nothing is complete by it")
+	require.NoError(t, puller.ask(t.Context(), d.address))
+	assert.Len(t, follower.Table.Since(0).Entries, 2)
+	assert.Equal(t, provider.Revision(9), follower.At())
+}
--- a/daemon/internal/process/mirror/near_test.go
+++ b/daemon/internal/process/mirror/near_test.go
@@ -284,3 +284,38 @@
 		assert.Zero(t, follower.Standing().Hops)
 	})
 }
+
+// TestHallIsListedUntilItIsNewEnough: a list that was given before this daemon announced itself
+// shows few of those that start with it, so it is asked for again; what comes next is listed only
+// where that does not suffice, and the search ends with its time.
+func TestHallIsListedUntilItIsNewEnough(t *testing.T) {
+	for name, test := range map[string]struct {
+		newEnough int // lists until the first prefix is
+		enough    bool
+		listed    map[string]int
+	}{
+		"at once, and it suffices":      {1, true, map[string]int{"shard/": 1}},
+		"after three, and it suffices":  {3, true, map[string]int{"shard/": 3}},
+		"after three, and more is read": {3, false, map[string]int{"shard/": 3, "hall/": 1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := &nearby{news: mirror.News{Standing: mirror.Standing{At: 5}}}
+				listed := map[string]int{}
+				store := n.store()
+				store.ListStale = func(_ context.Context, prefix string) (provider.Listing, error) {
+					listed[prefix]++
+					return provider.Listing{At: 1}, nil
+				}
+				follower := &mirror.Follower{
+					Store: store, Table: &mirror.Table{}, Near: n.ask, Before: []string{"shard/", "hall/"},
+					Found: func() bool { return listed["shard/"] >= test.newEnough }, Enough: func() bool { return test.enough },
+				}
+				follower.Start()
+				helpers.Pause(5*time.Second, nil)
+				follower.Stop()
+				assert.Equal(t, test.listed, listed)
+			})
+		})
+	}
+}
