Hold what is read ahead in one buffer, as large as the budget counts

Cause: each read of an answer allocated a part of 4 KB and kept it until its caller had read it, while the budget counted only the bytes in it. Events are some hundred bytes, so a slow caller's stream took many times what was counted, and the bound on memory was none.

Change: parts are read into one array of the reader's own and copied to a buffer, which takes the place of the list of parts and its count.

The bound on what is held and when a part may be read are as they were.

--- a/daemon/internal/request/holding/holding.go
+++ b/daemon/internal/request/holding/holding.go
@@ -12,6 +12,7 @@
 package holding
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"sync"
@@ -30,16 +31,16 @@
 }
 
 // Take counts some bytes, and reports false where they are too many.
-func (b *Budget) Take(bytes int) bool {
-	if b.held.Add(int64(bytes)) > b.Most && b.Most > 0 {
-		b.held.Add(-int64(bytes))
+func (b *Budget) Take(n int) bool {
+	if b.held.Add(int64(n)) > b.Most && b.Most > 0 {
+		b.held.Add(-int64(n))
 		return false
 	}
 	return true
 }
 
 // Give takes bytes back that were counted.
-func (b *Budget) Give(bytes int) { b.held.Add(-int64(bytes)) }
+func (b *Budget) Give(n int) { b.held.Add(-int64(n)) }
 
 // Held returns how many bytes are held.
 func (b *Budget) Held() int64 { return b.held.Load() }
@@ -78,16 +79,15 @@
 	mu sync.Mutex
 	// changed is signalled when a part was read or taken, or Close was called.
 	changed sync.Cond
-	// parts holds what was read and not taken, held how much that is.
-	parts [][]byte
-	held  int
+	// held is what was read and not taken; the budget counts it.
+	held bytes.Buffer
 	// wanted says that Read waits, so that a part is read even where the budget is spent.
 	wanted, closed bool
 	// err is what ended the body, io.EOF included.
 	err error
 }
 
-// partBytes is the size of a part.
+// partBytes is the most that is read at once.
 const partBytes = 4 << 10
 
 // ReadAhead begins to read a body ahead by some bytes at most. Close ends it.
@@ -99,8 +99,8 @@
 }
 
 func (a *Ahead) run() {
+	part := make([]byte, partBytes)
 	for a.mayRead() {
-		part := make([]byte, partBytes)
 		n, err := a.body.Read(part)
 		if !a.add(part[:n], err) {
 			return
@@ -121,10 +121,10 @@
 // hasRoom reports whether a part may be read; the caller holds mu. A part that somebody waits
 // for is counted, but never refused.
 func (a *Ahead) hasRoom() bool {
-	if a.wanted && a.held == 0 {
+	if a.wanted && a.held.Len() == 0 {
 		return true
 	}
-	return a.held+partBytes <= a.most && (a.budget.Most == 0 || a.budget.Held()+partBytes <= a.budget.Most)
+	return a.held.Len()+partBytes <= a.most && (a.budget.Most == 0 || a.budget.Held()+partBytes <= a.budget.Most)
 }
 
 // add takes a part that was read, and reports whether there may be more.
@@ -134,11 +134,8 @@
 	if a.closed {
 		return false
 	}
-	if len(part) > 0 {
-		a.budget.held.Add(int64(len(part)))
-		a.parts = append(a.parts, part)
-		a.held += len(part)
-	}
+	a.budget.held.Add(int64(len(part)))
+	a.held.Write(part)
 	a.err = err
 	a.changed.Broadcast()
 	return err == nil
@@ -148,7 +145,7 @@
 func (a *Ahead) Read(p []byte) (int, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for len(a.parts) == 0 {
+	for a.held.Len() == 0 {
 		if a.closed {
 			return 0, io.ErrClosedPipe
 		}
@@ -160,11 +157,7 @@
 		a.changed.Wait()
 	}
 	a.wanted = false
-	n := copy(p, a.parts[0])
-	if a.parts[0] = a.parts[0][n:]; len(a.parts[0]) == 0 {
-		a.parts = a.parts[1:]
-	}
-	a.held -= n
+	n, _ := a.held.Read(p) // it holds something
 	a.budget.Give(n)
 	a.changed.Broadcast()
 	return n, nil
@@ -175,8 +168,8 @@
 	a.mu.Lock()
 	if !a.closed {
 		a.closed = true
-		a.budget.Give(a.held)
-		a.parts, a.held = nil, 0
+		a.budget.Give(a.held.Len())
+		a.held = bytes.Buffer{}
 		a.changed.Broadcast()
 	}
 	a.mu.Unlock()
--- a/daemon/internal/request/holding/holding_test.go
+++ b/daemon/internal/request/holding/holding_test.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"errors"
 	"io"
+	"runtime"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"testing/synctest"
 
 	"github.com/stretchr/testify/assert"
@@ -105,3 +107,31 @@
 	first.Release()
 	assert.Zero(t, budget.Held())
 }
+
+// TestSmallPartsAreHeldAsTheyAre: a stream that comes in parts of some bytes, as events do, is
+// held in about as many bytes as the budget counts, not in a whole part's for each of them.
+func TestSmallPartsAreHeldAsTheyAre(t *testing.T) {
+	const event, events, streams = 100, 300, 100
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	budget := &holding.Budget{}
+	var bodies []*holding.Ahead
+	synctest.Test(t, func(t *testing.T) {
+		for range streams {
+			body := iotest.DataErrReader(io.LimitReader(&inParts{event}, event*events))
+			bodies = append(bodies, holding.ReadAhead(&sender{Reader: body}, budget, 64<<10))
+		}
+		synctest.Wait()
+	})
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	assert.Equal(t, int64(event*events*streams), budget.Held())
+	assert.Less(t, int64(after.HeapAlloc)-int64(before.HeapAlloc), int64(4*event*events*streams))
+	runtime.KeepAlive(bodies)
+}
+
+// inParts is a body that never gives more than a few bytes at once.
+type inParts struct{ most int }
+
+func (p *inParts) Read(b []byte) (int, error) { return min(p.most, len(b)), nil }
