Use one teller of progress, one ranking and one check of benches

The fleet's bench had written again what stood beside it: how far a long run is (load), the ranking by name with its key (package readers), and the checks of a bench's two forms and of its flags (three tests). The model's link into a router was never waited for, because a router makes one call at a time, and loaders were dealt to halls by a search for each.

--- a/cli/internal/command/fleet.go
+++ b/cli/internal/command/fleet.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/urfave/cli/v3"
 
@@ -38,13 +37,7 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", errUsage, err)
 	}
-	began, told := time.Now(), time.Now()
-	results, err := bench.RunFleets(ctx, setups, func(done, all int) {
-		if time.Since(told) > progressAfter {
-			told = time.Now()
-			_, _ = fmt.Fprintf(command.Root().ErrWriter, "%d of %d plays after %s\n", done, all, time.Since(began).Round(time.Second))
-		}
-	})
+	results, err := bench.RunFleets(ctx, setups, tellProgress(command))
 	if err != nil {
 		return err
 	}
--- a/cli/internal/command/fleet_test.go
+++ b/cli/internal/command/fleet_test.go
@@ -1,9 +1,6 @@
 package command
 
 import (
-	"encoding/json"
-	"path/filepath"
-	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -16,23 +13,12 @@
 // with its flags.
 func TestBenchFleet(t *testing.T) {
 	args := []string{"bench", "fleet", "--routers", "10,20", "--data-halls", "2", "--fault", "start,change", "--spread", "now,flat"}
-	table := run(t.Context(), args...)
-	require.NoError(t, table.err)
-	assert.Len(t, strings.Split(strings.TrimSpace(table.stdout), "\n"), 1+2*2*2)
-	lines := run(t.Context(), append(args, "--json", "--plot", filepath.Join(t.TempDir(), "fleet.png"))...)
-	require.NoError(t, lines.err)
-	for _, line := range strings.Split(strings.TrimSpace(lines.stdout), "\n") {
-		var result lab.FleetResult
-		require.NoError(t, json.Unmarshal([]byte(line), &result))
+	for _, result := range bothForms[lab.FleetResult](t, args, 2*2*2) {
 		assert.Positive(t, result.Last, "a small fleet is in force, whichever way")
 	}
-	for flag, value := range map[string]string{
+	refusesFlags(t, "fleet", map[string]string{
 		"--routers": "x", "--fault": "flood", "--spread": "up", "--seed": "one", "--configuration-bytes": "80",
-	} {
-		got := run(t.Context(), "bench", "fleet", flag, value)
-		assert.Equal(t, ExitUsage, got.code, flag)
-		assert.ErrorContains(t, got.err, flag)
-	}
+	})
 	assert.ErrorContains(t, run(t.Context(), "bench", "fleet", "--routers", "0").err, "routers: 0")
 }
 
@@ -41,7 +27,7 @@
 	for _, flag := range []string{"--seed", "--seeds"} {
 		got := run(t.Context(), "bench", "fleet", "--routers", "4", "--data-halls", "1", "--fault", "change", flag, "1,2")
 		require.NoError(t, got.err, flag)
-		assert.Len(t, strings.Split(strings.TrimSpace(got.stdout), "\n"), 1+2, flag)
+		assert.Len(t, linesOf(got.stdout), 1+2, flag)
 	}
 }
 
--- a/cli/internal/command/load.go
+++ b/cli/internal/command/load.go
@@ -44,18 +44,24 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", errUsage, err)
 	}
+	load.Progress = tellProgress(command)
+	results, err := load.Run(ctx)
+	if err != nil {
+		return err
+	}
+	return writeResults(command, results, bench.WriteLoadTable, bench.PlotLoad)
+}
+
+// tellProgress returns what a long run calls after each of its plays; it tells how far the run
+// is now and then.
+func tellProgress(command *cli.Command) func(done, all int) {
 	began, told := time.Now(), time.Now()
-	load.Progress = func(done, all int) {
+	return func(done, all int) {
 		if time.Since(told) > progressAfter {
 			told = time.Now()
 			_, _ = fmt.Fprintf(command.Root().ErrWriter, "%d of %d plays after %s\n", done, all, time.Since(began).Round(time.Second))
 		}
 	}
-	results, err := load.Run(ctx)
-	if err != nil {
-		return err
-	}
-	return writeResults(command, results, bench.WriteLoadTable, bench.PlotLoad)
 }
 
 // writeResults writes results as JSON lines or as a table, and draws them where that is asked
--- a/daemon/lab/fleet.go
+++ b/daemon/lab/fleet.go
@@ -219,15 +219,13 @@
 // startAll starts all processes within a short time.
 func (p *fleetPlay) startAll(listed bool) {
 	const within = 300 * time.Millisecond
-	for _, hall := range p.halls {
+	for number, hall := range p.halls {
 		for _, router := range hall.routers {
 			router.announced = listed
-			p.events.at(rand64(p.draw, within), router.start)
+			p.events.at(drawBelow(p.draw, within), router.start)
 		}
-		for i := range p.Loaders {
-			if i%p.Halls == slices.Index(p.halls, hall) {
-				p.events.at(rand64(p.draw, within), hall.startLoader)
-			}
+		for i := number; i < p.Loaders; i += p.Halls {
+			p.events.at(drawBelow(p.draw, within), hall.startLoader)
 		}
 	}
 }
@@ -321,7 +319,7 @@
 // mbps returns megabits a second as bytes a second.
 func mbps(rate float64) float64 { return rate * 1e6 / 8 }
 
-// rand64 draws a time below some time.
-func rand64(draw *rand.Rand, below time.Duration) time.Duration {
+// drawBelow draws a time below some time.
+func drawBelow(draw *rand.Rand, below time.Duration) time.Duration {
 	return time.Duration(draw.Int64N(int64(below)))
 }
--- a/daemon/lab/fleet_model.go
+++ b/daemon/lab/fleet_model.go
@@ -2,11 +2,9 @@
 
 import (
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/readers"
-	"github.com/wheelcleat/wheelcleat/daemon/internal/rendezvous"
 )
 
 // Sizes of messages and times of calls in a fleet.
@@ -93,7 +91,7 @@
 	}
 	router := &fleetRouter{
 		Router: readers.Router{Name: fmt.Sprintf("%s-%d", h.name, number), LinkMbps: rate},
-		hall:   h, out: fleetLink{rate: mbps(rate)}, in: fleetLink{rate: mbps(rate)},
+		hall:   h, out: fleetLink{rate: mbps(rate)},
 		known: map[string]bool{}, muted: map[string]mutedRouter{},
 	}
 	if h.byName == nil {
@@ -143,15 +141,12 @@
 func (h *fleetHall) startLoader() {
 	p := h.play
 	names := h.announcedNames()
-	listed := len(names)
-	if !p.Spread.AwaitOwn {
-		listed *= p.Halls
-	} else {
-		names = inShard(names, readers.Shard(fmt.Sprint("loader-", p.draw.Uint32())))
-		listed = len(names)
+	times := p.Halls // all halls are listed, and are alike
+	if p.Spread.AwaitOwn {
+		names, times = inShard(names, readers.Shard(fmt.Sprint("loader-", p.draw.Uint32()))), 1
 	}
 	again := func() { p.events.after(loaderPause, h.startLoader) }
-	h.read(callBytes+listed*memberBytes, func() {
+	h.read(callBytes+times*len(names)*memberBytes, func() {
 		switch {
 		case len(names) > 0:
 		case p.Spread.LoadersRead:
@@ -171,8 +166,10 @@
 // fleetRouter is a router.
 type fleetRouter struct {
 	readers.Router
-	hall    *fleetHall
-	out, in fleetLink
+	hall *fleetHall
+	// out is its link to those that follow it. Nothing waits for the way in, because a router
+	// makes one call at a time.
+	out fleetLink
 	// announced says that its record is in the store, gone that it has ended.
 	announced, gone bool
 	// known are the routers of its hall that it knows, muted those that it does not ask.
@@ -397,7 +394,6 @@
 	case other.revision > r.revision:
 		bytes, revision, heard := p.newsBytes(r.revision == 0), other.revision, other.heard
 		_, end := other.out.send(p.events.now, bytes)
-		_, end = r.in.send(end, 0)
 		p.events.at(end+nearTrip, func() { r.learn(revision, heard, nearPause) })
 	default:
 		r.heard = max(r.heard, other.heard)
@@ -433,25 +429,22 @@
 // decideFlat has the first router of a ranking by name send to all others.
 func decideFlat(own readers.Router, hall []readers.Router, _ time.Duration) (readers.Course, string) {
 	const mayRead = 3
-	names := []string{own.Name}
-	states := map[string]readers.State{}
-	for _, other := range hall {
-		names = append(names, other.Name)
-		states[other.Name] = other.State
+	routers := append([]readers.Router{own}, hall...)
+	for i := range routers {
+		routers[i].LinkMbps = 0
 	}
-	ranked := rendezvous.Rank("readers of the store", names)
 	behind := 0
-	for _, name := range ranked[:slices.Index(ranked, own.Name)] {
-		switch states[name] {
-		case readers.Usable:
-			return readers.Follow, name
-		case readers.Behind:
+	for _, router := range readers.Rank(routers) {
+		switch {
+		case router.Name == own.Name && behind < mayRead:
+			return readers.Read, ""
+		case router.Name == own.Name:
+			return readers.Hold, ""
+		case router.State == readers.Usable:
+			return readers.Follow, router.Name
+		case router.State == readers.Behind:
 			behind++
-		case readers.Gone:
 		}
 	}
-	if behind < mayRead {
-		return readers.Read, ""
-	}
 	return readers.Hold, ""
 }
