Give one word one meaning in peering, end cut answers in one place, and keep figures in the pages

- A question's "whole" asked for packed entries, beside wholeWait and wholeBegins, which are about whole copies.
It is "packed" now, as the value on the wire always was.
- An answer that breaks off, long or streamed, ends in breakOff.
The line of a long answer whose caller left now says "the caller left", as all others do, and not the error of the write.
- The view's set of evacuated halls was read by nobody but its maker.
- Relays have fanOut followers on average, as the test and the page say, and not at most.

--- a/daemon/internal/connection/peering/neighbours.go
+++ b/daemon/internal/connection/peering/neighbours.go
@@ -86,7 +86,7 @@
 }
 
 func (n *Neighbours) ask(ctx context.Context, neighbour netip.AddrPort, prefix string, after provider.Revision) (mirror.News, error) {
-	asked := question{prefix: prefix, after: after, wait: NewsWait, whole: true}
+	asked := question{prefix: prefix, after: after, wait: NewsWait, packed: true}
 	if after == 0 {
 		asked.wait = wholeWait
 	}
--- a/daemon/internal/connection/peering/packed.go
+++ b/daemon/internal/connection/peering/packed.go
@@ -83,8 +83,7 @@
 	return entries, nil
 }
 
-// packAll packs entries together: the records of upstreams and routers are alike, and a
-// copy of 1,000 of them is a third or less.
+// packAll packs entries together, because the records of upstreams and routers are alike.
 func packAll(entries []packedEntry) []byte {
 	data, err := json.Marshal(entries)
 	if err != nil {
--- a/daemon/internal/connection/peering/peering.go
+++ b/daemon/internal/connection/peering/peering.go
@@ -38,9 +38,9 @@
 // Path is the call's path.
 const Path = "/copy"
 
-// formWhole is the value of the query's form by which a caller says that it takes entries
+// formPacked is the value of the query's form by which a caller says that it takes entries
 // packed together. Callers of earlier versions do not say so.
-const formWhole = "packed"
+const formPacked = "packed"
 
 const (
 	// maxCopy bounds an answer, in bytes.
@@ -121,7 +121,7 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	reply := packedMessage{message: answer}
-	if asked.whole && len(answer.Entries) > 0 {
+	if asked.packed && len(answer.Entries) > 0 {
 		// A state that is newer by now does no harm: it has all that the answer says.
 		reply.Packed = s.listings.of(s.Table, asked.prefix, asked.after).packed(&s.packer)
 	} else {
@@ -178,8 +178,8 @@
 	prefix string
 	after  provider.Revision
 	wait   time.Duration
-	// whole asks for the entries packed together.
-	whole bool
+	// packed asks for the entries packed together.
+	packed bool
 }
 
 func parse(query url.Values) (question, error) {
@@ -194,8 +194,8 @@
 		}
 	}
 	wait = min(max(wait, 0), maxWait)
-	whole := query.Get("form") == formWhole
-	return question{prefix: query.Get("prefix"), after: provider.Revision(after), wait: wait, whole: whole}, nil
+	packed := query.Get("form") == formPacked
+	return question{prefix: query.Get("prefix"), after: provider.Revision(after), wait: wait, packed: packed}, nil
 }
 
 // url returns the question as a call to a peer.
@@ -207,8 +207,8 @@
 	if q.wait > 0 {
 		query.Set("wait", q.wait.String())
 	}
-	if q.whole {
-		query.Set("form", formWhole)
+	if q.packed {
+		query.Set("form", formPacked)
 	}
 	return fmt.Sprintf("http://%s%s?%s", peer, Path, query.Encode())
 }
--- a/daemon/internal/connection/peering/puller.go
+++ b/daemon/internal/connection/peering/puller.go
@@ -80,7 +80,7 @@
 // pullFirst asks one peer for what it has under First. That is no copy of the store, so
 // nothing is complete by it.
 func (p *Puller) pullFirst(ctx context.Context, peer netip.AddrPort) error {
-	news, err := ask(ctx, p.Client, peer, question{prefix: p.First, whole: true})
+	news, err := ask(ctx, p.Client, peer, question{prefix: p.First, packed: true})
 	fresh := 0
 	if err == nil {
 		fresh = p.Follower.Table.Apply(news.Entries)
@@ -94,7 +94,7 @@
 // complete. The highest revision that is known would not do: a copy that has it may
 // lack older ones.
 func (p *Puller) pull(ctx context.Context, peer netip.AddrPort) error {
-	news, err := ask(ctx, p.Client, peer, question{prefix: p.Follower.Prefix, after: p.Follower.At(), whole: true})
+	news, err := ask(ctx, p.Client, peer, question{prefix: p.Follower.Prefix, after: p.Follower.At(), packed: true})
 	fresh := 0
 	if err == nil {
 		fresh = p.Follower.Adopt(news)
--- a/daemon/internal/process/mirror/view.go
+++ b/daemon/internal/process/mirror/view.go
@@ -22,8 +22,6 @@
 	// Upstreams holds the upstreams of each service, leaving ones included, but none of a
 	// hall that is evacuated.
 	Upstreams map[string][]*provider.Upstream
-	// Evacuated holds the halls whose upstreams get nothing.
-	Evacuated map[string]bool
 	// Targets holds the declared version of each model.
 	Targets map[string]Declared
 	// Members holds the known routers by name.
@@ -188,13 +186,13 @@
 	}
 	c.taken = c.taken || slices.ContainsFunc(changed, c.isNotMember)
 	c.forgetLapsed()
-	next.Evacuated = map[string]bool{}
+	evacuated := map[string]bool{}
 	for _, hall := range c.evacuated {
-		next.Evacuated[hall] = true
+		evacuated[hall] = true
 	}
 	next.Upstreams = map[string][]*provider.Upstream{}
 	for _, upstream := range c.occupants() {
-		if next.Evacuated[upstream.Hall] {
+		if evacuated[upstream.Hall] {
 			continue
 		}
 		next.Upstreams[upstream.Service] = append(next.Upstreams[upstream.Service], upstream.Upstream)
--- a/daemon/internal/process/readers/readers.go
+++ b/daemon/internal/process/readers/readers.go
@@ -5,7 +5,7 @@
 // the hall shares one narrow link to the region in which the store stands. One reader
 // for each hall crosses that link once, but sends each change to all others over its
 // own link, which grows with the hall. So a large hall has relays between its reader
-// and the rest, each with at most fanOut followers, and the routers with the widest
+// and the rest, each with fanOut followers on average, and the routers with the widest
 // links come first for both parts.
 //
 // All routers of a hall share one ranking, so that nothing has to be agreed upon: a
@@ -38,8 +38,7 @@
 	// much longer for each after that one. Changes are to be in force within 2 to 4 s.
 	firstWait = 1500 * time.Millisecond
 	nextWait  = time.Second
-	// fanOut is the number of followers above which a hall has relays. A copy of 120 KB
-	// to 32 followers takes 0.8 s of a link of 40 Mbit/s.
+	// fanOut is the number of followers above which a hall has relays.
 	fanOut = 32
 )
 
@@ -78,8 +77,8 @@
 )
 
 // shards is the number of parts of a hall's routers. One that starts lists its own part, and
-// only the first of each part lists the hall: with 117 routers 30 KB for each of them are 3.4
-// MB, a second of the link to the store, and four times that at twice the size.
+// only the first of each part lists the hall: were each to list it, the bytes of a start would
+// grow with the square of the hall.
 const shards = 16
 
 // Shard returns the part of its hall's routers that one is listed with, by its name.
--- a/daemon/internal/request/dispatch/answer.go
+++ b/daemon/internal/request/dispatch/answer.go
@@ -17,7 +17,7 @@
 )
 
 // maxWhole bounds an answer that is held until it is whole. A longer one is passed on as it
-// comes: a thousand callers that read slowly hold 64 MB.
+// comes, so that callers who read slowly hold little.
 const maxWhole = 64 << 10
 
 // answer passes an upstream's answer on. It reports false where nothing went
@@ -78,12 +78,7 @@
 	if err != nil {
 		choice.Done(q.outcomeOf(exchange.Unknown))
 		q.amendTry(choice, q.answering, fmt.Errorf("the answer broke off: %w", err))
-		ending := EndCut
-		if q.Context().Err() != nil {
-			ending = EndLeft
-		}
-		q.end(ending, 0, err.Error())
-		panic(http.ErrAbortHandler)
+		q.breakOff(err)
 	}
 	outcome := balance.Served
 	if response.StatusCode >= http.StatusInternalServerError {
@@ -93,6 +88,17 @@
 	q.endWhole(response.StatusCode)
 }
 
+// breakOff ends the connection without a whole answer, so that one that has begun does not look
+// complete.
+func (q *request) breakOff(cause error) {
+	if q.Context().Err() != nil {
+		q.end(EndLeft, 0, "the caller left")
+	} else {
+		q.end(EndCut, 0, cause.Error())
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // wholeAnswer is an upstream's answer and its body, to the end.
 type wholeAnswer struct {
 	*http.Response
--- a/daemon/internal/request/dispatch/stream.go
+++ b/daemon/internal/request/dispatch/stream.go
@@ -142,16 +142,12 @@
 // cut ends a stream that cannot go on, so that it does not look complete.
 func (s *stream) cut(ctx context.Context, cause error) bool {
 	switch {
-	case s.Context().Err() != nil:
-		s.end(EndLeft, 0, "the caller left")
-	case !s.headSent && ctx.Err() != nil:
+	case s.headSent || s.Context().Err() != nil:
+		s.breakOff(cause)
+	case ctx.Err() != nil:
 		s.timeOut(exchange.Result{Err: cause})
-		return true
-	case !s.headSent:
-		s.fail(http.StatusBadGateway, EndUnknown, cause.Error())
-		return true
 	default:
-		s.end(EndCut, 0, cause.Error())
+		s.fail(http.StatusBadGateway, EndUnknown, cause.Error())
 	}
-	panic(http.ErrAbortHandler)
+	return true
 }
--- a/daemon/internal/request/holding/holding_test.go
+++ b/daemon/internal/request/holding/holding_test.go
@@ -117,7 +117,7 @@
 	runtime.ReadMemStats(&before)
 	budget := &holding.Budget{}
 	var bodies []*holding.Ahead
-	synctest.Test(t, func(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
 		for range streams {
 			body := iotest.DataErrReader(io.LimitReader(&inParts{event}, event*events))
 			bodies = append(bodies, holding.ReadAhead(&sender{Reader: body}, budget, 64<<10))
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -50,8 +50,8 @@
 	// would outlast the history of some stores.
 	versionsWait = 15 * time.Second
 	// hostsEvery is the interval in which the list of hosts is read from the store where
-	// no router tells it, and routersSoon the one for the hall's routers then. The list of
-	// 460 hosts is 150 KB, and all loaders of a hall share the link to the store.
+	// no router tells it, and routersSoon the one for the hall's routers then. The list grows
+	// with the fleet, and all loaders of a hall share the link to the store.
 	hostsEvery  = 8 * time.Second
 	routersSoon = 400 * time.Millisecond
 	// routersEvery is the interval of the list of routers otherwise. One that is not known
--- a/daemon/router/followed.go
+++ b/daemon/router/followed.go
@@ -12,9 +12,8 @@
 const (
 	// maxFollowed is how many loaders a router follows at most in its own hall, and in all
 	// but for leastOthers of other halls. Engines beyond these are asked for a place when one
-	// is needed. A feed shares its lines among its readers and holds a connection for each:
-	// with 117 routers that followed all 88 loaders of their hall, a loader had 639
-	// descriptors of 2,048 and 39 MB, and both grow with the hall.
+	// is needed. A feed shares its lines among its readers and holds a connection for each,
+	// and without a bound its readers are all routers of the hall.
 	maxFollowed = 32
 	leastOthers = 8
 )
