Log what a response states about its upstream

Cause: the lines of a request tell the rate limit that a response stated, but not that its upstream is leaving or asks for a pause.

Change: all headers about the sender are read in one place (exchange.Announcement) and handed on in one call, OnAnnouncement, in place of OnLimit. Each attempt's line and explain tell both; counters count both and what cannot be parsed. Nothing decides by it yet.

--- a/cli/internal/explain/line.go
+++ b/cli/internal/explain/line.go
@@ -131,6 +131,8 @@
 	ReportAge     time.Duration `json:"age"`
 	AdmissionPath string        `json:"door"`
 	Limit         string        `json:"limit"`
+	Leaving       bool          `json:"leaving"`
+	RetryAfter    time.Duration `json:"retryAfter"`
 }
 
 // PlaceRequest is a request to a loader for a place at its engine; see package dispatch.
--- a/cli/internal/explain/print.go
+++ b/cli/internal/explain/print.go
@@ -137,6 +137,12 @@
 	if attempt.Limit != "" {
 		p.linef(2, "rate limit stated in its answer, in requests a second over all routers: %s; admitted by: %s", attempt.Limit, orNone(attempt.AdmissionPath))
 	}
+	if attempt.Leaving {
+		p.linef(2, "its answer states that the upstream is leaving")
+	}
+	if attempt.RetryAfter > 0 {
+		p.linef(2, "its answer asks for no further requests of this router for %s", rounded(attempt.RetryAfter))
+	}
 	if attempt.Cause != "" {
 		p.linef(2, "cause: %s", attempt.Cause)
 	}
--- a/daemon/internal/request/dispatch/dispatch.go
+++ b/daemon/internal/request/dispatch/dispatch.go
@@ -31,7 +31,6 @@
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/content"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/exchange"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/quarantine"
-	"github.com/wheelcleat/wheelcleat/daemon/internal/request/ratelimit"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
@@ -57,9 +56,8 @@
 	// RequestPlace requests a place from an engine's loader. An error means that the loader
 	// did not answer. Nil means that there are no loaders.
 	RequestPlace func(ctx context.Context, engine *provider.Upstream, limit places.Limit) (places.EngineLoad, bool, error)
-	// OnLimit is called with the rate limit that each response states for its upstream. It may
-	// be nil.
-	OnLimit func(LimitReport)
+	// OnAnnouncement is called with what each response states about its upstream. It may be nil.
+	OnAnnouncement func(AnnouncementReport)
 	// AllowSend reports whether this router's share of an upstream's rate limit admits a request
 	// that no loader granted a place, and counts the request. If it does not, it returns how
 	// long to wait before the next request. It may be nil.
@@ -79,13 +77,13 @@
 	Report func(*Trace)
 }
 
-// LimitReport is the rate limit that a response states for its upstream.
-type LimitReport struct {
+// AnnouncementReport is what a response states about its upstream.
+type AnnouncementReport struct {
 	Request  string
 	Upstream *provider.Upstream
 	// Sent is when the request was sent.
-	Sent  time.Time
-	Limit ratelimit.ResponseLimit
+	Sent time.Time
+	exchange.Announcement
 }
 
 // Trace records one request for logs and metrics.
@@ -143,6 +141,9 @@
 	// response stated, "" if none.
 	Path  AdmissionPath `json:"door,omitempty"`
 	Limit string        `json:"limit,omitempty"`
+	// Leaving and RetryAfter are what else the response stated about the upstream.
+	Leaving    bool          `json:"leaving,omitempty"`
+	RetryAfter time.Duration `json:"retryAfter,omitempty"`
 }
 
 // AdmissionPath is the path by which a request was admitted to an upstream.
@@ -365,7 +366,8 @@
 		Upstream: choice.Upstream.ID, Address: choice.Upstream.Address, Offset: started.Sub(q.trace.Started), Duration: clock.Since(started), Result: result.Kind.String(),
 		Version: choice.Version, InFlight: choice.InFlight, Candidates: choice.Candidates,
 		Waiting: choice.Waiting, Excess: choice.Excess, Running: choice.Running, ReportAge: choice.ReportAge,
-		Path: q.paths[choice.Upstream.ID], Limit: result.Limit.String(),
+		Path: q.paths[choice.Upstream.ID], Limit: result.Announcement.Limit.String(),
+		Leaving: result.Announcement.Leaving, RetryAfter: result.Announcement.RetryAfter,
 	}
 	if result.Err != nil {
 		q.recordInterrupt(&attempt, result.Err)
--- a/daemon/internal/request/dispatch/send.go
+++ b/daemon/internal/request/dispatch/send.go
@@ -60,8 +60,8 @@
 	q.sent++
 	go func() {
 		result := q.Client.Do(ctx, send)
-		if q.OnLimit != nil {
-			q.OnLimit(LimitReport{Request: q.trace.ID, Upstream: choice.Upstream, Sent: s.started, Limit: result.Limit})
+		if q.OnAnnouncement != nil {
+			q.OnAnnouncement(AnnouncementReport{Request: q.trace.ID, Upstream: choice.Upstream, Sent: s.started, Announcement: result.Announcement})
 		}
 		if !s.settled.CompareAndSwap(false, true) && result.Kind == exchange.Answered {
 			_ = result.Response.Body.Close()
--- a/daemon/internal/request/exchange/exchange.go
+++ b/daemon/internal/request/exchange/exchange.go
@@ -20,7 +20,6 @@
 	"time"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/upstream"
-	"github.com/wheelcleat/wheelcleat/daemon/internal/request/ratelimit"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
@@ -56,9 +55,9 @@
 	Kind     Kind
 	Response *http.Response
 	Err      error
-	// Limit is the rate limit that the response states, if it comes from the expected
-	// upstream.
-	Limit ratelimit.ResponseLimit
+	// Announcement is what the response states about the upstream, if it comes from the
+	// expected one.
+	Announcement Announcement
 }
 
 // Errors for responses that cannot be attributed to the request and the upstream.
@@ -116,7 +115,7 @@
 		return Result{Kind: kind, Err: fmt.Errorf("send to %s at %s: %w", attempt.Upstream.ID, attempt.Upstream.Address, err)}
 	}
 	result := c.classify(attempt.Incoming, response)
-	result.Limit = c.statedLimit(result, response.Header)
+	result.Announcement = c.readAnnouncement(result, response)
 	if result.Kind != Answered {
 		_ = response.Body.Close()
 		result.Err = fmt.Errorf("response from %s at %s: %w", attempt.Upstream.ID, attempt.Upstream.Address, result.Err)
@@ -149,20 +148,6 @@
 	}
 }
 
-// statedLimit parses the rate limit that a response states. It ignores responses of
-// other upstreams, and those to other requests, which may be old. The absence of a limit
-// counts only if the result is known, since an invalid response may lack the header.
-func (c *Client) statedLimit(result Result, header http.Header) ratelimit.ResponseLimit {
-	if result.Kind == Misdirected || errors.Is(result.Err, errRequestIDMismatch) {
-		return ratelimit.ResponseLimit{}
-	}
-	limit := ratelimit.Parse(header.Values(c.Headers.Limit))
-	if result.Kind == Unknown && limit.Kind == ratelimit.Unlimited {
-		return ratelimit.ResponseLimit{}
-	}
-	return limit
-}
-
 func (c *Client) newRequest(ctx context.Context, attempt Attempt) *http.Request {
 	in := attempt.Incoming
 	out := (&http.Request{
--- a/daemon/internal/request/exchange/exchange_test.go
+++ b/daemon/internal/request/exchange/exchange_test.go
@@ -62,7 +62,7 @@
 			Incoming: incoming, Upstream: &provider.Upstream{ID: "u", Address: netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))}, Priority: -1,
 		})
 		assert.Equal(t, c.kind, result.Kind, "%s: %v", name, result.Err)
-		assert.Equal(t, c.want, result.Limit.Kind, name)
+		assert.Equal(t, c.want, result.Announcement.Limit.Kind, name)
 		if result.Response != nil {
 			_ = result.Response.Body.Close()
 		}
--- a/daemon/provider/provider.go
+++ b/daemon/provider/provider.go
@@ -168,4 +168,6 @@
 	// rate in requests per second that the upstream accepts from all routers together, until a
 	// response comes without it.
 	Limit string
+	// Leaving is set, to 1, in all responses of an upstream that is leaving.
+	Leaving string
 }
--- a/daemon/router/limits.go
+++ b/daemon/router/limits.go
@@ -41,8 +41,7 @@
 
 // limitReported applies the limit that an answer carries, and notifies the other routers of a
 // change.
-func (p *Process) limitReported(report dispatch.LimitReport) {
-	p.recorder.limitReported(report)
+func (p *Process) limitReported(report dispatch.AnnouncementReport) {
 	if report.Limit.Kind == ratelimit.Unspecified {
 		return
 	}
--- a/daemon/router/recorder.go
+++ b/daemon/router/recorder.go
@@ -158,8 +158,19 @@
 // notificationDropped counts a report that was dropped because the queue of the notifier was full.
 func (r *recorder) notificationDropped() { r.scope.Counter("notes_not_told").Inc(1) }
 
-// limitReported counts answers that carry a limit, and logs limits that cannot be parsed.
-func (r *recorder) limitReported(report dispatch.LimitReport) {
+// announced counts the answers that state something about their upstream, and logs what cannot
+// be parsed.
+func (r *recorder) announced(report dispatch.AnnouncementReport) {
+	if report.Leaving {
+		r.scope.Counter("answers_leaving").Inc(1)
+	}
+	if report.RetryAfter > 0 {
+		r.scope.Counter("answers_retry_after").Inc(1)
+	}
+	if report.Invalid != "" {
+		r.scope.Counter("announcements_unread").Inc(1)
+		r.invalidAnnouncement(report)
+	}
 	if report.Limit.Kind == ratelimit.Limited {
 		r.scope.Counter("answers_naming_limits").Inc(1)
 	}
@@ -176,6 +187,17 @@
 	}).Warn("cannot parse limit of an upstream; keeping the last valid one")
 }
 
+// invalidAnnouncement logs header values about an upstream that cannot be parsed.
+func (r *recorder) invalidAnnouncement(report dispatch.AnnouncementReport) {
+	if !r.limits.Allow() {
+		r.suppressed.Add(1)
+		return
+	}
+	r.log.WithFields(log.Fields{
+		"request": report.Request, "upstream": report.Upstream.ID, "address": report.Upstream.Address, "values": report.Invalid,
+	}).Warn("cannot parse what an upstream states about itself; ignoring it")
+}
+
 // limitChanged logs a changed limit of an upstream.
 func (r *recorder) limitChanged(update limitUpdate) {
 	r.scope.Tagged(map[string]string{"from": string(update.from)}).Counter("limits_changed").Inc(1)
