--- /dev/null
+++ b/daemon/router/announcement_test.go
@@ -0,0 +1,149 @@
+package router_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wheelcleat/wheelcleat/daemon/provider"
+	"github.com/wheelcleat/wheelcleat/daemon/settings"
+)
+
+// admissionPaths are the ways in which a request is admitted to an upstream, by the port of the
+// loaders; 0 means that there are none.
+var admissionPaths = map[string]func(t *testing.T) uint16{
+	"upstreams without loaders":  func(*testing.T) uint16 { return 0 },
+	"places granted by a loader": startLoader,
+	"an unreachable loader":      func(t *testing.T) uint16 { return freePorts(t, 1)[0].Port() },
+}
+
+// answerLeaving answers with status 200 and states that the upstream is leaving.
+func answerLeaving(req *http.Request, conn net.Conn) {
+	body := "answer to " + req.Header.Get("Request-Id")
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nSignature: sig\r\nLeaving: 1\r\nContent-Length: %d\r\n\r\n%s",
+		req.Header.Get("Request-Id"), len(body), body)
+}
+
+// startPair starts a router with two upstreams, which are engines if there is a loader port.
+func startPair(t *testing.T, loaderPort uint16, first, second upstreamFunc) (*testStore, settings.Router, *upstream, *upstream) {
+	t.Helper()
+	s := &testStore{}
+	configuration := baseConfiguration(1)
+	upstreams := []*upstream{startUpstream(t, "first", first), startUpstream(t, "second", second)}
+	for _, u := range upstreams {
+		record := u.record()
+		record.Places = 16
+		if loaderPort != 0 {
+			configuration.Services[0].Engine = &provider.EngineSpec{Model: "m", Places: record.Places}
+			record.Models = []provider.LoadedModel{{Model: "m", Version: 1}}
+		}
+		s.register(record)
+	}
+	s.configure(configuration)
+	p, cfg := newRouter(t, s, settings.Router{Name: "r1", Hall: "hall", LoaderPort: loaderPort})
+	require.NoError(t, p.Start())
+	t.Cleanup(func() { _ = p.Stop(t.Context()) })
+	await(t, "ready", func() bool { return ready(cfg) })
+	return s, cfg, upstreams[0], upstreams[1]
+}
+
+// callUntilReceived sends requests until the upstream has received one.
+func callUntilReceived(t *testing.T, cfg settings.Router, u *upstream) {
+	t.Helper()
+	for i := 0; u.received.Load() == 0; i++ {
+		require.Less(t, i, 1000, "the upstream gets no request")
+		call(t, cfg, fmt.Sprint("until-", i), "GET", "/safe/x", "")
+	}
+}
+
+// TestUpstreamGetsNoRequestsAfterStatingThatItLeaves guards against requests that would be cut when
+// the upstream ends, while the store has not received its new record.
+func TestUpstreamGetsNoRequestsAfterStatingThatItLeaves(t *testing.T) {
+	for name, loaderPort := range admissionPaths {
+		t.Run(name, func(t *testing.T) {
+			_, cfg, leaving, _ := startPair(t, loaderPort(t), answerLeaving, answerOK)
+			callUntilReceived(t, cfg, leaving)
+			received := leaving.received.Load()
+			for i := range 40 {
+				assert.Equal(t, http.StatusOK, call(t, cfg, fmt.Sprint("id-", i), "GET", "/safe/x", "").status)
+			}
+			assert.Equal(t, received, leaving.received.Load())
+		})
+	}
+}
+
+// TestNoSecondSendReachesLeavingUpstream guards against retries, resumed streams and hedges at an
+// upstream that stated that it leaves.
+func TestNoSecondSendReachesLeavingUpstream(t *testing.T) {
+	release := make(chan struct{})
+	t.Cleanup(func() { close(release) })
+	for name, c := range map[string]struct {
+		target string
+		answer upstreamFunc
+	}{
+		"retry after a refusal":  {"/safe/x", answerNotRun},
+		"retry after a failure":  {"/safe/x", closeConnection},
+		"unsafe after a refusal": {"/unsafe2/x", answerNotRun},
+		"resumed stream":         {"/stream/x", events(2, false, "")},
+		"hedge":                  {"/safe/x", func(*http.Request, net.Conn) { <-release }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			_, cfg, leaving, other := startPair(t, 0, answerLeaving, answerOK)
+			callUntilReceived(t, cfg, leaving)
+			received := leaving.received.Load()
+			other.answer.Store(&c.answer)
+			for i := range 3 {
+				call(t, cfg, fmt.Sprint("id-", i), "POST", c.target, "body")
+			}
+			assert.Equal(t, received, leaving.received.Load())
+		})
+	}
+}
+
+// TestLeavingIsNotUndoneByRecord guards against a record that was written before the upstream
+// began to leave. Another upstream at the address, and a restart, are served.
+func TestLeavingIsNotUndoneByRecord(t *testing.T) {
+	s, cfg, leaving, _ := startPair(t, 0, answerLeaving, answerOK)
+	callUntilReceived(t, cfg, leaving)
+	received := leaving.received.Load()
+	record := leaving.record()
+	record.Places = 8
+	s.register(record)
+	awaitApplied(s, cfg, `"Places":8`, "a")
+	for i := range 20 {
+		call(t, cfg, fmt.Sprint("older-", i), "GET", "/safe/x", "")
+	}
+	assert.Equal(t, received, leaving.received.Load(), "a record of the same start")
+
+	ok := upstreamFunc(answerOK)
+	leaving.answer.Store(&ok)
+	record.Started = time.Now()
+	s.register(record)
+	await(t, "requests after a restart under the same id", func() bool {
+		call(t, cfg, "restarted", "GET", "/safe/x", "")
+		return leaving.received.Load() > received
+	})
+}
+
+// TestNewUpstreamAtAddressOfLeavingOneIsServed guards against an address that stays shut out.
+func TestNewUpstreamAtAddressOfLeavingOneIsServed(t *testing.T) {
+	s, cfg, leaving, _ := startPair(t, 0, answerLeaving, answerOK)
+	callUntilReceived(t, cfg, leaving)
+	ok := upstreamFunc(answerOK)
+	leaving.answer.Store(&ok)
+	received := leaving.received.Load()
+	record := leaving.record()
+	s.remove("u/" + record.ID)
+	record.ID = "successor"
+	s.register(record)
+	await(t, "requests at the new upstream", func() bool {
+		call(t, cfg, "successor", "GET", "/safe/x", "")
+		return leaving.received.Load() > received
+	})
+}
--- a/daemon/router/fixture_test.go
+++ b/daemon/router/fixture_test.go
@@ -41,7 +41,7 @@
 var testHeaders = provider.Headers{
 	RequestID: "Request-Id", Deadline: "Deadline", LastEvent: "Last-Event-Id", Signature: "Signature", Account: "Account",
 	ExpectedUpstream: "Expect-Upstream", ExpectedVersion: "Expect-Version", Priority: "Priority", NotRun: "Not-Run",
-	Tokens: "Tokens", LengthHint: "Length", Limit: "Limit",
+	Tokens: "Tokens", LengthHint: "Length", Limit: "Limit", Leaving: "Leaving",
 }
 
 // provider returns the provider of the named router.
