Send nothing to an upstream that states that it leaves

What callers saw: their requests went to an upstream that had said in its responses that it leaves, 2.1 to 2.6 s after the router had forwarded such a response. When it ends they are cut.

Cause: routers concluded that an upstream leaves from its record in the store alone. The store fell silent before the upstream began to leave, and for 12 s the record said ready. The header was read nowhere.

Why this works: every send goes through balance.Pool.Choose, which now skips an upstream once one of its responses said so. The state belongs to one run of the upstream: no record and no later response takes it back, a restart under the same id and another id at the address start clean. It is kept for 15 minutes without requests. The choice is checked again after the loader has granted a place, because a response may arrive between choice and send.

The tests fail without the change and pass with it; new ones guard idle services, late responses of an earlier run, and the time between choice and send.

--- a/daemon/internal/process/balance/balance.go
+++ b/daemon/internal/process/balance/balance.go
@@ -101,7 +101,9 @@
 	// throttledUntil is until when the upstream gets no requests, because the rate limit
 	// that it announced is used up.
 	throttledUntil time.Time
-	usedAt         time.Time
+	// leaving is set once the upstream has stated that it is leaving. Only a restart clears it.
+	leaving bool
+	usedAt  time.Time
 }
 
 // LoadReport is the load that an upstream's host reports.
@@ -239,14 +241,14 @@
 	return s
 }
 
-// evict drops the state of upstreams that have been unused for stateRetention.
+// evict drops the state of upstreams that have been unused for their retention time.
 func (p *Pool) evict(now time.Time) {
 	if now.Sub(p.evictedAt) < stateRetention {
 		return
 	}
 	p.evictedAt = now
 	for id, s := range p.states {
-		if s.inFlight == 0 && now.Sub(s.usedAt) > stateRetention {
+		if s.inFlight == 0 && now.Sub(s.usedAt) > s.retention() {
 			delete(p.states, id)
 		}
 	}
@@ -320,7 +322,7 @@
 	var shortest time.Duration
 	for _, candidate := range upstreams {
 		s := p.states[candidate.ID]
-		if s == nil || candidate.Leaving || !s.throttledUntil.After(now) {
+		if s == nil || candidate.Leaving || s.leaving || !s.throttledUntil.After(now) {
 			continue
 		}
 		if remaining := s.throttledUntil.Sub(now); shortest == 0 || remaining < shortest {
--- a/daemon/internal/process/balance/balance_test.go
+++ b/daemon/internal/process/balance/balance_test.go
@@ -350,3 +350,37 @@
 	require.True(t, ok)
 	assert.Equal(t, 1, choice.Version, "the report of versions is too old, so the record counts")
 }
+
+// TestLeavingOutlastsIdleService guards against an upstream that is sent to again because its state
+// was dropped while its service got no requests.
+func TestLeavingOutlastsIdleService(t *testing.T) {
+	now := time.Unix(1000, 0)
+	pool := &balance.Pool{Now: func() time.Time { return now }}
+	candidates := upstreams(1)
+	assert.True(t, pool.MarkLeaving(candidates[0]))
+	assert.False(t, pool.MarkLeaving(candidates[0]), "it is known already")
+	for range 5 {
+		now = now.Add(2 * time.Minute)
+		_, ok := pool.Choose(upstreams(2)[1:], balance.Query{})
+		require.True(t, ok)
+	}
+	_, ok := pool.Choose(candidates, balance.Query{})
+	assert.False(t, ok)
+}
+
+// TestResponseOfEarlierRunDoesNotShutOutRestart guards against a late response of the process that
+// ran under the same id before.
+func TestResponseOfEarlierRunDoesNotShutOutRestart(t *testing.T) {
+	pool := &balance.Pool{}
+	earlier, restarted := *upstreams(1)[0], *upstreams(1)[0]
+	earlier.Started, restarted.Started = time.Unix(1000, 0), time.Unix(2000, 0)
+	choice, ok := pool.Choose([]*provider.Upstream{&restarted}, balance.Query{})
+	require.True(t, ok)
+	choice.Done(balance.Served)
+	assert.False(t, pool.MarkLeaving(&earlier))
+	_, ok = pool.Choose([]*provider.Upstream{&restarted}, balance.Query{})
+	assert.True(t, ok)
+	assert.True(t, pool.MarkLeaving(&restarted))
+	_, ok = pool.Choose([]*provider.Upstream{&restarted}, balance.Query{})
+	assert.False(t, ok)
+}
--- /dev/null
+++ b/daemon/internal/process/balance/leaving.go
@@ -0,0 +1,53 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/wheelcleat/wheelcleat/daemon/provider"
+)
+
+// leavingRetention is how long it is kept that an upstream is leaving while its service gets no
+// requests. It exceeds the time for which an upstream serves on and an outage of the store.
+const leavingRetention = 15 * time.Minute
+
+// MarkLeaving records that an upstream stated that it is leaving, and reports whether that was
+// unknown. The upstream gets no requests until it restarts, whatever an older record of the store
+// says.
+func (p *Pool) MarkLeaving(upstream *provider.Upstream) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.currentRun(upstream, p.now())
+	if s == nil || s.leaving {
+		return false
+	}
+	s.leaving = true
+	return true
+}
+
+// currentRun returns the state of an upstream, or nil if the upstream has restarted since the
+// given record was read. The caller holds mu.
+func (p *Pool) currentRun(upstream *provider.Upstream, now time.Time) *state {
+	s := p.state(upstream.ID, now)
+	s.resetIfRestarted(upstream.Started, now)
+	if !upstream.Started.IsZero() && upstream.Started.Before(s.started) {
+		return nil
+	}
+	return s
+}
+
+// Withdrawn reports whether an upstream must get no new request, although it was eligible when it
+// was chosen.
+func (p *Pool) Withdrawn(upstream *provider.Upstream) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.states[upstream.ID]
+	return s != nil && s.leaving
+}
+
+// retention returns how long the state of an upstream without requests is kept.
+func (s *state) retention() time.Duration {
+	if s.leaving {
+		return leavingRetention
+	}
+	return stateRetention
+}
--- /dev/null
+++ b/daemon/internal/request/dispatch/leaving_test.go
@@ -0,0 +1,38 @@
+package dispatch
+
+import (
+	"context"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/places"
+	"github.com/wheelcleat/wheelcleat/daemon/provider"
+)
+
+// TestUpstreamThatLeavesDuringPlaceRequestIsSkipped guards against a send to an upstream whose
+// statement arrives between the choice and the send.
+func TestUpstreamThatLeavesDuringPlaceRequestIsSkipped(t *testing.T) {
+	f := newFleet(t, 3, nil)
+	q := f.request("long-objective", 0)
+	leaving := ""
+	q.RequestPlace = func(_ context.Context, engine *provider.Upstream, _ places.Limit) (places.EngineLoad, bool, error) {
+		if leaving == "" {
+			leaving = engine.ID
+			f.pool.MarkLeaving(engine)
+		}
+		return places.EngineLoad{}, true, nil
+	}
+	choice, err := q.choosePlace(context.Background())
+	require.NoError(t, err)
+	assert.NotEqual(t, leaving, choice.Upstream.ID)
+	choice.Done(0)
+	for _, upstream := range f.view.Upstreams["s"] {
+		if upstream.ID != leaving {
+			f.pool.MarkLeaving(upstream)
+		}
+	}
+	_, err = q.choosePlace(context.Background())
+	require.ErrorIs(t, err, errNoUpstream)
+}
--- a/daemon/internal/request/dispatch/place.go
+++ b/daemon/internal/request/dispatch/place.go
@@ -87,6 +87,7 @@
 	}
 	load, granted, err := q.queryLoader(ctx, choice, limit)
 	switch {
+	case granted && q.Pool.Withdrawn(choice.Upstream):
 	case granted:
 		q.LoadTracker.RecordFull(q.service.Name, load.Running+load.Waiting >= choice.Upstream.Places)
 		q.recordPath(choice, PathLoader)
--- a/daemon/router/announcement_test.go
+++ b/daemon/router/announcement_test.go
@@ -29,6 +29,9 @@
 		req.Header.Get("Request-Id"), len(body), body)
 }
 
+// firstStart is when the upstreams of startPair started.
+var firstStart = time.Unix(1000, 0)
+
 // startPair starts a router with two upstreams, which are engines if there is a loader port.
 func startPair(t *testing.T, loaderPort uint16, first, second upstreamFunc) (*testStore, settings.Router, *upstream, *upstream) {
 	t.Helper()
@@ -37,7 +40,7 @@
 	upstreams := []*upstream{startUpstream(t, "first", first), startUpstream(t, "second", second)}
 	for _, u := range upstreams {
 		record := u.record()
-		record.Places = 16
+		record.Places, record.Started = 16, firstStart
 		if loaderPort != 0 {
 			configuration.Services[0].Engine = &provider.EngineSpec{Model: "m", Places: record.Places}
 			record.Models = []provider.LoadedModel{{Model: "m", Version: 1}}
@@ -113,9 +116,9 @@
 	callUntilReceived(t, cfg, leaving)
 	received := leaving.received.Load()
 	record := leaving.record()
-	record.Places = 8
+	record.Places, record.Started = 8, firstStart
 	s.register(record)
-	awaitApplied(s, cfg, `"Places":8`, "a")
+	awaitListed(s, cfg, "u/first")
 	for i := range 20 {
 		call(t, cfg, fmt.Sprint("older-", i), "GET", "/safe/x", "")
 	}
@@ -123,7 +126,7 @@
 
 	ok := upstreamFunc(answerOK)
 	leaving.answer.Store(&ok)
-	record.Started = time.Now()
+	record.Started = firstStart.Add(time.Hour)
 	s.register(record)
 	await(t, "requests after a restart under the same id", func() bool {
 		call(t, cfg, "restarted", "GET", "/safe/x", "")
--- a/daemon/router/announcements.go
+++ b/daemon/router/announcements.go
@@ -2,8 +2,11 @@
 
 import "github.com/wheelcleat/wheelcleat/daemon/internal/request/dispatch"
 
-// announced applies what an answer states about its upstream.
+// announced applies what an answer states about its upstream, before the answer is forwarded.
 func (p *Process) announced(report dispatch.AnnouncementReport) {
 	p.recorder.announced(report)
 	p.limitReported(report)
+	if report.Leaving && p.pool.MarkLeaving(report.Upstream) {
+		p.recorder.upstreamLeaving(report)
+	}
 }
--- a/daemon/router/recorder.go
+++ b/daemon/router/recorder.go
@@ -187,6 +187,15 @@
 	}).Warn("cannot parse limit of an upstream; keeping the last valid one")
 }
 
+// upstreamLeaving logs that an upstream stated for the first time that it is leaving.
+func (r *recorder) upstreamLeaving(report dispatch.AnnouncementReport) {
+	r.scope.Counter("upstreams_left_by_answer").Inc(1)
+	r.log.WithFields(log.Fields{
+		fieldDecision: "availability", "upstream": report.Upstream.ID, "address": report.Upstream.Address, "request": report.Request,
+		"leaving": true, "from": sourceLocal,
+	}).Info("availability of an upstream changed")
+}
+
 // invalidAnnouncement logs header values about an upstream that cannot be parsed.
 func (r *recorder) invalidAnnouncement(report dispatch.AnnouncementReport) {
 	if !r.limits.Allow() {
