Grant no place at an engine that states that it leaves

A router that has not had a response of a leaving engine yet still sends there, is granted a place by the loader on the engine's host, and its request may be cut when the engine ends.

Cause: the loader reads the engine's report every 20 to 50 ms, whose header states that the engine leaves, and ignored it.

Why this works: the loader denies places, says so in its load feed, and orders no version. Routers skip the engine while such a report is recent. They do not record it for good, because the host may already run the engine's successor when the report arrives.

--- a/daemon/internal/connection/loadfeed/loadfeed.go
+++ b/daemon/internal/connection/loadfeed/loadfeed.go
@@ -44,6 +44,7 @@
 	Running int  `json:"running"`
 	Waiting int  `json:"waiting"`
 	Loading bool `json:"loading,omitempty"`
+	Leaving bool `json:"leaving,omitempty"`
 	// ClosesIn is the time until the engine is ordered to load a version, in milliseconds
 	// and rounded up to a multiple of ClosesStep. It is 0 if no load is scheduled soon.
 	ClosesIn int64                  `json:"closesIn,omitempty"`
--- a/daemon/internal/connection/places/client.go
+++ b/daemon/internal/connection/places/client.go
@@ -39,6 +39,7 @@
 	Running      int               `json:"running"`
 	Waiting      int               `json:"waiting"`
 	Loading      bool              `json:"loading,omitempty"`
+	Leaving      bool              `json:"leaving,omitempty"`
 	RetryAfterMs int64             `json:"wait,omitempty"`
 	RateLimit    *ratelimit.Report `json:"limit,omitempty"`
 }
@@ -67,7 +68,7 @@
 		w.Header()["Date"] = nil
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(wireResponse{
-			Granted: granted, Running: load.Running, Waiting: load.Waiting, Loading: load.Loading,
+			Granted: granted, Running: load.Running, Waiting: load.Waiting, Loading: load.Loading, Leaving: load.Leaving,
 			RetryAfterMs: load.RetryAfter.Milliseconds(), RateLimit: ledger.RateLimit(req.Engine),
 		})
 	}
@@ -217,6 +218,6 @@
 	if err := call.GetJSON(ctx, c.Client, target, maxResponse, &resp); err != nil {
 		return Response{}, fmt.Errorf("request place from loader %s: %w", loader, err)
 	}
-	load := EngineLoad{Running: resp.Running, Waiting: resp.Waiting, Loading: resp.Loading, RetryAfter: time.Duration(resp.RetryAfterMs) * time.Millisecond}
+	load := EngineLoad{Running: resp.Running, Waiting: resp.Waiting, Loading: resp.Loading, Leaving: resp.Leaving, RetryAfter: time.Duration(resp.RetryAfterMs) * time.Millisecond}
 	return Response{EngineLoad: load, Granted: resp.Granted, RateLimit: resp.RateLimit}, nil
 }
--- a/daemon/internal/connection/places/ledger.go
+++ b/daemon/internal/connection/places/ledger.go
@@ -30,6 +30,8 @@
 	// Loading reports that the engine admits no requests, because it loads a version, is about
 	// to, or has none loaded.
 	Loading bool
+	// Leaving reports that the engine is about to end and must get no new requests.
+	Leaving bool
 	// RetryAfter is the time after which to retry if the engine's rate limit is used up, else 0.
 	RetryAfter time.Duration
 }
@@ -164,6 +166,6 @@
 func (l *Ledger) fits(limit Limit) (EngineLoad, bool) {
 	load := l.load
 	load.Waiting += len(l.pending)
-	closed := !l.observed || load.Loading || l.runsWhenClosed(limit)
+	closed := !l.observed || load.Loading || load.Leaving || l.runsWhenClosed(limit)
 	return load, !closed && load.Waiting <= limit.Waiting && load.Running+load.Waiting <= limit.InUse
 }
--- a/daemon/internal/process/balance/balance.go
+++ b/daemon/internal/process/balance/balance.go
@@ -113,6 +113,9 @@
 	Running, Waiting int
 	// Loading is set while the upstream is loading a version and serves nothing meanwhile.
 	Loading bool
+	// Leaving is set while the upstream is about to end. It is no more than a report: the host
+	// may run another upstream by the time at which it arrives.
+	Leaving bool
 	// ClosesIn is the time until it closes to load a version, 0 if none is scheduled.
 	ClosesIn time.Duration
 	// Models holds the versions that it serves.
@@ -293,12 +296,12 @@
 
 // ReportLoad records the load in a response to a request for a place, which includes all
 // places that the host has granted.
-func (p *Pool) ReportLoad(id string, running, waiting int, loading bool) {
+func (p *Pool) ReportLoad(id string, load LoadReport) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
 	s := p.state(id, now)
-	s.report.Running, s.report.Waiting, s.report.Loading = running, waiting, loading
+	s.report.Running, s.report.Waiting, s.report.Loading, s.report.Leaving = load.Running, load.Waiting, load.Loading, load.Leaving
 	s.reportedAt, s.sentSinceReport = now, 0
 }
 
--- a/daemon/internal/process/balance/balance_test.go
+++ b/daemon/internal/process/balance/balance_test.go
@@ -336,7 +336,7 @@
 	pool := &balance.Pool{Now: func() time.Time { return now }}
 	list := upstreams(1)
 	query := balance.Query{Model: "m", MinVersion: 1}
-	pool.ReportLoad(list[0].ID, 3, 0, false)
+	pool.ReportLoad(list[0].ID, balance.LoadReport{Running: 3})
 	choice, ok := pool.Choose(list, query)
 	require.True(t, ok, "its record names the version")
 	assert.Equal(t, 1, choice.Version)
@@ -344,7 +344,7 @@
 
 	pool.Report(list[0].ID, balance.LoadReport{Models: []provider.LoadedModel{{Model: "m", Version: 2}}})
 	now = now.Add(500 * time.Millisecond)
-	pool.ReportLoad(list[0].ID, 3, 0, false)
+	pool.ReportLoad(list[0].ID, balance.LoadReport{Running: 3})
 	now = now.Add(500 * time.Millisecond)
 	choice, ok = pool.Choose(list, query)
 	require.True(t, ok)
@@ -368,6 +368,26 @@
 	assert.False(t, ok)
 }
 
+// TestReportedLeavingEndsWithReport guards against an upstream that is shut out for good by its
+// host's report about the one that ran there before.
+func TestReportedLeavingEndsWithReport(t *testing.T) {
+	now := time.Unix(1000, 0)
+	pool := &balance.Pool{Now: func() time.Time { return now }}
+	candidates := upstreams(1)
+	pool.Report(candidates[0].ID, balance.LoadReport{Leaving: true, Models: candidates[0].Models})
+	_, ok := pool.Choose(candidates, balance.Query{})
+	assert.False(t, ok)
+	pool.Report(candidates[0].ID, balance.LoadReport{Models: candidates[0].Models})
+	_, ok = pool.Choose(candidates, balance.Query{})
+	assert.True(t, ok)
+	pool.ReportLoad(candidates[0].ID, balance.LoadReport{Leaving: true})
+	_, ok = pool.Choose(candidates, balance.Query{})
+	assert.False(t, ok)
+	now = now.Add(2 * time.Second)
+	_, ok = pool.Choose(candidates, balance.Query{})
+	assert.True(t, ok, "the loader no longer answers")
+}
+
 // TestResponseOfEarlierRunDoesNotShutOutRestart guards against a late response of the process that
 // ran under the same id before.
 func TestResponseOfEarlierRunDoesNotShutOutRestart(t *testing.T) {
--- a/daemon/internal/process/balance/leaving.go
+++ b/daemon/internal/process/balance/leaving.go
@@ -45,6 +45,12 @@
 	return s != nil && (s.leaving || s.pause.active && p.now().Before(s.pause.until))
 }
 
+// reportedLeaving reports whether the upstream's host reported recently that the upstream is
+// leaving.
+func (s *state) reportedLeaving(now time.Time) bool {
+	return s.report.Leaving && now.Sub(s.reportedAt) <= reportMaxAge
+}
+
 // retention returns how long the state of an upstream without requests is kept.
 func (s *state) retention() time.Duration {
 	if s.leaving || s.pause.active {
--- a/daemon/internal/process/balance/score.go
+++ b/daemon/internal/process/balance/score.go
@@ -8,7 +8,7 @@
 
 // eligible reports whether an upstream may get the request at all.
 func (s *state) eligible(candidate *provider.Upstream, query Query, now time.Time) bool {
-	if candidate.Leaving || s.leaving || s.pause.blocks(now) || now.Before(s.throttledUntil) {
+	if candidate.Leaving || s.leaving || s.reportedLeaving(now) || s.pause.blocks(now) || now.Before(s.throttledUntil) {
 		return false
 	}
 	for _, id := range query.Exclude {
--- a/daemon/internal/request/dispatch/place.go
+++ b/daemon/internal/request/dispatch/place.go
@@ -87,7 +87,7 @@
 	}
 	load, granted, err := q.queryLoader(ctx, choice, limit)
 	switch {
-	case granted && q.Pool.Withdrawn(choice.Upstream):
+	case granted && q.Pool.Withdrawn(choice.Upstream), load.Leaving:
 	case granted:
 		q.LoadTracker.RecordFull(q.service.Name, load.Running+load.Waiting >= choice.Upstream.Places)
 		q.recordPath(choice, PathLoader)
@@ -204,7 +204,7 @@
 	if err != nil {
 		result.Cause = err.Error()
 	} else {
-		q.Pool.ReportLoad(choice.Upstream.ID, load.Running, load.Waiting, load.Loading)
+		q.Pool.ReportLoad(choice.Upstream.ID, balance.LoadReport{Running: load.Running, Waiting: load.Waiting, Loading: load.Loading, Leaving: load.Leaving})
 	}
 	q.trace.PlaceRequests = append(q.trace.PlaceRequests, result)
 	return load, granted, err
--- a/daemon/internal/version/reconcile/reconcile.go
+++ b/daemon/internal/version/reconcile/reconcile.go
@@ -208,7 +208,7 @@
 func (r *Reconciler) advance(ctx context.Context, plan Plan, report provider.EngineReport) {
 	r.closesAt = closeTime(plan, loadedVersion(report), r.now())
 	goal, c := r.next(plan, report)
-	if c == nil || report.Loading {
+	if c == nil || report.Loading || report.Leaving {
 		r.drainStarted = time.Time{}
 		return
 	}
--- a/daemon/internal/version/reconcile/reconcile_test.go
+++ b/daemon/internal/version/reconcile/reconcile_test.go
@@ -58,6 +58,9 @@
 	// the reports.
 	draining atomic.Bool
 	rounds   atomic.Int64
+	// leaving is set while the engine reports that it is about to end. It must be set before the
+	// reconciler starts.
+	leaving bool
 	// clock is the time in nanoseconds of the reconciler under test; 0 selects the system's clock.
 	clock atomic.Int64
 }
@@ -84,7 +87,7 @@
 		Report: func(context.Context, netip.AddrPort) (provider.EngineReport, error) {
 			e.mu.Lock()
 			defer e.mu.Unlock()
-			report := provider.EngineReport{Sequence: e.sequence, Waiting: e.waiting, Running: e.running}
+			report := provider.EngineReport{Sequence: e.sequence, Waiting: e.waiting, Running: e.running, Leaving: e.leaving}
 			if e.loaded > 0 {
 				report.Models = []provider.LoadedModel{{Model: "m", Version: e.loaded}}
 			}
@@ -196,6 +199,17 @@
 	await(t, "version 3", func() bool { return e.version() == 3 })
 }
 
+// TestLeavingEngineIsNotOrdered guards against an engine that loads a version instead of serving
+// its last requests.
+func TestLeavingEngineIsNotOrdered(t *testing.T) {
+	e := &engine{t: t, staged: map[int][]byte{}, loaded: 1, leaving: true}
+	r := start(t, e, func() reconcile.Plan { return planOf(goal(2, time.Now())) })
+	await(t, "the copy is complete", func() bool { c := r.Copies.Get(2); return c != nil && c.Complete() })
+	e.clock.Store(time.Now().UnixNano())
+	e.advance(time.Minute)
+	assert.Equal(t, 1, e.version())
+}
+
 func TestServingEngineWaitsForItsLoadTime(t *testing.T) {
 	e := &engine{t: t, staged: map[int][]byte{}, loaded: 1, running: 1}
 	var mu sync.Mutex
--- a/daemon/loader/events.go
+++ b/daemon/loader/events.go
@@ -41,13 +41,16 @@
 		return
 	}
 	p.telemetry.SetReady()
+	if p.engineLeaving.Swap(report.Leaving) != report.Leaving {
+		p.log.WithFields(log.Fields{fieldDecision: "availability", "engine": p.current.Load().Engine, "leaving": report.Leaving}).Info("availability of an upstream changed")
+	}
 	// An engine without a loaded version refuses every request, so it grants no place either.
 	loading, closesAt := report.Loading || p.reconciler.Draining() || len(report.Models) == 0, p.reconciler.ClosesAt()
 	p.feed.Publish(loadfeed.State{
-		Running: report.Running, Waiting: report.Waiting, Loading: loading, ClosesIn: loadfeed.ClosesIn(closesAt, clock.Now()), Models: report.Models,
+		Running: report.Running, Waiting: report.Waiting, Loading: loading, Leaving: report.Leaving, ClosesIn: loadfeed.ClosesIn(closesAt, clock.Now()), Models: report.Models,
 	})
 	p.ledger.CloseAt(closesAt)
-	p.ledger.Observe(places.EngineLoad{Running: report.Running, Waiting: report.Waiting, Loading: loading}, true)
+	p.ledger.Observe(places.EngineLoad{Running: report.Running, Waiting: report.Waiting, Loading: loading, Leaving: report.Leaving}, true)
 }
 
 // countResponse counts a response to a router's request for a place.
--- a/daemon/loader/events_test.go
+++ b/daemon/loader/events_test.go
@@ -33,6 +33,27 @@
 	assert.True(t, granted)
 }
 
+// TestLeavingEngineGrantsNoPlace guards against places at an engine that is about to end, and
+// against a host that stays closed for the engine's successor.
+func TestLeavingEngineGrantsNoPlace(t *testing.T) {
+	events, output, err := telemetry.NewWithBoundedWriter(telemetry.Options{Role: "loader", Name: "l", Level: "error"})
+	require.NoError(t, err)
+	t.Cleanup(output.Close)
+	p := &Process{telemetry: events, log: events.Log, feed: loadfeed.NewFeed(), ledger: &places.Ledger{}, reconciler: &reconcile.Reconciler{}}
+	p.current.Store(&settings.Loader{})
+	request := places.Request{Limit: places.Limit{Waiting: 9, InUse: 9}}
+	report := provider.EngineReport{Models: []provider.LoadedModel{{Model: "m", Version: 1}}, Leaving: true}
+
+	p.publishReport(report, nil)
+	load, granted := p.ledger.Reserve(request)
+	assert.False(t, granted)
+	assert.True(t, load.Leaving)
+	report.Leaving = false
+	p.publishReport(report, nil)
+	_, granted = p.ledger.Reserve(request)
+	assert.True(t, granted)
+}
+
 // TestCopyTimeFollowsOriginRate also covers the fallback to the rate of this host's link.
 func TestCopyTimeFollowsOriginRate(t *testing.T) {
 	p := &Process{}
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -109,6 +109,8 @@
 	engineConfig atomic.Pointer[replica.EngineConfig]
 	// routerClient queries the routers of this hall.
 	routerClient *peering.Neighbours
+	// engineLeaving is whether the engine's last report stated that it is leaving.
+	engineLeaving atomic.Bool
 	// receivedBytes counts chunk bytes by source.
 	receivedBytes receivedBytes
 	// cachedRoster is the roster of the newest view.
--- a/daemon/provider/engine.go
+++ b/daemon/provider/engine.go
@@ -30,6 +30,8 @@
 	// Started is zero if not reported.
 	Sequence uint64
 	Started  time.Time
+	// Leaving is set while the engine is about to end. It must get no new requests.
+	Leaving bool
 }
 
 // Order directs an engine to load a staged version once its current requests are done.
--- a/daemon/router/upstreams.go
+++ b/daemon/router/upstreams.go
@@ -68,7 +68,7 @@
 // applyLoad passes a load report of a loader on to the engines of its host.
 func (p *Process) applyLoad(host netip.AddrPort, state loadfeed.State) {
 	load := balance.LoadReport{
-		Running: state.Running, Waiting: state.Waiting, Loading: state.Loading,
+		Running: state.Running, Waiting: state.Waiting, Loading: state.Loading, Leaving: state.Leaving,
 		ClosesIn: time.Duration(state.ClosesIn) * time.Millisecond, Models: state.Models,
 	}
 	for _, id := range (*p.engineIDsByHost.Load())[host.Addr()] {
