Let the soak draw upstreams that leave or pause by their responses

Two kinds of steps: an upstream that states in its responses alone that it leaves, as if the store had not received its record; and one that rejects each request with a Retry-After. The oracle counts, at the upstream, what arrives from each router that such a response was sent to.

--- a/cli/internal/soak/fleet.go
+++ b/cli/internal/soak/fleet.go
@@ -232,7 +232,7 @@
 			ID: fmt.Sprintf("u-%d-%d", h.number, h.generation), Started: time.Now(), Service: h.service, Hall: h.hall,
 			Address: addrPort(h.address, linkPort), Places: plainPlaces,
 		},
-		Store: f.store, OnRun: f.oracle.RecordRun, OnReceive: f.oracle.RecordArrival,
+		Store: f.store, OnRun: f.oracle.RecordRun, OnReceive: f.oracle.RecordArrival, OnRespond: f.oracle.RecordResponse,
 		OnChunkMismatch: func(text string) { f.oracle.Violatef(CheckWeights, "%s", text) },
 		OnCrash:         func() { f.crashDuringRequest(h) },
 	}
--- a/cli/internal/soak/inject.go
+++ b/cli/internal/soak/inject.go
@@ -52,6 +52,10 @@
 		f.crash(host, duration)
 	case step.Kind == UpstreamLeave:
 		f.leave(host)
+	case step.Kind == UpstreamLeaveUnrecorded:
+		f.leaveUnrecorded(host)
+	case step.Kind == UpstreamPause:
+		f.pauseUpstream(host, step)
 	case step.Kind == RequestsCrash:
 		f.sendCrashing(duration)
 	case step.Kind == UpstreamLimited:
--- a/cli/internal/soak/oracle.go
+++ b/cli/internal/soak/oracle.go
@@ -55,6 +55,8 @@
 	CheckUsage              Check = "memory and files"
 	CheckQuarantine         Check = "what ends upstreams is held back"
 	CheckLimit              Check = "limits are kept"
+	CheckStatedLeaving      Check = "nothing to those that state that they leave"
+	CheckPause              Check = "pauses are kept"
 )
 
 // Violation is one case in which a check failed.
@@ -126,6 +128,8 @@
 	crashingRuns map[string][]time.Time
 	// limits are the limits that upstreams announce, by upstream id.
 	limits map[string]*upstreamLimit
+	// withdrawals holds what responses stated about further requests, by upstream id.
+	withdrawals map[string]*withdrawal
 	// inForce is the newest configuration that a router has answered by since each of its
 	// starts, by the router's name and the number of the start.
 	inForce map[string]observedConfiguration
@@ -226,6 +230,7 @@
 	o.arrivals++
 	now := time.Now()
 	o.checkLimit(id, upstream, now)
+	o.checkWithdrawal(id, upstream, now)
 	leftAt, leaves := o.leaving[upstream]
 	if leaves && now.Sub(leftAt) > leaveBound+o.Slack && !o.faultActive(leftAt, now, o.routerOf[id], "store", "router", "all") {
 		o.violatef(CheckLeaving, id, "%s received a request from %s %s after it announced that it leaves", upstream, o.routerOf[id], now.Sub(leftAt).Round(time.Millisecond))
--- a/cli/internal/soak/oracle_test.go
+++ b/cli/internal/soak/oracle_test.go
@@ -61,6 +61,16 @@
 }
 
 // recordCrashingRuns records that upstreams started a crashing request count times, after a
+// recordPause records that an upstream asked a router for a pause, and requests after a time.
+func recordPause(o *Oracle, requests int, after time.Duration) {
+	o.RecordSent("id", "router")
+	o.RecordResponse("id", "u", http.Header{"Retry-After": {"30"}})
+	sleep(after)
+	for range requests {
+		o.RecordArrival("id", "u")
+	}
+}
+
 // delay.
 func recordCrashingRuns(o *Oracle, count int, after time.Duration) {
 	sleep(after)
@@ -169,6 +179,31 @@
 				o.RecordArrival("id", "u")
 			},
 		},
+		"a request to an upstream whose response stated that it leaves": {
+			CheckStatedLeaving,
+			func(o *Oracle) {
+				o.RecordSent("id", "router")
+				o.RecordResponse("id", "u", http.Header{standin.HeaderLeaving: {"1"}})
+				sleep(statedLeaveBound + 1)
+				o.RecordArrival("id", "u")
+			},
+			func(o *Oracle) {
+				o.RecordSent("id", "router")
+				o.RecordSent("other-id", "other")
+				o.RecordResponse("other-id", "u", http.Header{standin.HeaderLeaving: {"1"}})
+				sleep(statedLeaveBound + 1)
+				o.RecordArrival("id", "u")
+			},
+		},
+		"requests to an upstream that asked for a pause": {
+			CheckPause,
+			func(o *Oracle) { recordPause(o, maxInPause+1, pauseGrace) },
+			func(o *Oracle) {
+				recordPause(o, maxInPause, pauseGrace)
+				sleep(time.Minute)
+				recordPause(o, maxInPause+1, 0)
+			},
+		},
 		"a request that crashes too many upstreams": {
 			CheckQuarantine,
 			func(o *Oracle) { recordCrashingRuns(o, maxCrashingRuns+1, 0) },
--- a/cli/internal/soak/plan.go
+++ b/cli/internal/soak/plan.go
@@ -60,6 +60,10 @@
 	UpstreamSurplus Kind = "upstream-surplus" // appends bytes to a share of responses
 	// UpstreamLimited makes an upstream announce a rate limit over all routers.
 	UpstreamLimited Kind = "upstream-limited"
+	// UpstreamLeaveUnrecorded makes an upstream leave that says so in its responses only.
+	UpstreamLeaveUnrecorded Kind = "upstream-leave-unrecorded"
+	// UpstreamPause makes an upstream reject each request with a Retry-After.
+	UpstreamPause Kind = "upstream-pause"
 	// EngineCorrupt flips a bit of a chunk that an engine has staged.
 	EngineCorrupt Kind = "engine-rot"
 	// RequestsCrash repeatedly sends a request that crashes each upstream that starts it.
@@ -80,7 +84,7 @@
 	RouterStop, RouterKill, RouterFreeze, RouterReload, LoaderStop, LoaderKill, LoaderFreeze, AllKill,
 	StoreDown, StoreUnresponsive, StoreSlow, StoreRefuse, StoreDropResponses, StoreDropHistory, StoreBlockRouter,
 	LinkDelay, LinkReset, LinkOneWay, LinkUnresponsive, LinkNarrow,
-	UpstreamCrash, UpstreamLeave, UpstreamShed, UpstreamFail, UpstreamHang, UpstreamReset, UpstreamCut, UpstreamSurplus, UpstreamLimited, EngineCorrupt,
+	UpstreamCrash, UpstreamLeave, UpstreamShed, UpstreamFail, UpstreamHang, UpstreamReset, UpstreamCut, UpstreamSurplus, UpstreamLimited, UpstreamLeaveUnrecorded, UpstreamPause, EngineCorrupt,
 	RequestsCrash, EntriesCorrupt,
 	OriginDown, OriginCorrupt, OriginSlow,
 	Configure, Configure, Version, Version,
