--- a/cli/internal/soak/inject.go
+++ b/cli/internal/soak/inject.go
@@ -52,14 +52,8 @@
 		f.crash(host, duration)
 	case step.Kind == UpstreamLeave:
 		f.leave(host)
-	case step.Kind == UpstreamLeaveUnrecorded:
-		f.leaveUnrecorded(host)
-	case step.Kind == UpstreamPause:
-		f.pauseUpstream(host, step)
 	case step.Kind == RequestsCrash:
 		f.sendCrashing(duration)
-	case step.Kind == UpstreamLimited:
-		f.limitUpstream(host, step)
 	case step.Kind == EntriesCorrupt:
 		f.corruptEntry(host, step.Target, duration)
 	case step.Kind == EngineCorrupt:
@@ -67,7 +61,21 @@
 			engine.currentUpstream().CorruptStagedChunk()
 		})
 	default:
-		f.injectFor(step.Kind, host.address.String(), duration, func(on bool) { host.currentUpstream().SetFault(upstreamFault(step, on)) })
+		f.injectUpstream(step, host)
+	}
+}
+
+// injectUpstream changes what the responses of an upstream state, or makes a share of them fail.
+func (f *fleet) injectUpstream(step Step, host *host) {
+	switch step.Kind {
+	case UpstreamLimited:
+		f.limitUpstream(host, step)
+	case UpstreamLeaveUnrecorded:
+		f.leaveUnrecorded(host)
+	case UpstreamPause:
+		f.pauseUpstream(host, step)
+	default:
+		f.injectFor(step.Kind, host.address.String(), time.Duration(step.For), func(on bool) { host.currentUpstream().SetFault(upstreamFault(step, on)) })
 	}
 }
 
--- a/daemon/router/recorder.go
+++ b/daemon/router/recorder.go
@@ -31,8 +31,13 @@
 	maxLimitLines = 20
 )
 
-// fieldDecision is the log field that names the kind of decision.
-const fieldDecision = "decision"
+// Names of log fields.
+const (
+	fieldDecision = "decision" // the kind of decision
+	fieldRequest  = "request"  // the ID of the request
+	fieldUpstream = "upstream" // the ID of the upstream
+	fieldAddress  = "address"
+)
 
 // recorder writes the router's log lines and metrics.
 type recorder struct {
@@ -75,7 +80,7 @@
 	}
 	r.logSuppressed()
 	fields := log.Fields{
-		fieldDecision: "route", "request": trace.ID, "route": trace.Route, "service": trace.Service, "account": trace.Account,
+		fieldDecision: "route", fieldRequest: trace.ID, "route": trace.Route, "service": trace.Service, "account": trace.Account,
 		"outcome": trace.Outcome, "status": trace.Status, "tries": trace.Attempts, "configuration": trace.Configuration,
 		"took": clock.Since(trace.Started).Round(time.Microsecond).String(),
 	}
@@ -116,8 +121,8 @@
 		return
 	}
 	r.log.WithFields(log.Fields{
-		fieldDecision: "witness", "request": disconnect.Request, "content": disconnect.Content, "upstream": disconnect.Upstream.ID,
-		"address": disconnect.Upstream.Address, "ended": crashed, "after": disconnect.After.Round(time.Millisecond).String(),
+		fieldDecision: "witness", fieldRequest: disconnect.Request, "content": disconnect.Content, fieldUpstream: disconnect.Upstream.ID,
+		fieldAddress: disconnect.Upstream.Address, "ended": crashed, "after": disconnect.After.Round(time.Millisecond).String(),
 	}).Info("connection to upstream broke")
 }
 
@@ -184,7 +189,7 @@
 		return
 	}
 	r.log.WithFields(log.Fields{
-		"request": report.Request, "upstream": report.Upstream.ID, "address": report.Upstream.Address, "limit": report.Limit.String(),
+		fieldRequest: report.Request, fieldUpstream: report.Upstream.ID, fieldAddress: report.Upstream.Address, "limit": report.Limit.String(),
 	}).Warn("cannot parse limit of an upstream; keeping the last valid one")
 }
 
@@ -212,7 +217,7 @@
 		return
 	}
 	r.log.WithFields(log.Fields{
-		fieldDecision: "availability", "upstream": report.Upstream.ID, "address": report.Upstream.Address, "request": report.Request, "from": sourceLocal,
+		fieldDecision: "availability", fieldUpstream: report.Upstream.ID, fieldAddress: report.Upstream.Address, fieldRequest: report.Request, "from": sourceLocal,
 	}).WithFields(change).Info("availability of an upstream changed")
 }
 
@@ -223,7 +228,7 @@
 		return
 	}
 	r.log.WithFields(log.Fields{
-		"request": report.Request, "upstream": report.Upstream.ID, "address": report.Upstream.Address, "values": report.Invalid,
+		fieldRequest: report.Request, fieldUpstream: report.Upstream.ID, fieldAddress: report.Upstream.Address, "values": report.Invalid,
 	}).Warn("cannot parse what an upstream states about itself; ignoring it")
 }
 
@@ -235,14 +240,14 @@
 		return
 	}
 	fields := log.Fields{
-		fieldDecision: "limit", "upstream": update.upstream.ID, "address": update.upstream.Address,
+		fieldDecision: "limit", fieldUpstream: update.upstream.ID, fieldAddress: update.upstream.Address,
 		"limit": limitText(update.change.Current), "before": limitText(update.change.Previous), "from": update.from,
 	}
 	if update.peer.IsValid() {
 		fields["peer"] = update.peer
 	}
 	if update.request != "" {
-		fields["request"] = update.request
+		fields[fieldRequest] = update.request
 	}
 	r.log.WithFields(fields).Info("limit of an upstream changed")
 }
@@ -307,7 +312,7 @@
 		fields["routes"] = len(record.Configuration.Routes)
 		fields["accounts"] = len(record.Configuration.Accounts)
 	case record.Upstream != nil:
-		fields["service"], fields["address"] = record.Upstream.Service, record.Upstream.Address
+		fields["service"], fields[fieldAddress] = record.Upstream.Service, record.Upstream.Address
 		fields["leaving"], fields["models"] = record.Upstream.Leaving, record.Upstream.Models
 		if !record.Upstream.Started.IsZero() {
 			fields["started"] = record.Upstream.Started
