Order the store's changes by era, then by revision

What callers saw: requests were handled by configurations that were two or three changes and over 3 s behind, and reached an upstream 2.2 s after it had acknowledged that it leaves.

Cause: the store was restored from a copy and gave out revisions again. Replicas order states by the revision alone, so they dropped each change whose revision was not above the one that they held of the key, until the counter had passed it.

Why this works: provider.Revision holds the era, which the store states in all its responses, above the store's number. Whatever compares, caches or encodes revisions keeps its order across a restore: replicas, tombstones, updates between peers, the created-last rule and fencing tokens. A watch whose era differs lists again, a probe beside a watch shows a new era, and a table drops entries of an earlier one. A stale answer may have content from before the restore, so it never begins an era and does not count for 10 s after one began.

The copy is older than what is in force, and that must not be taken back: the compiled view keeps the configuration and the version of a model with the higher number of their own, and an upstream of the same run stays leaving. A version that is written again keeps its deadline.

Followers of an earlier build are refused the replica once there is an era, since they would ask the store for a revision that it does not have; they read the store themselves.

Rejected: a struct of era and number, which every comparison, cache key and message between peers would have to carry.

--- a/daemon/internal/connection/peering/neighbours.go
+++ b/daemon/internal/connection/peering/neighbours.go
@@ -45,6 +45,9 @@
 	// DeferStoreRead reports whether not to read the store yet after Choose has returned
 	// false. Nil means never.
 	DeferStoreRead func() bool
+	// MinEra returns the era of the store below which the replica of a neighbour is stale. Nil means
+	// that none is.
+	MinEra func() uint64
 	// OnBackoff is called when a neighbour enters backoff. It may be nil.
 	OnBackoff func(neighbour netip.AddrPort, reason error)
 	// Now is the clock; nil means clock.Now.
@@ -94,6 +97,9 @@
 	if err == nil && update.Revision == 0 {
 		return update, fmt.Errorf("fetch update from neighbour %s: %w", neighbour, errStarting)
 	}
+	if minEra := n.minEra(); err == nil && update.Revision.Era() < minEra {
+		return update, fmt.Errorf("fetch update from neighbour %s: era %d of the store, now %d: %w", neighbour, update.Revision.Era(), minEra, replica.ErrStale)
+	}
 	if err == nil && update.Stale() {
 		err = fmt.Errorf("fetch update from neighbour %s: last data from the store %s ago, disconnected %t: %w",
 			neighbour, update.SinceData.Round(time.Millisecond), update.Disconnected, replica.ErrStale)
@@ -101,6 +107,13 @@
 	return update, err
 }
 
+func (n *Neighbours) minEra() uint64 {
+	if n.MinEra == nil {
+		return 0
+	}
+	return n.MinEra()
+}
+
 // FetchEngine fetches the part of the configuration for an engine's service from a neighbour.
 func (n *Neighbours) FetchEngine(ctx context.Context, service string) (VersionedEngineConfig, error) {
 	neighbour, ok := n.Choose(n.usable)
--- a/daemon/internal/connection/peering/peering.go
+++ b/daemon/internal/connection/peering/peering.go
@@ -40,6 +40,10 @@
 // Callers of earlier versions omit it.
 const formPacked = "packed"
 
+// erasParam is the query parameter of callers that order revisions by era. An earlier version would
+// pass a revision of a later era on to the store, which does not have it, and be stuck there.
+const erasParam = "eras"
+
 const (
 	// maxResponse bounds a response, in bytes.
 	maxResponse = 32 << 20
@@ -116,6 +120,10 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if !req.eras && (req.wait > 0 || req.packed) && s.Status().Revision.Era() > 0 {
+		http.Error(w, "the caller does not support eras of the store", http.StatusServiceUnavailable)
+		return
+	}
 	resp, ok := s.await(r.Context(), req)
 	if !ok {
 		return
@@ -182,6 +190,8 @@
 	wait   time.Duration
 	// packed requests the entries packed together.
 	packed bool
+	// eras states that the caller orders revisions by era.
+	eras bool
 }
 
 func parse(query url.Values) (request, error) {
@@ -197,12 +207,12 @@
 	}
 	wait = min(max(wait, 0), maxWait)
 	packed := query.Get("form") == formPacked
-	return request{prefix: query.Get("prefix"), after: provider.Revision(after), wait: wait, packed: packed}, nil
+	return request{prefix: query.Get("prefix"), after: provider.Revision(after), wait: wait, packed: packed, eras: query.Get(erasParam) != ""}, nil
 }
 
 // url returns the URL of the call to a peer.
 func (r request) url(peer netip.AddrPort) string {
-	query := url.Values{"after": {strconv.FormatUint(uint64(r.after), 10)}}
+	query := url.Values{"after": {strconv.FormatUint(uint64(r.after), 10)}, erasParam: {"1"}}
 	if r.prefix != "" {
 		query.Set("prefix", r.prefix)
 	}
--- a/daemon/internal/process/replica/follower.go
+++ b/daemon/internal/process/replica/follower.go
@@ -90,6 +90,9 @@
 	// OnConnectionChange is called with the error when calls to the store begin to fail, and
 	// with nil when the store answers again. It may be nil.
 	OnConnectionChange func(prefix string, err error)
+	// OnRestore is called with the new era when an answer shows that the store was restored from
+	// a copy, before the answer's entries are applied. It may be nil.
+	OnRestore func(era uint64)
 	// OnBytes is called with the number of bytes of each part of an answer. It may be nil.
 	OnBytes func(bytes int)
 	// Now is the clock; nil means clock.Now.
@@ -98,6 +101,11 @@
 	// revision is the revision up to which the replica is complete, or 0. It never
 	// decreases.
 	revision atomic.Uint64
+	// era is the newest era of any answer, valid if eraKnown is set, and restoredAt is when it
+	// began, in nanoseconds since start, 0 for the first era.
+	era        atomic.Uint64
+	eraKnown   atomic.Bool
+	restoredAt atomic.Int64
 	// compactions counts the watches for which the history was compacted since one succeeded.
 	compactions int
 	// relist is set if changes may have been missed, so that the prefix must be listed.
@@ -233,11 +241,11 @@
 func (f *Follower) listBootstrapPrefix(ctx context.Context, prefix string) error {
 	ctx, end := initialReadLimit.Context(ctx)
 	defer end()
-	listing, err := f.Store.ListStale(ctx, prefix)
+	listing, complete, err := f.listStale(ctx, prefix)
 	if err != nil {
 		return timeout.Explain(ctx, err)
 	}
-	f.Table.Replace(prefix, listing)
+	f.applyList(prefix, listing, complete)
 	return nil
 }
 
@@ -329,7 +337,7 @@
 	ctx, end := readLimit(wait).Context(ctx)
 	defer end()
 	changes, err := f.Store.Watch(ctx, f.Prefix, f.Revision(), wait)
-	if cause := context.Cause(ctx); errors.Is(cause, errProbeFailed) || errors.Is(cause, errMissedChange) {
+	if cause := context.Cause(ctx); errors.Is(cause, errProbeFailed) || errors.Is(cause, errMissedChange) || errors.Is(cause, provider.ErrRestored) {
 		return changes, errors.Join(err, cause)
 	}
 	return changes, timeout.Explain(ctx, err)
@@ -364,21 +372,20 @@
 	}
 	ctx, end := limit.Context(ctx)
 	defer end()
-	list := f.Store.List
-	if initial && f.StaleFirstList || f.PollInterval != nil {
-		list = f.Store.ListStale
-	}
-	listing, err := list(ctx, f.Prefix)
+	listing, complete, err := f.readList(ctx, initial && f.StaleFirstList || f.PollInterval != nil)
 	if err != nil {
 		return listing, timeout.Explain(ctx, err)
 	}
 	f.recordAnswer(0, 0)
 	f.hops.Store(0)
-	f.Table.Replace(f.Prefix, listing)
+	f.observeEra(listing.Revision)
+	f.applyList(f.Prefix, listing, complete)
 	if f.relist || f.Revision() == 0 {
 		f.generation.Add(1)
 	}
-	f.advance(listing.Revision)
+	if complete {
+		f.advance(listing.Revision)
+	}
 	f.relist = false
 	f.listBytes = 0
 	for _, entry := range listing.Entries {
@@ -387,6 +394,19 @@
 	return listing, nil
 }
 
+// readList lists the prefix, from an answer that may be stale if that suffices. An empty replica
+// needs a complete one.
+func (f *Follower) readList(ctx context.Context, stale bool) (listing provider.Listing, complete bool, err error) {
+	if stale {
+		listing, complete, err = f.listStale(ctx, f.Prefix)
+		if err != nil || complete || f.Revision() > 0 {
+			return listing, complete, err
+		}
+	}
+	listing, err = f.Store.List(ctx, f.Prefix)
+	return listing, true, err
+}
+
 // recordAnswer records an answer of the store, which was given answerAge ago and whose
 // last part arrived dataAge ago. It is called before the answer's entries are applied,
 // because how a removal is treated depends on whether the store was unreachable.
--- a/daemon/internal/process/replica/peer.go
+++ b/daemon/internal/process/replica/peer.go
@@ -130,6 +130,7 @@
 // revision up to which this replica is complete. It returns the number of new entries
 // and may be called concurrently with a call to the store.
 func (f *Follower) ApplyUpdate(update Update) int {
+	f.observeEra(newestOf(update))
 	applied := 0
 	if update.After == 0 && update.Revision > 0 {
 		applied = f.Table.Replace(f.Prefix, provider.Listing{Entries: update.Entries, Revision: update.Revision})
--- a/daemon/internal/process/replica/probe.go
+++ b/daemon/internal/process/replica/probe.go
@@ -122,7 +122,7 @@
 func (f *Follower) recheckOnce(ctx context.Context) (provider.Listing, error) {
 	ctx, end := readLimit(0).Context(provider.WithProgress(ctx, f.countBytes))
 	defer end()
-	listing, err := f.Store.ListStale(ctx, f.Prefix)
+	listing, _, err := f.listStale(ctx, f.Prefix)
 	return listing, timeout.Explain(ctx, err)
 }
 
@@ -131,25 +131,28 @@
 // store is reachable and may finish however long it takes.
 func (f *Follower) probe(ctx context.Context) error {
 	for helpers.Pause(f.ProbeInterval, ctx.Done()) {
-		err := f.probeOnce(ctx)
+		revision, err := f.probeOnce(ctx)
 		done := ctx.Err() != nil || f.currentData.Load() != 0
 		switch {
 		case done:
 			return nil
 		case err != nil:
 			return fmt.Errorf("%w: %w", errProbeFailed, err)
+		case revision.Era() > f.Revision().Era():
+			return provider.ErrRestored // a watch that waits may never be answered then
 		}
 		f.recordAnswer(0, 0)
 	}
 	return nil
 }
 
-// probeOnce lists a small prefix to check that the store answers.
-func (f *Follower) probeOnce(ctx context.Context) error {
+// probeOnce lists a small prefix to check that the store answers, and returns the revision that
+// the answer states.
+func (f *Follower) probeOnce(ctx context.Context) (provider.Revision, error) {
 	ctx, end := readLimit(0).Context(provider.WithProgress(ctx, f.countBytes))
 	defer end()
-	_, err := f.Store.ListStale(ctx, f.ProbePrefix)
-	return timeout.Explain(ctx, err)
+	listing, err := f.Store.ListStale(ctx, f.ProbePrefix)
+	return listing.Revision, timeout.Explain(ctx, err)
 }
 
 // countBytes reports received bytes to OnBytes. It does not mark the store as reachable:
--- a/daemon/internal/process/replica/table.go
+++ b/daemon/internal/process/replica/table.go
@@ -4,7 +4,9 @@
 //
 // The store's revision is the only order: for each key the highest revision wins, whether
 // a watch, a list or a peer delivers it. So updates may arrive late, repeatedly and out of
-// order, and no superseded state is restored.
+// order, and no superseded state is restored. A revision includes the store's era, so that the
+// order holds when the store is restored from a copy. The copy may be older than what is in force
+// here: what only ever goes forward, the compiled View does not take back.
 //
 // Removals are kept as tombstones for tombstoneRetention, because a peer's older replica
 // must not restore a removed entry.
@@ -37,6 +39,10 @@
 	entries map[string]stored
 	// newest is the highest revision of any entry.
 	newest provider.Revision
+	// newestEra is the newest era of any entry or listing, and eraBegan when it was first received,
+	// zero during the first era.
+	newestEra uint64
+	eraBegan  time.Time
 	// changed is closed at the next change; nil while no caller waits for one.
 	changed chan struct{}
 	// changes counts the changes.
@@ -79,6 +85,7 @@
 	}
 	update := listing.Entries
 	t.mu.Lock()
+	t.advanceEra(listing.Revision.Era())
 	for key, entry := range t.entries {
 		if strings.HasPrefix(key, prefix) && !present[key] && !entry.Deleted && entry.Revision <= listing.Revision {
 			update = append(update, provider.Entry{Key: key, Revision: listing.Revision, Deleted: true})
@@ -89,7 +96,8 @@
 }
 
 // merge stores entries that are newer than the table's, drops old tombstones and returns
-// the new entries.
+// the new entries. It ignores entries of an earlier era, since the store may have lost them and
+// the table need not have a tombstone.
 func (t *Table) merge(entries []provider.Entry) []provider.Entry {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -100,10 +108,11 @@
 	var applied []provider.Entry
 	for _, entry := range entries {
 		current, ok := t.entries[entry.Key]
-		if ok && entry.Revision <= current.Revision {
+		if ok && entry.Revision <= current.Revision || entry.Revision.Era() < t.newestEra {
 			continue
 		}
 		t.entries[entry.Key] = stored{entry, now}
+		t.advanceEra(entry.Revision.Era())
 		t.newest = max(t.newest, entry.Revision)
 		applied = append(applied, entry)
 	}
@@ -122,6 +131,17 @@
 	return applied
 }
 
+// advanceEra records an era that was received. The caller holds mu.
+func (t *Table) advanceEra(era uint64) {
+	if era <= t.newestEra {
+		return
+	}
+	if t.newest > 0 {
+		t.eraBegan = clock.Now()
+	}
+	t.newestEra = era
+}
+
 // Changed returns a channel that is closed at the next change.
 func (t *Table) Changed() <-chan struct{} {
 	t.mu.Lock()
--- a/daemon/internal/process/replica/view.go
+++ b/daemon/internal/process/replica/view.go
@@ -115,6 +115,9 @@
 	// because its upstream could not reach the store. Nil means never. Such an upstream stays
 	// in use for expiryGrace, after which the owner of the compiler must call Apply.
 	MayHaveExpired func() bool
+	// OnSuperseded is called for each entry of a restored store that is older than what is in
+	// force, which stays. It may be nil.
+	OnSuperseded func(provider.Entry)
 	// Now is the clock; nil means clock.Now.
 	Now func() time.Time
 
@@ -127,6 +130,9 @@
 	evacuated map[string]string
 	// expired holds upstreams whose entry expired recently, by key.
 	expired map[string]expiredUpstream
+	// left holds when each upstream that is known to be leaving was last seen in that state, by
+	// run, so that no older record makes it ready again.
+	left map[upstreamRun]time.Time
 	// synced is set once any entry other than a router's was applied. Routers' records are
 	// read first and do not mark the start of the replica.
 	synced bool
@@ -137,6 +143,15 @@
 // keeps serving for as long after its entry is removed.
 const expiryGrace = 1500 * time.Millisecond
 
+// leftRetention is how long it is kept that an upstream is leaving after its entry was last seen.
+const leftRetention = 15 * time.Minute
+
+// upstreamRun identifies one run of an upstream.
+type upstreamRun struct {
+	id      string
+	started int64
+}
+
 // registeredUpstream is an upstream and the revision that created its entry.
 type registeredUpstream struct {
 	*provider.Upstream
@@ -176,6 +191,7 @@
 		c.members = map[string]*provider.Member{}
 		c.expired = map[string]expiredUpstream{}
 		c.evacuated = map[string]string{}
+		c.left = map[upstreamRun]time.Time{}
 	}
 	next := *c.View()
 	for _, entry := range changed {
@@ -215,6 +231,11 @@
 			delete(c.expired, key)
 		}
 	}
+	for run, seen := range c.left {
+		if c.now().Sub(seen) > leftRetention {
+			delete(c.left, run)
+		}
+	}
 }
 
 // upstreamsByAddress returns the upstream at each address. Of several entries for one
@@ -241,6 +262,7 @@
 func (c *Compiler) applyEntry(next *View, entry provider.Entry) {
 	if entry.Deleted {
 		c.keepExpired(entry.Key)
+		c.forgetLeft(entry.Key)
 		delete(c.upstreams, entry.Key)
 		delete(c.members, entry.Key)
 		delete(c.evacuated, entry.Key)
@@ -255,17 +277,17 @@
 	}
 	switch {
 	case record.Configuration != nil:
-		next.ConfigurationRevision = entry.Revision
-		next.setConfiguration(record.Configuration)
+		c.applyConfiguration(next, entry, record.Configuration)
 	case record.EvacuatedHall != "":
 		c.evacuated[entry.Key] = record.EvacuatedHall
 	case record.Upstream != nil:
 		if record.Upstream.ColdFor > 0 {
 			record.Upstream.ColdUntil = c.now().Add(record.Upstream.ColdFor)
 		}
+		c.keepLeaving(record.Upstream)
 		c.upstreams[entry.Key] = registeredUpstream{record.Upstream, helpers.OrDefault(entry.CreateRevision, entry.Revision)}
 	case record.Target != nil:
-		c.targets[entry.Key] = c.declare(entry, *record.Target)
+		c.applyTarget(entry, *record.Target)
 	case record.Member != nil:
 		c.members[entry.Key] = record.Member
 	case record.Suspect != nil && c.OnSuspect != nil:
@@ -296,6 +318,59 @@
 	}
 }
 
+// keepLeaving marks an upstream as leaving if an earlier record of the same run did.
+func (c *Compiler) keepLeaving(upstream *provider.Upstream) {
+	run := runOf(upstream)
+	if _, left := c.left[run]; left || upstream.Leaving {
+		upstream.Leaving = true
+		c.left[run] = c.now()
+	}
+}
+
+// forgetLeft forgets that an upstream was leaving whose entry is removed and does not tell when it
+// started: an entry under the same key may be that of a later run.
+func (c *Compiler) forgetLeft(key string) {
+	if upstream, ok := c.upstreams[key]; ok && upstream.Started.IsZero() {
+		delete(c.left, runOf(upstream.Upstream))
+	}
+}
+
+func runOf(upstream *provider.Upstream) upstreamRun {
+	return upstreamRun{id: upstream.ID, started: upstream.Started.UnixNano()}
+}
+
+// supersede reports an entry that is older than what is in force.
+func (c *Compiler) supersede(entry provider.Entry) {
+	if c.OnSuperseded != nil {
+		c.OnSuperseded(entry)
+	}
+}
+
+// applyConfiguration applies a configuration unless a later one is in force.
+func (c *Compiler) applyConfiguration(next *View, entry provider.Entry, configuration *provider.Configuration) {
+	if next.Configuration != nil && configuration.Version < next.Configuration.Version {
+		c.supersede(entry)
+		return
+	}
+	next.ConfigurationRevision = entry.Revision
+	next.setConfiguration(configuration)
+}
+
+// applyTarget applies a declared version. A version that is written again keeps the time at which it
+// was declared, by which its deadlines run.
+func (c *Compiler) applyTarget(entry provider.Entry, target provider.Target) {
+	current, ok := c.targets[entry.Key]
+	switch {
+	case ok && target.Model == current.Model && target.Version < current.Version:
+		c.supersede(entry)
+	case ok && target == current.Target:
+		current.Revision = entry.Revision
+		c.targets[entry.Key] = current
+	default:
+		c.targets[entry.Key] = c.declare(entry, target)
+	}
+}
+
 func (c *Compiler) now() time.Time { return helpers.Now(c.Now) }
 
 // HasExpired reports whether upstreams whose entries expired are in use. It must not be
--- a/daemon/loader/events.go
+++ b/daemon/loader/events.go
@@ -21,7 +21,7 @@
 // logDeclaration logs a change of the declared version. Changes of other hosts' engines are
 // logged by the routers.
 func (p *Process) logDeclaration(change replica.EntryChange) {
-	fields := log.Fields{fieldDecision: "believe", "key": change.Entry.Key, "revision": change.Entry.Revision}
+	fields := log.Fields{fieldDecision: "believe", "key": change.Entry.Key, "revision": change.Entry.Revision.Number(), "era": change.Entry.Revision.Era()}
 	switch target := change.Record.Target; {
 	case change.Err != nil:
 		fields["reason"] = change.Err.Error()
@@ -32,6 +32,13 @@
 	}
 }
 
+// logSuperseded logs a declaration of a restored store that is older than the one in force.
+func (p *Process) logSuperseded(entry provider.Entry) {
+	p.log.WithFields(log.Fields{
+		fieldDecision: "believe", "key": entry.Key, "revision": entry.Revision.Number(), "era": entry.Revision.Era(),
+	}).Warn("store entry is older than what is in force; keeping that")
+}
+
 // publishReport publishes the engine's report to the routers and to the ledger of places.
 func (p *Process) publishReport(report provider.EngineReport, err error) {
 	if err != nil {
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -147,7 +147,7 @@
 	p.ledger.OnRateLimitChange = p.logLimit
 	hostClient := &http.Client{Transport: dial.NewHostTransport(options.Dial, originIdleTimeout)}
 	p.provider = options.Provider(s.Store, p.client, hostClient)
-	p.compiler = &replica.Compiler{Decode: p.provider.Decode, OnEntryChange: p.logDeclaration}
+	p.compiler = &replica.Compiler{Decode: p.provider.Decode, OnEntryChange: p.logDeclaration, OnSuperseded: p.logSuperseded}
 	p.table.OnChange = p.compiler.Apply
 	p.routerClient = p.newRouterClient()
 	p.routerClient.DeferStoreRead = p.starting
@@ -195,7 +195,7 @@
 
 // newRouterClient returns a client of this hall's routers for one follower.
 func (p *Process) newRouterClient() *peering.Neighbours {
-	return &peering.Neighbours{Client: p.client, Choose: p.chooseRouter, OnBackoff: p.telemetry.LogNeighbourBackoff}
+	return &peering.Neighbours{Client: p.client, Choose: p.chooseRouter, MinEra: p.table.Era, OnBackoff: p.telemetry.LogNeighbourBackoff}
 }
 
 // routersDelay returns the delay before the hall's routers are listed again, which is short
--- a/daemon/provider/provider.go
+++ b/daemon/provider/provider.go
@@ -13,18 +13,41 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/netip"
 	"time"
 )
 
-// Revision numbers the changes of the store in ascending order.
+// Revision orders the changes of the store: first by era, then by the number that the store gives
+// to a change. An era ends when the store is restored from a copy, after which it gives out numbers
+// again. Both are in one integer, so that whatever compares, encodes or caches revisions keeps
+// their order across a restore.
 type Revision uint64
 
+// eraShift is the number of bits of a revision's number. The eras that fit beside it without loss in
+// a JSON number of other languages outlast any store.
+const eraShift = 44
+
+// NewRevision returns the revision of a change in an era.
+func NewRevision(era, number uint64) Revision { return Revision(era<<eraShift | number) }
+
+// Era returns the era of the change, 0 if the store states none.
+func (r Revision) Era() uint64 { return uint64(r) >> eraShift }
+
+// Number returns the number that the store gave to the change.
+func (r Revision) Number() uint64 { return uint64(r) & (1<<eraShift - 1) }
+
+// InEra returns the revision with the same number in another era.
+func (r Revision) InEra(era uint64) Revision { return NewRevision(era, r.Number()) }
+
 // Errors that are wrapped by the errors of the functions of a Store.
 var (
 	// ErrCompacted reports that the requested history has been compacted; the caller must list
 	// again.
 	ErrCompacted = errors.New("the history after this revision has been compacted")
+	// ErrRestored reports that the store was restored from a copy and the revision belongs to
+	// another era. It wraps ErrCompacted, since the caller must list again as well.
+	ErrRestored = fmt.Errorf("the store was restored from a copy: %w", ErrCompacted)
 	// ErrConflict reports that a condition of a transaction does not hold.
 	ErrConflict = errors.New("a condition of the transaction does not hold")
 	// ErrLeaseExpired reports that a lease has expired.
--- a/daemon/router/recorder.go
+++ b/daemon/router/recorder.go
@@ -18,6 +18,7 @@
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/dispatch"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/quarantine"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/ratelimit"
+	"github.com/wheelcleat/wheelcleat/daemon/provider"
 	"github.com/wheelcleat/wheelcleat/daemon/settings"
 )
 
@@ -81,7 +82,7 @@
 	r.logSuppressed()
 	fields := log.Fields{
 		fieldDecision: "route", fieldRequest: trace.ID, "route": trace.Route, "service": trace.Service, "account": trace.Account,
-		"outcome": trace.Outcome, "status": trace.Status, "tries": trace.Attempts, "configuration": trace.Configuration,
+		"outcome": trace.Outcome, "status": trace.Status, "tries": trace.Attempts, "configuration": trace.Configuration.Number(),
 		"took": clock.Since(trace.Started).Round(time.Microsecond).String(),
 	}
 	if !trace.FirstByte.IsZero() {
@@ -292,7 +293,10 @@
 // entryApplied logs a change of the replica, or an entry that was rejected.
 func (r *recorder) entryApplied(change replica.EntryChange) {
 	fields := log.Fields{
-		fieldDecision: "believe", "key": change.Entry.Key, "revision": change.Entry.Revision, "bytes": len(change.Entry.Value),
+		fieldDecision: "believe", "key": change.Entry.Key, "revision": change.Entry.Revision.Number(), "bytes": len(change.Entry.Value),
+	}
+	if era := change.Entry.Revision.Era(); era > 0 {
+		fields["era"] = era
 	}
 	record := change.Record
 	switch {
@@ -339,6 +343,20 @@
 	}
 }
 
+// storeRestored logs that the store was restored from a copy.
+func (r *recorder) storeRestored(era uint64) {
+	r.scope.Counter("store_restored").Inc(1)
+	r.log.WithFields(log.Fields{fieldDecision: "believe", "dependency": "store", "era": era}).Warn("the store was restored from a copy")
+}
+
+// entrySuperseded logs an entry of a restored store that is older than what is in force.
+func (r *recorder) entrySuperseded(entry provider.Entry) {
+	r.scope.Counter("entries_superseded").Inc(1)
+	r.log.WithFields(log.Fields{
+		fieldDecision: "believe", "key": entry.Key, "revision": entry.Revision.Number(), "era": entry.Revision.Era(),
+	}).Warn("store entry is older than what is in force; keeping that")
+}
+
 // storeBytes counts bytes received from the store, including those of aborted answers.
 func (r *recorder) storeBytes(bytes int) { r.scope.Counter("store_bytes").Inc(int64(bytes)) }
 
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -146,7 +146,10 @@
 	p.current.Store(&s)
 	client := &http.Client{Transport: dial.NewHostTransport(options.Dial, storeIdleTimeout)}
 	p.provider = options.Provider(s.Store, client, client)
-	p.compiler = &replica.Compiler{Decode: p.provider.Decode, OnEntryChange: p.recorder.entryApplied, MayHaveExpired: p.expiryUnreliable, OnSuspect: p.applyStoredSuspect}
+	p.compiler = &replica.Compiler{
+		Decode: p.provider.Decode, OnEntryChange: p.recorder.entryApplied, OnSuperseded: p.recorder.entrySuperseded,
+		MayHaveExpired: p.expiryUnreliable, OnSuspect: p.applyStoredSuspect,
+	}
 	p.table.OnChange = p.applyChanges
 	p.loadReader = &loadfeed.Reader{Client: client, OnState: p.applyLoad}
 	p.placeClient = &places.Client{Client: client}
@@ -158,12 +161,12 @@
 // initReplication prepares the store follower, the fallback to peers and the announcement of this
 // router.
 func (p *Process) initReplication(client *http.Client) {
-	p.neighbours = &peering.Neighbours{Client: client, Choose: p.neighbourToFollow, DeferStoreRead: p.defersStoreRead, OnBackoff: p.telemetry.LogNeighbourBackoff}
+	p.neighbours = &peering.Neighbours{Client: client, Choose: p.neighbourToFollow, DeferStoreRead: p.defersStoreRead, MinEra: p.table.Era, OnBackoff: p.telemetry.LogNeighbourBackoff}
 	own := p.memberRecord()
 	shardPrefix, hallPrefix := p.provider.Prefixes.MembersOfHall(own.Hall, own.Shard), p.provider.Prefixes.MembersOfHall(own.Hall, "")
 	p.follower = &replica.Follower{
 		Store: p.provider.Store, Prefix: p.provider.Prefixes.Root, Table: p.table, OnConnectionChange: p.recorder.storeConnectionChanged,
-		OnBytes: p.recorder.storeBytes, Debounce: p.debounce, ProbeInterval: storeProbeInterval, ProbePrefix: p.provider.Prefixes.Versions,
+		OnBytes: p.recorder.storeBytes, OnRestore: p.recorder.storeRestored, Debounce: p.debounce, ProbeInterval: storeProbeInterval, ProbePrefix: p.provider.Prefixes.Versions,
 		QueryPeer: p.neighbours.FetchUpdate, BootstrapPrefixes: []string{shardPrefix, hallPrefix}, BootstrapRecent: p.hallDiscovered, BootstrapDone: p.followsPeer,
 	}
 	p.puller = &peering.Puller{
