Write a router's own entries again after the store was restored

What operators saw: routers without a record in the store, so that others did not find them.

Cause: a restore loses what a router has written since the copy, and its lease. The router renews the lease every 12 s and writes only when that fails. The store gives out lease ids again, so that the renewal may succeed for ever on a lease that belongs to another process, and keep that one's entries alive.

--- a/daemon/router/announcer.go
+++ b/daemon/router/announcer.go
@@ -32,7 +32,17 @@
 	onConnectionChange func(prefix string, cause error)
 
 	lease provider.LeaseID
-	tomb  tomb.Tomb
+	// lost receives a value when the record may be lost.
+	lost chan struct{}
+	tomb tomb.Tomb
+}
+
+// announceAgain has the record written again under a new lease.
+func (a *announcer) announceAgain() {
+	select {
+	case a.lost <- struct{}{}:
+	default: // it is due already
+	}
 }
 
 func (a *announcer) start() { a.tomb.Go(a.run) }
@@ -48,11 +58,23 @@
 		if err := a.renew(); err != nil {
 			pause = rand.N(maxAnnounceRetryDelay)
 		}
-		helpers.Pause(pause, a.tomb.Dying())
+		a.pause(pause)
 	}
 	return nil
 }
 
+// pause waits until the next renewal is due. If the record may be lost, it gives up the lease and
+// waits for a part of rewriteSpread.
+func (a *announcer) pause(d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-a.tomb.Dying():
+	case <-a.lost:
+		a.lease = 0
+		helpers.Pause(rand.N(rewriteSpread), a.tomb.Dying())
+	}
+}
+
 // renew renews the lease, or grants a new one and writes the record under it.
 func (a *announcer) renew() error {
 	ctx, cancel := context.WithTimeout(a.tomb.Context(nil), announceTimeout) //nolint:staticcheck // nil asks the tomb for its own context
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -166,13 +166,13 @@
 	shardPrefix, hallPrefix := p.provider.Prefixes.MembersOfHall(own.Hall, own.Shard), p.provider.Prefixes.MembersOfHall(own.Hall, "")
 	p.follower = &replica.Follower{
 		Store: p.provider.Store, Prefix: p.provider.Prefixes.Root, Table: p.table, OnConnectionChange: p.recorder.storeConnectionChanged,
-		OnBytes: p.recorder.storeBytes, OnRestore: p.recorder.storeRestored, Debounce: p.debounce, ProbeInterval: storeProbeInterval, ProbePrefix: p.provider.Prefixes.Versions,
+		OnBytes: p.recorder.storeBytes, OnRestore: p.storeRestored, Debounce: p.debounce, ProbeInterval: storeProbeInterval, ProbePrefix: p.provider.Prefixes.Versions,
 		QueryPeer: p.neighbours.FetchUpdate, BootstrapPrefixes: []string{shardPrefix, hallPrefix}, BootstrapRecent: p.hallDiscovered, BootstrapDone: p.followsPeer,
 	}
 	p.puller = &peering.Puller{
 		Client: client, Follower: p.follower, Peer: p.choosePeer, Needed: p.needsPeerPull, OnPull: p.recorder.peerPulled, FirstPrefix: hallPrefix,
 	}
-	p.announcer = &announcer{store: p.provider.Store, onConnectionChange: p.recorder.storeConnectionChanged, put: p.provider.EncodeMember(own)}
+	p.announcer = &announcer{store: p.provider.Store, onConnectionChange: p.recorder.storeConnectionChanged, put: p.provider.EncodeMember(own), lost: make(chan struct{}, 1)}
 }
 
 // memberRecord returns the record under which this router announces itself.
