Keep upstreams and routers in use whose entries a restore lost

What callers would see: no upstream, or fewer, until these have written their entries again; and each router of a hall alone, so that all read the store.

Cause: an entry that a listing lacks counts as removed unless the store was unreachable shortly before.

Evidence: by the code. The new test needs the new field, so it does not compile on the code before.

Why this works: for 3 s after a new era was noticed a missing entry counts as lost. Its upstream stays in use for 4 s, twice the time in which upstreams write again, and its router for 20 s, since routers spread their writes and may be refused at first. One timer checks what was kept, in place of one for each change.

--- a/daemon/internal/process/replica/restore_test.go
+++ b/daemon/internal/process/replica/restore_test.go
@@ -232,6 +232,41 @@
 	})
 }
 
+// TestEntriesLostInRestoreStayInUse guards against a fleet without upstreams and routers until they
+// have written their entries again.
+func TestEntriesLostInRestoreStayInUse(t *testing.T) {
+	now := time.Unix(1000, 0)
+	lost := false
+	records := map[string]provider.Record{
+		"u": {Upstream: &provider.Upstream{ID: "u", Service: "s"}},
+		"m": {Member: &provider.Member{Name: "m"}},
+	}
+	table := &replica.Table{}
+	compiler := &replica.Compiler{
+		Decode: func(entry provider.Entry) (provider.Record, error) { return records[entry.Key], nil },
+		Now:    func() time.Time { return now }, MayBeLost: func() bool { return lost },
+	}
+	table.OnChange = compiler.Apply
+	inUse := func() (int, int) { return len(compiler.View().Upstreams["s"]), len(compiler.View().Members) }
+	table.Apply([]provider.Entry{{Key: "u", Revision: 1}, {Key: "m", Revision: 2}})
+	lost = true
+	table.Replace("", provider.Listing{Revision: provider.NewRevision(1, 1)})
+	upstreams, members := inUse()
+	assert.Equal(t, 1, upstreams)
+	assert.Equal(t, 1, members)
+	lost = false
+	now = now.Add(5 * time.Second)
+	table.Recompile()
+	upstreams, members = inUse()
+	assert.Zero(t, upstreams)
+	assert.Equal(t, 1, members, "routers write their entries again spread over some seconds")
+	now = now.Add(time.Minute)
+	table.Recompile()
+	_, members = inUse()
+	assert.Zero(t, members)
+	assert.False(t, compiler.HasExpired())
+}
+
 // TestRewrittenVersionKeepsItsDeadline guards against a version whose time to come into force starts
 // again because a restored store has it written again.
 func TestRewrittenVersionKeepsItsDeadline(t *testing.T) {
--- a/daemon/internal/process/replica/view.go
+++ b/daemon/internal/process/replica/view.go
@@ -115,6 +115,10 @@
 	// because its upstream could not reach the store. Nil means never. Such an upstream stays
 	// in use for expiryGrace, after which the owner of the compiler must call Apply.
 	MayHaveExpired func() bool
+	// MayBeLost reports whether an entry that is removed now may be missing only because the store
+	// was restored from a copy, and is about to be written again. Nil means never. Its upstream
+	// stays in use for restoreGrace and its router for memberRestoreGrace.
+	MayBeLost func() bool
 	// OnSuperseded is called for each entry of a restored store that is older than what is in
 	// force, which stays. It may be nil.
 	OnSuperseded func(provider.Entry)
@@ -128,8 +132,10 @@
 	members   map[string]*provider.Member
 	// evacuated holds the evacuated halls, which get no requests, by key.
 	evacuated map[string]string
-	// expired holds upstreams whose entry expired recently, by key.
-	expired map[string]expiredUpstream
+	// expired holds upstreams whose entry expired recently, by key, and lostMembers the routers
+	// whose entry was lost in a restore.
+	expired     map[string]expiredUpstream
+	lostMembers map[string]lostMember
 	// left holds when each upstream that is known to be leaving was last seen in that state, by
 	// run, so that no older record makes it ready again.
 	left map[upstreamRun]time.Time
@@ -143,6 +149,14 @@
 // keeps serving for as long after its entry is removed.
 const expiryGrace = 1500 * time.Millisecond
 
+// restoreGrace is how long an upstream stays in use after its entry was lost in a restore. Upstreams
+// write their entries again within about two seconds. memberRestoreGrace is the same for routers,
+// which write theirs again spread over some seconds.
+const (
+	restoreGrace       = 4 * time.Second
+	memberRestoreGrace = 20 * time.Second
+)
+
 // leftRetention is how long it is kept that an upstream is leaving after its entry was last seen.
 const leftRetention = 15 * time.Minute
 
@@ -152,6 +166,12 @@
 	started int64
 }
 
+// lostMember is a router whose entry was lost in a restore, and until when it stays in use.
+type lostMember struct {
+	*provider.Member
+	until time.Time
+}
+
 // registeredUpstream is an upstream and the revision that created its entry.
 type registeredUpstream struct {
 	*provider.Upstream
@@ -191,6 +211,7 @@
 		c.members = map[string]*provider.Member{}
 		c.expired = map[string]expiredUpstream{}
 		c.evacuated = map[string]string{}
+		c.lostMembers = map[string]lostMember{}
 		c.left = map[upstreamRun]time.Time{}
 	}
 	next := *c.View()
@@ -215,6 +236,9 @@
 		next.Targets[target.Model] = target
 	}
 	next.Members = map[string]*provider.Member{}
+	for _, member := range c.lostMembers {
+		next.Members[member.Name] = member.Member
+	}
 	for _, member := range c.members {
 		next.Members[member.Name] = member
 	}
@@ -231,6 +255,11 @@
 			delete(c.expired, key)
 		}
 	}
+	for key, member := range c.lostMembers {
+		if c.members[key] != nil || !c.now().Before(member.until) {
+			delete(c.lostMembers, key)
+		}
+	}
 	for run, seen := range c.left {
 		if c.now().Sub(seen) > leftRetention {
 			delete(c.left, run)
@@ -306,6 +335,7 @@
 	delete(c.upstreams, key)
 	delete(c.expired, key)
 	delete(c.members, key)
+	delete(c.lostMembers, key)
 	return upstream || member
 }
 
@@ -313,9 +343,16 @@
 // expired.
 func (c *Compiler) keepExpired(key string) {
 	upstream, ok := c.upstreams[key]
-	if ok && !upstream.Leaving && c.MayHaveExpired != nil && c.MayHaveExpired() {
+	mayBeLost := c.MayBeLost != nil && c.MayBeLost()
+	switch {
+	case ok && !upstream.Leaving && mayBeLost:
+		c.expired[key] = expiredUpstream{registeredUpstream: upstream, until: c.now().Add(restoreGrace)}
+	case ok && !upstream.Leaving && c.MayHaveExpired != nil && c.MayHaveExpired():
 		c.expired[key] = expiredUpstream{registeredUpstream: upstream, until: c.now().Add(expiryGrace)}
 	}
+	if member := c.members[key]; member != nil && mayBeLost {
+		c.lostMembers[key] = lostMember{Member: member, until: c.now().Add(memberRestoreGrace)}
+	}
 }
 
 // keepLeaving marks an upstream as leaving if an earlier record of the same run did.
@@ -373,9 +410,9 @@
 
 func (c *Compiler) now() time.Time { return helpers.Now(c.Now) }
 
-// HasExpired reports whether upstreams whose entries expired are in use. It must not be
+// HasExpired reports whether upstreams or routers whose entries are gone are in use. It must not be
 // called concurrently with Apply.
-func (c *Compiler) HasExpired() bool { return len(c.expired) > 0 }
+func (c *Compiler) HasExpired() bool { return len(c.expired)+len(c.lostMembers) > 0 }
 
 // declare links a declaration to the earlier ones, whose deadlines still apply: an engine
 // may be loading one of them.
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -69,6 +69,11 @@
 	// originIdleTimeout closes idle connections to the origin, which accepts few connections
 	// from all hosts together and also counts those of hosts that have lost power.
 	originIdleTimeout = 300 * time.Millisecond
+	// restoredListPeriod is how long after a restore of the store is noticed its listings may lack
+	// entries that are about to be written again.
+	restoredListPeriod = 3 * time.Second
+	// expiredRecheckDelay is the pause before entries that were kept are checked again.
+	expiredRecheckDelay = time.Second
 	// initialVersion is the version that an engine loads while none is declared.
 	initialVersion = 1
 )
@@ -111,6 +116,8 @@
 	routerClient *peering.Neighbours
 	// engineLeaving is whether the engine's last report stated that it is leaving.
 	engineLeaving atomic.Bool
+	// recheckScheduled is set while a check of the kept entries is due.
+	recheckScheduled atomic.Bool
 	// receivedBytes counts chunk bytes by source.
 	receivedBytes receivedBytes
 	// cachedRoster is the roster of the newest view.
@@ -147,8 +154,8 @@
 	p.ledger.OnRateLimitChange = p.logLimit
 	hostClient := &http.Client{Transport: dial.NewHostTransport(options.Dial, originIdleTimeout)}
 	p.provider = options.Provider(s.Store, p.client, hostClient)
-	p.compiler = &replica.Compiler{Decode: p.provider.Decode, OnEntryChange: p.logDeclaration, OnSuperseded: p.logSuperseded}
-	p.table.OnChange = p.compiler.Apply
+	p.compiler = &replica.Compiler{Decode: p.provider.Decode, OnEntryChange: p.logDeclaration, MayBeLost: p.entriesMayBeLost, OnSuperseded: p.logSuperseded}
+	p.table.OnChange = p.applyChanges
 	p.routerClient = p.newRouterClient()
 	p.routerClient.DeferStoreRead = p.starting
 	p.addFollowers()
@@ -281,6 +288,29 @@
 	return reconcile.Goal{Model: declared.Model, Version: declared.Version, FencingToken: p.table.LatestRevision(), LoadAt: window.LoadTime(rank, hosts)}
 }
 
+// applyChanges compiles changes of the replica, and checks later whether entries that were kept
+// although they are gone have been written again.
+func (p *Process) applyChanges(changed []provider.Entry) {
+	p.compiler.Apply(changed)
+	if p.compiler.HasExpired() && p.recheckScheduled.CompareAndSwap(false, true) {
+		time.AfterFunc(expiredRecheckDelay, func() {
+			p.recheckScheduled.Store(false)
+			p.table.Recompile()
+		})
+	}
+}
+
+// entriesMayBeLost reports whether entries may be missing only because the store was restored from a
+// copy.
+func (p *Process) entriesMayBeLost() bool {
+	for _, follower := range p.followers() {
+		if ago, ever := follower.SinceRestore(); ever && ago < restoredListPeriod {
+			return true
+		}
+	}
+	return false
+}
+
 // rank returns this host's rank in the order in which hosts load a version, and their number.
 func (p *Process) rank(model string, version int) (rank, hosts int) {
 	r := p.roster()
--- a/daemon/router/recorder.go
+++ b/daemon/router/recorder.go
@@ -343,10 +343,10 @@
 	}
 }
 
-// storeRestored logs that the store was restored from a copy; entries are read and written again.
+// storeRestored logs that the store was restored from a copy.
 func (r *recorder) storeRestored(era uint64) {
 	r.scope.Counter("store_restored").Inc(1)
-	r.log.WithFields(log.Fields{fieldDecision: "believe", "dependency": "store", "era": era}).Warn("the store was restored from a copy")
+	r.log.WithFields(log.Fields{fieldDecision: "believe", "dependency": "store", "era": era}).Warn("the store was restored from a copy; entries are read and written again")
 }
 
 // entrySuperseded logs an entry of a restored store that is older than what is in force.
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -56,6 +56,9 @@
 	// upstreams that were kept for that reason are checked again.
 	unreliableExpiryPeriod = 2 * time.Second
 	expiredRecheckDelay    = 500 * time.Millisecond
+	// restoredListPeriod is how long after a restore of the store is noticed its listings may lack
+	// entries that are about to be written again.
+	restoredListPeriod = 3 * time.Second
 	// drainResponseMargin is how long before the drain deadline the router itself answers the
 	// requests that no upstream has begun to answer. At the deadline their connections are cut.
 	drainResponseMargin = 400 * time.Millisecond
@@ -114,6 +117,8 @@
 	// nanoseconds, for which the host had been suspended at the last check.
 	upstreamTransport *http.Transport
 	suspended         atomic.Int64
+	// recheckScheduled is set while a check of the kept upstreams and routers is due.
+	recheckScheduled atomic.Bool
 
 	callers, ready, peers, metrics *server.Server
 	draining                       atomic.Bool
@@ -148,7 +153,7 @@
 	p.provider = options.Provider(s.Store, client, client)
 	p.compiler = &replica.Compiler{
 		Decode: p.provider.Decode, OnEntryChange: p.recorder.entryApplied, OnSuperseded: p.recorder.entrySuperseded,
-		MayHaveExpired: p.expiryUnreliable, OnSuspect: p.applyStoredSuspect,
+		MayHaveExpired: p.expiryUnreliable, MayBeLost: p.entriesMayBeLost, OnSuspect: p.applyStoredSuspect,
 	}
 	p.table.OnChange = p.applyChanges
 	p.loadReader = &loadfeed.Reader{Client: client, OnState: p.applyLoad}
--- a/daemon/router/upstreams.go
+++ b/daemon/router/upstreams.go
@@ -13,7 +13,7 @@
 // lists.
 func (p *Process) applyChanges(changed []provider.Entry) {
 	p.compiler.Apply(changed)
-	if p.compiler.HasExpired() {
+	if p.compiler.HasExpired() && p.recheckScheduled.CompareAndSwap(false, true) {
 		time.AfterFunc(expiredRecheckDelay, p.recheckExpired)
 	}
 	if p.compiler.View().Configuration != nil && !p.draining.Load() {
@@ -38,9 +38,10 @@
 	return &ids
 }
 
-// recheckExpired drops the upstreams that were kept although their entries had expired, and that
-// have not registered again.
+// recheckExpired drops the upstreams and routers that were kept although their entries are gone, and
+// that have not registered again.
 func (p *Process) recheckExpired() {
+	p.recheckScheduled.Store(false)
 	if !p.draining.Load() {
 		p.table.Recompile()
 	}
@@ -53,6 +54,13 @@
 	return p.isStale() || ever && ago < unreliableExpiryPeriod
 }
 
+// entriesMayBeLost reports whether entries may be missing only because the store was restored from a
+// copy.
+func (p *Process) entriesMayBeLost() bool {
+	ago, ever := p.follower.SinceRestore()
+	return ever && ago < restoredListPeriod
+}
+
 // engines returns the upstreams of services that run models.
 func (p *Process) engines() []*provider.Upstream {
 	view := p.compiler.View()
