Let the soak restore the store from a copy

A step copies the store, lets it be written to, and restores it from the copy after a moment in which it is down. Revisions and lease ids are given out again.

--- a/cli/internal/soak/fleet.go
+++ b/cli/internal/soak/fleet.go
@@ -96,6 +96,8 @@
 	// a crash, and under a new one after it left. busy is set while a step replaces it.
 	generation int
 	busy       bool
+	// ended is set while the host has no upstream.
+	ended bool
 }
 
 // addressPrefix returns the second and third byte of all addresses of this process.
@@ -243,7 +245,7 @@
 	if err != nil {
 		return err
 	}
-	h.upstream, h.server = u, server
+	h.upstream, h.server, h.ended = u, server, false
 	if err := h.link.Listen(); err != nil {
 		return err
 	}
@@ -257,6 +259,7 @@
 	h.mu.Lock()
 	h.link.StopListening()
 	h.server.Close()
+	h.ended = true
 	id := h.upstream.Record.ID
 	h.mu.Unlock()
 	f.wait(expiry)
@@ -303,6 +306,13 @@
 	f.declareMu.Lock()
 	defer f.declareMu.Unlock()
 	next := int(f.newestConfiguration.Load()) + 1
+	f.declareConfiguration(next)
+	f.oracle.RecordConfiguration(next)
+	f.newestConfiguration.Store(int64(next))
+}
+
+// declareConfiguration writes a configuration to the store. It must be called with declareMu held.
+func (f *fleet) declareConfiguration(next int) {
 	route := func(name, prefix, service string, mode provider.Mode) provider.Route {
 		const attempts, objective = 2, 300 * time.Millisecond
 		return provider.Route{
@@ -326,8 +336,6 @@
 		Accounts: []provider.Account{{Name: "constant", Keys: []string{constantKey}}, {Name: "changing", Keys: []string{probeKey(next)}}},
 		Limits:   provider.Limits{MaxBodyBytes: 1 << 20},
 	})
-	f.oracle.RecordConfiguration(next)
-	f.newestConfiguration.Store(int64(next))
 }
 
 // publishVersion sets the next version of the model as the target.
@@ -335,10 +343,15 @@
 	f.declareMu.Lock()
 	defer f.declareMu.Unlock()
 	f.newestVersion++
-	f.store.DeclareTarget(provider.Target{Model: modelName, Version: f.newestVersion})
+	f.declareVersion()
 	f.oracle.RecordVersion(f.newestVersion)
 }
 
+// declareVersion writes the newest version to the store. It must be called with declareMu held.
+func (f *fleet) declareVersion() {
+	f.store.DeclareTarget(provider.Target{Model: modelName, Version: f.newestVersion})
+}
+
 // processes returns all daemons, routers first.
 func (f *fleet) processes() []*process {
 	var all []*process
--- a/cli/internal/soak/inject.go
+++ b/cli/internal/soak/inject.go
@@ -154,6 +154,10 @@
 }
 
 func (f *fleet) injectStore(step Step, duration time.Duration) {
+	if step.Kind == StoreRestore {
+		f.restoreStore(duration)
+		return
+	}
 	if step.Kind == StoreDropHistory {
 		f.injectOnce(step.Kind, "", func() {
 			f.store.Compact()
--- a/cli/internal/soak/plan.go
+++ b/cli/internal/soak/plan.go
@@ -43,6 +43,9 @@
 	StoreDropResponses Kind = "store-lose"     // a share of writes is applied, but gets no response
 	StoreDropHistory   Kind = "store-forget"   // watches cannot resume and have to list again
 	StoreBlockRouter   Kind = "store-turn-off" // the store's responses to one router are blocked
+	// StoreRestore restores the store, after a moment in which it is down, from a copy that was
+	// taken at the start of the step. What was written since is written again.
+	StoreRestore Kind = "store-restore"
 	// Faults of the links to upstreams.
 	LinkDelay        Kind = "link-delay"
 	LinkReset        Kind = "link-reset"
@@ -82,7 +85,7 @@
 // kinds lists the kinds to draw from. Changes are listed twice, which doubles their frequency.
 var kinds = []Kind{
 	RouterStop, RouterKill, RouterFreeze, RouterReload, LoaderStop, LoaderKill, LoaderFreeze, AllKill,
-	StoreDown, StoreUnresponsive, StoreSlow, StoreRefuse, StoreDropResponses, StoreDropHistory, StoreBlockRouter,
+	StoreDown, StoreUnresponsive, StoreSlow, StoreRefuse, StoreDropResponses, StoreDropHistory, StoreBlockRouter, StoreRestore,
 	LinkDelay, LinkReset, LinkOneWay, LinkUnresponsive, LinkNarrow,
 	UpstreamCrash, UpstreamLeave, UpstreamShed, UpstreamFail, UpstreamHang, UpstreamReset, UpstreamCut, UpstreamSurplus, UpstreamLimited, UpstreamLeaveUnrecorded, UpstreamPause, EngineCorrupt,
 	RequestsCrash, EntriesCorrupt,
