--- a/cli/internal/explain/explain_test.go
+++ b/cli/internal/explain/explain_test.go
@@ -114,3 +114,21 @@
 	assert.Contains(t, got.String(), "rate limit of u1, in requests a second over all routers: 2.5 (set 3s earlier, source: loader)\n")
 	assert.Contains(t, got.String(), "rate limit stated in its answer, in requests a second over all routers: 4; admitted by: loader\n")
 }
+
+// TestExplainNamesUpstreamsThatWantNoRequests guards against a request whose log does not tell why it
+// was kept from an upstream.
+func TestExplainNamesUpstreamsThatWantNoRequests(t *testing.T) {
+	const lines = `{"fields":{"name":"router-1","role":"router","decision":"availability","upstream":"u1","leaving":true,"from":"own","request":"a"},"timestamp":"2026-12-02T22:02:16Z","message":"availability of an upstream changed"}
+{"fields":{"name":"router-1","role":"router","decision":"availability","upstream":"u2","pausedFor":"3.1s","from":"own","request":"b"},"timestamp":"2026-12-02T22:02:18Z","message":"availability of an upstream changed"}
+{"fields":{"name":"router-1","role":"router","decision":"availability","upstream":"u3","pausedFor":"0s","from":"own","request":"c"},"timestamp":"2026-12-02T22:02:18Z","message":"availability of an upstream changed"}
+{"fields":{"name":"router-1","role":"router","request":"now","outcome":"refused","status":503,"took":"1ms","tries":[{"upstream":"u4","fate":"refused","retryAfter":2000000000,"leaving":true}]},"timestamp":"2026-12-02T22:02:19Z","message":"request ended"}`
+	trace, err := explain.Collect("now", strings.NewReader(lines))
+	require.NoError(t, err)
+	var got strings.Builder
+	require.NoError(t, trace.Print(&got))
+	assert.Contains(t, got.String(), "upstream u1 got no requests: its answer to a stated 3s earlier that it leaves\n")
+	assert.Contains(t, got.String(), "upstream u2 got no requests: its answer to b asked 1s earlier for a pause of 3.1s\n")
+	assert.NotContains(t, got.String(), "u3")
+	assert.Contains(t, got.String(), "its answer asks for no further requests of this router for 2s\n")
+	assert.Contains(t, got.String(), "its answer states that the upstream is leaving\n")
+}
--- a/cli/internal/explain/line.go
+++ b/cli/internal/explain/line.go
@@ -32,6 +32,7 @@
 	messageWeights    = "weights"
 	messageVerdict    = "verdict on a content changed"
 	messageLimit      = "limit of an upstream changed"
+	messageAvailable  = "availability of an upstream changed"
 	messageStarted    = "started"
 	messageDropped    = "log lines dropped"
 	messageSuppressed = "request lines left out"
@@ -90,6 +91,10 @@
 	// Limit is the rate limit that an upstream states, in requests a second, or "none".
 	Limit string `json:"limit"`
 
+	// PausedFor is how long an upstream asked for no requests; "0s" means that this is over. Leaving,
+	// below, is set if it stated that it leaves.
+	PausedFor string `json:"pausedFor"`
+
 	// Fields of an updated store entry.
 	Key      string         `json:"key"`
 	Revision uint64         `json:"revision"`
--- a/cli/internal/explain/print.go
+++ b/cli/internal/explain/print.go
@@ -160,7 +160,7 @@
 
 // printState writes the state that the process of a line held at that time: the configuration,
 // the declared versions, the upstreams of the request and their rate limits and loads, the verdict
-// on the content, and lost dependencies.
+// on the content, the availability of upstreams, and lost dependencies.
 func (t *Trace) printState(p *printer, process *process, line Line) {
 	p.linef(1, "%s held at that time:", process.name)
 	for _, update := range process.storeState(line.At) {
@@ -181,11 +181,34 @@
 				upstream, limit.Fields.Limit, rounded(line.At.Sub(limit.At)), limit.Fields.Source)
 		}
 	}
+	t.printAvailability(p, process, line)
 	for _, attempt := range line.Fields.Attempts {
 		t.printLoads(p, process, line, attempt.Upstream)
 	}
 }
 
+// printAvailability writes which upstreams had stated, by the time of a line, that they leave or want
+// no requests. These upstreams need not be among those of the request: it was kept from them.
+func (t *Trace) printAvailability(p *printer, process *process, line Line) {
+	printed := map[string]bool{}
+	for _, change := range process.availability {
+		upstream := change.Fields.Upstream
+		latest, ok := process.availabilityOf(upstream, line.At)
+		if !ok || printed[upstream] {
+			continue
+		}
+		printed[upstream] = true
+		elapsed := line.At.Sub(latest.At)
+		pause, _ := time.ParseDuration(latest.Fields.PausedFor)
+		switch {
+		case latest.Fields.Leaving:
+			p.linef(2, "upstream %s got no requests: its answer to %s stated %s earlier that it leaves", upstream, latest.Fields.Request, rounded(elapsed))
+		case pause > elapsed:
+			p.linef(2, "upstream %s got no requests: its answer to %s asked %s earlier for a pause of %s", upstream, latest.Fields.Request, rounded(elapsed), latest.Fields.PausedFor)
+		}
+	}
+}
+
 // updateText describes an update that may have affected the request, or returns "".
 func updateText(update Line, attempts []Attempt) string {
 	f := update.Fields
--- a/cli/internal/explain/trace.go
+++ b/cli/internal/explain/trace.go
@@ -36,6 +36,7 @@
 	updates      []Line
 	verdicts     []Line
 	limits       []Line
+	availability []Line
 	dependencies []Line
 	loads        []Line
 	// engine is the address of the engine that a loader manages, "" for other processes.
@@ -64,6 +65,10 @@
 		p := t.process(line)
 		p.limits = append(p.limits, line)
 	}
+	if line.Message == messageAvailable {
+		p := t.process(line)
+		p.availability = append(p.availability, line)
+	}
 	if line.Message == messageBroke && line.Fields.Crashed {
 		t.crashes = append(t.crashes, line)
 	}
@@ -130,6 +135,12 @@
 	return latestMatch(p.limits, until, func(f *Fields) bool { return f.Upstream == upstream })
 }
 
+// availabilityOf returns the latest line of a process about what an upstream stated about further
+// requests by a time.
+func (p *process) availabilityOf(upstream string, until time.Time) (Line, bool) {
+	return latestMatch(p.availability, until, func(f *Fields) bool { return f.Upstream == upstream })
+}
+
 // latestMatch returns the last of the lines that was written by a time and whose fields match.
 func latestMatch(lines []Line, until time.Time, matches func(*Fields) bool) (Line, bool) {
 	var found Line
