--- a/daemon/loader/engineconfig.go
+++ b/daemon/loader/engineconfig.go
@@ -81,7 +81,7 @@
 	}
 	if old := p.engineConfig.Swap(&update.EngineConfig); old == nil || *old != update.EngineConfig {
 		p.log.WithFields(log.Fields{
-			fieldDecision: "believe", "model": update.Engine.Model, "origin": update.Origin, "revision": update.Revision.Number(),
+			fieldDecision: decisionBelieve, "model": update.Engine.Model, "origin": update.Origin, "revision": update.Revision.Number(),
 		}).Info("belief changed")
 	}
 	return nil
--- a/daemon/loader/events.go
+++ b/daemon/loader/events.go
@@ -15,13 +15,17 @@
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
-// fieldDecision is the log field for the kind of a decision.
-const fieldDecision = "decision"
+// fieldDecision is the log field for the kind of a decision, and decisionBelieve its value for a
+// change of what the process holds of the store.
+const (
+	fieldDecision   = "decision"
+	decisionBelieve = "believe"
+)
 
 // logDeclaration logs a change of the declared version. Changes of other hosts' engines are
 // logged by the routers.
 func (p *Process) logDeclaration(change replica.EntryChange) {
-	fields := log.Fields{fieldDecision: "believe", "key": change.Entry.Key, "revision": change.Entry.Revision.Number(), "era": change.Entry.Revision.Era()}
+	fields := log.Fields{fieldDecision: decisionBelieve, "key": change.Entry.Key, "revision": change.Entry.Revision.Number(), "era": change.Entry.Revision.Era()}
 	switch target := change.Record.Target; {
 	case change.Err != nil:
 		fields["reason"] = change.Err.Error()
@@ -32,10 +36,16 @@
 	}
 }
 
+// logRestore logs that the store was restored from a copy.
+func (p *Process) logRestore(era uint64) {
+	p.telemetry.Scope.Counter("store_restored").Inc(1)
+	p.log.WithFields(log.Fields{fieldDecision: decisionBelieve, "dependency": "store", "era": era}).Warn("the store was restored from a copy")
+}
+
 // logSuperseded logs a declaration of a restored store that is older than the one in force.
 func (p *Process) logSuperseded(entry provider.Entry) {
 	p.log.WithFields(log.Fields{
-		fieldDecision: "believe", "key": entry.Key, "revision": entry.Revision.Number(), "era": entry.Revision.Era(),
+		fieldDecision: decisionBelieve, "key": entry.Key, "revision": entry.Revision.Number(), "era": entry.Revision.Era(),
 	}).Warn("store entry is older than what is in force; keeping that")
 }
 
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -179,6 +179,7 @@
 		}
 	}
 	p.versions = follower(p.provider.Prefixes.Versions)
+	p.versions.OnRestore = p.logRestore
 	p.versions.StaleFirstList = true
 	p.versions.WatchWait = func() time.Duration { return versionsWatchWait }
 	p.versions.RecheckInterval = versionsRecheckInterval
--- a/daemon/router/announcement_test.go
+++ b/daemon/router/announcement_test.go
@@ -80,33 +80,47 @@
 	}
 }
 
-// TestNoSecondSendReachesLeavingUpstream guards against retries, resumed streams and hedges at an
-// upstream that stated that it leaves.
-func TestNoSecondSendReachesLeavingUpstream(t *testing.T) {
+// secondSend is a request that is sent to a second upstream, because of the first one's answer.
+type secondSend struct {
+	target string
+	answer upstreamFunc
+}
+
+// secondSends returns a request for each reason for a second send.
+func secondSends(t *testing.T) map[string]secondSend {
+	t.Helper()
 	release := make(chan struct{})
 	t.Cleanup(func() { close(release) })
-	for name, c := range map[string]struct {
-		target string
-		answer upstreamFunc
-	}{
+	return map[string]secondSend{
 		"retry after a refusal":  {"/safe/x", answerNotRun},
 		"retry after a failure":  {"/safe/x", closeConnection},
 		"unsafe after a refusal": {"/unsafe2/x", answerNotRun},
 		"resumed stream":         {"/stream/x", events(2, false, "")},
 		"hedge":                  {"/safe/x", func(*http.Request, net.Conn) { <-release }},
-	} {
+	}
+}
+
+// assertNoSecondSend sends each request for a second send, after an upstream has given the answer,
+// and expects that none reaches that upstream.
+func assertNoSecondSend(t *testing.T, answer upstreamFunc) {
+	t.Helper()
+	for name, c := range secondSends(t) {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			_, cfg, leaving, other := startPair(t, 0, answerLeaving, answerOK)
-			callUntilReceived(t, cfg, leaving)
-			received := leaving.received.Load()
+			_, cfg, withdrawn, other := startPair(t, 0, answer, answerOK)
+			callUntilReceived(t, cfg, withdrawn)
+			received := withdrawn.received.Load()
 			other.answer.Store(&c.answer)
 			call(t, cfg, "id", "POST", c.target, "body")
-			assert.Equal(t, received, leaving.received.Load())
+			assert.Equal(t, received, withdrawn.received.Load())
 		})
 	}
 }
 
+// TestNoSecondSendReachesLeavingUpstream guards against retries, resumed streams and hedges at an
+// upstream that stated that it leaves.
+func TestNoSecondSendReachesLeavingUpstream(t *testing.T) { assertNoSecondSend(t, answerLeaving) }
+
 // TestLeavingIsNotUndoneByRecord guards against a record that was written before the upstream
 // began to leave. Another upstream at the address, and a restart, are served.
 func TestLeavingIsNotUndoneByRecord(t *testing.T) {
--- a/daemon/router/recorder.go
+++ b/daemon/router/recorder.go
@@ -40,6 +40,9 @@
 	fieldAddress  = "address"
 )
 
+// decisionBelieve is the value of fieldDecision for a change of what the process holds of the store.
+const decisionBelieve = "believe"
+
 // recorder writes the router's log lines and metrics.
 type recorder struct {
 	telemetry      *telemetry.Telemetry
@@ -293,7 +296,7 @@
 // entryApplied logs a change of the replica, or an entry that was rejected.
 func (r *recorder) entryApplied(change replica.EntryChange) {
 	fields := log.Fields{
-		fieldDecision: "believe", "key": change.Entry.Key, "revision": change.Entry.Revision.Number(), "bytes": len(change.Entry.Value),
+		fieldDecision: decisionBelieve, "key": change.Entry.Key, "revision": change.Entry.Revision.Number(), "bytes": len(change.Entry.Value),
 	}
 	if era := change.Entry.Revision.Era(); era > 0 {
 		fields["era"] = era
@@ -346,14 +349,14 @@
 // storeRestored logs that the store was restored from a copy.
 func (r *recorder) storeRestored(era uint64) {
 	r.scope.Counter("store_restored").Inc(1)
-	r.log.WithFields(log.Fields{fieldDecision: "believe", "dependency": "store", "era": era}).Warn("the store was restored from a copy; entries are read and written again")
+	r.log.WithFields(log.Fields{fieldDecision: decisionBelieve, "dependency": "store", "era": era}).Warn("the store was restored from a copy; entries are read and written again")
 }
 
 // entrySuperseded logs an entry of a restored store that is older than what is in force.
 func (r *recorder) entrySuperseded(entry provider.Entry) {
 	r.scope.Counter("entries_superseded").Inc(1)
 	r.log.WithFields(log.Fields{
-		fieldDecision: "believe", "key": entry.Key, "revision": entry.Revision.Number(), "era": entry.Revision.Era(),
+		fieldDecision: decisionBelieve, "key": entry.Key, "revision": entry.Revision.Number(), "era": entry.Revision.Era(),
 	}).Warn("store entry is older than what is in force; keeping that")
 }
 
--- a/daemon/router/retryafter_test.go
+++ b/daemon/router/retryafter_test.go
@@ -43,29 +43,7 @@
 
 // TestNoSecondSendBeforeRetryAfter guards against retries, resumed streams and hedges at an
 // upstream that asked for a pause.
-func TestNoSecondSendBeforeRetryAfter(t *testing.T) {
-	release := make(chan struct{})
-	t.Cleanup(func() { close(release) })
-	for name, c := range map[string]struct {
-		target string
-		answer upstreamFunc
-	}{
-		"retry after a refusal": {"/safe/x", answerNotRun},
-		"retry after a failure": {"/safe/x", closeConnection},
-		"resumed stream":        {"/stream/x", events(2, false, "")},
-		"hedge":                 {"/safe/x", func(*http.Request, net.Conn) { <-release }},
-	} {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			_, cfg, refusing, other := startPair(t, 0, answerRetryAfter("30"), answerOK)
-			callUntilReceived(t, cfg, refusing)
-			received := refusing.received.Load()
-			other.answer.Store(&c.answer)
-			call(t, cfg, "id", "POST", c.target, "body")
-			assert.Equal(t, received, refusing.received.Load())
-		})
-	}
-}
+func TestNoSecondSendBeforeRetryAfter(t *testing.T) { assertNoSecondSend(t, answerRetryAfter("30")) }
 
 // TestCallersLearnShortestRetryAfter expects a refusal at once if all upstreams of a service ask
 // for a pause, with a Retry-After of at least the shortest one.
