--- a/daemon/simulation/caller.go
+++ b/daemon/simulation/caller.go
@@ -48,6 +48,8 @@
 	received            int
 	firstByte, lastByte time.Duration
 	refusals            int
+	// sends counts the engines to which the latest attempt was sent.
+	sends int
 	// detectedRetry is the router's classification of the latest attempt.
 	detectedRetry bool
 	// truePositive is 1 if a retry was classified as a retry, falsePositive 1 if a first attempt
--- a/daemon/simulation/engine.go
+++ b/daemon/simulation/engine.go
@@ -65,6 +65,11 @@
 	draining, loaded bool
 	// limitedArrivals are the arrival times of requests while the engine was limited.
 	limitedArrivals []time.Duration
+	// pausedAt holds when the engine last asked each router for a pause, and inPause how many
+	// requests of the router arrived since, later than pauseGrace. mostInPause is the highest.
+	pausedAt    map[*router]time.Duration
+	inPause     map[*router]int
+	mostInPause int
 }
 
 func newEngine(s *loadSim, index int) *engine {
@@ -102,6 +107,31 @@
 	return epoch.Add(e.loadAt)
 }
 
+// pausing reports whether the engine refuses requests and asks for a pause.
+func (e *engine) pausing() bool {
+	return e.sim.Pattern.Pauses.active(e.index, len(e.sim.engines), e.sim.events.now)
+}
+
+// pauseGrace is the time after a refusal in which requests that were sent before it arrive.
+const pauseGrace = 500 * time.Millisecond
+
+// countPaused counts a request that arrived while the engine was pausing.
+func (e *engine) countPaused(r *router) {
+	if e.pausedAt == nil {
+		e.pausedAt, e.inPause = map[*router]time.Duration{}, map[*router]int{}
+	}
+	now := e.sim.events.now
+	at, paused := e.pausedAt[r]
+	elapsed := now - at
+	switch {
+	case !paused || elapsed >= e.sim.Pattern.Pauses.RetryAfter:
+		e.pausedAt[r], e.inPause[r] = now, 0
+	case elapsed >= pauseGrace:
+		e.inPause[r]++
+		e.mostInPause = max(e.mostInPause, e.inPause[r])
+	}
+}
+
 // limited reports whether the engine announces a limit.
 func (e *engine) limited() bool {
 	return e.sim.Pattern.Limits.active(e.index, len(e.sim.engines), e.sim.events.now)
--- a/daemon/simulation/pattern.go
+++ b/daemon/simulation/pattern.go
@@ -24,6 +24,7 @@
 	Outages     []Outage
 	Rollout     *Rollout
 	Limits      *Limits
+	Pauses      *Pauses
 }
 
 // Interval is a half-open interval of time.
@@ -61,6 +62,18 @@
 	return l != nil && l.contains(at) && float64(index) < l.Share*float64(engines)
 }
 
+// Pauses describes a period in which some engines refuse each request and ask its router for a pause.
+type Pauses struct {
+	Interval
+	// Share is the fraction of the engines that refuse, and RetryAfter the pause.
+	Share      float64
+	RetryAfter time.Duration
+}
+
+func (p *Pauses) active(index, engines int, at time.Duration) bool {
+	return p != nil && p.contains(at) && float64(index) < p.Share*float64(engines)
+}
+
 // rate returns the load at a time, relative to the setup's rate.
 func (p Pattern) rate(at time.Duration) float64 {
 	rate := p.Level
@@ -102,7 +115,7 @@
 
 // PatternNames returns the names that ParsePattern accepts.
 func PatternNames() []string {
-	return []string{"steady", "burst", "swing", "one-kind", "half-gone", "all-back", "version", "some-limited", "all-limited"}
+	return []string{"steady", "burst", "swing", "one-kind", "half-gone", "all-back", "version", "some-limited", "all-limited", "some-pausing"}
 }
 
 // ParsePattern parses a pattern name with an optional level, such as "steady:1.25". The default
@@ -136,6 +149,8 @@
 		p.Limits = &Limits{Interval: Interval{10 * second, 20 * second}, Share: 1.0 / 3, PerSecond: 2}
 	case "all-limited":
 		p.Limits = &Limits{Interval: Interval{10 * second, 20 * second}, Share: 1, PerSecond: 5}
+	case "some-pausing":
+		p.Pauses = &Pauses{Interval: Interval{10 * second, 20 * second}, Share: 1.0 / 3, RetryAfter: 3 * second}
 	default:
 		return p, fmt.Errorf("unknown pattern %q; use one of %s", text, strings.Join(PatternNames(), ", "))
 	}
--- a/daemon/simulation/result.go
+++ b/daemon/simulation/result.go
@@ -31,6 +31,9 @@
 	// LimitUtilization is the highest number of requests that a limited engine received in 4 s,
 	// relative to its limit; 0 without limits.
 	LimitUtilization float64 `json:"limit_used"`
+	// MostInPause is the highest number of requests that an engine received from one router within a
+	// pause that it had asked for.
+	MostInPause float64 `json:"most_in_pause"`
 	// KindWorth is the worth by kind, WindowWorth the worth by window of arrival.
 	KindWorth   map[string]float64 `json:"kind_worth"`
 	WindowWorth []float64          `json:"windows"`
@@ -103,6 +106,9 @@
 	}
 	r.OracleWorth, r.OracleInOrderWorth = s.oracleWorth(measured)
 	r.LimitUtilization = s.limitUtilization()
+	for _, e := range s.engines {
+		r.MostInPause = max(r.MostInPause, float64(e.mostInPause))
+	}
 	return r
 }
 
@@ -167,6 +173,7 @@
 			{&mean.DetectedRetries, r.DetectedRetries},
 			{&mean.MisdetectedRetries, r.MisdetectedRetries},
 			{&mean.LimitUtilization, r.LimitUtilization},
+			{&mean.MostInPause, r.MostInPause},
 		}
 		for _, sum := range sums {
 			*sum.to += weight * sum.from
--- a/daemon/simulation/router.go
+++ b/daemon/simulation/router.go
@@ -80,13 +80,47 @@
 		r.refuse(c)
 		return
 	}
+	r.send(c, e, choice)
+}
+
+// send sends a caller's request to an engine. The engine may refuse it and ask for a pause.
+func (r *router) send(c *caller, e *engine, choice balance.Choice) {
+	c.sends++
 	c.onDone = func(outcome balance.Outcome) {
 		choice.Done(outcome)
 		if outcome == balance.Served {
 			r.loadTracker.RecordServed(service, c.lastByte-c.firstByte)
 		}
 	}
-	r.sim.events.after(networkDelay, func() { e.enqueue(c) })
+	sent := r.sim.now()
+	r.sim.events.after(networkDelay, func() {
+		if e.pausing() {
+			e.countPaused(r)
+			r.sim.events.after(networkDelay, func() { r.resend(c, choice) })
+			return
+		}
+		r.pool.EndPause(e.upstream, sent)
+		e.enqueue(c)
+	})
+}
+
+// maxSends is the number of engines to which one attempt of a caller is sent.
+const maxSends = 2
+
+// resend sends a request that an engine refused to another one, or refuses it.
+func (r *router) resend(c *caller, refused balance.Choice) {
+	r.pool.Pause(refused.Upstream, r.sim.Pattern.Pauses.RetryAfter)
+	refused.Done(balance.Full)
+	c.onDone = nil
+	if c.sends < maxSends {
+		if e, choice, ok := r.acquirePlace(c); ok {
+			r.send(c, e, choice)
+			return
+		}
+	}
+	c.sends = 0
+	r.retryDetector.RecordRefusal()
+	r.refuse(c)
 }
 
 // service is the name of the only service.
--- a/daemon/simulation/simulation_test.go
+++ b/daemon/simulation/simulation_test.go
@@ -107,3 +107,14 @@
 	_, err := simulation.FindPolicy("best")
 	require.Error(t, err)
 }
+
+// TestPausingEnginesGetNoRequests guards against idle engines that refuse everything and are the
+// best choice of all routers by their load.
+func TestPausingEnginesGetNoRequests(t *testing.T) {
+	const allowed = 2
+	for _, pattern := range []string{"some-pausing:0.5", "some-pausing:0.7"} {
+		result := simulate(t, pattern, "now")
+		assert.LessOrEqual(t, result.MostInPause, float64(allowed), pattern)
+		assert.Greater(t, result.InTime, 0.9, pattern)
+	}
+}
