--- a/daemon/internal/process/replica/restore_test.go
+++ b/daemon/internal/process/replica/restore_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,12 +21,15 @@
 
 // restorableStore is the state of a store that can be restored from a copy.
 type restorableStore struct {
+	mu          sync.Mutex
 	era, number uint64
 	entries     map[string]provider.Entry
 	copied      *restorableStore
 }
 
 func (s *restorableStore) write(key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.entries == nil {
 		s.entries = map[string]provider.Entry{}
 	}
@@ -46,6 +50,8 @@
 
 // restore returns to the copy, or to an empty store without one.
 func (s *restorableStore) restore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.era++
 	s.number, s.entries = 0, nil
 	if s.copied == nil {
@@ -59,6 +65,8 @@
 }
 
 func (s *restorableStore) list() provider.Listing {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	return provider.Listing{Entries: slices.Collect(maps.Values(s.entries)), Revision: provider.NewRevision(s.era, s.number)}
 }
 
@@ -190,8 +198,8 @@
 		state.write("c", "new")
 		helpers.Pause(2*time.Second, nil)
 		assert.Equal(t, map[string]string{"c": "new"}, values(table))
-		assert.Equal(t, 1, restores)
 		follower.Stop()
+		assert.Equal(t, 1, restores)
 	})
 }
 
@@ -208,9 +216,10 @@
 		store := provider.Store{
 			List: func(context.Context, string) (provider.Listing, error) { return state.list(), nil },
 			ListStale: func(context.Context, string) (provider.Listing, error) {
-				stale := provider.Listing{Revision: before.Revision.InEra(state.era)}
+				era := state.list().Revision.Era()
+				stale := provider.Listing{Revision: before.Revision.InEra(era)}
 				for _, entry := range before.Entries {
-					entry.Revision = entry.Revision.InEra(state.era)
+					entry.Revision = entry.Revision.InEra(era)
 					stale.Entries = append(stale.Entries, entry)
 				}
 				return stale, nil
