Take no lock for a response that asks for no pause

Every response of an upstream took the pool's lock a second time to find that it has no Retry-After. explain scanned all availability lines of a process once for each of them, now once for each upstream.

--- a/cli/internal/explain/print.go
+++ b/cli/internal/explain/print.go
@@ -193,11 +193,14 @@
 	printed := map[string]bool{}
 	for _, change := range process.availability {
 		upstream := change.Fields.Upstream
-		latest, ok := process.availabilityOf(upstream, line.At)
-		if !ok || printed[upstream] {
+		if printed[upstream] {
 			continue
 		}
 		printed[upstream] = true
+		latest, ok := process.availabilityOf(upstream, line.At)
+		if !ok {
+			continue
+		}
 		elapsed := line.At.Sub(latest.At)
 		pause, _ := time.ParseDuration(latest.Fields.PausedFor)
 		switch {
--- a/daemon/internal/process/balance/pause.go
+++ b/daemon/internal/process/balance/pause.go
@@ -40,17 +40,17 @@
 // and returns until when. It returns false if an earlier pause lasts longer, because responses may
 // arrive out of order.
 func (p *Pool) Pause(upstream *provider.Upstream, wait time.Duration) (until time.Time, ok bool) {
+	if wait <= 0 {
+		return time.Time{}, false
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
 	s := p.currentRun(upstream, now)
-	if s == nil || wait <= 0 {
+	if s == nil || !now.Add(wait).After(s.pause.until) {
 		return time.Time{}, false
 	}
 	spread := min(time.Duration(pauseSpread*float64(wait)), maxPauseSpread)
-	if !now.Add(wait).After(s.pause.until) {
-		return s.pause.until, false
-	}
 	until = now.Add(wait + time.Duration(p.random()*float64(spread)))
 	s.pause = pause{active: true, until: until}
 	return until, true
