Keep the time in which a restore may have lost entries in one place

Router and loader had the same constant and the same condition; the follower that notices the restore answers it now. No change of behaviour.

--- a/daemon/internal/process/replica/restore.go
+++ b/daemon/internal/process/replica/restore.go
@@ -13,8 +13,13 @@
 // it sends after the restore above what it sent before; what remains is to notice a new era, not to
 // take stale answers for part of it, and to tell the owner, whose own entries may be gone.
 
-// staleAnswerAge is how old the content of a stale answer may be.
-const staleAnswerAge = 10 * time.Second
+const (
+	// staleAnswerAge is how old the content of a stale answer may be.
+	staleAnswerAge = 10 * time.Second
+	// restoredListPeriod is how long after a restore is noticed listings may lack entries that are
+	// about to be written again.
+	restoredListPeriod = 3 * time.Second
+)
 
 // observeEra records the era of an answer before its entries are applied, and calls OnRestore if it
 // is a new one.
@@ -38,10 +43,11 @@
 	}
 }
 
-// SinceRestore returns the time since a restore of the store was noticed, or false if none was.
-func (f *Follower) SinceRestore() (time.Duration, bool) {
+// EntriesMayBeLost reports whether entries may be missing only because the store was restored from a
+// copy.
+func (f *Follower) EntriesMayBeLost() bool {
 	at := f.restoredAt.Load()
-	return f.elapsed() - time.Duration(at), at != 0
+	return at != 0 && f.elapsed()-time.Duration(at) < restoredListPeriod
 }
 
 // newestOf returns the highest revision of an update. A peer that is applying a listing may send
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -14,6 +14,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -69,9 +70,6 @@
 	// originIdleTimeout closes idle connections to the origin, which accepts few connections
 	// from all hosts together and also counts those of hosts that have lost power.
 	originIdleTimeout = 300 * time.Millisecond
-	// restoredListPeriod is how long after a restore of the store is noticed its listings may lack
-	// entries that are about to be written again.
-	restoredListPeriod = 3 * time.Second
 	// expiredRecheckDelay is the pause before entries that were kept are checked again.
 	expiredRecheckDelay = time.Second
 	// initialVersion is the version that an engine loads while none is declared.
@@ -304,12 +302,7 @@
 // entriesMayBeLost reports whether entries may be missing only because the store was restored from a
 // copy.
 func (p *Process) entriesMayBeLost() bool {
-	for _, follower := range p.followers() {
-		if ago, ever := follower.SinceRestore(); ever && ago < restoredListPeriod {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(p.followers(), (*replica.Follower).EntriesMayBeLost)
 }
 
 // rank returns this host's rank in the order in which hosts load a version, and their number.
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -56,9 +56,6 @@
 	// upstreams that were kept for that reason are checked again.
 	unreliableExpiryPeriod = 2 * time.Second
 	expiredRecheckDelay    = 500 * time.Millisecond
-	// restoredListPeriod is how long after a restore of the store is noticed its listings may lack
-	// entries that are about to be written again.
-	restoredListPeriod = 3 * time.Second
 	// drainResponseMargin is how long before the drain deadline the router itself answers the
 	// requests that no upstream has begun to answer. At the deadline their connections are cut.
 	drainResponseMargin = 400 * time.Millisecond
--- a/daemon/router/upstreams.go
+++ b/daemon/router/upstreams.go
@@ -56,10 +56,7 @@
 
 // entriesMayBeLost reports whether entries may be missing only because the store was restored from a
 // copy.
-func (p *Process) entriesMayBeLost() bool {
-	ago, ever := p.follower.SinceRestore()
-	return ever && ago < restoredListPeriod
-}
+func (p *Process) entriesMayBeLost() bool { return p.follower.EntriesMayBeLost() }
 
 // engines returns the upstreams of services that run models.
 func (p *Process) engines() []*provider.Upstream {
