Carry an engine's pace and a request's size and caller between processes

An engine reports by which factor it is slower than declared, and nothing reads it. A query for a place names neither the account nor the size of the request, so a loader cannot tell callers apart.

Change: decode the pace, the declared rates of engines and the longest gap between events; carry pace and the next version in load feeds and place responses, and caller and size in queries for places. No decision uses them yet.

--- a/daemon/internal/connection/loadfeed/loadfeed.go
+++ b/daemon/internal/connection/loadfeed/loadfeed.go
@@ -49,6 +49,18 @@
 	// and rounded up to a multiple of ClosesStep. It is 0 if no load is scheduled soon.
 	ClosesIn int64                  `json:"closesIn,omitempty"`
 	Models   []provider.LoadedModel `json:"models,omitempty"`
+	// Pace is the factor by which the engine is slower than its declared rates; 0 means 1.
+	Pace float64 `json:"pace,omitempty"`
+	// Next is the version that the engine is expected to serve next; nil if none is expected.
+	Next *NextVersion `json:"next,omitempty"`
+}
+
+// NextVersion is a version that an engine is expected to serve.
+type NextVersion struct {
+	Version int `json:"version"`
+	// In is the expected time until the engine serves the version, in milliseconds and rounded
+	// up to a multiple of ClosesStep.
+	In int64 `json:"in"`
 }
 
 // ClosesIn returns the value of State.ClosesIn for the time at which the engine is ordered to
--- a/daemon/internal/connection/places/client.go
+++ b/daemon/internal/connection/places/client.go
@@ -42,6 +42,7 @@
 	Leaving      bool              `json:"leaving,omitempty"`
 	RetryAfterMs int64             `json:"wait,omitempty"`
 	RateLimit    *ratelimit.Report `json:"limit,omitempty"`
+	Pace         float64           `json:"pace,omitempty"`
 }
 
 // Response is the response of a loader.
@@ -70,6 +71,7 @@
 		_ = json.NewEncoder(w).Encode(wireResponse{
 			Granted: granted, Running: load.Running, Waiting: load.Waiting, Loading: load.Loading, Leaving: load.Leaving,
 			RetryAfterMs: load.RetryAfter.Milliseconds(), RateLimit: ledger.RateLimit(req.Engine),
+			Pace: load.Pace,
 		})
 	}
 }
@@ -87,10 +89,33 @@
 	if req.RateLimit, err = parseRateLimit(query); err != nil {
 		return req, err
 	}
+	req.Caller, req.Size = parseCaller(query), parseSize(query)
 	req.Warmup, err = parseWarmup(query)
 	return req, err
 }
 
+// parseCaller parses the caller of a request. Values that are missing or invalid count as unknown,
+// since they must not cost the request its place.
+func parseCaller(query url.Values) Caller {
+	return Caller{
+		Account: query.Get(accountParam), Rank: parseCount(query, rankParam), Ranks: parseCount(query, ranksParam),
+		Retry: query.Get(retryParam) != "",
+	}
+}
+
+func parseSize(query url.Values) Size {
+	return Size{PromptTokens: parseCount(query, promptParam), AnswerTokens: parseCount(query, answerParam)}
+}
+
+// parseCount parses an optional count, 0 if it is missing or invalid.
+func parseCount(query url.Values, name string) int {
+	count, err := strconv.Atoi(query.Get(name))
+	if err != nil || count < 0 {
+		return 0
+	}
+	return count
+}
+
 // The optional query parameters for the engine, its rate limit and its warm-up.
 const (
 	engineParam    = "of"
@@ -100,6 +125,12 @@
 	endedValue     = "ended"
 	warmupParam    = "cold"    // requests a second
 	warmupForParam = "coldFor" // in milliseconds
+	accountParam   = "account"
+	rankParam      = "rank"
+	ranksParam     = "ranks"
+	retryParam     = "retry"
+	promptParam    = "prompt" // in tokens
+	answerParam    = "answer" // in tokens
 )
 
 // parseWarmup parses the engine's warm-up state as known to the router; nil if it is warm.
@@ -187,6 +218,7 @@
 		query += "&" + warmupParam + "=" + strconv.FormatFloat(r.Warmup.PerSecond, 'f', -1, 64)
 		query += "&" + warmupForParam + "=" + strconv.FormatInt(r.Warmup.Remaining.Milliseconds(), 10)
 	}
+	query += r.Caller.query() + r.Size.query()
 	if r.RateLimit == nil {
 		return query
 	}
@@ -197,6 +229,30 @@
 	return query + "&" + limitParam + "=" + limit + "&" + ageParam + "=" + strconv.FormatInt(r.RateLimit.Age.Milliseconds(), 10)
 }
 
+func (c Caller) query() string {
+	query := ""
+	if c.Account != "" {
+		query += "&" + accountParam + "=" + url.QueryEscape(c.Account)
+	}
+	query += countParam(rankParam, c.Rank) + countParam(ranksParam, c.Ranks)
+	if c.Retry {
+		query += "&" + retryParam + "=1"
+	}
+	return query
+}
+
+func (s Size) query() string {
+	return countParam(promptParam, s.PromptTokens) + countParam(answerParam, s.AnswerTokens)
+}
+
+// countParam returns an encoded query parameter, "" for 0.
+func countParam(name string, count int) string {
+	if count == 0 {
+		return ""
+	}
+	return "&" + name + "=" + strconv.Itoa(count)
+}
+
 // Reserve requests a place from a loader. An error means that the load is unknown, because the
 // call failed or the loader is in backoff.
 func (c *Client) Reserve(ctx context.Context, loader netip.AddrPort, req Request) (Response, error) {
@@ -218,6 +274,6 @@
 	if err := call.GetJSON(ctx, c.Client, target, maxResponse, &resp); err != nil {
 		return Response{}, fmt.Errorf("request place from loader %s: %w", loader, err)
 	}
-	load := EngineLoad{Running: resp.Running, Waiting: resp.Waiting, Loading: resp.Loading, Leaving: resp.Leaving, RetryAfter: time.Duration(resp.RetryAfterMs) * time.Millisecond}
+	load := EngineLoad{Running: resp.Running, Waiting: resp.Waiting, Loading: resp.Loading, Leaving: resp.Leaving, RetryAfter: time.Duration(resp.RetryAfterMs) * time.Millisecond, Pace: resp.Pace}
 	return Response{EngineLoad: load, Granted: resp.Granted, RateLimit: resp.RateLimit}, nil
 }
--- a/daemon/internal/connection/places/ledger.go
+++ b/daemon/internal/connection/places/ledger.go
@@ -34,6 +34,8 @@
 	Leaving bool
 	// RetryAfter is the time after which to retry if the engine's rate limit is used up, else 0.
 	RetryAfter time.Duration
+	// Pace is the factor by which the engine is slower than its declared rates; 0 means 1.
+	Pace float64
 }
 
 // Limit is the highest load of an engine at which a request is admitted.
@@ -56,6 +58,26 @@
 	RateLimit *ratelimit.Report
 	// Warmup is the warm-up state of the engine as known to the router; nil if it is warm.
 	Warmup *ratelimit.Warmup
+	// Caller describes whom the request is for, and Size what it asks of the engine.
+	Caller Caller
+	Size   Size
+}
+
+// Caller describes whom a request is for.
+type Caller struct {
+	// Account is the name of the client account, "" if none.
+	Account string
+	// Rank is the rank of the request among the priorities of its service, 0 for the most urgent,
+	// and Ranks their number; 0 if unknown.
+	Rank, Ranks int
+	// Retry means that the caller retries after a refusal.
+	Retry bool
+}
+
+// Size is the amount of work that a request asks of an engine; 0 means unknown.
+type Size struct {
+	// PromptTokens is the length of the prompt, AnswerTokens the expected length of the answer.
+	PromptTokens, AnswerTokens int
 }
 
 // Ledger counts the places of one engine. The zero value grants no place until a load was
--- a/daemon/internal/process/balance/balance.go
+++ b/daemon/internal/process/balance/balance.go
@@ -120,6 +120,12 @@
 	ClosesIn time.Duration
 	// Models holds the versions that it serves.
 	Models []provider.LoadedModel
+	// Pace is the factor by which the upstream is slower than declared; 0 means 1.
+	Pace float64
+	// NextVersion is the version that the upstream is expected to serve after NextIn, 0 if none
+	// is expected.
+	NextVersion int
+	NextIn      time.Duration
 }
 
 // Query holds the requirements of a request.
--- a/daemon/internal/request/dispatch/dispatch.go
+++ b/daemon/internal/request/dispatch/dispatch.go
@@ -58,7 +58,7 @@
 	PromptParts func(http.Header) []provider.PromptPart
 	// RequestPlace requests a place from an engine's loader. An error means that the loader
 	// did not answer. Nil means that there are no loaders.
-	RequestPlace func(ctx context.Context, engine *provider.Upstream, limit places.Limit) (places.EngineLoad, bool, error)
+	RequestPlace func(ctx context.Context, engine *provider.Upstream, request places.Request) (places.EngineLoad, bool, error)
 	// OnAnnouncement is called with what each response states about its upstream. It may be nil.
 	OnAnnouncement func(AnnouncementReport)
 	// AllowSend reports whether this router's share of an upstream's rate limit admits a request
@@ -400,9 +400,8 @@
 	if q.service.Engine == nil || q.service.Engine.PromptRate <= 0 {
 		return -1
 	}
-	prompt, _, _ := strings.Cut(q.Header.Get(q.Headers.Tokens), ",")
-	promptTokens, err := strconv.ParseFloat(prompt, 64)
-	if err != nil {
+	promptTokens := q.promptTokens()
+	if promptTokens == 0 {
 		return -1
 	}
 	estimate := promptTokens/q.service.Engine.PromptRate + q.answerTokens()*hintWeight.Seconds()
@@ -410,6 +409,16 @@
 	return priorityClass(q.rank, q.ranks, size)
 }
 
+// promptTokens returns the length of the prompt that the caller states, 0 if it states none.
+func (q *request) promptTokens() float64 {
+	prompt, _, _ := strings.Cut(q.Header.Get(q.Headers.Tokens), ",")
+	count, err := strconv.ParseFloat(prompt, 64)
+	if err != nil || !(count > 0 && count <= maxHintTokens) {
+		return 0
+	}
+	return count
+}
+
 // answerTokens returns the number of answer tokens that the caller expects, or the mean if it
 // states none.
 func (q *request) answerTokens() float64 {
@@ -437,7 +446,7 @@
 	priorityClasses = 10
 	// defaultAnswerTokens is the assumed mean length of answers if the configuration declares none.
 	defaultAnswerTokens = 92.0
-	// maxHintTokens bounds the answer length that a caller may state.
+	// maxHintTokens bounds the lengths of prompt and answer that a caller may state.
 	maxHintTokens = 1e6
 	// hintWeight is the time by which each expected answer token raises the estimate. It is less
 	// than the token takes, because the stated lengths are often far off.
--- a/daemon/internal/request/dispatch/leaving_test.go
+++ b/daemon/internal/request/dispatch/leaving_test.go
@@ -17,7 +17,7 @@
 	f := newFleet(t, 3, nil)
 	q := f.request("long-objective", 0)
 	leaving := ""
-	q.RequestPlace = func(_ context.Context, engine *provider.Upstream, _ places.Limit) (places.EngineLoad, bool, error) {
+	q.RequestPlace = func(_ context.Context, engine *provider.Upstream, _ places.Request) (places.EngineLoad, bool, error) {
 		if leaving == "" {
 			leaving = engine.ID
 			f.pool.MarkLeaving(engine)
--- a/daemon/internal/request/dispatch/limit_test.go
+++ b/daemon/internal/request/dispatch/limit_test.go
@@ -20,7 +20,7 @@
 
 // limitAllExcept makes all loaders except one answer that the engine's rate limit is used up.
 func (f *fleet) limitAllExcept(q *request, except string) {
-	q.RequestPlace = func(_ context.Context, engine *provider.Upstream, _ places.Limit) (places.EngineLoad, bool, error) {
+	q.RequestPlace = func(_ context.Context, engine *provider.Upstream, _ places.Request) (places.EngineLoad, bool, error) {
 		if engine.ID == except {
 			return places.EngineLoad{}, true, nil
 		}
@@ -83,13 +83,13 @@
 	q := f.request("short-objective", 0)
 	queried := map[string]int{}
 	first := ""
-	q.RequestPlace = func(_ context.Context, engine *provider.Upstream, limit places.Limit) (places.EngineLoad, bool, error) {
+	q.RequestPlace = func(_ context.Context, engine *provider.Upstream, request places.Request) (places.EngineLoad, bool, error) {
 		if first == "" {
 			first = engine.ID
 		}
 		queried[engine.ID]++
 		if engine.ID == first {
-			return places.EngineLoad{Waiting: 1}, limit.Waiting > 0, nil
+			return places.EngineLoad{Waiting: 1}, request.Waiting > 0, nil
 		}
 		return places.EngineLoad{RetryAfter: retryWait}, false, nil
 	}
--- a/daemon/internal/request/dispatch/place.go
+++ b/daemon/internal/request/dispatch/place.go
@@ -196,7 +196,7 @@
 // queryLoader requests a place and records the result.
 func (q *request) queryLoader(ctx context.Context, choice balance.Choice, limit places.Limit) (places.EngineLoad, bool, error) {
 	started := clock.Now()
-	load, granted, err := q.RequestPlace(ctx, choice.Upstream, limit)
+	load, granted, err := q.RequestPlace(ctx, choice.Upstream, q.placeRequest(limit))
 	result := PlaceRequest{
 		Upstream: choice.Upstream.ID, Granted: granted, Running: load.Running, Waiting: load.Waiting,
 		MaxWaiting: limit.Waiting, MaxInUse: limit.InUse, Duration: clock.Since(started), RetryAfter: load.RetryAfter,
@@ -210,6 +210,15 @@
 	return load, granted, err
 }
 
+// placeRequest returns the request for a place within a limit.
+func (q *request) placeRequest(limit places.Limit) places.Request {
+	return places.Request{
+		Limit:  limit,
+		Caller: places.Caller{Account: q.accountName(), Rank: q.rank, Ranks: q.ranks, Retry: q.trace.Retried && q.sent == 0},
+		Size:   places.Size{PromptTokens: int(q.promptTokens()), AnswerTokens: int(q.answerTokens())},
+	}
+}
+
 // serviceState returns the state of the service's engines for an admission decision with the
 // given objective.
 func (q *request) serviceState(choice balance.Choice, objective time.Duration) admission.Service {
--- a/daemon/internal/request/dispatch/place_test.go
+++ b/daemon/internal/request/dispatch/place_test.go
@@ -57,8 +57,8 @@
 	return f
 }
 
-func (f *fleet) requestPlace(_ context.Context, _ *provider.Upstream, limit places.Limit) (places.EngineLoad, bool, error) {
-	f.queries = append(f.queries, limit)
+func (f *fleet) requestPlace(_ context.Context, _ *provider.Upstream, request places.Request) (places.EngineLoad, bool, error) {
+	f.queries = append(f.queries, request.Limit)
 	granted, err := f.grant(len(f.queries))
 	return places.EngineLoad{Running: 10, Waiting: 1}, granted, err
 }
--- a/daemon/loader/events.go
+++ b/daemon/loader/events.go
@@ -64,10 +64,10 @@
 	// An engine without a loaded version refuses every request, so it grants no place either.
 	loading, closesAt := report.Loading || p.reconciler.Draining() || len(report.Models) == 0, p.reconciler.ClosesAt()
 	p.feed.Publish(loadfeed.State{
-		Running: report.Running, Waiting: report.Waiting, Loading: loading, Leaving: report.Leaving, ClosesIn: loadfeed.ClosesIn(closesAt, clock.Now()), Models: report.Models,
+		Running: report.Running, Waiting: report.Waiting, Loading: loading, Leaving: report.Leaving, ClosesIn: loadfeed.ClosesIn(closesAt, clock.Now()), Models: report.Models, Pace: report.Pace,
 	})
 	p.ledger.CloseAt(closesAt)
-	p.ledger.Observe(places.EngineLoad{Running: report.Running, Waiting: report.Waiting, Loading: loading, Leaving: report.Leaving}, true)
+	p.ledger.Observe(places.EngineLoad{Running: report.Running, Waiting: report.Waiting, Loading: loading, Leaving: report.Leaving, Pace: report.Pace}, true)
 }
 
 // countResponse counts a response to a router's request for a place.
--- a/daemon/provider/configuration.go
+++ b/daemon/provider/configuration.go
@@ -50,6 +50,9 @@
 	// Timeout bounds how long a request may take. Objective is the latency target of the first
 	// byte of a response.
 	Timeout, Objective time.Duration
+	// EventGap is the longest gap between two events of a stream that is answered in time, 0 if
+	// not declared.
+	EventGap time.Duration
 	// Priority ranks requests; 0 is the most urgent.
 	Priority int
 	// Shares is never empty, and the sum of its weights is positive.
@@ -99,6 +102,16 @@
 	MeanAnswerTokens float64 `json:"UsualAnswer"`
 	// Chunks is the number of chunks of a version, and ChunkBytes the size of a chunk.
 	Chunks, ChunkBytes int
+	// StepTime is the time of a decoding step, which writes a token of each running request.
+	// StepTimePerRequest is added for each of them, and StepTimePerKiloToken for each 1,000 tokens
+	// of its context. All are 0 if not declared.
+	StepTime, StepTimePerRequest, StepTimePerKiloToken time.Duration
+	// PromptTimePerMegaPair is added to the time to read a prompt for each million pairs of one of
+	// its tokens and an earlier one.
+	PromptTimePerMegaPair time.Duration
+	// StepsPerPass is the number of decoding steps in a pass of the engine, and PromptTokensPerPass
+	// the most prompt tokens that it reads in a pass. Both are 0 if not declared.
+	StepsPerPass, PromptTokensPerPass int
 }
 
 // Account is a client account with its keys.
--- a/daemon/provider/engine.go
+++ b/daemon/provider/engine.go
@@ -32,6 +32,8 @@
 	Started  time.Time
 	// Leaving is set while the engine is about to end. It must get no new requests.
 	Leaving bool
+	// Pace is the factor by which the engine is slower than its declared rates, 0 if not reported.
+	Pace float64
 }
 
 // Order directs an engine to load a staged version once its current requests are done.
--- a/daemon/router/limits.go
+++ b/daemon/router/limits.go
@@ -123,9 +123,9 @@
 
 // requestPlace requests a place at an engine from the loader beside it. The request carries the
 // limit that this router holds for the engine, and the response the limit that the loader holds.
-func (p *Process) requestPlace(ctx context.Context, engine *provider.Upstream, limit places.Limit) (places.EngineLoad, bool, error) {
+func (p *Process) requestPlace(ctx context.Context, engine *provider.Upstream, request places.Request) (places.EngineLoad, bool, error) {
 	upstream := instanceOf(engine)
-	request := places.Request{Limit: limit, Engine: ratelimit.Upstream{ID: upstream.ID, Started: upstream.Started}}
+	request.Engine = ratelimit.Upstream{ID: upstream.ID, Started: upstream.Started}
 	p.limits.withTable(func(table *ratelimit.Table, now time.Time) {
 		if report, known := table.Report(upstream, now); known {
 			request.RateLimit = &report
--- a/daemon/router/upstreams.go
+++ b/daemon/router/upstreams.go
@@ -74,7 +74,10 @@
 func (p *Process) applyLoad(host netip.AddrPort, state loadfeed.State) {
 	load := balance.LoadReport{
 		Running: state.Running, Waiting: state.Waiting, Loading: state.Loading, Leaving: state.Leaving,
-		ClosesIn: time.Duration(state.ClosesIn) * time.Millisecond, Models: state.Models,
+		ClosesIn: time.Duration(state.ClosesIn) * time.Millisecond, Models: state.Models, Pace: state.Pace,
+	}
+	if state.Next != nil {
+		load.NextVersion, load.NextIn = state.Next.Version, time.Duration(state.Next.In)*time.Millisecond
 	}
 	for _, id := range (*p.engineIDsByHost.Load())[host.Addr()] {
 		p.pool.Report(id, load)
