Grant places on slow engines by the time that a request takes

Cause: an engine that reports a pace of 2.5 gets places by the number of its requests alone. Its streams take 2.5 to 3.6 s instead of 1.1 s, long ones are cut at their deadline after 5 s, and half of the late first bytes of the highlights deployment come from the one engine in seven that is slow.

Change: enginetime estimates first byte, gap and end of a request from the declared rates, the pace, the load and the rate at which prompts are read. A loader denies a request that a slow engine cannot serve within the limits of its query. Such a denial neither counts as full nor as free. Waiting prompts count by their tokens.

--- a/daemon/internal/connection/places/client.go
+++ b/daemon/internal/connection/places/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/backoff"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/call"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/enginetime"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/ratelimit"
 )
 
@@ -42,7 +43,24 @@
 	Leaving      bool              `json:"leaving,omitempty"`
 	RetryAfterMs int64             `json:"wait,omitempty"`
 	RateLimit    *ratelimit.Report `json:"limit,omitempty"`
-	Pace         float64           `json:"pace,omitempty"`
+	Pace         optionalNumber    `json:"pace,omitempty"`
+	// Late and ExpectedMs tell why the engine cannot serve the request in time.
+	Late       string         `json:"late,omitempty"`
+	ExpectedMs optionalNumber `json:"expected,omitempty"`
+}
+
+// optionalNumber is a number that counts as missing if it cannot be parsed.
+type optionalNumber float64
+
+// UnmarshalJSON implements json.Unmarshaler. It never fails, because the value of another build
+// must not cost a request its response.
+func (n *optionalNumber) UnmarshalJSON(data []byte) error {
+	value, err := strconv.ParseFloat(string(data), 64)
+	if err != nil {
+		value = 0
+	}
+	*n = optionalNumber(value)
+	return nil
 }
 
 // Response is the response of a loader.
@@ -71,7 +89,7 @@
 		_ = json.NewEncoder(w).Encode(wireResponse{
 			Granted: granted, Running: load.Running, Waiting: load.Waiting, Loading: load.Loading, Leaving: load.Leaving,
 			RetryAfterMs: load.RetryAfter.Milliseconds(), RateLimit: ledger.RateLimit(req.Engine),
-			Pace: load.Pace,
+			Pace: optionalNumber(load.Pace), Late: string(load.Late.Reason), ExpectedMs: optionalNumber(load.Late.Expected.Milliseconds()),
 		})
 	}
 }
@@ -89,7 +107,7 @@
 	if req.RateLimit, err = parseRateLimit(query); err != nil {
 		return req, err
 	}
-	req.Caller, req.Size = parseCaller(query), parseSize(query)
+	req.Caller, req.Size, req.Times = parseCaller(query), parseSize(query), parseTimes(query)
 	req.Warmup, err = parseWarmup(query)
 	return req, err
 }
@@ -131,6 +149,9 @@
 	retryParam     = "retry"
 	promptParam    = "prompt" // in tokens
 	answerParam    = "answer" // in tokens
+	leftParam      = "left"   // in milliseconds, as firstParam and gapParam
+	firstParam     = "first"
+	gapParam       = "gap"
 )
 
 // parseWarmup parses the engine's warm-up state as known to the router; nil if it is warm.
@@ -218,7 +239,7 @@
 		query += "&" + warmupParam + "=" + strconv.FormatFloat(r.Warmup.PerSecond, 'f', -1, 64)
 		query += "&" + warmupForParam + "=" + strconv.FormatInt(r.Warmup.Remaining.Milliseconds(), 10)
 	}
-	query += r.Caller.query() + r.Size.query()
+	query += r.Caller.query() + r.Size.query() + timesQuery(r.Times)
 	if r.RateLimit == nil {
 		return query
 	}
@@ -274,6 +295,9 @@
 	if err := call.GetJSON(ctx, c.Client, target, maxResponse, &resp); err != nil {
 		return Response{}, fmt.Errorf("request place from loader %s: %w", loader, err)
 	}
-	load := EngineLoad{Running: resp.Running, Waiting: resp.Waiting, Loading: resp.Loading, Leaving: resp.Leaving, RetryAfter: time.Duration(resp.RetryAfterMs) * time.Millisecond, Pace: resp.Pace}
+	load := EngineLoad{
+		Running: resp.Running, Waiting: resp.Waiting, Loading: resp.Loading, Leaving: resp.Leaving, RetryAfter: time.Duration(resp.RetryAfterMs) * time.Millisecond,
+		Pace: float64(resp.Pace), Late: enginetime.Denial{Reason: enginetime.Reason(resp.Late), Expected: time.Duration(float64(resp.ExpectedMs) * float64(time.Millisecond))},
+	}
 	return Response{EngineLoad: load, Granted: resp.Granted, RateLimit: resp.RateLimit}, nil
 }
--- a/daemon/internal/connection/places/ledger.go
+++ b/daemon/internal/connection/places/ledger.go
@@ -16,7 +16,9 @@
 	"time"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/enginetime"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/ratelimit"
+	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
 // reportDelay is how long after a reservation the engine's load reflects the request. It covers
@@ -36,6 +38,9 @@
 	RetryAfter time.Duration
 	// Pace is the factor by which the engine is slower than its declared rates; 0 means 1.
 	Pace float64
+	// Late is why the engine cannot serve the request in time; empty if that was not the reason of
+	// a denial.
+	Late enginetime.Denial
 }
 
 // Limit is the highest load of an engine at which a request is admitted.
@@ -61,6 +66,9 @@
 	// Caller describes whom the request is for, and Size what it asks of the engine.
 	Caller Caller
 	Size   Size
+	// Times are the times within which the request must be served. They are set only for services
+	// with a slow engine or with routes of different priorities.
+	Times enginetime.Limits
 }
 
 // Caller describes whom a request is for.
@@ -101,6 +109,10 @@
 	rateLimits ratelimit.Table
 	// warmup limits the rate of requests while the engine is cold.
 	warmup ratelimit.WarmupTable
+	// engine holds the declared rates of the engine, and grants the sizes of the requests that were
+	// granted recently.
+	engine provider.EngineSpec
+	grants grants
 }
 
 // Observe sets the current load of the engine. Ok is false if the engine did not respond.
@@ -142,10 +154,13 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.mergeLimits(req)
-	load, fits := l.fits(req.Limit)
+	load, fits := l.fits(req)
 	if !fits {
 		return load, false
 	}
+	if load.Late = l.deniedForTime(load, req); load.Late.Reason != "" {
+		return load, false
+	}
 	now := helpers.Now(l.Now)
 	wait, ok := l.warmup.Allow(req.Engine, ratelimit.LoaderShare, now)
 	if ok {
@@ -156,6 +171,7 @@
 		return load, false
 	}
 	l.pending = append(l.pending, now)
+	l.recordGrant(req.Size, now)
 	return load, true
 }
 
@@ -184,10 +200,10 @@
 	return &report
 }
 
-// fits reports whether the engine's load is within the limit. The caller holds mu.
-func (l *Ledger) fits(limit Limit) (EngineLoad, bool) {
+// fits reports whether the engine's load is within the limit of a request. The caller holds mu.
+func (l *Ledger) fits(req Request) (EngineLoad, bool) {
 	load := l.load
 	load.Waiting += len(l.pending)
-	closed := !l.observed || load.Loading || load.Leaving || l.runsWhenClosed(limit)
-	return load, !closed && load.Waiting <= limit.Waiting && load.Running+load.Waiting <= limit.InUse
+	closed := !l.observed || load.Loading || load.Leaving || l.runsWhenClosed(req.Limit)
+	return load, !closed && load.Running+load.Waiting <= req.InUse && l.queueFits(load, req)
 }
--- /dev/null
+++ b/daemon/internal/connection/places/replay_test.go
@@ -0,0 +1,212 @@
+package places_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/places"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/admission"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/enginetime"
+	"github.com/wheelcleat/wheelcleat/daemon/provider"
+)
+
+// This file replays streams on a fleet of which one engine in seven is slow, on a virtual clock.
+
+const (
+	fleetSize, slowPace = 28, 2.5
+	replayTick          = 25 * time.Millisecond // the interval of load reports
+	replayTime          = 40 * time.Second
+	objective, eventGap = 400 * time.Millisecond, 400 * time.Millisecond
+)
+
+// replaySpec holds the declared rates of the highlights deployment in docs/OVERLOAD.md.
+var replaySpec = provider.EngineSpec{
+	Places: 12, PromptRate: 19100, MeanPromptTokens: 800, MeanAnswerTokens: 90, StepTime: 8870 * time.Microsecond, StepTimePerRequest: 38800,
+	StepTimePerKiloToken: 22700, PromptTimePerMegaPair: 1470 * time.Microsecond, StepsPerPass: 5, PromptTokensPerPass: 2048,
+}
+
+// stream is a request. Times count from the start of the replay.
+type stream struct {
+	arrival, deadline, firstByte, lastEvent, longestGap time.Duration
+	unread, prompt, answer, hint                        int
+	done, cut, onSlow                                   bool
+}
+
+// passEngine works in passes, as the package comment of enginetime describes.
+type passEngine struct {
+	ledger           places.Ledger
+	pace             float64
+	waiting, running []*stream
+	reading          []*stream
+	passEnds         time.Duration
+	busy             bool
+}
+
+func (e *passEngine) startPass() {
+	tokens, pairs, context := 0, 0.0, 0
+	e.reading = nil
+	for len(e.waiting) > 0 && len(e.running)+len(e.reading) < replaySpec.Places && tokens < replaySpec.PromptTokensPerPass {
+		next := e.waiting[0]
+		part := min(next.unread, replaySpec.PromptTokensPerPass-tokens)
+		next.unread -= part
+		tokens, pairs = tokens+part, pairs+float64(part*next.prompt)/2
+		if next.unread > 0 {
+			break
+		}
+		e.reading, e.waiting = append(e.reading, next), e.waiting[1:]
+	}
+	batch := append(slices.Clone(e.running), e.reading...)
+	for _, s := range batch {
+		context += s.prompt
+	}
+	step := replaySpec.StepTime + time.Duration(len(batch))*replaySpec.StepTimePerRequest + time.Duration(context)*replaySpec.StepTimePerKiloToken/1000
+	read := time.Duration(float64(tokens)/replaySpec.PromptRate*1e9 + pairs/1e6*float64(replaySpec.PromptTimePerMegaPair))
+	e.busy = len(batch) > 0 || tokens > 0
+	e.passEnds += time.Duration(e.pace * float64(read+time.Duration(replaySpec.StepsPerPass)*step))
+}
+
+// advance runs the passes that end until now.
+func (e *passEngine) advance(now time.Duration) {
+	for e.busy && e.passEnds <= now {
+		e.running = append(e.running, e.reading...)
+		for _, s := range e.running {
+			if s.firstByte == 0 {
+				s.firstByte = e.passEnds
+			} else {
+				s.longestGap = max(s.longestGap, e.passEnds-s.lastEvent)
+			}
+			s.lastEvent = e.passEnds
+			s.answer -= replaySpec.StepsPerPass
+			s.cut = e.passEnds > s.deadline
+			s.done = s.cut || s.answer <= 0
+		}
+		e.running = slices.DeleteFunc(e.running, func(s *stream) bool { return s.done })
+		e.startPass()
+	}
+}
+
+func (e *passEngine) enqueue(s *stream, now time.Duration) {
+	e.waiting = append(e.waiting, s)
+	if !e.busy {
+		e.passEnds = now
+		e.startPass()
+	}
+}
+
+// outcomes counts the streams of a replay by their outcome.
+type outcomes struct{ all, inTime, lateFirst, longGap, cut, refused int }
+
+// replay runs a load, as a fraction of the capacity, with or without time limits in the queries.
+func replay(load float64, timed bool) (all, onSlow outcomes) {
+	rng := rand.New(rand.NewPCG(3, 9))
+	start, now := time.Unix(1000, 0), time.Duration(0)
+	fleet := make([]*passEngine, fleetSize)
+	for i := range fleet {
+		fleet[i] = &passEngine{pace: 1}
+		if i%7 == 0 {
+			fleet[i].pace = slowPace
+		}
+		fleet[i].ledger.Now = func() time.Time { return start.Add(now) }
+		fleet[i].ledger.SetEngine(replaySpec)
+	}
+	const perEngine = 10.2 // streams per second of an engine as fast as declared
+	perTick := load * perEngine * fleetSize * (6 + 1/slowPace) / 7 * replayTick.Seconds()
+	var streams []*stream
+	for owed := 0.0; now < replayTime+10*time.Second; now += replayTick {
+		for _, e := range fleet {
+			e.advance(now)
+			e.ledger.Observe(places.EngineLoad{Running: len(e.running), Waiting: len(e.waiting) + len(e.reading), Pace: enginetime.ReportedPace(e.pace)}, true)
+		}
+		for owed += perTick; owed >= 1 && now < replayTime; owed-- {
+			s := drawStream(rng, now)
+			streams = append(streams, s)
+			place(fleet, s, now, timed, rng)
+		}
+	}
+	for _, s := range streams {
+		all.add(s)
+		if s.onSlow {
+			onSlow.add(s)
+		}
+	}
+	return all, onSlow
+}
+
+func (o *outcomes) add(s *stream) {
+	o.all++
+	switch {
+	case !s.done:
+		o.refused++
+	case s.cut:
+		o.cut++
+	case s.firstByte-s.arrival > objective:
+		o.lateFirst++
+	case s.longestGap > eventGap:
+		o.longGap++
+	default:
+		o.inTime++
+	}
+}
+
+func drawStream(rng *rand.Rand, now time.Duration) *stream {
+	kinds := []struct{ prompt, answer float64 }{{1290, 110}, {787, 110}, {607, 70}, {607, 70}}
+	kind := kinds[rng.IntN(len(kinds))]
+	prompt := min(int(kind.prompt*(0.3+0.7*rng.ExpFloat64())), 4000)
+	answer := 5 + int((kind.answer-5)*rng.ExpFloat64())
+	deadline := 6 * time.Second
+	if rng.IntN(7) == 0 {
+		deadline = 5100 * time.Millisecond
+	}
+	hint := max(1, int(float64(answer)*math.Exp(0.5*rng.NormFloat64())))
+	return &stream{arrival: now, deadline: now + deadline, unread: prompt, prompt: prompt, answer: answer, hint: hint}
+}
+
+// place searches for a place like a router: it queries the engines with the fewest waiting requests
+// first, in random order where these are equal.
+func place(fleet []*passEngine, s *stream, now time.Duration, timed bool, rng *rand.Rand) {
+	search := admission.Search{Service: admission.Service{
+		Places: replaySpec.Places, ReadTime: 42 * time.Millisecond, PlaceInterval: 95 * time.Millisecond, Objective: objective,
+	}}
+	order := rng.Perm(len(fleet))
+	slices.SortStableFunc(order, func(a, b int) int { return len(fleet[a].waiting) - len(fleet[b].waiting) })
+	for _, i := range order {
+		if search.Done() {
+			return
+		}
+		req := places.Request{Limit: search.Limit(false), Size: places.Size{PromptTokens: s.prompt, AnswerTokens: s.hint}}
+		if timed {
+			req.Times = search.Times(enginetime.Limits{First: objective, Gap: eventGap, Left: s.deadline - now}, false)
+		}
+		reported, granted := fleet[i].ledger.Reserve(req)
+		if granted {
+			s.onSlow = fleet[i].pace > 1
+			fleet[i].enqueue(s, now)
+			return
+		}
+		search.AddDenied(reported)
+	}
+}
+
+// TestSlowEnginesGetWhatTheyServeInTime guards against slow engines that make streams late or hold
+// them until their deadline, and against slow engines that serve fewer streams in time than before.
+// The baseline is the decision by the number of requests alone.
+func TestSlowEnginesGetWhatTheyServeInTime(t *testing.T) {
+	for _, load := range []float64{0.6, 0.8, 1} {
+		before, beforeSlow := replay(load, false)
+		after, afterSlow := replay(load, true)
+		t.Logf("load %.1f: before %+v, after %+v", load, before, after)
+		t.Logf("on slow engines: before %+v, after %+v", beforeSlow, afterSlow)
+		assert.Greater(t, after.inTime, before.inTime)
+		assert.Less(t, after.cut, before.cut*2/3)
+		assert.Less(t, after.lateFirst, before.lateFirst/3)
+		assert.Greater(t, afterSlow.inTime, beforeSlow.inTime)
+		assert.Less(t, afterSlow.cut, beforeSlow.cut/3)
+		assert.Less(t, afterSlow.lateFirst, beforeSlow.lateFirst/10)
+		assert.LessOrEqual(t, after.refused, before.refused+after.all/50, "requests that no slow engine takes are not refused instead")
+	}
+}
--- a/daemon/internal/process/replica/view.go
+++ b/daemon/internal/process/replica/view.go
@@ -34,6 +34,8 @@
 	priorities map[string][]int
 	// objectives holds the shortest objective of each service's routes.
 	objectives map[string]time.Duration
+	// limits holds what the routes of each service require of its engines.
+	limits map[string]serviceLimits
 }
 
 // Declaration is a declared version of a model and when this daemon received it.
@@ -459,6 +461,7 @@
 	}
 	v.priorities = servicePriorities(configuration)
 	v.objectives = serviceObjectives(configuration)
+	v.limits = limitsOfServices(configuration)
 	v.services = map[string]*provider.Service{}
 	for i := range configuration.Services {
 		v.services[configuration.Services[i].Name] = &configuration.Services[i]
--- a/daemon/internal/request/admission/search.go
+++ b/daemon/internal/request/admission/search.go
@@ -1,6 +1,9 @@
 package admission
 
-import "github.com/wheelcleat/wheelcleat/daemon/internal/connection/places"
+import (
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/places"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/enginetime"
+)
 
 // MaxUnresponsive is the number of unresponsive loaders after which a search ends. Each adds a
 // call timeout of 50 ms to the request's time to the first byte, which is some hundred.
@@ -24,7 +27,10 @@
 	denied, unresponsive int
 	// limited counts the engines at their rate limit.
 	limited int
-	// sawFree is set if an engine denied the request although it had a free place.
+	// late counts the denials of engines that cannot serve the request in time, and lateEnd those of
+	// them for the end of its answer.
+	late, lateEnd int
+	// sawFree is set if an engine denied the request for its load although it had a free place.
 	sawFree bool
 }
 
@@ -46,13 +52,39 @@
 
 // Limit returns the maximum load of the next engine. Only means that no other engine remains.
 func (s *Search) Limit(only bool) places.Limit {
-	last := only || s.denied+s.unresponsive+1 >= s.policy().MaxQueries
-	return s.policy().Limit(s.Service, s.Request, s.denied, last)
+	return s.policy().Limit(s.Service, s.Request, s.denied, s.last(only))
 }
 
-// AddDenied records that an engine with the given load denied a place.
+// last reports whether the next query is the last.
+func (s *Search) last(only bool) bool {
+	return only || s.denied+s.unresponsive+1 >= s.policy().MaxQueries
+}
+
+// Times returns the time limits of the next query, given those of the request. If all engines denied
+// it for the end of its answer, whose length is only an estimate, the last query keeps only
+// the limit of the first byte. A request that any engine must admit has none.
+func (s *Search) Times(times enginetime.Limits, only bool) enginetime.Limits {
+	switch {
+	case s.Limit(only) == Unlimited:
+		return enginetime.Limits{}
+	case s.last(only) && s.lateEnd == s.denied:
+		return enginetime.Limits{First: times.First}
+	default:
+		return times
+	}
+}
+
+// AddDenied records that an engine with the given load denied a place. A denial because the engine
+// cannot serve the request in time tells nothing about free places.
 func (s *Search) AddDenied(load places.EngineLoad) {
 	s.denied++
+	if load.Late.Reason != "" {
+		s.late++
+		if load.Late.Reason == enginetime.End {
+			s.lateEnd++
+		}
+		return
+	}
 	s.sawFree = s.sawFree || load.Running+load.Waiting < s.Service.Places
 }
 
@@ -65,5 +97,9 @@
 // Counts returns the number of engines that denied a place and that of unresponsive loaders.
 func (s *Search) Counts() (denied, unresponsive int) { return s.denied, s.unresponsive }
 
-// AllFull reports whether none of the engines that denied a place had a free one.
+// AllFull reports whether none of the engines that denied a place for their load had a free one.
 func (s *Search) AllFull() bool { return !s.sawFree }
+
+// OnlyLate reports whether all engines that denied a place did so because they cannot serve the
+// request in time. Such a search tells nothing about the saturation of the service.
+func (s *Search) OnlyLate() bool { return s.late > 0 && s.late == s.denied }
--- a/daemon/internal/request/dispatch/place.go
+++ b/daemon/internal/request/dispatch/place.go
@@ -10,6 +10,7 @@
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/balance"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/admission"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/enginetime"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
@@ -29,6 +30,15 @@
 	// RetryAfter is when to request again if the engine's rate limit is used up.
 	RetryAfter time.Duration `json:"wait,omitempty"`
 	Cause      string        `json:"cause,omitempty"`
+	// First, Gap and Left are the time limits of the request, 0 if none were sent, and Pace is that
+	// of the engine. Late is the limit that the request would exceed there, and Expected the
+	// loader's estimate.
+	First    time.Duration     `json:"first,omitempty"`
+	Gap      time.Duration     `json:"gap,omitempty"`
+	Left     time.Duration     `json:"left,omitempty"`
+	Pace     float64           `json:"pace,omitempty"`
+	Late     enginetime.Reason `json:"late,omitempty"`
+	Expected time.Duration     `json:"expected,omitempty"`
 }
 
 // choosePlace chooses an upstream and gets the request admitted there. For an engine with a
@@ -70,6 +80,9 @@
 	if denied == 0 {
 		return q.placeByReports(candidates)
 	}
+	if search.OnlyLate() {
+		return balance.Choice{}, fmt.Errorf("%w: %d engines cannot serve the request in time, %d more did not answer", errOverloaded, denied, unresponsive)
+	}
 	q.LoadTracker.RecordFull(q.service.Name, search.AllFull())
 	return balance.Choice{}, fmt.Errorf("%w: %d engines have no place, %d more did not answer", errOverloaded, denied, unresponsive)
 }
@@ -81,11 +94,12 @@
 		return q.admitUnqueried(choice, PathNoLoader)
 	}
 	search.Service = q.serviceState(choice, q.view.Objective(q.service.Name))
-	limit := search.Limit(choice.Candidates == 1)
+	only := choice.Candidates == 1
+	limit := search.Limit(only)
 	if limit != admission.Unlimited {
 		limit.Duration = holdTime
 	}
-	load, granted, err := q.queryLoader(ctx, choice, limit)
+	load, granted, err := q.queryLoader(ctx, choice, limit, search.Times(q.timeLimits(), only))
 	switch {
 	case granted && q.Pool.Withdrawn(choice.Upstream), load.Leaving:
 	case granted:
@@ -194,26 +208,29 @@
 }
 
 // queryLoader requests a place and records the result.
-func (q *request) queryLoader(ctx context.Context, choice balance.Choice, limit places.Limit) (places.EngineLoad, bool, error) {
+func (q *request) queryLoader(ctx context.Context, choice balance.Choice, limit places.Limit, times enginetime.Limits) (places.EngineLoad, bool, error) {
 	started := clock.Now()
-	load, granted, err := q.RequestPlace(ctx, choice.Upstream, q.placeRequest(limit))
+	load, granted, err := q.RequestPlace(ctx, choice.Upstream, q.placeRequest(limit, times))
 	result := PlaceRequest{
 		Upstream: choice.Upstream.ID, Granted: granted, Running: load.Running, Waiting: load.Waiting,
 		MaxWaiting: limit.Waiting, MaxInUse: limit.InUse, Duration: clock.Since(started), RetryAfter: load.RetryAfter,
+		First: times.First, Gap: times.Gap, Left: times.Left, Pace: enginetime.ReportedPace(load.Pace), Late: load.Late.Reason, Expected: load.Late.Expected,
 	}
 	if err != nil {
 		result.Cause = err.Error()
 	} else {
-		q.Pool.ReportLoad(choice.Upstream.ID, balance.LoadReport{Running: load.Running, Waiting: load.Waiting, Loading: load.Loading, Leaving: load.Leaving})
+		q.LoadTracker.RecordPace(q.service.Name, load.Pace)
+		q.Pool.ReportLoad(choice.Upstream.ID, balance.LoadReport{Running: load.Running, Waiting: load.Waiting, Loading: load.Loading, Leaving: load.Leaving, Pace: load.Pace})
 	}
 	q.trace.PlaceRequests = append(q.trace.PlaceRequests, result)
 	return load, granted, err
 }
 
-// placeRequest returns the request for a place within a limit.
-func (q *request) placeRequest(limit places.Limit) places.Request {
+// placeRequest returns the request for a place within a limit and time limits.
+func (q *request) placeRequest(limit places.Limit, times enginetime.Limits) places.Request {
 	return places.Request{
 		Limit:  limit,
+		Times:  times,
 		Caller: places.Caller{Account: q.accountName(), Rank: q.rank, Ranks: q.ranks, Retry: q.trace.Retried && q.sent == 0},
 		Size:   places.Size{PromptTokens: int(q.promptTokens()), AnswerTokens: int(q.answerTokens())},
 	}
--- /dev/null
+++ b/daemon/internal/request/dispatch/timelimits_test.go
@@ -0,0 +1,91 @@
+package dispatch
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wheelcleat/wheelcleat/daemon/internal/clock"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/places"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/process/replica"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/enginetime"
+	"github.com/wheelcleat/wheelcleat/daemon/provider"
+)
+
+// TestTimeLimitsOnlyWhereEnginesOrRoutesDiffer guards against changed decisions for services without
+// slow engines whose routes have the same priority, and against limits that never end.
+func TestTimeLimitsOnlyWhereEnginesOrRoutesDiffer(t *testing.T) {
+	f := newFleet(t, 1, nil)
+	now := time.Unix(1000, 0)
+	limits := func(tracker *LoadTracker) enginetime.Limits {
+		q := f.request("short-objective", 0)
+		q.LoadTracker = tracker
+		q.trace.Started, q.deadline = clock.Now(), clock.Now().Add(6*time.Second)
+		return q.timeLimits()
+	}
+	tracker := &LoadTracker{Now: func() time.Time { return now }}
+	assert.Zero(t, limits(tracker))
+	tracker.RecordPace("s", 1)
+	tracker.RecordPace("t", 2.5)
+	assert.Zero(t, limits(tracker), "no engine of the service is slow")
+
+	tracker.RecordPace("s", 2.5)
+	found := limits(tracker)
+	assert.InDelta(t, 6, found.Left.Seconds(), 0.1)
+	assert.InDelta(t, 0.3, found.First.Seconds(), 0.1)
+	now = now.Add(slowRetention + 1)
+	assert.Zero(t, limits(tracker), "no slow engine was seen recently")
+
+	configuration := *f.view.Configuration
+	configuration.Routes[0].Priority++
+	compiler := &replica.Compiler{Decode: func(provider.Entry) (provider.Record, error) {
+		return provider.Record{Configuration: &configuration}, nil
+	}}
+	compiler.Apply([]provider.Entry{{Key: "c", Revision: 1}})
+	f.view = compiler.View()
+	assert.NotZero(t, limits(tracker), "routes have different priorities")
+}
+
+// TestDenialForTimeGoesToAnotherEngine checks that a slow engine's denial leads to another engine,
+// raises no saturation, and is recorded with its reason and estimate.
+func TestDenialForTimeGoesToAnotherEngine(t *testing.T) {
+	f := newFleet(t, 9, nil)
+	var queries []places.Request
+	denyAll := false
+	query := func(_ context.Context, _ *provider.Upstream, request places.Request) (places.EngineLoad, bool, error) {
+		queries = append(queries, request)
+		load := places.EngineLoad{Running: 16, Pace: 2.5}
+		if len(queries) > 1 && !denyAll {
+			return load, true, nil
+		}
+		load.Late = enginetime.Denial{Reason: enginetime.End, Expected: 7 * time.Second}
+		return load, false, nil
+	}
+	q := f.request("short-objective", 0)
+	q.RequestPlace, q.trace.Started, q.deadline = query, clock.Now(), clock.Now().Add(6*time.Second)
+	_, err := q.choosePlace(context.Background())
+	require.NoError(t, err)
+	require.Len(t, q.trace.PlaceRequests, 2)
+	first, second := q.trace.PlaceRequests[0], q.trace.PlaceRequests[1]
+	assert.Equal(t, enginetime.End, first.Late)
+	assert.Equal(t, 7*time.Second, first.Expected)
+	assert.Equal(t, 2.5, first.Pace)
+	assert.Zero(t, first.Left, "no pace was known yet")
+	assert.Positive(t, second.Left)
+	assert.Empty(t, second.Late)
+
+	queries, denyAll = nil, true
+	q = f.request("short-objective", 0)
+	now := time.Unix(1000, 0)
+	q.LoadTracker = &LoadTracker{Now: func() time.Time { now = now.Add(time.Second); return now }}
+	q.RequestPlace, q.trace.Started, q.deadline = query, clock.Now(), clock.Now().Add(6*time.Second)
+	_, err = q.choosePlace(context.Background())
+	require.ErrorIs(t, err, errOverloaded)
+	assert.Zero(t, q.LoadTracker.Saturation("s"), "engines that are too slow are not full")
+	last := queries[len(queries)-1].Times
+	assert.Positive(t, last.First)
+	assert.Zero(t, last.Left, "the last query decides by the first byte alone")
+}
--- a/daemon/loader/engineconfig.go
+++ b/daemon/loader/engineconfig.go
@@ -79,6 +79,7 @@
 	if err != nil {
 		return err
 	}
+	p.ledger.SetEngine(update.Engine)
 	if old := p.engineConfig.Swap(&update.EngineConfig); old == nil || *old != update.EngineConfig {
 		p.log.WithFields(log.Fields{
 			fieldDecision: decisionBelieve, "model": update.Engine.Model, "origin": update.Origin, "revision": update.Revision.Number(),
--- a/daemon/loader/engineconfig_test.go
+++ b/daemon/loader/engineconfig_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/clock"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/peering"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/places"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/replica"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
@@ -47,7 +48,7 @@
 	configuration := &provider.Configuration{Services: []provider.Service{
 		{Name: "s", Engine: &provider.EngineSpec{Model: "m"}, Origin: netip.MustParseAddrPort("10.0.0.1:80")},
 	}}
-	p := &Process{createdAt: clock.Now(), log: log.NewEntry(&log.Logger{Handler: discard.New()}), provider: provider.Provider{
+	p := &Process{createdAt: clock.Now(), ledger: &places.Ledger{}, log: log.NewEntry(&log.Logger{Handler: discard.New()}), provider: provider.Provider{
 		Store: provider.Store{GetStale: func(ctx context.Context, _ string) (provider.Entry, error) {
 			return provider.Entry{}, read(ctx)
 		}},
--- a/daemon/loader/events.go
+++ b/daemon/loader/events.go
@@ -9,6 +9,7 @@
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/loadfeed"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/places"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/replica"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/enginetime"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/ratelimit"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/version/reconcile"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/version/swarm"
@@ -63,23 +64,27 @@
 	}
 	// An engine without a loaded version refuses every request, so it grants no place either.
 	loading, closesAt := report.Loading || p.reconciler.Draining() || len(report.Models) == 0, p.reconciler.ClosesAt()
+	pace := enginetime.ReportedPace(report.Pace)
+	p.telemetry.Scope.Gauge("engine_pace").Update(enginetime.NormalPace(pace))
 	p.feed.Publish(loadfeed.State{
-		Running: report.Running, Waiting: report.Waiting, Loading: loading, Leaving: report.Leaving, ClosesIn: loadfeed.ClosesIn(closesAt, clock.Now()), Models: report.Models, Pace: report.Pace,
+		Running: report.Running, Waiting: report.Waiting, Loading: loading, Leaving: report.Leaving, ClosesIn: loadfeed.ClosesIn(closesAt, clock.Now()), Models: report.Models, Pace: pace,
 	})
 	p.ledger.CloseAt(closesAt)
-	p.ledger.Observe(places.EngineLoad{Running: report.Running, Waiting: report.Waiting, Loading: loading, Leaving: report.Leaving, Pace: report.Pace}, true)
+	p.ledger.Observe(places.EngineLoad{Running: report.Running, Waiting: report.Waiting, Loading: loading, Leaving: report.Leaving, Pace: pace}, true)
 }
 
 // countResponse counts a response to a router's request for a place.
 func (p *Process) countResponse(response places.Response) {
-	name := "places_given"
+	name, scope := "places_given", p.telemetry.Scope
 	switch {
+	case response.Late.Reason != "":
+		name, scope = "places_denied_late", scope.Tagged(map[string]string{"for": string(response.Late.Reason)})
 	case response.RetryAfter > 0:
 		name = "places_denied_by_limit"
 	case !response.Granted:
 		name = "places_denied"
 	}
-	p.telemetry.Scope.Counter(name).Inc(1)
+	scope.Counter(name).Inc(1)
 }
 
 // limitLogRate is the maximum number of log lines per second about limits, which may change
--- a/daemon/loader/events_test.go
+++ b/daemon/loader/events_test.go
@@ -1,6 +1,7 @@
 package loader
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/places"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/replica"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/telemetry"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/enginetime"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/version/reconcile"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 	"github.com/wheelcleat/wheelcleat/daemon/settings"
@@ -54,6 +56,29 @@
 	assert.True(t, granted)
 }
 
+// TestSlowEngineDeniesWhatItCannotServeInTime checks that the pace of the engine's report and its
+// declared rates reach the decision on a place, and that an invalid pace counts as 1.
+func TestSlowEngineDeniesWhatItCannotServeInTime(t *testing.T) {
+	events, output, err := telemetry.NewWithBoundedWriter(telemetry.Options{Role: "loader", Name: "l", Level: "error"})
+	require.NoError(t, err)
+	t.Cleanup(output.Close)
+	p := &Process{telemetry: events, feed: loadfeed.NewFeed(), ledger: &places.Ledger{}, reconciler: &reconcile.Reconciler{}}
+	p.ledger.SetEngine(provider.EngineSpec{PromptRate: 20000, StepTime: 10 * time.Millisecond, StepsPerPass: 5, PromptTokensPerPass: 2048})
+	request := places.Request{Limit: places.Limit{Waiting: 9, InUse: 9}, Times: enginetime.Limits{Left: time.Second}}
+	report := provider.EngineReport{Models: []provider.LoadedModel{{Model: "m", Version: 1}}, Pace: 2.5}
+
+	p.publishReport(report, nil)
+	load, granted := p.ledger.Reserve(request)
+	assert.False(t, granted)
+	assert.Equal(t, 2.5, load.Pace)
+	assert.Equal(t, enginetime.End, load.Late.Reason)
+	report.Pace = math.NaN()
+	p.publishReport(report, nil)
+	load, granted = p.ledger.Reserve(request)
+	assert.True(t, granted)
+	assert.Zero(t, load.Pace)
+}
+
 // TestCopyTimeFollowsOriginRate also covers the fallback to the rate of this host's link.
 func TestCopyTimeFollowsOriginRate(t *testing.T) {
 	p := &Process{}
