Let an invalid pace count as not reported

Cause: a pace that cannot be decoded fails the whole engine report or the whole line of a load feed, so the engine counts as not answering. Optional facts must not cost more than themselves.

--- a/daemon/internal/connection/loadfeed/loadfeed.go
+++ b/daemon/internal/connection/loadfeed/loadfeed.go
@@ -9,10 +9,12 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -187,9 +189,20 @@
 // deliver decodes a line and passes the state to OnState.
 func (r *Reader) deliver(host netip.AddrPort, data []byte) error {
 	var state State
-	if err := json.Unmarshal(data, &state); err != nil {
+	if err := json.Unmarshal(data, &state); err != nil && !onlyOptional(err) {
 		return fmt.Errorf("decode engine state of %s: %w", host, err)
 	}
 	r.OnState(host, state)
 	return nil
 }
+
+// onlyOptional reports whether a line cannot be decoded only because of a field that may be missing.
+// The decoder leaves such a field at 0 and decodes the others.
+func onlyOptional(err error) bool {
+	var invalid *json.UnmarshalTypeError
+	if !errors.As(err, &invalid) {
+		return false
+	}
+	field, _, _ := strings.Cut(invalid.Field, ".")
+	return field == "pace" || field == "next"
+}
