Keep fetching a superseded version while the newest one is unavailable

A loader gave up its copy of version 2 as soon as version 3 was declared, although no host could fetch version 3 while the origin was down. Package rollout now decides which declared versions are fetched and from where, whether an engine closes ahead of a load, and which version it is expected to serve next, which the load feed publishes.

A host that started a fetch late requested its own chunks late by the same time, so the whole fleet waited for them. Chunks that other hosts are past are now due at once. Lookups of a manifest go on while the origin fails.

--- a/daemon/internal/version/pace/pace.go
+++ b/daemon/internal/version/pace/pace.go
@@ -77,6 +77,33 @@
 	}
 }
 
+// OriginWithheld records that this host may not request chunks of the version from the origin for
+// now. Like an outage, that time makes no host take over chunks from others.
+func (t *Timeline) OriginWithheld(now time.Time) {
+	if t.failedAt.IsZero() {
+		t.failedAt = now
+	}
+}
+
+// OriginFails reports whether the origin fails the requests of this host, or is withheld.
+func (t *Timeline) OriginFails() bool { return !t.failedAt.IsZero() }
+
+// Resume continues a fetch that was suspended for some time, which counts neither as progress nor as
+// overdue.
+func (t *Timeline) Resume(suspended time.Duration, now time.Time) {
+	t.paused += suspended
+	t.lastNewAt, t.lastReceivedAt = now, now
+	if !t.failedAt.IsZero() {
+		t.failedAt = now
+	}
+}
+
+// Quiet returns the time since this host last received a chunk or a chunk appeared that no host
+// had before.
+func (t *Timeline) Quiet(now time.Time) time.Duration {
+	return min(now.Sub(t.lastNewAt), now.Sub(t.lastReceivedAt))
+}
+
 // ChunkReceived records that this host received a chunk. Of the time since the chunk before it
 // only the first StallThreshold counts as overdue time of other chunks.
 func (t *Timeline) ChunkReceived(now time.Time) {
@@ -124,14 +151,17 @@
 	if t.CopyTime <= 0 {
 		return t.Chunks
 	}
+	// A host that starts late, for example because it was restarted or got the manifest late, is behind the
+	// other hosts. They would wait for its chunks at the end.
+	least := min(t.Chunks, seen+lookahead/2)
 	if !t.isPaused(now) {
-		return t.dueAt(now)
+		return max(least, t.dueAt(now))
 	}
 	pausedAt := t.lastNewAt.Add(StallThreshold)
 	if !t.failedAt.IsZero() && t.failedAt.Before(pausedAt) {
 		pausedAt = t.failedAt
 	}
-	return min(t.dueAt(pausedAt), seen+pausedWindow)
+	return max(least, min(t.dueAt(pausedAt), seen+pausedWindow))
 }
 
 // dueAt returns the number of chunks that are due at a time while the timeline runs.
--- a/daemon/internal/version/reconcile/fetch.go
+++ b/daemon/internal/version/reconcile/fetch.go
@@ -7,79 +7,105 @@
 	"math/rand/v2"
 	"net/netip"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/clock"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/version/rollout"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/version/swarm"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
-// This file fetches the newest declared version; manifest.go looks up its manifest.
+// This file fetches the declared versions; choose.go decides which one from where, and manifest.go looks up a
+// manifest.
 
-// ensureFetch starts the fetch of the newest declared version and cancels that of any other,
-// unless that one is nearly complete.
-func (r *Reconciler) ensureFetch(ctx context.Context, plan Plan) {
-	if r.fetchVersion == plan.Goal.Version || r.nearlyComplete() {
-		return
+// versionFetch is the fetch of one version. It runs until the version is complete or no longer
+// needed, and is suspended while its sources are rollout.None.
+type versionFetch struct {
+	version int
+	// newest is set while this is the newest declared version. Only the lookup of its manifest
+	// queries the origin.
+	newest  atomic.Bool
+	started time.Time
+	cancel  context.CancelFunc
+	done    chan struct{}
+	// sources holds the rollout.Sources in force.
+	sources atomic.Uint32
+	// originGone is set once the origin has answered that it no longer sends the version.
+	originGone atomic.Bool
+	// swarm is the running fetch of chunks, nil before the manifest is known.
+	swarm atomic.Pointer[swarm.Fetch]
+	// preferred is the last decision's. Only the reconciliation loop uses it.
+	preferred bool
+}
+
+func (f *versionFetch) allowedSources() rollout.Sources {
+	sources := rollout.Sources(f.sources.Load()) //nolint:gosec // only stored by setSources
+	if f.originGone.Load() {
+		return sources &^ rollout.Origin
 	}
-	r.stopFetch()
-	r.fetchVersion, r.fetchStarted = plan.Goal.Version, clock.Now()
-	fetchCtx, cancel := context.WithCancel(ctx)
-	r.cancelFetch = cancel
-	r.fetchDone = make(chan struct{})
-	go func(done chan<- struct{}) {
-		defer close(done)
-		r.fetch(fetchCtx, plan)
-	}(r.fetchDone)
+	return sources
 }
 
-// nearlyComplete reports whether the running fetch should end although a newer version was
-// declared: engines have to reach its version earlier than the newer one.
-func (r *Reconciler) nearlyComplete() bool {
-	const minShare = 0.6
-	c := r.Copies.Get(r.fetchVersion)
-	if c == nil || c.Complete() {
-		return false
+func (f *versionFetch) setSources(sources rollout.Sources) { f.sources.Store(uint32(sources)) }
+
+// stop cancels the fetch and waits for its end.
+func (f *versionFetch) stop() {
+	f.cancel()
+	<-f.done
+}
+
+// startFetch starts the fetch of the plan's goal.
+func (r *Reconciler) startFetch(ctx context.Context, plan Plan, newest bool) *versionFetch {
+	f := &versionFetch{version: plan.Goal.Version, started: clock.Now(), done: make(chan struct{})}
+	fetchCtx, cancel := context.WithCancel(ctx)
+	f.cancel = cancel
+	f.newest.Store(newest)
+	if newest {
+		f.setSources(rollout.All)
 	}
-	count, _ := c.Count()
-	return float64(count) >= minShare*float64(len(c.Manifest.Digests)) && clock.Since(r.fetchStarted) < maxSupersededFetch
+	go func() {
+		defer close(f.done)
+		r.fetch(fetchCtx, f, plan)
+	}()
+	return f
 }
 
-func (r *Reconciler) stopFetch() {
-	if r.cancelFetch != nil {
-		r.cancelFetch()
-		<-r.fetchDone
-		r.cancelFetch = nil
+func (r *Reconciler) stopFetches() {
+	for _, f := range r.fetches {
+		f.stop()
 	}
+	r.fetches = nil
 }
 
 // fetch fetches a version, with retries until it succeeds, is superseded, or the context
 // ends.
-func (r *Reconciler) fetch(ctx context.Context, plan Plan) {
+func (r *Reconciler) fetch(ctx context.Context, f *versionFetch, plan Plan) {
 	started := clock.Now()
 	for ctx.Err() == nil {
-		err := r.tryFetch(ctx, plan)
+		err := r.tryFetch(ctx, f, plan)
 		if ctx.Err() != nil {
 			return
 		}
-		r.OnStep(Step{Name: StepFetch, Version: plan.Goal.Version, Err: err, Took: clock.Since(started)})
-		if err == nil || errors.Is(err, provider.ErrSuperseded) {
+		r.OnStep(Step{Name: StepFetch, Version: f.version, Err: err, Took: clock.Since(started)})
+		if err == nil || errors.Is(err, provider.ErrSuperseded) && (f.newest.Load() || f.originGone.Swap(true)) {
 			return
 		}
 		if errors.Is(err, swarm.ErrManifest) {
-			r.Copies.Drop(plan.Goal.Version)
+			r.Copies.Drop(f.version)
 		}
 		helpers.Pause(rand.N(maxRetryDelay), ctx.Done())
-		if newer, ok := r.Plan(0); ok && newer.Goal.Version == plan.Goal.Version {
-			plan = newer
+		if current, ok := r.Plan(0); ok {
+			plan = current.forVersion(f.version, plan)
 		}
 	}
 }
 
-func (r *Reconciler) tryFetch(ctx context.Context, plan Plan) error {
-	c := r.Copies.Get(plan.Goal.Version)
+func (r *Reconciler) tryFetch(ctx context.Context, f *versionFetch, plan Plan) error {
+	c := r.Copies.Get(f.version)
 	if c == nil {
-		manifest, err := r.manifest(ctx, plan)
+		manifest, err := r.manifest(ctx, f, plan)
 		if err != nil {
 			return err
 		}
@@ -90,6 +116,7 @@
 		return nil
 	}
 	fetch := r.NewFetch(plan, c)
+	fetch.Sources, fetch.Idle = f.allowedSources, r.idle.Load
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var scan sync.WaitGroup
@@ -100,23 +127,29 @@
 		close(scanned)
 	})
 	fetch.LocalScanDone = scanned
+	f.swarm.Store(fetch)
 	defer cancel()
 	return fetch.Run(ctx)
 }
 
-// manifest looks up the manifest of the newest declared version.
-func (r *Reconciler) manifest(ctx context.Context, plan Plan) (provider.Manifest, error) {
+// manifest looks up the manifest of the plan's goal.
+func (r *Reconciler) manifest(ctx context.Context, f *versionFetch, plan Plan) (provider.Manifest, error) {
 	started := clock.Now()
 	goal := plan.Goal
 	lookup := &ManifestLookup{
-		Self: r.Self, Ranking: r.RankLoaders(goal),
+		Self: r.Self, Ranking: func() []netip.AddrPort { return r.RankLoaders(goal) },
 		QueryPeer: func(ctx context.Context, peer netip.AddrPort) (provider.Manifest, error) {
 			return r.PeerManifest(ctx, peer, goal.Version)
 		},
-		QueryOrigin: func(ctx context.Context) (provider.Manifest, error) {
-			return r.Origin.Manifest(ctx, plan.OriginAddress, goal.Model, goal.Version)
-		},
 		Check: func(manifest provider.Manifest) error { return checkManifest(manifest, plan) },
+		OnOriginFailure: func(err error) {
+			r.OnStep(Step{Name: StepManifest, Version: goal.Version, Err: err, Took: clock.Since(started)})
+		},
+	}
+	if f.newest.Load() {
+		lookup.QueryOrigin = func(ctx context.Context) (provider.Manifest, error) {
+			return r.Origin.Manifest(ctx, plan.OriginAddress, goal.Model, goal.Version)
+		}
 	}
 	found, err := lookup.Find(ctx)
 	if err != nil {
--- a/daemon/internal/version/reconcile/manifest.go
+++ b/daemon/internal/version/reconcile/manifest.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/clock"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/version/swarm"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
@@ -27,6 +29,11 @@
 	leadStagger   = 250 * time.Millisecond
 	backupStagger = 25 * time.Millisecond
 	leadHosts     = 4
+	// minOriginRetry is the minimum delay before one of the first leadHosts queries an origin again that
+	// failed, and half of the maximum: an origin that is back is noticed within about 50 ms.
+	minOriginRetry = 100 * time.Millisecond
+	// rankingInterval is the interval in which a lookup reads the ranking again.
+	rankingInterval = 500 * time.Millisecond
 )
 
 // ManifestLookup looks up the manifest of a version. All hosts compute the same ranking for a
@@ -35,20 +42,26 @@
 // has passed a host queries its peers: the first hosts of the ranking, and between them
 // random hosts, through which the manifest spreads. The exported fields must be set.
 type ManifestLookup struct {
-	// Self is this host, and Ranking all hosts that should have the version, best first. It
+	// Self is this host, and Ranking returns all hosts that should have the version, best first. They
 	// need not include Self.
 	Self    netip.AddrPort
-	Ranking []netip.AddrPort
-	// QueryPeer and QueryOrigin make one call each and return the manifest unverified.
+	Ranking func() []netip.AddrPort
+	// QueryPeer and QueryOrigin make one call each and return the manifest unverified. If QueryOrigin is nil,
+	// only peers are queried.
 	QueryPeer   func(ctx context.Context, peer netip.AddrPort) (provider.Manifest, error)
 	QueryOrigin func(ctx context.Context) (provider.Manifest, error)
 	// Check validates a manifest against the declared version.
 	Check func(provider.Manifest) error
+	// OnOriginFailure is called when a query to the origin has failed. The lookup goes on.
+	OnOriginFailure func(error)
 
 	// queries counts the queries to peers, and pending holds the peers that have not
 	// answered.
 	queries int
 	pending map[netip.AddrPort]bool
+	// ranking is the last result of Ranking, which was called at rankedAt.
+	ranking  []netip.AddrPort
+	rankedAt time.Time
 }
 
 // LookupResult is a manifest and how it was found.
@@ -74,15 +87,21 @@
 	return swarm.FromOrigin
 }
 
-// Find returns the first valid manifest. It fails if the origin fails or the context
-// ends.
+// Find returns the first valid manifest. It fails if the origin no longer sends the version or the
+// context ends. While the origin fails, the first hosts of the ranking query it again at short
+// intervals and the others at long ones, so that its recovery is noticed at once although few hosts query
+// it. A lookup that ended at each failure would start again with the delays of a new version.
 func (l *ManifestLookup) Find(ctx context.Context) (LookupResult, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	l.pending = map[netip.AddrPort]bool{}
 	results := make(chan queryResult)
+	l.refreshRanking()
 	originTimer := time.NewTimer(l.originDelay())
 	defer originTimer.Stop()
+	if l.QueryOrigin == nil {
+		originTimer.Stop()
+	}
 	peerTimer := time.NewTimer(0)
 	defer peerTimer.Stop()
 	for {
@@ -100,7 +119,12 @@
 				return LookupResult{Manifest: r.manifest, From: r.source(), PeerQueries: l.queries}, nil
 			}
 			if !r.peer.IsValid() {
-				return LookupResult{}, r.err
+				if errors.Is(r.err, provider.ErrSuperseded) {
+					return LookupResult{}, r.err
+				}
+				l.OnOriginFailure(r.err)
+				originTimer.Reset(l.originRetryDelay())
+				continue
 			}
 			delete(l.pending, r.peer)
 			peerTimer.Reset(peerRetryDelay)
@@ -132,26 +156,47 @@
 
 // originDelay returns how long this host waits before it queries the origin.
 func (l *ManifestLookup) originDelay() time.Duration {
-	rank := slices.Index(l.Ranking, l.Self)
-	if rank < 0 {
-		rank = len(l.Ranking)
-	}
+	rank := l.rank()
 	leads := min(rank, leadHosts)
 	return time.Duration(leads)*leadStagger + time.Duration(rank-leads)*backupStagger
 }
 
+// originRetryDelay returns how long this host waits before it queries the origin again after a failure.
+func (l *ManifestLookup) originRetryDelay() time.Duration {
+	if l.rank() < leadHosts {
+		return minOriginRetry + rand.N(minOriginRetry)
+	}
+	return l.originDelay() + rand.N(maxRetryDelay)
+}
+
+// rank returns this host's rank, or the number of hosts if it is not among them.
+func (l *ManifestLookup) rank() int {
+	if rank := slices.Index(l.ranking, l.Self); rank >= 0 {
+		return rank
+	}
+	return len(l.ranking)
+}
+
+// refreshRanking reads the ranking again if it is old: a lookup may last as long as an outage.
+func (l *ManifestLookup) refreshRanking() {
+	if now := clock.Now(); l.rankedAt.IsZero() || now.Sub(l.rankedAt) > rankingInterval {
+		l.ranking, l.rankedAt = l.Ranking(), now
+	}
+}
+
 // nextPeer returns the next peer to query, or false if every candidate is still pending.
 // A lead host cycles through the other lead hosts, so that it learns of the manifest before
 // it queries the origin itself. Other hosts alternate between a lead host and a random one.
 func (l *ManifestLookup) nextPeer() (netip.AddrPort, bool) {
-	leads := l.Ranking[:min(leadHosts, len(l.Ranking))]
+	l.refreshRanking()
+	leads := l.ranking[:min(leadHosts, len(l.ranking))]
 	round, anyHost := l.queries, false
 	if !slices.Contains(leads, l.Self) {
 		round, anyHost = l.queries/2, l.queries%2 == 1
 	}
 	l.queries++
 	if anyHost {
-		return l.pick(l.Ranking, rand.Int())
+		return l.pick(l.ranking, rand.Int())
 	}
 	return l.pick(leads, round)
 }
--- a/daemon/internal/version/reconcile/reconcile.go
+++ b/daemon/internal/version/reconcile/reconcile.go
@@ -14,12 +14,14 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"gopkg.in/tomb.v2"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/clock"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/version/rollout"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/version/swarm"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
@@ -46,9 +48,9 @@
 	// request, and the engine serves nothing new until the longest running one has ended,
 	// so a long request accepted shortly before the order leaves the other places idle.
 	CloseLeadTime = 1600 * time.Millisecond
-	// maxSupersededFetch is how long a nearly complete fetch may continue after a newer
-	// version was declared, counted from its start.
-	maxSupersededFetch = 6 * time.Second
+	// defaultLoadTime is the expected time from an order to the engine serving the version, until it was
+	// measured: the load itself takes 300 ms, and running requests end before it.
+	defaultLoadTime = 800 * time.Millisecond
 	// orderRetryInterval is the time for an order to take effect in the engine's report
 	// before it is sent again.
 	orderRetryInterval = 500 * time.Millisecond
@@ -63,6 +65,8 @@
 	FencingToken provider.Revision
 	// LoadAt is the earliest time to order an engine that serves an older version.
 	LoadAt time.Time
+	// Due is when engines must serve this version or a newer one, zero if not known.
+	Due time.Time
 }
 
 // Plan is the desired state of one engine, with what is needed to reach it.
@@ -79,6 +83,8 @@
 	Chunks, ChunkBytes int
 	// CopyTime is how long the origin takes to send one copy.
 	CopyTime time.Duration
+	// ChunkTime is how long a chunk takes over this host's link, 0 if not known.
+	ChunkTime time.Duration
 }
 
 // goals returns all declared versions, newest first.
@@ -108,22 +114,38 @@
 	// OnStep is called with the outcome of each step.
 	OnStep func(step Step)
 
-	// fetchVersion is the version of the last fetch that was started. cancelFetch cancels the
-	// fetch, and fetchDone is closed when it has ended. Only run uses these fields.
-	fetchVersion int
-	fetchStarted time.Time
-	cancelFetch  context.CancelFunc
-	fetchDone    chan struct{}
+	// fetches holds the fetch of each version that this host should have. Only run uses the fields
+	// from here on.
+	fetches map[int]*versionFetch
+	// decideVersions replaces rollout.Decide in tests of the rule before it, and closeAhead rollout.Close.
+	decideVersions func([]rollout.Version, rollout.Rates, time.Time) []rollout.Choice
+	closeAhead     func([]rollout.Load, time.Duration, time.Time) rollout.Closing
+	// idle is set while the engine must serve no version that it has: each of them is superseded for good. It is also
+	// read by fetches.
+	idle atomic.Bool
+	// chosen describes the last choice between versions, and choseAmong is their number.
+	chosen     string
+	choseAmong int
+	// lastLoaded is the version in the engine's last report.
+	lastLoaded int
 	// stagedVersion is the version that was written to the engine's staging area.
 	stagedVersion int
 	orderedAt     time.Time
+	// orderedVersion is the version of the last order until the engine has loaded it, otherwise 0, and
+	// loadTook the time that this took the last time.
+	orderedVersion int
+	loadTook       time.Duration
 	// drainStarted is when routers were notified to send no more requests, zero while the
 	// engine is not draining.
 	drainStarted time.Time
 	// engineStarted is the start time in the engine's last report.
 	engineStarted time.Time
-	// closesAt is the scheduled load time if it is less than CloseLeadTime away, otherwise zero.
-	closesAt time.Time
+	// closesAt is the scheduled load time if the engine closes ahead of it, otherwise zero. staysOpenFor is the
+	// version for which it would close if its copy were expected in time, otherwise 0.
+	closesAt     time.Time
+	staysOpenFor int
+	// expected is the version that the engine is expected to serve next, zero if there is no estimate.
+	expected rollout.Expected
 	tomb     tomb.Tomb
 }
 
@@ -134,6 +156,8 @@
 	StepStage    = "stage"
 	StepVerify   = "check"
 	StepOrder    = "order"
+	StepChoose   = "choose"
+	StepClose    = "close"
 )
 
 // Step is the outcome of one step towards a version.
@@ -166,7 +190,7 @@
 			pause = BusyInterval
 		}
 	}
-	r.stopFetch()
+	r.stopFetches()
 	return nil
 }
 
@@ -179,7 +203,11 @@
 	if !ok {
 		return false
 	}
-	r.ensureFetch(ctx, plan)
+	if err == nil {
+		r.lastLoaded = loadedVersion(report)
+	}
+	r.idle.Store(plan.minVersion(r.now()) > r.lastLoaded)
+	r.ensureFetches(ctx, plan, r.lastLoaded)
 	if err != nil {
 		return false
 	}
@@ -195,7 +223,7 @@
 		return
 	}
 	r.engineStarted = started
-	r.orderedAt, r.drainStarted = time.Time{}, time.Time{}
+	r.orderedAt, r.drainStarted, r.orderedVersion = time.Time{}, time.Time{}, 0
 }
 
 // isBusy reports whether so many of an engine's places are in use that routers need
@@ -206,7 +234,7 @@
 
 // advance takes the next step towards the version that the engine should load.
 func (r *Reconciler) advance(ctx context.Context, plan Plan, report provider.EngineReport) {
-	r.closesAt = closeTime(plan, loadedVersion(report), r.now())
+	r.updateForecast(plan, report)
 	goal, c := r.next(plan, report)
 	if c == nil || report.Loading || report.Leaving {
 		r.drainStarted = time.Time{}
@@ -255,22 +283,25 @@
 // order is imminent. Only OnReport may call it.
 func (r *Reconciler) Draining() bool { return !r.drainStarted.IsZero() }
 
-// ClosesAt returns the scheduled load time if it is less than CloseLeadTime away, otherwise
-// zero. Only OnReport may call it.
+// ClosesAt returns the scheduled load time if the engine closes ahead of it, otherwise zero. Only OnReport may call it.
 func (r *Reconciler) ClosesAt() time.Time { return r.closesAt }
 
-// closeTime returns the scheduled load time of an engine if it is less than CloseLeadTime
-// away, otherwise zero. It applies whether or not the copy is complete: that is known only
-// at the load time, too late for the requests that are running then.
-func closeTime(plan Plan, loaded int, now time.Time) time.Time {
-	var next time.Time
-	for _, goal := range plan.goals() {
-		soon := now.Before(goal.LoadAt) && !now.Before(goal.LoadAt.Add(-CloseLeadTime))
-		if loaded > 0 && goal.Version > loaded && soon && (next.IsZero() || goal.LoadAt.Before(next)) {
-			next = goal.LoadAt
-		}
+// Expected returns the version that the engine is expected to serve next, zero if there is no estimate. Only
+// OnReport may call it.
+func (r *Reconciler) Expected() rollout.Expected { return r.expected }
+
+func (r *Reconciler) decide(versions []rollout.Version, rates rollout.Rates, now time.Time) []rollout.Choice {
+	if r.decideVersions != nil {
+		return r.decideVersions(versions, rates, now)
+	}
+	return rollout.Decide(versions, rates, now)
+}
+
+func (r *Reconciler) closing(loads []rollout.Load, now time.Time) rollout.Closing {
+	if r.closeAhead != nil {
+		return r.closeAhead(loads, CloseLeadTime, now)
 	}
-	return next
+	return rollout.Close(loads, CloseLeadTime, now)
 }
 
 // next returns the version to load and its copy: the newest complete one whose load time
@@ -318,7 +349,7 @@
 	result, err := r.Engine.Start(ctx, r.EngineAddress, provider.Order{
 		Model: goal.Model, Version: goal.Version, FencingToken: goal.FencingToken, Sequence: report.Sequence,
 	})
-	r.orderedAt = r.now()
+	r.orderedAt, r.orderedVersion = r.now(), goal.Version
 	r.drainStarted = time.Time{}
 	reason := fmt.Sprintf("version %d loaded, %d requests running, order %s", loadedVersion(report), report.Running, result)
 	r.OnStep(Step{Name: StepOrder, Version: goal.Version, Reason: reason, Err: err, Took: clock.Since(started), Running: report.Running})
--- a/daemon/internal/version/reconcile/reconcile_test.go
+++ b/daemon/internal/version/reconcile/reconcile_test.go
@@ -188,6 +188,15 @@
 	return reconcile.Plan{Goal: goals[0], Earlier: goals[1:], Chunks: chunks, ChunkBytes: 1}
 }
 
+func completeCopy(t *testing.T, version int) *swarm.Copy {
+	t.Helper()
+	c := swarm.NewCopy(manifestOf(version))
+	for index := range chunks {
+		require.NoError(t, c.Put(index, chunkOf(version, index)))
+	}
+	return c
+}
+
 func await(t *testing.T, what string, condition func() bool) {
 	t.Helper()
 	require.Eventually(t, condition, 10*time.Second, 5*time.Millisecond, what)
@@ -272,6 +281,7 @@
 		closesAt.Store(r.ClosesAt())
 		onReport(report, err)
 	}
+	r.Copies.Add(completeCopy(t, 2)) // without it the engine would stay open
 	r.Start()
 	t.Cleanup(r.Stop)
 	e.advance(8 * time.Second)
--- a/daemon/internal/version/swarm/assignment.go
+++ b/daemon/internal/version/swarm/assignment.go
@@ -40,10 +40,10 @@
 	})
 }
 
-// offered reports whether a responsive neighbour has the chunk.
+// offered reports whether a responsive neighbour has the chunk and does not send damaged ones only.
 func (f *Fetch) offered(index int) bool {
 	for _, n := range f.neighbours {
-		if n.have.Has(index) && clock.Since(n.reportedAt) < peerTimeout {
+		if n.have.Has(index) && n.damaged < maxDamaged && clock.Since(n.reportedAt) < peerTimeout {
 			return true
 		}
 	}
--- a/daemon/internal/version/swarm/copy.go
+++ b/daemon/internal/version/swarm/copy.go
@@ -36,6 +36,8 @@
 	count  int
 	// completedAt is when the last chunk was added, zero before.
 	completedAt time.Time
+	// addedAt holds when each chunk was added, in that order.
+	addedAt []time.Time
 	// seen marks the chunks that any host, this one included, has reported or stored, and
 	// seenCount is their number.
 	seen      []bool
@@ -62,6 +64,7 @@
 	if c.chunks[index] == nil {
 		c.chunks[index] = chunk
 		c.count++
+		c.addedAt = append(c.addedAt, clock.Now())
 		c.markSeen(index)
 		if c.count == len(c.chunks) {
 			c.completedAt = clock.Now()
@@ -133,6 +136,17 @@
 	return c.completedAt
 }
 
+// PerSecond returns the rate at which chunks were added within a window up to now, 0 if none was.
+func (c *Copy) PerSecond(window time.Duration, now time.Time) float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	added := 0
+	for added < len(c.addedAt) && now.Sub(c.addedAt[len(c.addedAt)-1-added]) < window {
+		added++
+	}
+	return float64(added) / window.Seconds()
+}
+
 // Present returns for each chunk whether this host has it.
 func (c *Copy) Present() []bool {
 	c.mu.Lock()
--- a/daemon/internal/version/swarm/fetch.go
+++ b/daemon/internal/version/swarm/fetch.go
@@ -15,6 +15,7 @@
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/linestream"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/version/pace"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/version/rollout"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
@@ -72,6 +73,8 @@
 	chunkTimeFloor = 30 * time.Millisecond
 	// idleDelay is the delay of a worker that found nothing to fetch.
 	idleDelay = 25 * time.Millisecond
+	// maxDamaged is the number of consecutive damaged chunks from which a peer's offers do not count.
+	maxDamaged = 2
 	// maxMismatches is the number of times that one chunk from the origin may fail
 	// verification before the manifest is taken to be wrong. The origin sends a corrupt
 	// chunk now and then.
@@ -114,15 +117,23 @@
 	// Early marks an early host, which should have the version before all others: it fetches
 	// from every hall and more chunks at once.
 	Early bool
+	// Idle reports whether the engine can serve nothing until it has this version; nil means that it can. Its host's link
+	// then carries no requests that chunks would delay, so more chunks may arrive at once.
+	Idle func() bool
 	// LocalScanDone is closed once the chunks that are on this host already have been reused.
 	// The origin is not used before that. Nil means that there is nothing to wait for.
 	LocalScanDone <-chan struct{}
+	// Sources returns the sources from which chunks may be requested now; nil means all. While there are none
+	// the reports of neighbours are followed only.
+	Sources func() rollout.Sources
 	// OnChunk is called with each new chunk and its source: a peer's address or FromOrigin.
 	// It may be nil.
 	OnChunk func(index int, chunk []byte, from string)
 
 	// timeline says which chunks are due or overdue; mu guards it.
 	timeline pace.Timeline
+	// suspendedAt is when the fetch was left without a source, zero while it has one.
+	suspendedAt time.Time
 	// maxSeen is the highest number of chunks that were seen at any host.
 	maxSeen int
 	// seenAt is when each chunk was first seen at another host.
@@ -158,16 +169,20 @@
 	inFlight int
 	// chunkTime is the moving average of the transfer times of chunks from this peer.
 	chunkTime time.Duration
+	// damaged counts the damaged chunks since the last intact one.
+	damaged int
 }
 
 // Run fetches until the copy is complete, the context ends, or the manifest proves wrong.
 func (f *Fetch) Run(ctx context.Context) error {
+	f.mu.Lock()
 	f.timeline = pace.Timeline{Chunks: len(f.Copy.Manifest.Digests), CopyTime: f.CopyTime}
 	f.timeline.Start(clock.Now())
 	f.neighbours = map[netip.AddrPort]*neighbour{}
 	f.inFlight = map[int]bool{}
 	f.seenAt = map[int]time.Time{}
 	f.mismatches = map[int]int{}
+	f.mu.Unlock()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	var workers sync.WaitGroup
@@ -272,10 +287,10 @@
 	f.updateSeen(now)
 }
 
-// updateSeen advances the timeline if more chunks have been seen than before; the caller
-// holds mu.
+// updateSeen advances the timeline if more chunks have been seen than before, unless the fetch is
+// suspended; the caller holds mu.
 func (f *Fetch) updateSeen(now time.Time) {
-	if seen := f.seen(); seen > f.maxSeen {
+	if seen := f.seen(); f.suspendedAt.IsZero() && seen > f.maxSeen {
 		f.maxSeen = seen
 		f.timeline.NewChunkSeen(seen, now)
 	}
--- a/daemon/internal/version/swarm/fetch_test.go
+++ b/daemon/internal/version/swarm/fetch_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/version/swarm"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/version/swarm/swarmtest"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
@@ -92,7 +93,7 @@
 func fetchOnFleet(t *testing.T, o *origin, manifest provider.Manifest, hosts, dead int) []*swarm.Copy {
 	t.Helper()
 	o.sent = map[int]int{}
-	var net network
+	var net swarmtest.Network
 	var listed []swarm.Host
 	var copies []*swarm.Copy
 	for i := range hosts {
@@ -100,7 +101,7 @@
 		hostCopies := &swarm.Copies{}
 		hostCopies.Add(c)
 		copies = append(copies, c)
-		listed = append(listed, swarm.Host{Address: net.serve(t, handler(hostCopies)), Hall: fmt.Sprintf("hall-%d", i/3)})
+		listed = append(listed, swarm.Host{Address: net.Serve(t, handler(hostCopies)), Hall: fmt.Sprintf("hall-%d", i/3)})
 	}
 	for i := range dead {
 		listed = append(listed, swarm.Host{Address: netip.MustParseAddrPort(fmt.Sprintf("127.0.0.1:%d", i+1)), Hall: "hall-0"})
@@ -111,7 +112,7 @@
 	for i, c := range copies {
 		fetch := &swarm.Fetch{
 			Copy: c, Model: "m", Origin: provider.Origin{Chunk: o.chunk}, Self: listed[i],
-			Hosts: func() []swarm.Host { return listed }, Client: net.client(t),
+			Hosts: func() []swarm.Host { return listed }, Client: net.Client(t),
 			CopyTime: max(50*time.Millisecond, o.linkTime*time.Duration(len(manifest.Digests))), Early: i == 0,
 		}
 		running.Go(func() { assert.NoError(t, fetch.Run(ctx)) })
--- a/daemon/internal/version/swarm/fromorigin.go
+++ b/daemon/internal/version/swarm/fromorigin.go
@@ -8,6 +8,7 @@
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/clock"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/version/rollout"
 )
 
 // This file fetches from the origin the chunks that are assigned to this host.
@@ -64,6 +65,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := clock.Now()
+	if !f.allowed(now).Has(rollout.Origin) {
+		return 0, false
+	}
 	f.assign(f.liveHosts(now))
 	have := f.Copy.Present()
 	takeover := -1
--- a/daemon/internal/version/swarm/frompeers.go
+++ b/daemon/internal/version/swarm/frompeers.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"math/rand/v2"
 	"net/netip"
 	"time"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/clock"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/version/rollout"
 )
 
 // This file chooses which chunks are fetched from which peer, and how many at once.
@@ -42,7 +44,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := clock.Now()
-	if worker >= f.concurrency || f.arriving(now) >= maxInbound(f.ChunkTime, f.Early) {
+	if !f.allowed(now).Has(rollout.Peers) || worker >= f.concurrency || f.arriving(now) >= f.maxInbound() {
 		return 0, netip.AddrPort{}, false
 	}
 	f.assign(f.liveHosts(now))
@@ -82,6 +84,14 @@
 	return count
 }
 
+// maxInbound returns the number of chunks that may arrive at once.
+func (f *Fetch) maxInbound() int {
+	if f.Idle != nil && f.Idle() {
+		return f.maxConcurrency
+	}
+	return maxInbound(f.ChunkTime, f.Early)
+}
+
 // maxInbound returns the number of chunks that may arrive at once, given how long one takes
 // over the host's link.
 func maxInbound(chunkTime time.Duration, early bool) int {
@@ -127,7 +137,12 @@
 
 // recordResult updates a peer's chunk time and retry delay, and adapts the concurrency.
 func (f *Fetch) recordResult(address netip.AddrPort, took time.Duration, err error) {
-	const failedPeerDelay = 500 * time.Millisecond
+	const (
+		failedPeerDelay = 500 * time.Millisecond
+		// maxDoublings bounds the delay after damaged chunks, which doubles with each one: a host
+		// that sends only such chunks would otherwise take a part of this host's link for good.
+		maxDoublings = 4
+	)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := f.neighbours[address]
@@ -137,7 +152,14 @@
 		return
 	}
 	n.chunkTime = (n.chunkTime + took) / 2
+	if err == nil {
+		n.damaged = 0
+	}
 	switch {
+	case errors.Is(err, errDigest):
+		// The link is not the cause, so the concurrency stays.
+		n.retryAt = clock.Now().Add(failedPeerDelay << min(n.damaged, maxDoublings))
+		n.damaged++
 	case err != nil:
 		n.retryAt = clock.Now().Add(failedPeerDelay)
 		f.concurrency = max(1, f.concurrency/2)
--- a/daemon/internal/version/swarm/outage_test.go
+++ b/daemon/internal/version/swarm/outage_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/version/swarm"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/version/swarm/swarmtest"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
@@ -117,7 +118,7 @@
 // at which they completed, in that order.
 func runFleet(t *testing.T, o *sharedOrigin, manifest provider.Manifest, halls, perHall int) []time.Time {
 	t.Helper()
-	var net network
+	var net swarmtest.Network
 	var listed []swarm.Host
 	var copies []*swarm.Copy
 	chunkBytes := float64(len(o.data[0]))
@@ -130,7 +131,7 @@
 		(&swarm.Server{Copies: hostCopies, Uplink: swarm.Uplink{
 			BytesPerSecond: func() float64 { return chunkBytes / o.linkTime.Seconds() },
 		}}).Register(routes)
-		listed = append(listed, swarm.Host{Address: net.serve(t, routes), Hall: fmt.Sprintf("hall-%d", i%halls)})
+		listed = append(listed, swarm.Host{Address: net.Serve(t, routes), Hall: fmt.Sprintf("hall-%d", i%halls)})
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
@@ -140,7 +141,7 @@
 	for i, c := range copies {
 		fetch := &swarm.Fetch{
 			Copy: c, Model: "m", Origin: provider.Origin{Chunk: o.chunk}, Self: listed[i],
-			Hosts: func() []swarm.Host { return listed }, Client: net.client(t),
+			Hosts: func() []swarm.Host { return listed }, Client: net.Client(t),
 			CopyTime: o.linkTime * time.Duration(len(manifest.Digests)), Early: i < 2,
 		}
 		running.Go(func() {
--- a/daemon/internal/version/swarm/network_test.go
+++ b/daemon/internal/version/swarm/swarmtest/network.go
@@ -1,4 +1,5 @@
-package swarm_test
+// Package swarmtest provides a network inside the test process for tests of hosts that exchange chunks.
+package swarmtest
 
 import (
 	"context"
@@ -10,9 +11,9 @@
 	"testing"
 )
 
-// network carries HTTP between hosts inside the test process, so that tests can run on a
+// Network carries HTTP between hosts inside the test process, so that tests can run on a
 // synthetic clock. Addresses without a server refuse connections.
-type network struct {
+type Network struct {
 	mu        sync.Mutex
 	listeners map[string]*listener
 	hosts     uint32
@@ -21,8 +22,8 @@
 // baseAddress is the address below the first one that a network assigns.
 const baseAddress = 10 << 24
 
-// serve serves a handler at a new address until the end of the test.
-func (n *network) serve(t *testing.T, handler http.Handler) netip.AddrPort {
+// Serve serves a handler at a new address until the end of the test.
+func (n *Network) Serve(t *testing.T, handler http.Handler) netip.AddrPort {
 	t.Helper()
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -35,7 +36,7 @@
 		n.listeners = map[string]*listener{}
 	}
 	n.listeners[address.String()] = l
-	server := &http.Server{Handler: handler}
+	server := &http.Server{Handler: handler} //nolint:gosec // tests run on a synthetic clock and have no slow clients
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -48,15 +49,16 @@
 	return address
 }
 
-// client returns an HTTP client on the network.
-func (n *network) client(t *testing.T) *http.Client {
+// Client returns an HTTP client on the network.
+func (n *Network) Client(t *testing.T) *http.Client {
 	t.Helper()
-	transport := &http.Transport{DialContext: n.dial}
+	transport := &http.Transport{DialContext: n.Dial}
 	t.Cleanup(transport.CloseIdleConnections)
 	return &http.Client{Transport: transport}
 }
 
-func (n *network) dial(ctx context.Context, _, address string) (net.Conn, error) {
+// Dial opens a connection to an address of the network.
+func (n *Network) Dial(ctx context.Context, _, address string) (net.Conn, error) {
 	n.mu.Lock()
 	l := n.listeners[address]
 	n.mu.Unlock()
--- a/daemon/loader/events.go
+++ b/daemon/loader/events.go
@@ -65,6 +65,7 @@
 	loading, closesAt := report.Loading || p.reconciler.Draining() || len(report.Models) == 0, p.reconciler.ClosesAt()
 	p.feed.Publish(loadfeed.State{
 		Running: report.Running, Waiting: report.Waiting, Loading: loading, Leaving: report.Leaving, ClosesIn: loadfeed.ClosesIn(closesAt, clock.Now()), Models: report.Models, Pace: report.Pace,
+		Next: nextVersion(p.reconciler.Expected(), clock.Now()),
 	})
 	p.ledger.CloseAt(closesAt)
 	p.ledger.Observe(places.EngineLoad{Running: report.Running, Waiting: report.Waiting, Loading: loading, Leaving: report.Leaving, Pace: report.Pace}, true)
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -261,7 +261,7 @@
 		Goal:          reconcile.Goal{Model: model, Version: initialVersion, FencingToken: p.table.LatestRevision()},
 		OriginAddress: config.Origin, Places: config.Engine.Places,
 		Chunks: config.Engine.Chunks, ChunkBytes: config.Engine.ChunkBytes,
-		CopyTime: p.copyTime(config),
+		CopyTime: p.copyTime(config), ChunkTime: p.linkTime(config.Engine.ChunkBytes),
 	}
 	if declared, ok := p.compiler.View().Targets[model]; ok {
 		plan.Goal = p.goal(&declared, loaded)
@@ -284,7 +284,7 @@
 		window = window.Delayed(c.CompletedAt())
 	}
 	rank, hosts := p.rank(declared.Model, declared.Version)
-	return reconcile.Goal{Model: declared.Model, Version: declared.Version, FencingToken: p.table.LatestRevision(), LoadAt: window.LoadTime(rank, hosts)}
+	return reconcile.Goal{Model: declared.Model, Version: declared.Version, FencingToken: p.table.LatestRevision(), LoadAt: window.LoadTime(rank, hosts), Due: declared.DeclaredAt(apply).Add(apply)}
 }
 
 // applyChanges compiles changes of the replica, and checks later whether entries that were kept
@@ -368,7 +368,7 @@
 		Early: schedule.IsEarly(rank),
 		Copy:  c, Model: plan.Goal.Model, OriginAddress: plan.OriginAddress, Origin: p.provider.Origin,
 		Self: p.self(), Hosts: p.loaders, Client: p.client, CopyTime: plan.CopyTime,
-		ChunkTime: p.linkTime(plan.ChunkBytes), OnChunk: p.countChunk,
+		ChunkTime: plan.ChunkTime, OnChunk: p.countChunk,
 	}
 }
 
