--- a/daemon/loader/events.go
+++ b/daemon/loader/events.go
@@ -68,6 +68,7 @@
 	p.telemetry.Scope.Gauge("engine_pace").Update(enginetime.NormalPace(pace))
 	p.feed.Publish(loadfeed.State{
 		Running: report.Running, Waiting: report.Waiting, Loading: loading, Leaving: report.Leaving, ClosesIn: loadfeed.ClosesIn(closesAt, clock.Now()), Models: report.Models, Pace: pace,
+		Next: nextVersion(p.reconciler.Expected(), clock.Now()),
 	})
 	p.ledger.CloseAt(closesAt)
 	p.ledger.Observe(places.EngineLoad{Running: report.Running, Waiting: report.Waiting, Loading: loading, Leaving: report.Leaving, Pace: pace}, true)
