Query limited engines first in a test of used-up limits

Cause: the test fails if both searches draw the free engine first, about once in 256 runs, because then no query records a wait.

--- a/daemon/internal/request/dispatch/limit_test.go
+++ b/daemon/internal/request/dispatch/limit_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/clock"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/places"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/balance"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/admission"
@@ -33,6 +34,10 @@
 func TestUsedUpLimitDoesNotCountAsQuery(t *testing.T) {
 	engines := 2 * admission.DefaultPolicy().MaxQueries
 	f := newFleet(t, engines, nil)
+	// The free engine is the most loaded one, so that the limited ones are queried before it.
+	now := clock.Now()
+	f.pool.Now = func() time.Time { return now }
+	f.pool.ReportLoad("u3", balance.LoadReport{Waiting: 2})
 	q := f.request("short-objective", 0)
 	f.limitAllExcept(q, "u3")
 	choice, err := q.choosePlace(context.Background())
