Tell refused callers when engines are expected to be ready

Cause: around the deadline of a rollout no engine may run a request for some seconds. A refused caller was told 0.5 to 1.9 s, which falls in the same period, came back once and was refused again.

Change: the router that refuses derives the time from when the hosts expect their engines to serve a version that is allowed. Returns begin when an eighth of the engines is expected to be ready and end 1 s after seven eighths are, at a rate in proportion to the engines that are ready by then. Loading and closing engines deny places as full ones do; the reports tell these cases apart. Ranks divide the range by the refusals of the last seconds, the more urgent first, also where engines are full. A request whose caller has less time than any engine takes to read its prompt is refused without queries.

--- /dev/null
+++ b/daemon/internal/process/balance/readiness.go
@@ -0,0 +1,93 @@
+package balance
+
+import (
+	"slices"
+	"time"
+
+	"github.com/wheelcleat/wheelcleat/daemon/provider"
+)
+
+// This file estimates when upstreams that cannot run a request now will be able to. The estimate
+// rests on what their hosts reported, so it covers only upstreams whose load feed this process
+// follows.
+
+// overdueReadiness is the assumed remaining time of an upstream that has not served its next version
+// by the expected time. Reports state that time in steps of 250 ms.
+const overdueReadiness = 250 * time.Millisecond
+
+// Readiness is when a set of upstreams is expected to be able to run a request.
+type Readiness struct {
+	// In holds the expected times in ascending order, one for each upstream that has any; 0 means
+	// that the upstream can run the request now, apart from its load.
+	In []time.Duration
+	// Unknown is the number of upstreams that cannot run the request and whose hosts expect no
+	// time. Upstreams without a recent report that the store records as able to are not counted.
+	Unknown int
+}
+
+// Serving returns the number of upstreams that can run the request now.
+func (r Readiness) Serving() int {
+	count, _ := slices.BinarySearch(r.In, 1)
+	return count
+}
+
+// Readiness returns when upstreams are expected to be able to run a request with the given
+// requirements. It ignores Query.Exclude and the load of the upstreams.
+func (p *Pool) Readiness(upstreams []*provider.Upstream, query Query) Readiness {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	var r Readiness
+	for _, candidate := range upstreams {
+		s := p.states[candidate.ID]
+		if s == nil {
+			s = &state{}
+		}
+		if candidate.Leaving || s.leaving || s.reportedLeaving(now) || s.pause.blocks(now) {
+			continue
+		}
+		switch in, known := s.readyIn(candidate, query, now); {
+		case known:
+			r.In = append(r.In, in)
+		case s.reportedRecently(now) || !s.holds(candidate, query, now):
+			r.Unknown++
+		}
+	}
+	slices.Sort(r.In)
+	return r
+}
+
+// readyIn returns the time until an upstream is expected to be able to run a request, and false if
+// that is unknown.
+func (s *state) readyIn(candidate *provider.Upstream, query Query, now time.Time) (time.Duration, bool) {
+	if !s.reportedRecently(now) {
+		return 0, false
+	}
+	if s.holds(candidate, query, now) && !s.report.Loading && !s.closesBefore(now.Add(query.Duration)) {
+		return 0, true
+	}
+	next, age := s.report.NextVersion, now.Sub(s.modelsReportedAt)
+	if next <= 0 || next < query.MinVersion || age > reportMaxAge {
+		return 0, false
+	}
+	return max(s.report.NextIn-age, overdueReadiness), true
+}
+
+// holds reports whether an upstream holds a version that may run the request.
+func (s *state) holds(candidate *provider.Upstream, query Query, now time.Time) bool {
+	if query.Model == "" {
+		return true
+	}
+	held := s.heldVersion(candidate, query.Model, now)
+	return held > 0 && held >= query.MinVersion
+}
+
+// closesBefore reports whether the upstream closes to load a version before the given time.
+func (s *state) closesBefore(end time.Time) bool {
+	return !s.closesAt.IsZero() && s.closesAt.Before(end)
+}
+
+// reportedRecently reports whether the load report of the upstream's host may be used.
+func (s *state) reportedRecently(now time.Time) bool {
+	return !s.reportedAt.IsZero() && now.Sub(s.reportedAt) <= reportMaxAge
+}
--- a/daemon/internal/request/admission/admission.go
+++ b/daemon/internal/request/admission/admission.go
@@ -140,6 +140,15 @@
 	}
 }
 
+// LeastFirstByte returns the least time to the first byte on any engine: the time to read the request's
+// own prompt on an idle engine. It is 0 if unknown.
+func (s Service) LeastFirstByte(promptTokens, meanPromptTokens float64) time.Duration {
+	if promptTokens <= 0 || meanPromptTokens <= 0 {
+		return s.ReadTime
+	}
+	return time.Duration(float64(s.ReadTime) * promptTokens / meanPromptTokens)
+}
+
 // overcommit returns the number of requests that may be admitted beyond the places of an engine, so
 // that a freed place is not idle until the next pass. It is 0 if places are freed so slowly that
 // the waiting request would be late: an engine of 12 places gains by one more, one of 8 does not.
--- a/daemon/internal/request/admission/retrydetector.go
+++ b/daemon/internal/request/admission/retrydetector.go
@@ -25,7 +25,8 @@
 	// enough baseline samples, minDeclaredShare the same if the threshold stems from the declared
 	// timeout.
 	minLongShare, minDeclaredShare = 0.5, 0.125
-	// maxRetryDelay is the time within which the retry of a refused request arrives.
+	// maxRetryDelay is the time within which the retry of a refused request arrives, unless the
+	// caller was told a longer time than MaxRetryAfter.
 	maxRetryDelay = MaxRetryAfter + 600*time.Millisecond
 	// timeoutTolerance is the assumed inaccuracy of the remaining times that callers send.
 	timeoutTolerance = 50 * time.Millisecond
@@ -60,8 +61,9 @@
 	mu      sync.Mutex
 	routes  map[string]*routeSamples
 	sweptAt time.Time
-	// refusedAt is when this process last refused a request. It starts at the first request,
-	// since another process may have refused requests before.
+	// refusedAt is when this process last refused a request, moved by the time by which its
+	// caller waits for longer than MaxRetryAfter. It starts at the first request, since another
+	// process may have refused requests before.
 	refusedAt time.Time
 }
 
@@ -84,7 +86,22 @@
 func (d *RetryDetector) RecordRefusal() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.refusedAt = helpers.Now(d.Now)
+	d.recordRefusalAt(helpers.Now(d.Now))
+}
+
+// RecordLongRefusal records that a request with a remaining time was refused and its caller told to
+// wait for longer than MaxRetryAfter. Its retry would otherwise count as a baseline sample.
+func (d *RetryDetector) RecordLongRefusal(wait, remaining time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.recordRefusalAt(helpers.Now(d.Now).Add(max(min(wait, remaining/maxWaitDivisor)-MaxRetryAfter, 0)))
+}
+
+// recordRefusalAt moves refusedAt forward. The caller holds mu.
+func (d *RetryDetector) recordRefusalAt(at time.Time) {
+	if at.After(d.refusedAt) {
+		d.refusedAt = at
+	}
 }
 
 // IsRetry samples a request and reports whether it is probably a retry of a refused one.
--- a/daemon/internal/request/admission/retrydetector_test.go
+++ b/daemon/internal/request/admission/retrydetector_test.go
@@ -129,3 +129,22 @@
 	c.now = c.now.Add(2 * time.Minute)
 	assert.Zero(t, c.countRetries(100, 0, func() time.Duration { return c.timeout(3*time.Second, 0) }))
 }
+
+// TestLateRetriesAreNoBaseline guards against retries of callers that were told a long time: taken
+// as first attempts, they would make the route inconclusive.
+func TestLateRetriesAreNoBaseline(t *testing.T) {
+	const timeout, wait, cycles = 30 * time.Second, 5 * time.Second, 20
+	c := newCallers()
+	c.countRetries(200, 0, func() time.Duration { return timeout })
+	for range cycles {
+		c.detector.RecordRefusal()
+		c.detector.RecordLongRefusal(wait, timeout)
+		c.now = c.now.Add(wait)
+		assert.Equal(t, 1, c.countRetries(1, 0, func() time.Duration { return timeout - wait }))
+		assert.Zero(t, c.countRetries(1, 0, func() time.Duration { return timeout }))
+	}
+	// A caller with 30 s left waits for 10 s at most, whatever it was told.
+	c.detector.RecordLongRefusal(time.Hour, timeout)
+	c.now = c.now.Add(timeout/3 + time.Second)
+	assert.Less(t, c.countRetries(20, 0, func() time.Duration { return timeout - wait }), 10, "later samples are a baseline, so that shorter timeouts are noticed")
+}
--- /dev/null
+++ b/daemon/internal/request/admission/returns_simulation_test.go
@@ -0,0 +1,350 @@
+package admission_test
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/admission"
+)
+
+// This file replays the refusals around the deadline of a rollout: no engine may run a request for
+// some seconds, and then the engines become ready one after another. A refused caller waits as told,
+// but for at most a third of its remaining time, and returns once.
+
+const (
+	gapEngines   = 76
+	gapPlaces    = 12
+	gapRate      = 650 // requests per second
+	gapHoldTime  = 665 * time.Millisecond
+	gapTimeout   = 6 * time.Second
+	gapBegins    = 2 * time.Second
+	gapRamp      = 1500 * time.Millisecond // from the first to the last ready engine
+	gapQueries   = 8
+	returnBucket = 100 * time.Millisecond
+	gapSeeds     = 3
+	// nextStep is the resolution of the expected times that hosts report.
+	nextStep = 250 * time.Millisecond
+)
+
+// gapCaller is one caller; times count from the start of the replay.
+type gapCaller struct {
+	arrival time.Duration
+	retry   bool
+	rank    int
+}
+
+// gapRule draws the Retry-After for a refused caller.
+type gapRule func(now time.Duration, expected admission.Expectation, serving, rank int, variate float64) time.Duration
+
+// gapResult counts the callers by result.
+type gapResult struct {
+	callers, inTime, late, refused, refusedTwice int
+	// returns counts the returns and room the free places for them, by returnBucket.
+	returns, room map[int]int
+	// delays are the times told by rank.
+	delays map[int][]time.Duration
+}
+
+// refusedAgain returns the share of the refused callers that were refused again.
+func (r gapResult) refusedAgain() float64 { return float64(r.refusedTwice) / float64(r.refused) }
+
+// share returns a count as a share of the callers.
+func (r gapResult) share(count int) float64 { return float64(count) / float64(r.callers) }
+
+// value weights the results as score does.
+func (r gapResult) value() float64 {
+	return result{inTime: r.share(r.inTime), late: r.share(r.late), refusedTwice: r.share(r.refusedTwice)}.score()
+}
+
+// maxReturns returns the highest number of returns in a tenth of a second.
+func (r gapResult) maxReturns() int {
+	highest := 0
+	for _, count := range r.returns {
+		highest = max(highest, count)
+	}
+	return highest
+}
+
+// replay is the state of one replay.
+type replay struct {
+	rng     *rand.Rand
+	readyAt []time.Duration
+	// ends are the end times of the requests of each engine.
+	ends    [][]time.Duration
+	pending map[time.Duration][]*gapCaller
+	rule    gapRule
+	result  gapResult
+}
+
+// replayGap replays a gap of the given length.
+func replayGap(seed uint64, gap time.Duration, rule gapRule) gapResult {
+	const length, lastArrival = 14 * time.Second, 10 * time.Second
+	r := &replay{
+		rng: rand.New(rand.NewPCG(seed, 3)), ends: make([][]time.Duration, gapEngines), rule: rule, pending: map[time.Duration][]*gapCaller{},
+		result: gapResult{returns: map[int]int{}, room: map[int]int{}, delays: map[int][]time.Duration{}},
+	}
+	for i := range gapEngines {
+		r.readyAt = append(r.readyAt, gapBegins+gap+gapRamp*time.Duration(i)/(gapEngines-1))
+	}
+	for now := time.Duration(0); now < length; now += tick {
+		r.endRequests(now)
+		callers := r.pending[now]
+		delete(r.pending, now)
+		for expected := gapRate * tick.Seconds(); now < lastArrival && r.rng.Float64() < expected; expected-- {
+			callers = append(callers, &gapCaller{arrival: now, rank: r.rng.IntN(3)})
+			r.result.callers++
+		}
+		r.rng.Shuffle(len(callers), func(i, j int) { callers[i], callers[j] = callers[j], callers[i] })
+		for _, caller := range callers {
+			r.call(now, caller)
+		}
+	}
+	return r.result
+}
+
+// endRequests removes the requests that have ended, and records the room.
+func (r *replay) endRequests(now time.Duration) {
+	for i := range r.ends {
+		r.ends[i] = slices.DeleteFunc(r.ends[i], func(end time.Duration) bool { return end <= now })
+		if now%returnBucket == 0 && r.serves(i, now) {
+			r.result.room[int(now/returnBucket)] += max(0, r.limit(true)+1-len(r.ends[i]))
+		}
+	}
+}
+
+func (r *replay) serves(i int, now time.Duration) bool { return now < gapBegins || now >= r.readyAt[i] }
+
+// limit returns how many requests an engine may run that admits another one.
+func (r *replay) limit(retry bool) int {
+	s := admission.Service{Places: gapPlaces, Objective: 400 * time.Millisecond}
+	return admission.DefaultPolicy().Limit(s, admission.Request{Retry: retry}, 0, false).InUse
+}
+
+// call sends a caller's request.
+func (r *replay) call(now time.Duration, caller *gapCaller) {
+	// RetryDetector recognizes retries by the shorter remaining time.
+	recognized := caller.retry && now-caller.arrival >= admission.MinRetryAfter-50*time.Millisecond
+	if caller.retry {
+		r.result.returns[int(now/returnBucket)]++
+	}
+	switch {
+	case r.place(now, r.limit(recognized)):
+		if now-caller.arrival < 400*time.Millisecond {
+			r.result.inTime++
+		} else {
+			r.result.late++
+		}
+	case caller.retry:
+		r.result.refusedTwice++
+	default:
+		r.refuse(now, caller)
+	}
+}
+
+// place sends the request to one of the engines that serve, or returns false.
+func (r *replay) place(now time.Duration, limit int) bool {
+	queried := 0
+	for _, i := range r.rng.Perm(gapEngines) {
+		if !r.serves(i, now) {
+			continue
+		}
+		if len(r.ends[i]) <= limit {
+			duration := time.Duration(float64(gapHoldTime) * (0.5 + r.rng.Float64()))
+			r.ends[i] = append(r.ends[i], now+duration)
+			return true
+		}
+		if queried++; queried == gapQueries {
+			return false
+		}
+	}
+	return false
+}
+
+// refuse tells a caller when to return.
+func (r *replay) refuse(now time.Duration, caller *gapCaller) {
+	r.result.refused++
+	caller.retry = true
+	expected, serving := admission.Expectation{}, 0
+	for i, at := range r.readyAt {
+		in := time.Duration(0)
+		if !r.serves(i, now) {
+			in = (at - now + nextStep - 1) / nextStep * nextStep
+		} else {
+			serving++
+		}
+		expected.Ready = append(expected.Ready, in)
+	}
+	slices.Sort(expected.Ready)
+	wait := r.rule(now, expected, serving, caller.rank, r.rng.Float64())
+	r.result.delays[caller.rank] = append(r.result.delays[caller.rank], wait)
+	wait = min(wait, gapTimeout/3)
+	at := max((now + wait).Truncate(tick), now+tick)
+	r.pending[at] = append(r.pending[at], caller)
+}
+
+// previousRule is the rule without expected times.
+func previousRule(_ time.Duration, _ admission.Expectation, serving, _ int, variate float64) time.Duration {
+	if serving == 0 {
+		return admission.RetryAfter(admission.NotReady, variate)
+	}
+	return admission.RetryAfter(admission.EnginesFull, variate)
+}
+
+// readinessRule is the rule of the router.
+func readinessRule(now time.Duration, expected admission.Expectation, serving, rank int, variate float64) time.Duration {
+	window, ok := expected.Window()
+	if !ok {
+		return previousRule(now, expected, serving, rank, variate)
+	}
+	return expected.RetryAfter(window, variate)
+}
+
+// halfReadyRule ends the returns when half of the engines are ready.
+func halfReadyRule(now time.Duration, expected admission.Expectation, serving, rank int, variate float64) time.Duration {
+	if serving > 0 {
+		return previousRule(now, expected, serving, rank, variate)
+	}
+	from, to := expected.Ready[len(expected.Ready)/8], expected.Ready[len(expected.Ready)/2]
+	return expected.RetryAfter(admission.Window{From: from, To: max(to, from+250*time.Millisecond)}, variate)
+}
+
+// firstReadyRule lets all callers return when the first engine is ready.
+func firstReadyRule(now time.Duration, expected admission.Expectation, serving, rank int, variate float64) time.Duration {
+	if serving > 0 {
+		return previousRule(now, expected, serving, rank, variate)
+	}
+	return expected.Ready[0]
+}
+
+// withinWaitRule draws the time from the part of the window for which callers wait, instead of
+// telling them a time beyond it.
+func withinWaitRule(now time.Duration, expected admission.Expectation, serving, rank int, variate float64) time.Duration {
+	window, ok := expected.Window()
+	if !ok {
+		return previousRule(now, expected, serving, rank, variate)
+	}
+	window.To = min(window.To, gapTimeout/3)
+	if window.To <= window.From {
+		return gapTimeout / 3
+	}
+	return expected.RetryAfter(window, variate)
+}
+
+// replaySeeds sums the results of several seeds.
+func replaySeeds(gap time.Duration, rule gapRule) gapResult {
+	sum := gapResult{returns: map[int]int{}, room: map[int]int{}, delays: map[int][]time.Duration{}}
+	for seed := range uint64(gapSeeds) {
+		r := replayGap(seed+1, gap, rule)
+		sum.callers += r.callers
+		sum.inTime += r.inTime
+		sum.late += r.late
+		sum.refused += r.refused
+		sum.refusedTwice += r.refusedTwice
+		for bucket, count := range r.returns {
+			sum.returns[bucket] += count
+		}
+		for bucket, count := range r.room {
+			sum.room[bucket] += count
+		}
+		for rank, delays := range r.delays {
+			sum.delays[rank] = append(sum.delays[rank], delays...)
+		}
+	}
+	return sum
+}
+
+// gaps are the replayed lengths of the time in which no engine serves.
+var gaps = []time.Duration{1500 * time.Millisecond, 3 * time.Second}
+
+// log prints the shares of a result and, for each tenth of a second, the returns and the room.
+func (r gapResult) log(t *testing.T, name string) {
+	t.Helper()
+	t.Logf("%s: in time %.3f, late %.3f, refused %.3f, of these again %.3f, value %.3f, at most %d returns in 0.1 s",
+		name, r.share(r.inTime), r.share(r.late), r.share(r.refused), r.refusedAgain(), r.value(), r.maxReturns())
+	var returns, room []int
+	const first, last = 20, 90
+	for bucket := first; bucket < last; bucket++ {
+		returns, room = append(returns, r.returns[bucket]), append(room, r.room[bucket])
+	}
+	t.Logf("  returns from 2 s on: %v", returns)
+	t.Logf("  room:                %v", room)
+}
+
+// TestReturnsFindRoomAfterRollout guards against callers that return only to be refused again, and
+// against returns that crowd and take the places of first attempts.
+func TestReturnsFindRoomAfterRollout(t *testing.T) {
+	for _, gap := range gaps {
+		previous, readiness := replaySeeds(gap, previousRule), replaySeeds(gap, readinessRule)
+		previous.log(t, gap.String()+" previous rule")
+		readiness.log(t, gap.String()+" by readiness")
+		assert.Less(t, readiness.refusedAgain(), previous.refusedAgain()-0.1)
+		assert.Greater(t, readiness.value(), previous.value()+0.025)
+		assert.Greater(t, readiness.share(readiness.inTime), previous.share(previous.inTime), "first attempts lose nothing")
+		assert.Less(t, readiness.refused, previous.refused)
+		assert.Less(t, float64(readiness.maxReturns()), 1.3*gapRate*returnBucket.Seconds()*gapSeeds, "the returns come at no more than about the rate of first attempts")
+	}
+}
+
+// TestOtherWindowsOfReturns guards against returns that end when half of the engines are ready, and
+// against a step at the first one: they crowd, and more callers are refused twice.
+func TestOtherWindowsOfReturns(t *testing.T) {
+	for _, gap := range gaps {
+		readiness := replaySeeds(gap, readinessRule)
+		for name, rule := range map[string]gapRule{"until half are ready": halfReadyRule, "first ready engine": firstReadyRule} {
+			other := replaySeeds(gap, rule)
+			other.log(t, gap.String()+" "+name)
+			assert.Greater(t, other.refusedAgain(), readiness.refusedAgain()+0.05, name)
+			assert.Less(t, other.value(), readiness.value(), name)
+			assert.Greater(t, other.maxReturns(), 2*readiness.maxReturns(), name)
+		}
+	}
+}
+
+// TestTimeBeyondWaitIsToldUnchanged guards against fitting the time to what the caller waits: more
+// callers would return while few engines are ready.
+func TestTimeBeyondWaitIsToldUnchanged(t *testing.T) {
+	for _, gap := range gaps {
+		readiness, within := replaySeeds(gap, readinessRule), replaySeeds(gap, withinWaitRule)
+		within.log(t, gap.String()+" within the wait")
+		assert.Greater(t, within.refusedAgain(), readiness.refusedAgain())
+		assert.Less(t, within.value(), readiness.value())
+	}
+}
+
+// TestReturnsWithoutExpectedTimes guards against a change where hosts report no expected times.
+func TestReturnsWithoutExpectedTimes(t *testing.T) {
+	unknown := func(now time.Duration, expected admission.Expectation, serving, rank int, variate float64) time.Duration {
+		expected = admission.Expectation{Ready: expected.Ready[:serving], Unknown: len(expected.Ready) - serving}
+		return readinessRule(now, expected, serving, rank, variate)
+	}
+	for _, gap := range gaps {
+		assert.Equal(t, replayGap(1, gap, previousRule), replayGap(1, gap, unknown))
+	}
+}
+
+// TestUrgentRanksReturnFirstAfterRollout guards against urgent callers that return after others, and
+// against a rate of returns that depends on the ranks.
+func TestUrgentRanksReturnFirstAfterRollout(t *testing.T) {
+	var now time.Duration
+	shares := admission.RankShares{Now: func() time.Time { return time.Unix(1000, 0).Add(now) }}
+	ranked := func(at time.Duration, expected admission.Expectation, serving, rank int, variate float64) time.Duration {
+		now = at
+		return readinessRule(at, expected, serving, rank, shares.Variate("s", rank, 3, variate))
+	}
+	r := replayGap(1, gaps[0], ranked)
+	unranked := replayGap(1, gaps[0], readinessRule)
+	mean := [3]time.Duration{}
+	for rank := range mean {
+		for _, delay := range r.delays[rank] {
+			mean[rank] += delay / time.Duration(len(r.delays[rank]))
+		}
+	}
+	assert.Less(t, mean[0], mean[1]-200*time.Millisecond)
+	assert.Less(t, mean[1], mean[2]-200*time.Millisecond)
+	assert.InDelta(t, unranked.refusedAgain(), r.refusedAgain(), 0.08)
+	assert.InDelta(t, unranked.maxReturns(), r.maxReturns(), 0.3*gapRate*returnBucket.Seconds())
+}
--- a/daemon/internal/request/dispatch/dispatch.go
+++ b/daemon/internal/request/dispatch/dispatch.go
@@ -44,6 +44,8 @@
 	LoadTracker *LoadTracker
 	// RetryDetector recognizes retries of refused requests.
 	RetryDetector *admission.RetryDetector
+	// RankShares orders the returns of refused callers; the zero value is ready to use.
+	RankShares admission.RankShares
 	// View returns the configuration and the upstreams in force, and Stale reports whether
 	// they may be out of date.
 	View  func() *replica.View
@@ -113,6 +115,10 @@
 	RemainingTime time.Duration
 	// RetryAfter is the backoff that was sent to the caller, 0 if none was.
 	RetryAfter time.Duration
+	// RetryRule is the rule that determined RetryAfter, and Readiness what that rule was based on,
+	// nil unless RetryRule is RetryRuleReadiness.
+	RetryRule RetryRule
+	Readiness *Readiness
 	// PlaceRequests lists the requests for a place at an engine.
 	PlaceRequests []PlaceRequest
 	// Configuration is the revision by which the request was decided, and Stale reports
@@ -279,6 +285,7 @@
 	errNoUpstream   = errors.New("no upstream is available")
 	errOverloaded   = errors.New("all available upstreams are overloaded")
 	errLimitsUsedUp = errors.New("rate limits of all available upstreams are used up")
+	errTooLate      = errors.New("the caller's remaining time is shorter than the time to the first byte on an idle upstream")
 )
 
 // unplacedReason returns why no upstream was chosen, which decides the caller's backoff.
--- a/daemon/internal/request/dispatch/place.go
+++ b/daemon/internal/request/dispatch/place.go
@@ -40,6 +40,9 @@
 // an upstream was the last one, the others are queried once more, since the last query of a
 // search has the loosest limit.
 func (q *request) choosePlace(ctx context.Context) (balance.Choice, error) {
+	if q.tooLate() {
+		return balance.Choice{}, errTooLate
+	}
 	query := q.upstreamQuery()
 	candidates, err := q.candidates()
 	if err != nil {
@@ -245,8 +248,11 @@
 	if rate <= 0 {
 		return 0
 	}
-	prompt := helpers.OrDefault(q.service.Engine.MeanPromptTokens, defaultPromptTokens)
-	return time.Duration(prompt / rate * float64(time.Second))
+	return time.Duration(q.meanPromptTokens() / rate * float64(time.Second))
+}
+
+func (q *request) meanPromptTokens() float64 {
+	return helpers.OrDefault(q.service.Engine.MeanPromptTokens, defaultPromptTokens)
 }
 
 // placeInterval returns how often a full engine frees a place.
--- a/daemon/internal/request/dispatch/response.go
+++ b/daemon/internal/request/dispatch/response.go
@@ -5,10 +5,8 @@
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/clock"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/balance"
@@ -196,32 +194,6 @@
 	return admission.NotReady
 }
 
-// refuse answers a request that has not run, and sends the backoff for its retry.
-func (q *request) refuse(reason admission.RefusalReason, cause string) {
-	q.refuseFor(admission.RetryAfter(reason, rand.Float64()), cause)
-}
-
-// refuseUnplaced refuses a request for which no upstream was chosen.
-func (q *request) refuseUnplaced(err error) {
-	if paused := (*pausedError)(nil); errors.As(err, &paused) {
-		q.refuseFor(admission.RetryAfterPause(paused.remaining, q.rank, rand.Float64()), err.Error())
-		return
-	}
-	q.refuse(unplacedReason(err), err.Error())
-}
-
-// refuseFor refuses a request with a given backoff.
-func (q *request) refuseFor(wait time.Duration, cause string) {
-	if !q.neverRan() {
-		q.fail(http.StatusBadGateway, OutcomeUnknown, cause)
-		return
-	}
-	q.RetryDetector.RecordRefusal()
-	q.trace.RetryAfter = wait
-	q.writer.Header().Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
-	q.fail(http.StatusServiceUnavailable, OutcomeRefused, cause)
-}
-
 // reject answers an invalid request.
 func (q *request) reject(status int, cause string) {
 	q.fail(status, OutcomeRejected, cause)
--- a/daemon/router/recorder.go
+++ b/daemon/router/recorder.go
@@ -114,7 +114,10 @@
 		fields["left"] = trace.RemainingTime.Round(time.Millisecond).String()
 	}
 	if trace.RetryAfter > 0 {
-		fields["retryAfter"] = trace.RetryAfter.Round(time.Millisecond).String()
+		fields["retryAfter"], fields["retryRule"] = trace.RetryAfter.Round(time.Millisecond).String(), trace.RetryRule
+	}
+	if trace.Readiness != nil {
+		fields["readiness"] = trace.Readiness
 	}
 	r.log.WithFields(fields).Info("request ended")
 }
@@ -290,6 +293,9 @@
 
 func (r *recorder) count(trace *dispatch.Trace) {
 	r.scope.Tagged(map[string]string{"outcome": string(trace.Outcome)}).Counter("requests").Inc(1)
+	if trace.RetryRule != "" {
+		r.scope.Tagged(map[string]string{"rule": string(trace.RetryRule)}).Counter("refusals").Inc(1)
+	}
 	if len(trace.Attempts) > 1 {
 		r.scope.Counter("second_sends").Inc(int64(len(trace.Attempts) - 1))
 	}
--- a/daemon/router/recorder_test.go
+++ b/daemon/router/recorder_test.go
@@ -30,3 +30,25 @@
 	assert.Contains(t, text, `"message":"request lines left out"`)
 	assert.Equal(t, 1, bytes.Count(lines.Bytes(), []byte("left out")), "once a second at most")
 }
+
+// TestRefusalLineNamesItsRule guards against a Retry-After whose cause and inputs cannot be found in
+// the log.
+func TestRefusalLineNamesItsRule(t *testing.T) {
+	var lines bytes.Buffer
+	tele, err := telemetry.New(telemetry.Options{Level: "info", Output: &lines})
+	require.NoError(t, err)
+	defer tele.Close()
+	r := newRecorder(tele)
+	r.request(&dispatch.Trace{
+		ID: "a", Started: time.Now(), Outcome: dispatch.OutcomeRefused, RetryAfter: 2500 * time.Millisecond, RetryRule: dispatch.RetryRuleReadiness,
+		Readiness: &dispatch.Readiness{Expected: 38, Unknown: 2, From: 2 * time.Second, To: 4 * time.Second},
+	})
+	text := lines.String()
+	assert.Contains(t, text, `"retryAfter":"2.5s"`)
+	assert.Contains(t, text, `"retryRule":"readiness"`)
+	assert.Contains(t, text, `"readiness":{"serving":0,"expected":38,"unknown":2,"from":2000000000,"to":4000000000}`)
+	lines.Reset()
+	r.request(&dispatch.Trace{ID: "b", Started: time.Now(), Outcome: dispatch.OutcomeServed})
+	assert.NotContains(t, lines.String(), "retryRule")
+	assert.NotContains(t, lines.String(), "readiness")
+}
