Regard the version that is required when a refused caller returns

Cause: engines that are full shortly before the deadline of a version must not run the request of a caller that returns after it. The time told for full engines led into the gap.

--- a/cli/internal/explain/explain_test.go
+++ b/cli/internal/explain/explain_test.go
@@ -68,6 +68,29 @@
 	assert.Contains(t, got.String(), "ended with the connection; upstream after that: crashed\n")
 }
 
+// TestPrintNamesRuleOfRetryAfter guards against a refusal whose time cannot be explained, and against
+// lines of earlier builds that name no rule.
+func TestPrintNamesRuleOfRetryAfter(t *testing.T) {
+	for rule, want := range map[string]string{
+		`"retryRule":"readiness","readiness":{"serving":1,"expected":38,"unknown":2,"from":2000000000,"to":4000000000}`: "the caller was told to retry after 2.5s, by when the upstreams are expected to be able to run the request\n" +
+			"    1 upstreams could run it, 38 were expected to later and 2 at no known time; callers were told 2s to 4s\n",
+		`"retryRule":"full"`:      "retry after 2.5s, since the upstreams were full\n",
+		`"retryRule":"not-ready"`: "retry after 2.5s, since no upstream could run the request; it was unknown when one would\n",
+		`"retryRule":"pause"`:     "retry after 2.5s, since the upstreams asked for a pause\n",
+		`"retryRule":"too-late"`:  "retry after 2.5s, since the caller's remaining time was too short for any upstream\n",
+		`"retryRule":"later"`:     "retry after 2.5s, by rule later\n",
+		`"stale":false`:           "retry after 2.5s\n",
+	} {
+		line := `{"fields":{"name":"router-1","role":"router","request":"a","outcome":"refused","took":"1ms","retryAfter":"2.5s",` + rule +
+			`},"level":"info","timestamp":"2026-12-02T22:02:17Z","message":"request ended"}`
+		trace, err := explain.Collect("a", strings.NewReader(line))
+		require.NoError(t, err)
+		var got bytes.Buffer
+		require.NoError(t, trace.Print(&got))
+		assert.Contains(t, got.String(), want)
+	}
+}
+
 // TestPrintListsCrashesOfSameContent checks that crashes under other requests with the same
 // content are listed, and crashes under another content are not.
 func TestPrintListsCrashesOfSameContent(t *testing.T) {
--- a/cli/internal/explain/line.go
+++ b/cli/internal/explain/line.go
@@ -72,6 +72,8 @@
 	Retried          bool           `json:"returned"`
 	RemainingTime    string         `json:"left"`
 	RetryAfter       string         `json:"retryAfter"`
+	RetryRule        string         `json:"retryRule"`
+	Readiness        *Readiness     `json:"readiness"`
 	RemainingRetries *int           `json:"budgetLeft"`
 	Host             string         `json:"host"`
 
@@ -156,6 +158,16 @@
 	Cause      string        `json:"cause"`
 }
 
+// Readiness is when the upstreams of a refused request were expected to be able to run it; see
+// package dispatch.
+type Readiness struct {
+	Serving  int           `json:"serving"`
+	Expected int           `json:"expected"`
+	Unknown  int           `json:"unknown"`
+	From     time.Duration `json:"from"`
+	To       time.Duration `json:"to"`
+}
+
 // ModelVersion is a model version that an upstream has loaded.
 type ModelVersion struct {
 	Model   string `json:"Model"`
--- a/cli/internal/explain/print.go
+++ b/cli/internal/explain/print.go
@@ -79,9 +79,7 @@
 	if f.RemainingTime != "" {
 		p.linef(1, "time remaining until the caller's deadline: %s", f.RemainingTime)
 	}
-	if f.RetryAfter != "" {
-		p.linef(1, "the caller was told to retry after %s", f.RetryAfter)
-	}
+	printRetryAfter(p, f)
 	if f.Retried {
 		p.linef(1, "likely a retry of a refused request, since its deadline is shorter than usual for the route: it gets only capacity that other requests leave")
 	}
@@ -97,6 +95,37 @@
 	}
 }
 
+// printRetryAfter writes when the caller was told to retry, and by which rule.
+func printRetryAfter(p *printer, f Fields) {
+	if f.RetryAfter != "" {
+		p.linef(1, "the caller was told to retry after %s%s", f.RetryAfter, retryRuleText(f.RetryRule))
+	}
+	if r := f.Readiness; r != nil {
+		p.linef(2, "%d upstreams could run it, %d were expected to later and %d at no known time; callers were told %s to %s",
+			r.Serving, r.Expected, r.Unknown, rounded(r.From), rounded(r.To))
+	}
+}
+
+// retryRuleText describes the rule by which a caller was told when to retry.
+func retryRuleText(rule string) string {
+	switch rule {
+	case "":
+		return ""
+	case "full":
+		return ", since the upstreams were full"
+	case "not-ready":
+		return ", since no upstream could run the request; it was unknown when one would"
+	case "readiness":
+		return ", by when the upstreams are expected to be able to run the request"
+	case "pause":
+		return ", since the upstreams asked for a pause"
+	case "too-late":
+		return ", since the caller's remaining time was too short for any upstream"
+	default:
+		return ", by rule " + rule
+	}
+}
+
 // printCrashes writes which upstreams crashed while they ran a content or a part of a prompt.
 func (t *Trace) printCrashes(p *printer, kind, digest string) {
 	if crashed := t.crashedWhileRunning(digest); len(crashed) > 0 {
--- a/daemon/internal/request/admission/returns_simulation_test.go
+++ b/daemon/internal/request/admission/returns_simulation_test.go
@@ -77,12 +77,20 @@
 	ends    [][]time.Duration
 	pending map[time.Duration][]*gapCaller
 	rule    gapRule
-	result  gapResult
+	// closing is how long before the gap every second engine closes, and lookAhead whether the rule
+	// knows that the others must not run requests of callers that return in the gap.
+	closing   time.Duration
+	lookAhead bool
+	result    gapResult
 }
 
 // replayGap replays a gap of the given length.
 func replayGap(seed uint64, gap time.Duration, rule gapRule) gapResult {
-	const length, lastArrival = 14 * time.Second, 10 * time.Second
+	return newReplay(seed, gap, rule).run()
+}
+
+// newReplay returns the replay of a gap of the given length.
+func newReplay(seed uint64, gap time.Duration, rule gapRule) *replay {
 	r := &replay{
 		rng: rand.New(rand.NewPCG(seed, 3)), ends: make([][]time.Duration, gapEngines), rule: rule, pending: map[time.Duration][]*gapCaller{},
 		result: gapResult{returns: map[int]int{}, room: map[int]int{}, delays: map[int][]time.Duration{}},
@@ -90,6 +98,12 @@
 	for i := range gapEngines {
 		r.readyAt = append(r.readyAt, gapBegins+gap+gapRamp*time.Duration(i)/(gapEngines-1))
 	}
+	return r
+}
+
+// run runs the replay.
+func (r *replay) run() gapResult {
+	const length, lastArrival = 14 * time.Second, 10 * time.Second
 	for now := time.Duration(0); now < length; now += tick {
 		r.endRequests(now)
 		callers := r.pending[now]
@@ -116,7 +130,13 @@
 	}
 }
 
-func (r *replay) serves(i int, now time.Duration) bool { return now < gapBegins || now >= r.readyAt[i] }
+func (r *replay) serves(i int, now time.Duration) bool {
+	closes := gapBegins
+	if i%2 == 0 {
+		closes -= r.closing
+	}
+	return now < closes || now >= r.readyAt[i]
+}
 
 // limit returns how many requests an engine may run that admits another one.
 func (r *replay) limit(retry bool) int {
@@ -171,7 +191,8 @@
 	expected, serving := admission.Expectation{}, 0
 	for i, at := range r.readyAt {
 		in := time.Duration(0)
-		if !r.serves(i, now) {
+		mustLoad := r.lookAhead && now < gapBegins && now+(admission.MinRetryAfter+admission.MaxRetryAfter)/2 >= gapBegins
+		if mustLoad || !r.serves(i, now) {
 			in = (at - now + nextStep - 1) / nextStep * nextStep
 		} else {
 			serving++
@@ -315,6 +336,23 @@
 	}
 }
 
+// TestReturnsOfCallersRefusedBeforeGap guards against callers of full engines that return while no
+// engine may run their requests: half of the engines close ahead of the gap.
+func TestReturnsOfCallersRefusedBeforeGap(t *testing.T) {
+	const gap, closing = time.Second, 1600 * time.Millisecond
+	replay := func(rule gapRule, lookAhead bool) gapResult {
+		r := newReplay(1, gap, rule)
+		r.closing, r.lookAhead = closing, lookAhead
+		return r.run()
+	}
+	previous, present, ahead := replay(previousRule, false), replay(readinessRule, false), replay(readinessRule, true)
+	previous.log(t, "previous rule")
+	present.log(t, "by the version that is required now")
+	ahead.log(t, "by the version that is required at the return")
+	assert.Less(t, ahead.refusedAgain(), present.refusedAgain()-0.03)
+	assert.Greater(t, ahead.value(), present.value())
+}
+
 // TestReturnsWithoutExpectedTimes guards against a change where hosts report no expected times.
 func TestReturnsWithoutExpectedTimes(t *testing.T) {
 	unknown := func(now time.Duration, expected admission.Expectation, serving, rank int, variate float64) time.Duration {
--- a/daemon/internal/request/dispatch/dispatch.go
+++ b/daemon/internal/request/dispatch/dispatch.go
@@ -56,6 +56,9 @@
 	Region func(hall string) string
 	// VersionPolicy returns on which versions of a model requests may run.
 	VersionPolicy func(declared *replica.Declaration) replica.VersionPolicy
+	// VersionPolicyAfter returns the same for requests that arrive after a delay. Nil means that
+	// the policy does not change.
+	VersionPolicyAfter func(declared *replica.Declaration, delay time.Duration) replica.VersionPolicy
 	// PromptParts returns the parts of a request's prompt. It may be nil.
 	PromptParts func(http.Header) []provider.PromptPart
 	// RequestPlace requests a place from an engine's loader. An error means that the loader
--- a/daemon/internal/request/dispatch/refusal.go
+++ b/daemon/internal/request/dispatch/refusal.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/clock"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/process/balance"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/admission"
 )
 
@@ -29,8 +30,9 @@
 
 // Readiness is when the upstreams of a request were expected to be able to run it.
 type Readiness struct {
-	// Serving is the number of upstreams that can run the request now, Expected that of those
-	// that cannot but have an expected time, and Unknown that of those without one.
+	// Serving is the number of upstreams that can run the request now and when its caller returns,
+	// Expected that of those that cannot but have an expected time, and Unknown that of those
+	// without one.
 	Serving  int `json:"serving"`
 	Expected int `json:"expected"`
 	Unknown  int `json:"unknown"`
@@ -94,7 +96,7 @@
 	if err != nil {
 		return 0, false
 	}
-	reported := q.Pool.Readiness(candidates, q.upstreamQuery())
+	reported := q.Pool.Readiness(candidates, q.returnQuery())
 	expected := admission.Expectation{Ready: reported.In, Unknown: reported.Unknown}
 	window, ok := expected.Window()
 	if !ok {
@@ -105,6 +107,17 @@
 	return expected.RetryAfter(window, q.RankShares.Variate(q.trace.Service, q.rank, q.ranks, rand.Float64())), true
 }
 
+// returnQuery returns the conditions that an upstream must meet when a refused caller returns. The
+// minimum version may rise before.
+func (q *request) returnQuery() balance.Query {
+	const usualReturn = (admission.MinRetryAfter + admission.MaxRetryAfter) / 2
+	query := q.upstreamQuery()
+	if declared, ok := q.View().Targets[query.Model]; ok && q.VersionPolicyAfter != nil {
+		query.MinVersion = max(query.MinVersion, q.VersionPolicyAfter(&declared, usualReturn).MinVersion)
+	}
+	return query
+}
+
 // refuseFor refuses a request with a backoff that a rule determined.
 func (q *request) refuseFor(rule RetryRule, wait time.Duration, cause string) {
 	if !q.neverRan() {
--- a/daemon/internal/request/dispatch/refusal_test.go
+++ b/daemon/internal/request/dispatch/refusal_test.go
@@ -22,22 +22,22 @@
 // version returns the models of an engine that holds a version.
 func version(v int) []provider.LoadedModel { return []provider.LoadedModel{{Model: "m", Version: v}} }
 
-// refuseIn runs a request at a fleet whose hosts report the given state, and returns its trace and
-// response. Requests may run on version 2 and later.
-func refuseIn(t *testing.T, report func(i int) balance.LoadReport, response places.EngineLoad) (*request, *httptest.ResponseRecorder) {
+// refusedRequest returns a request to a fleet whose hosts report the given state and whose loaders
+// deny all places. Requests may run on version 2 and later.
+func refusedRequest(t *testing.T, report func(i int) balance.LoadReport, response places.EngineLoad) *request {
 	t.Helper()
 	const engines = 16
 	f := newFleet(t, engines, nil)
 	f.view.Targets = map[string]replica.Declaration{"m": {}}
+	q := f.request("short-objective", 0)
 	for i := range engines {
 		f.pool.Report(fmt.Sprint("u", i), report(i))
 	}
-	q := f.request("short-objective", 0)
 	q.RequestPlace = func(context.Context, *provider.Upstream, places.Request) (places.EngineLoad, bool, error) {
 		return response, false, nil
 	}
 	q.VersionPolicy = func(*replica.Declaration) replica.VersionPolicy { return replica.VersionPolicy{MinVersion: 2} }
-	return q, runRefused(q)
+	return q
 }
 
 // runRefused runs a request that is refused.
@@ -92,7 +92,8 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			q, response := refuseIn(t, test.report, test.response)
+			q := refusedRequest(t, test.report, test.response)
+			response := runRefused(q)
 			assert.Equal(t, http.StatusServiceUnavailable, response.Code)
 			assert.Equal(t, OutcomeRefused, q.trace.Outcome)
 			assert.Empty(t, q.trace.Attempts)
@@ -108,9 +109,39 @@
 	}
 }
 
+// TestRefusalRegardsVersionAtReturn guards against callers of full engines that return after the
+// minimum version has risen, when the engines that are full now must not run their requests.
+func TestRefusalRegardsVersionAtReturn(t *testing.T) {
+	for name, test := range map[string]struct {
+		nextIn time.Duration
+		rule   RetryRule
+		from   time.Duration
+	}{
+		"the next version is late":    {3 * time.Second, RetryRuleReadiness, 2900 * time.Millisecond},
+		"the next version is in time": {time.Second, RetryRuleReadiness, admission.MinRetryAfter},
+		"no next version is expected": {0, RetryRuleFull, admission.MinRetryAfter},
+	} {
+		t.Run(name, func(t *testing.T) {
+			report := balance.LoadReport{Models: version(2), Running: 16, NextIn: test.nextIn}
+			if test.nextIn > 0 {
+				report.NextVersion = 3
+			}
+			q := refusedRequest(t, func(int) balance.LoadReport { return report }, places.EngineLoad{Running: 16})
+			q.VersionPolicyAfter = func(_ *replica.Declaration, delay time.Duration) replica.VersionPolicy {
+				assert.Greater(t, delay, admission.MinRetryAfter)
+				assert.Less(t, delay, admission.MaxRetryAfter)
+				return replica.VersionPolicy{MinVersion: 3}
+			}
+			runRefused(q)
+			assert.Equal(t, test.rule, q.trace.RetryRule)
+			assert.GreaterOrEqual(t, q.trace.RetryAfter, test.from)
+		})
+	}
+}
+
 // TestRefusalIsRecorded guards against a refusal whose inputs cannot be found in the log.
 func TestRefusalIsRecorded(t *testing.T) {
-	q, _ := refuseIn(t, func(i int) balance.LoadReport {
+	q := refusedRequest(t, func(i int) balance.LoadReport {
 		if i == 0 {
 			return balance.LoadReport{Models: version(2), Running: 16}
 		}
@@ -119,6 +150,7 @@
 		}
 		return balance.LoadReport{Models: version(1), NextVersion: 2, NextIn: 3 * time.Second}
 	}, places.EngineLoad{Running: 16})
+	runRefused(q)
 	require.NotNil(t, q.trace.Readiness)
 	assert.Equal(t, 1, q.trace.Readiness.Serving)
 	assert.Equal(t, 10, q.trace.Readiness.Expected)
--- a/daemon/router/listeners.go
+++ b/daemon/router/listeners.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/uptrace/bunrouter"
 
@@ -59,7 +60,8 @@
 		Pool: p.pool, RetryBudget: p.retryBudget, LoadTracker: &dispatch.LoadTracker{}, RetryDetector: &admission.RetryDetector{}, View: p.compiler.View, Stale: p.isStale,
 		BufferBudget:  buffer.Budget{MaxBytes: p.maxBufferedBytes()},
 		Region:        func(hall string) string { return p.current.Load().RegionOf(hall) },
-		VersionPolicy: p.versionPolicy, Report: p.recorder.request, RequestPlace: p.requestPlace, PromptParts: p.provider.PromptParts, OnDisconnect: p.connectionBroke,
+		VersionPolicy: p.versionPolicy, VersionPolicyAfter: p.versionPolicyAfter,
+		Report: p.recorder.request, RequestPlace: p.requestPlace, PromptParts: p.provider.PromptParts, OnDisconnect: p.connectionBroke,
 		ProbeUpstream:  p.probeUpstream,
 		OnAnnouncement: p.announced, AllowSend: p.allowSend,
 		AdmitContent: p.admitContent, CheckContent: p.suspects.verdict, OnServed: p.contentCompleted, ShutdownDeadline: p.drainExpired,
@@ -75,7 +77,12 @@
 
 // versionPolicy returns the versions of a model on which requests may run.
 func (p *Process) versionPolicy(declared *replica.Declaration) replica.VersionPolicy {
-	return declared.VersionPolicy(clock.Now(), p.current.Load().Bounds.VersionApply.Std())
+	return p.versionPolicyAfter(declared, 0)
+}
+
+// versionPolicyAfter returns the same for requests that arrive after a delay.
+func (p *Process) versionPolicyAfter(declared *replica.Declaration, delay time.Duration) replica.VersionPolicy {
+	return declared.VersionPolicy(clock.Now().Add(delay), p.current.Load().Bounds.VersionApply.Std())
 }
 
 // readinessHandler reports ready while a configuration is loaded and the router is not draining.
