--- a/daemon/internal/request/admission/returns_simulation_test.go
+++ b/daemon/internal/request/admission/returns_simulation_test.go
@@ -84,6 +84,8 @@
 	// knows that the others must not run requests of callers that return in the gap.
 	closing   time.Duration
 	lookAhead bool
+	// early is how much sooner engines are expected than they are ready.
+	early time.Duration
 	// ranked sets that less urgent requests leave places free while places are scarce, and
 	// saturation is the decayed share of requests that found none.
 	ranked     bool
@@ -209,7 +211,7 @@
 		in := time.Duration(0)
 		mustLoad := r.lookAhead && now < gapBegins && now+(admission.MinRetryAfter+admission.MaxRetryAfter)/2 >= gapBegins
 		if mustLoad || !r.serves(i, now) {
-			in = (at - now + nextStep - 1) / nextStep * nextStep
+			in = max((at-r.early-now+nextStep-1)/nextStep*nextStep, nextStep)
 		} else {
 			serving++
 		}
@@ -352,6 +354,23 @@
 	}
 }
 
+// TestReturnsWithWrongExpectedTimes guards against a rule that is worse than the previous one if
+// engines are ready later or sooner than expected.
+func TestReturnsWithWrongExpectedTimes(t *testing.T) {
+	for _, gap := range gaps {
+		previous := replayGap(1, gap, previousRule)
+		for _, early := range []time.Duration{-time.Second, -500 * time.Millisecond, 500 * time.Millisecond, time.Second} {
+			r := newReplay(1, gap, readinessRule)
+			r.early = early
+			result := r.run()
+			t.Logf("gap %s, expected %s too early: again %.3f (previous rule %.3f), value %.3f (%.3f), at most %d returns in 0.1 s",
+				gap, early, result.refusedAgain(), previous.refusedAgain(), result.value(), previous.value(), result.maxReturns())
+			assert.Less(t, result.refusedAgain(), previous.refusedAgain())
+			assert.Greater(t, result.value(), previous.value())
+		}
+	}
+}
+
 // TestReturnsOfCallersRefusedBeforeGap guards against callers of full engines that return while no
 // engine may run their requests: half of the engines close ahead of the gap.
 func TestReturnsOfCallersRefusedBeforeGap(t *testing.T) {
