--- a/daemon/internal/request/admission/admission.go
+++ b/daemon/internal/request/admission/admission.go
@@ -58,6 +58,9 @@
 	// minReads is the time to the first byte on an engine with an empty queue, as a multiple of
 	// the time to read a prompt: the pass under way and the request's own prompt.
 	minReads = 2
+	// cachedReadFraction is the fraction of the time to read a prompt that remains if the engine
+	// has the prompt's beginning in its cache.
+	cachedReadFraction = 0.5
 	// If only load reports are known, a request may wait for a fraction of the objective. It
 	// falls from maxWaitFraction at a saturation of lowSaturation to minWaitFraction at
 	// highSaturation, since other routers follow the same reports.
@@ -141,12 +144,13 @@
 }
 
 // LeastFirstByte returns the least time to the first byte on any engine: the time to read the request's
-// own prompt on an idle engine. It is 0 if unknown.
+// own prompt on an idle engine that has a part of it in its cache. It is 0 if unknown.
 func (s Service) LeastFirstByte(promptTokens, meanPromptTokens float64) time.Duration {
-	if promptTokens <= 0 || meanPromptTokens <= 0 {
-		return s.ReadTime
+	least := cachedReadFraction * float64(s.ReadTime)
+	if promptTokens > 0 && meanPromptTokens > 0 {
+		least *= promptTokens / meanPromptTokens
 	}
-	return time.Duration(float64(s.ReadTime) * promptTokens / meanPromptTokens)
+	return time.Duration(least)
 }
 
 // overcommit returns the number of requests that may be admitted beyond the places of an engine, so
