Do not let callers wait for engines that are added to a service

Cause: while a service grows to more than twice its size, fewer than half of its engines serve, and callers of full engines would be told when the new ones are ready.

--- a/daemon/internal/process/balance/readiness.go
+++ b/daemon/internal/process/balance/readiness.go
@@ -33,11 +33,14 @@
 
 // Readiness returns when upstreams are expected to be able to run a request with the given
 // requirements. It ignores Query.Exclude and the load of the upstreams.
+//
+// Upstreams that have held no version yet are counted only if none has: while a service grows, the
+// others are as many as before, and their callers need not wait for the new ones.
 func (p *Pool) Readiness(upstreams []*provider.Upstream, query Query) Readiness {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
-	var r Readiness
+	var r, fresh Readiness
 	for _, candidate := range upstreams {
 		s := p.states[candidate.ID]
 		if s == nil {
@@ -46,17 +49,30 @@
 		if candidate.Leaving || s.leaving || s.reportedLeaving(now) || s.pause.blocks(now) {
 			continue
 		}
+		counted := &r
+		if s.hasHeldNone(candidate, query.Model) {
+			counted = &fresh
+		}
 		switch in, known := s.readyIn(candidate, query, now); {
 		case known:
-			r.In = append(r.In, in)
+			counted.In = append(counted.In, in)
 		case s.reportedRecently(now) || !s.holds(candidate, query, now):
-			r.Unknown++
+			counted.Unknown++
 		}
 	}
+	if len(r.In)+r.Unknown == 0 {
+		r = fresh
+	}
 	slices.Sort(r.In)
 	return r
 }
 
+// hasHeldNone reports whether an upstream is not known to have held any version of a model.
+func (s *state) hasHeldNone(candidate *provider.Upstream, model string) bool {
+	reported := provider.Upstream{Models: s.report.Models}
+	return model != "" && candidate.LoadedVersion(model) == 0 && reported.LoadedVersion(model) == 0
+}
+
 // readyIn returns the time until an upstream is expected to be able to run a request, and false if
 // that is unknown.
 func (s *state) readyIn(candidate *provider.Upstream, query Query, now time.Time) (time.Duration, bool) {
--- a/daemon/internal/process/balance/readiness_test.go
+++ b/daemon/internal/process/balance/readiness_test.go
@@ -69,6 +69,19 @@
 	assert.Equal(t, Readiness{}, pool.Readiness(nil, Query{Model: "m"}))
 }
 
+// TestNewUpstreamsDoNotDelayReturns guards against callers of a full service that wait for upstreams
+// that are added to it. Where all are new, their expected times count.
+func TestNewUpstreamsDoNotDelayReturns(t *testing.T) {
+	now := time.Unix(1000, 0)
+	pool := &Pool{Now: func() time.Time { return now }}
+	added := []*provider.Upstream{engineWith("new", 0), engineWith("silent", 0)}
+	pool.Report("new", LoadReport{Loading: true, NextVersion: 2, NextIn: 4 * time.Second})
+	pool.Report("old", LoadReport{Models: models(2)})
+	query := Query{Model: "m", MinVersion: 2}
+	assert.Equal(t, Readiness{In: []time.Duration{0}}, pool.Readiness(append(added, engineWith("old", 1)), query))
+	assert.Equal(t, Readiness{In: []time.Duration{4 * time.Second}, Unknown: 1}, pool.Readiness(added, query))
+}
+
 // TestReadinessIsOrderedAndComplete guards against upstreams that are counted twice or not at all
 // and against times in the past.
 func TestReadinessIsOrderedAndComplete(t *testing.T) {
