Choose engines by the load expected from old reports

Half of the queries for a place are denied in calm load and slow engines get as many requests as others: running requests and the pace do not count in the choice, and all routers read the same reports. Routers now estimate the present load of engines and compare a few that they draw at random. This applies to services whose routes have different priorities or of which an engine reports a pace above 1 (balance.expectedLoad).

Two random choices by the last report, the least of all engines and join-idle-queue were tried; see docs/design/even-load.md.

--- a/daemon/internal/process/balance/balance.go
+++ b/daemon/internal/process/balance/balance.go
@@ -10,7 +10,8 @@
 // Load reports are tens of milliseconds old and the same for all routers. With a load
 // measure finer than the number of waiting requests, all routers would send to the
 // upstream that looks best until its next report. So running requests do not count until
-// all places are in use, and ties are broken at random. See docs/ROUTING.md.
+// all places are in use, and ties are broken at random. See docs/ROUTING.md. For services with
+// scarce or uneven engines, expected.go chooses by the expected load instead.
 package balance
 
 import (
@@ -20,6 +21,7 @@
 	"time"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/process/staleload"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
@@ -72,10 +74,16 @@
 	Now func() time.Time
 	// Rand returns a random number in [0, 1); nil means rand.Float64.
 	Rand func() float64
+	// ExpectedLoad reports when requests of a service are sent by expected load; nil means never.
+	// OtherRouters returns the number of other routers in a data hall; nil means none.
+	ExpectedLoad func(service string) ExpectedLoad
+	OtherRouters func(hall string) int
 
 	mu        sync.Mutex
 	states    map[string]*state
 	evictedAt time.Time
+	// granted holds the rate at which hosts grant requests of this process, by service.
+	granted map[string]*staleload.Rate
 }
 
 // state is the state of one upstream, guarded by Pool.mu.
@@ -98,6 +106,7 @@
 	closesAt time.Time
 	// sentSinceReport counts the requests of this process since the last report.
 	sentSinceReport int
+	expectation     expectation
 	// throttledUntil is until when the upstream gets no requests, because the rate limit
 	// that it announced is used up.
 	throttledUntil time.Time
@@ -166,6 +175,11 @@
 	ReportAge time.Duration
 	// HasReport is set if there is a recent load report.
 	HasReport bool
+	// Expected is the expected load by which the upstream was chosen, in waiting requests; 0 if it
+	// was chosen by its last report alone.
+	Expected float64
+	// OtherHall is set if the upstream is in another data hall than this process.
+	OtherHall bool
 
 	pool *Pool
 	// probe is set if the request finds out whether the upstream accepts requests after a pause.
@@ -187,23 +201,10 @@
 	now := p.now()
 	p.evict(now)
 	best := Choice{Score: math.Inf(1), pool: p}
-	for _, candidate := range upstreams {
-		s := p.state(candidate.ID, now)
-		s.resetIfRestarted(candidate.Started, now)
-		if !s.eligible(candidate, query, now) {
-			continue
-		}
-		score := s.score(candidate, query, now) + p.random()*jitter
-		if query.PreferredVersion > 0 && s.heldVersion(candidate, query.Model, now) < query.PreferredVersion {
-			score += oldVersionPenalty * query.AvoidWeight
-		}
-		if p.Hall != "" && candidate.Hall != p.Hall {
-			score += otherHallPenalty
-		}
-		best.Candidates++
-		if score < best.Score {
-			best.Upstream, best.Score, best.InFlight = candidate, score, s.inFlight
-		}
+	if p.usesExpectedLoad(upstreams, now) {
+		p.chooseByExpectedLoad(&best, upstreams, query, now)
+	} else {
+		p.chooseByReport(&best, upstreams, query, now)
 	}
 	if best.Upstream == nil {
 		return Choice{}, false
@@ -218,9 +219,34 @@
 		chosen.pause.probeSentAt = now
 	}
 	best.Version = chosen.heldVersion(best.Upstream, query.Model, now)
+	best.OtherHall = p.inOtherHall(best.Upstream)
 	return best, true
 }
 
+// chooseByReport sets the eligible upstream with the lowest score by the last reports.
+func (p *Pool) chooseByReport(best *Choice, upstreams []*provider.Upstream, query Query, now time.Time) {
+	for _, candidate := range upstreams {
+		s := p.state(candidate.ID, now)
+		s.resetIfRestarted(candidate.Started, now)
+		if !s.eligible(candidate, query, now) {
+			continue
+		}
+		score := s.score(s.load(candidate, query.ReservedPlaces, now), query, now) + p.random()*jitter
+		score += s.versionPenalty(candidate, query, now)
+		if p.inOtherHall(candidate) {
+			score += otherHallPenalty
+		}
+		best.Candidates++
+		if score < best.Score {
+			best.Upstream, best.Score, best.InFlight = candidate, score, s.inFlight
+		}
+	}
+}
+
+func (p *Pool) inOtherHall(candidate *provider.Upstream) bool {
+	return p.Hall != "" && candidate.Hall != p.Hall
+}
+
 // resetIfRestarted resets the state of an upstream that restarted under its ID: the new
 // process has neither the load nor the failures of the old one.
 func (s *state) resetIfRestarted(started, now time.Time) {
@@ -294,6 +320,7 @@
 	now := p.now()
 	s := p.state(id, now)
 	s.report, s.reportedAt, s.modelsReportedAt, s.sentSinceReport = report, now, now, 0
+	s.expectation.reported(report.Pace, now)
 	s.closesAt = time.Time{}
 	if report.ClosesIn > 0 {
 		s.closesAt = now.Add(report.ClosesIn)
@@ -308,7 +335,9 @@
 	now := p.now()
 	s := p.state(id, now)
 	s.report.Running, s.report.Waiting, s.report.Loading, s.report.Leaving = load.Running, load.Waiting, load.Loading, load.Leaving
+	s.report.Pace = load.Pace
 	s.reportedAt, s.sentSinceReport = now, 0
+	s.expectation.reported(load.Pace, now)
 }
 
 // Throttle withholds requests from an upstream for a while, because its rate limit is used
--- /dev/null
+++ b/daemon/internal/process/balance/expected.go
@@ -0,0 +1,242 @@
+package balance
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/wheelcleat/wheelcleat/daemon/internal/process/staleload"
+	"github.com/wheelcleat/wheelcleat/daemon/provider"
+)
+
+// This file chooses among a few upstreams drawn at random by the load that is expected there now,
+// for services whose engines are scarce or uneven. See docs/design/even-load.md.
+
+// ExpectedLoad determines when the requests of a service are sent by expected load.
+type ExpectedLoad int
+
+// The cases in which a service's requests are sent by expected load.
+const (
+	ExpectedLoadNever ExpectedLoad = iota
+	// ExpectedLoadIfSlow means while an upstream has recently reported a pace above 1.
+	ExpectedLoadIfSlow
+	ExpectedLoadAlways
+)
+
+const (
+	// slowRetention is how long after a report of a pace above 1 a service counts as uneven.
+	slowRetention = 10 * time.Second
+	// drawnHere and drawnElsewhere are the numbers of upstreams that are compared, of this hall and
+	// of all others. With three of this hall, or six, routers with the same reports choose the same
+	// upstreams more often, and 1.1 and 1.4 times as many queries are denied.
+	drawnHere, drawnElsewhere = 2, 1
+	// otherHallCost is the cost of the link to another hall, in waiting requests. At the given
+	// weight of running requests it is equal to seven of twelve places. It varies by otherHallSpread
+	// from request to request, so that the requests of a hall do not all change to another one at
+	// the same difference in load.
+	otherHallCost, otherHallSpread = 2.5, 1.0
+	// reportDelay is how long after a grant a report may not include the request yet. It is that of
+	// package places, and the way of the report.
+	reportDelay = 40 * time.Millisecond
+	// denialHold is how long an upstream that denied a place is avoided, on an upstream of pace 1,
+	// and denialPenalty how strongly. A pass, after which the queue has been read, takes 50 to
+	// 110 ms, of which half remains on average.
+	denialHold    = 40 * time.Millisecond
+	denialPenalty = 3.0
+)
+
+// expectation is what is known of an upstream beyond its last report.
+type expectation struct {
+	// grants holds the times at which the host granted requests of this process that the last
+	// report may not include, oldest first.
+	grants   []time.Time
+	deniedAt time.Time
+	// slowAt is when a pace above 1 was last reported.
+	slowAt time.Time
+}
+
+// reported applies a report that has just arrived.
+func (e *expectation) reported(pace float64, now time.Time) {
+	if staleload.Pace(pace) > 1 {
+		e.slowAt = now
+	}
+	first := 0
+	for first < len(e.grants) && now.Sub(e.grants[first]) > reportDelay {
+		first++
+	}
+	e.grants = e.grants[first:]
+}
+
+// RecordPlace records whether the upstream's host granted the request a place. The load that the
+// host reported with its answer does not include the request.
+func (c Choice) RecordPlace(granted bool) {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	now := c.pool.now()
+	s := c.pool.state(c.Upstream.ID, now)
+	if !granted {
+		s.expectation.deniedAt = now
+		return
+	}
+	s.expectation.grants = append(s.expectation.grants, now)
+	if c.pool.granted == nil {
+		c.pool.granted = map[string]*staleload.Rate{}
+	}
+	rate := c.pool.granted[c.Upstream.Service]
+	if rate == nil {
+		rate = &staleload.Rate{}
+		c.pool.granted[c.Upstream.Service] = rate
+	}
+	rate.Add(now)
+}
+
+// usesExpectedLoad reports whether requests to the given upstreams of one service are sent by
+// expected load. The caller holds mu.
+func (p *Pool) usesExpectedLoad(upstreams []*provider.Upstream, now time.Time) bool {
+	if p.ExpectedLoad == nil || len(upstreams) == 0 {
+		return false
+	}
+	switch p.ExpectedLoad(upstreams[0].Service) {
+	case ExpectedLoadAlways:
+	case ExpectedLoadIfSlow:
+		if !p.anySlow(upstreams, now) {
+			return false
+		}
+	default:
+		return false
+	}
+	return p.anyReport(upstreams, now)
+}
+
+func (p *Pool) anySlow(upstreams []*provider.Upstream, now time.Time) bool {
+	for _, candidate := range upstreams {
+		if s := p.states[candidate.ID]; s != nil && !s.expectation.slowAt.IsZero() && now.Sub(s.expectation.slowAt) <= slowRetention {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Pool) anyReport(upstreams []*provider.Upstream, now time.Time) bool {
+	for _, candidate := range upstreams {
+		if s := p.states[candidate.ID]; s != nil && s.hasReport(now) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *state) hasReport(now time.Time) bool { return now.Sub(s.reportedAt) <= reportMaxAge }
+
+// option is an eligible upstream.
+type option struct {
+	upstream *provider.Upstream
+	state    *state
+	penalty  float64
+	// expected is the cost of the expected load, if hasLoad is set.
+	expected float64
+	hasLoad  bool
+}
+
+// chooseByExpectedLoad sets the upstream with the lowest sum of expected load and penalties among
+// a few that are drawn at random in this hall and in the others. An upstream that a penalty ranks
+// behind others is drawn only if none is left before it.
+func (p *Pool) chooseByExpectedLoad(best *Choice, upstreams []*provider.Upstream, query Query, now time.Time) {
+	var own, others []option
+	for _, candidate := range upstreams {
+		s := p.state(candidate.ID, now)
+		s.resetIfRestarted(candidate.Started, now)
+		if !s.eligible(candidate, query, now) {
+			continue
+		}
+		o := option{upstream: candidate, state: s, penalty: s.score(0, query, now) + s.versionPenalty(candidate, query, now) + s.denialPenalty(now)}
+		if p.inOtherHall(candidate) {
+			others = append(others, o)
+		} else {
+			own = append(own, o)
+		}
+	}
+	best.Candidates = len(own) + len(others)
+	arrivals := p.arrivalsByHall(upstreams, now)
+	drawn := slices.Concat(p.draw(own, drawnHere), p.draw(others, drawnElsewhere))
+	unknown := expectAll(drawn, query, arrivals, now)
+	linkCost := otherHallCost + otherHallSpread*(2*p.random()-1)
+	for _, o := range drawn {
+		expected := o.expected
+		if !o.hasLoad {
+			expected = unknown + o.state.load(o.upstream, query.ReservedPlaces, now)
+		}
+		score := expected + o.penalty
+		if p.inOtherHall(o.upstream) {
+			score += linkCost
+		}
+		if score < best.Score {
+			best.Upstream, best.Score, best.InFlight, best.Expected = o.upstream, score, o.state.inFlight, expected
+		}
+	}
+}
+
+// draw draws some of the options at random, in proportion to their speed.
+func (p *Pool) draw(options []option, count int) []option {
+	penalties := make([]float64, len(options))
+	for i, o := range options {
+		penalties[i] = o.penalty + math.Log(staleload.Pace(o.state.report.Pace))
+	}
+	var drawn []option
+	for _, index := range staleload.Draw(penalties, count, p.random) {
+		drawn = append(drawn, options[index])
+	}
+	return drawn
+}
+
+// expectAll sets the expected load of the options that have a recent report, and returns its mean,
+// which is assumed of the others. An upstream must not look idle because this process does not
+// follow its host.
+func expectAll(options []option, query Query, arrivals map[string]float64, now time.Time) (mean float64) {
+	sum, count := 0.0, 0
+	for i := range options {
+		o := &options[i]
+		if o.hasLoad = o.state.hasReport(now); !o.hasLoad {
+			continue
+		}
+		o.expected = o.state.expectedCost(o.upstream, query.ReservedPlaces, arrivals[o.upstream.Hall], now)
+		sum, count = sum+o.expected, count+1
+	}
+	return sum / float64(max(count, 1))
+}
+
+// expectedCost returns the cost of the expected load of an upstream with a recent report.
+func (s *state) expectedCost(candidate *provider.Upstream, reservedPlaces int, othersPerSecond float64, now time.Time) float64 {
+	report := staleload.Report{
+		Running: s.report.Running, Waiting: s.report.Waiting, Age: now.Sub(s.reportedAt), Sent: s.sentSinceReport + len(s.expectation.grants),
+		Places: candidate.Places, Pace: staleload.Pace(s.report.Pace), OthersPerSecond: othersPerSecond,
+	}
+	return report.Expected().Cost(candidate.Places, reservedPlaces, report.Pace)
+}
+
+// denialPenalty returns the penalty of an upstream that denied a place recently.
+func (s *state) denialPenalty(now time.Time) float64 {
+	hold := time.Duration(float64(denialHold) * staleload.Pace(s.report.Pace))
+	if s.expectation.deniedAt.IsZero() || now.Sub(s.expectation.deniedAt) >= hold {
+		return 0
+	}
+	return denialPenalty
+}
+
+// arrivalsByHall returns the rate at which other routers are expected to send to an upstream of
+// each hall: as often as this router, which is one of those of its hall.
+func (p *Pool) arrivalsByHall(upstreams []*provider.Upstream, now time.Time) map[string]float64 {
+	rate := p.granted[upstreams[0].Service]
+	if rate == nil || p.OtherRouters == nil {
+		return nil
+	}
+	arrivals := map[string]float64{}
+	for _, candidate := range upstreams {
+		arrivals[candidate.Hall]++
+	}
+	perRouter := rate.PerSecond(now)
+	for hall, count := range arrivals {
+		arrivals[hall] = perRouter * float64(p.OtherRouters(hall)) / count
+	}
+	return arrivals
+}
--- a/daemon/internal/process/balance/score.go
+++ b/daemon/internal/process/balance/score.go
@@ -62,11 +62,12 @@
 // another one ends.
 const excessWeight = 3.0
 
-// score returns how unfavorable an upstream is for a request; the lowest score wins.
-func (s *state) score(candidate *provider.Upstream, query Query, now time.Time) float64 {
+// score returns how unfavorable an upstream with a given load is for a request; the lowest score
+// wins.
+func (s *state) score(load float64, query Query, now time.Time) float64 {
 	s.decay(now)
 	share := s.failures / (s.outcomes + priorWeight)
-	score := s.load(candidate, query.ReservedPlaces, now) + failurePenalty*max(0, share-healthyFailureShare)
+	score := load + failurePenalty*max(0, share-healthyFailureShare)
 	if now.Before(s.blockedUntil) || s.report.Loading && now.Sub(s.reportedAt) <= reportMaxAge {
 		score += blockedPenalty
 	}
@@ -79,6 +80,14 @@
 	return score
 }
 
+// versionPenalty returns the penalty of an upstream whose version is avoided.
+func (s *state) versionPenalty(candidate *provider.Upstream, query Query, now time.Time) float64 {
+	if query.PreferredVersion > 0 && s.heldVersion(candidate, query.Model, now) < query.PreferredVersion {
+		return oldVersionPenalty * query.AvoidWeight
+	}
+	return 0
+}
+
 // unresponsive reports whether the upstream's host has reported, but not recently.
 func (s *state) unresponsive(now time.Time) bool {
 	return !s.reportedAt.IsZero() && now.Sub(s.reportedAt) > reportMaxAge
--- a/daemon/internal/request/dispatch/dispatch.go
+++ b/daemon/internal/request/dispatch/dispatch.go
@@ -149,6 +149,10 @@
 	Excess    int           `json:"beyond"`
 	Running   int           `json:"running"`
 	ReportAge time.Duration `json:"age"`
+	// Expected is the expected load by which the upstream was chosen, in waiting requests, 0 if it
+	// was chosen by its last report. OtherHall is set if it is in another data hall.
+	Expected  float64 `json:"expected,omitempty"`
+	OtherHall bool    `json:"otherHall,omitempty"`
 	// Path is the admission path to the upstream, and Limit the rate limit that the
 	// response stated, "" if none.
 	Path  AdmissionPath `json:"door,omitempty"`
@@ -380,6 +384,7 @@
 		Upstream: choice.Upstream.ID, Address: choice.Upstream.Address, Offset: started.Sub(q.trace.Started), Duration: clock.Since(started), Result: result.Kind.String(),
 		Version: choice.Version, InFlight: choice.InFlight, Candidates: choice.Candidates,
 		Waiting: choice.Waiting, Excess: choice.Excess, Running: choice.Running, ReportAge: choice.ReportAge,
+		Expected: choice.Expected, OtherHall: choice.OtherHall,
 		Path: q.paths[choice.Upstream.ID], Limit: result.Announcement.Limit.String(),
 		Leaving: result.Announcement.Leaving, RetryAfter: result.Announcement.RetryAfter,
 	}
--- a/daemon/internal/request/dispatch/place.go
+++ b/daemon/internal/request/dispatch/place.go
@@ -29,6 +29,10 @@
 	// RetryAfter is when to request again if the engine's rate limit is used up.
 	RetryAfter time.Duration `json:"wait,omitempty"`
 	Cause      string        `json:"cause,omitempty"`
+	// Expected is the expected load by which the engine was chosen, in waiting requests, 0 if it
+	// was chosen by its last report. ReportAge is the age of that report.
+	Expected  float64       `json:"expected,omitempty"`
+	ReportAge time.Duration `json:"age,omitempty"`
 }
 
 // choosePlace chooses an upstream and gets the request admitted there. For an engine with a
@@ -200,11 +204,13 @@
 	result := PlaceRequest{
 		Upstream: choice.Upstream.ID, Granted: granted, Running: load.Running, Waiting: load.Waiting,
 		MaxWaiting: limit.Waiting, MaxInUse: limit.InUse, Duration: clock.Since(started), RetryAfter: load.RetryAfter,
+		Expected: choice.Expected, ReportAge: choice.ReportAge,
 	}
 	if err != nil {
 		result.Cause = err.Error()
 	} else {
-		q.Pool.ReportLoad(choice.Upstream.ID, balance.LoadReport{Running: load.Running, Waiting: load.Waiting, Loading: load.Loading, Leaving: load.Leaving})
+		q.Pool.ReportLoad(choice.Upstream.ID, balance.LoadReport{Running: load.Running, Waiting: load.Waiting, Loading: load.Loading, Leaving: load.Leaving, Pace: load.Pace})
+		choice.RecordPlace(granted)
 	}
 	q.trace.PlaceRequests = append(q.trace.PlaceRequests, result)
 	return load, granted, err
--- a/daemon/router/recorder.go
+++ b/daemon/router/recorder.go
@@ -293,7 +293,13 @@
 	if len(trace.Attempts) > 1 {
 		r.scope.Counter("second_sends").Inc(int64(len(trace.Attempts) - 1))
 	}
+	for _, query := range trace.PlaceRequests {
+		if query.Cause == "" {
+			r.scope.Tagged(map[string]string{"given": strconv.FormatBool(query.Granted)}).Counter("place_queries").Inc(1)
+		}
+	}
 	for _, attempt := range trace.Attempts {
+		r.scope.Tagged(map[string]string{"hall": hallTag(attempt.OtherHall)}).Counter("sends").Inc(1)
 		if attempt.AfterClose != "" {
 			r.scope.Tagged(map[string]string{"upstream": string(attempt.AfterClose)}).Counter("responses_closed").Inc(1)
 		}
@@ -306,6 +312,14 @@
 	}
 }
 
+// hallTag returns the tag of a send to this router's own data hall or to another one.
+func hallTag(other bool) string {
+	if other {
+		return "other"
+	}
+	return "own"
+}
+
 // entryApplied logs a change of the replica, or an entry that was rejected.
 func (r *recorder) entryApplied(change replica.EntryChange) {
 	fields := log.Fields{
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -110,6 +110,9 @@
 	// the list of upstreams changes, and read for each load report.
 	engineIDsByHost atomic.Pointer[map[netip.Addr][]string]
 
+	// facts holds what the choice of an upstream needs of the view in force.
+	facts atomic.Pointer[balanceFacts]
+
 	// upstreamTransport keeps connections to upstreams alive. suspended is the total time, in
 	// nanoseconds, for which the host had been suspended at the last check.
 	upstreamTransport *http.Transport
@@ -145,6 +148,7 @@
 		probe: &livenessprobe.Probe{Dial: dial.WithTimeout(probeConnectTimeout, options.Dial)}, suspects: &suspects{}, limits: &limits{},
 		drainExpired: make(chan struct{}),
 	}
+	p.pool.ExpectedLoad, p.pool.OtherRouters = p.expectedLoad, p.otherRoutersOf
 	p.current.Store(&s)
 	client := &http.Client{Transport: dial.NewHostTransport(options.Dial, storeIdleTimeout)}
 	p.provider = options.Provider(s.Store, client, client)
@@ -248,8 +252,8 @@
 	}
 }
 
-// Reload applies changed settings. Seeds, regions, the log level and the bounds of retries and version
-// changes take effect at once. If the role, the name or an address has changed, Reload logs that a
+// Reload applies changed settings. Seeds, regions, the log level, the choice by expected load and the
+// bounds of retries and version changes take effect at once. If the role, the name or an address has changed, Reload logs that a
 // restart is needed and keeps the settings in force.
 func (p *Process) Reload(file settings.File) {
 	if file.Router == nil {
--- a/daemon/settings/check.go
+++ b/daemon/settings/check.go
@@ -126,3 +126,11 @@
 		c.add("log.level", fmt.Sprintf("unknown level %q", log.Level), "use debug, info, warn or error")
 	}
 }
+
+func (c *checker) expectedLoad(balance Balance) {
+	switch balance.ExpectedLoad {
+	case "", ExpectedLoadAuto, ExpectedLoadOn, ExpectedLoadOff:
+	default:
+		c.add("balance.expectedLoad", fmt.Sprintf("unknown value %q", balance.ExpectedLoad), "use auto, on or off")
+	}
+}
--- a/daemon/settings/router_loader.go
+++ b/daemon/settings/router_loader.go
@@ -27,6 +27,7 @@
 	// regions are not sent to halls without an entry.
 	Regions []HallRegion `json:"regions,omitempty"`
 	Bounds  RouterBounds `json:"bounds,omitzero"`
+	Balance Balance      `json:"balance,omitzero"`
 	// Drain limits the time to complete requests when the router stops.
 	Drain api.Duration `json:"drain,omitempty"`
 	Log   Log          `json:"log,omitzero"`
@@ -77,6 +78,26 @@
 	MemoryMB float64 `json:"memoryMb,omitempty"`
 }
 
+// Balance holds the settings of the choice of upstreams.
+type Balance struct {
+	// ExpectedLoad is when requests are sent by the expected instead of the last reported load of
+	// engines; empty means auto.
+	ExpectedLoad ExpectedLoad `json:"expectedLoad,omitempty"`
+}
+
+// ExpectedLoad is when requests are sent by the expected load of engines.
+type ExpectedLoad string
+
+const (
+	// ExpectedLoadAuto means for services whose routes have different priorities, or of which an
+	// engine has recently reported that it is slower than declared.
+	ExpectedLoadAuto ExpectedLoad = "auto"
+	// ExpectedLoadOn means for all services.
+	ExpectedLoadOn ExpectedLoad = "on"
+	// ExpectedLoadOff means never.
+	ExpectedLoadOff ExpectedLoad = "off"
+)
+
 // Loader is the settings file of a loader: the process on an engine's host that
 // has the engine load the declared version of its model.
 type Loader struct {
@@ -126,6 +147,7 @@
 	orDefault(&r.Bounds.RetryRatio, DefaultRetryRatio)
 	orDefault(&r.Bounds.RetrySlack, DefaultRetrySlack)
 	orDefault(&r.Bounds.RetryWindow, api.Duration(DefaultRetryWindow))
+	orDefault(&r.Balance.ExpectedLoad, ExpectedLoadAuto)
 	orDefault(&r.Drain, api.Duration(DefaultRouterLoaderDrain))
 	orDefault(&r.Log.Level, "info")
 }
@@ -157,6 +179,7 @@
 	c.duration("bounds.retryWindow", r.Bounds.RetryWindow)
 	c.notNegative("bounds.retryRatio", r.Bounds.RetryRatio)
 	c.notNegative("bounds.retrySlack", r.Bounds.RetrySlack)
+	c.expectedLoad(r.Balance)
 	c.duration("drain", r.Drain)
 	c.level(r.Log)
 	return c.fieldErrs
--- a/daemon/settings/settings_test.go
+++ b/daemon/settings/settings_test.go
@@ -65,6 +65,9 @@
 		{"unknown role", RoleEntry, func(d map[string]any) { d["role"] = "tracker" }, []string{`f.json: role: unknown role tracker (use "entry", "agent", "router" or "loader")`}},
 		{"no role", RoleEntry, func(d map[string]any) { delete(d, "role") }, []string{"f.json: role: missing"}},
 		{"unknown level", RoleEntry, func(d map[string]any) { section(d, "log")["level"] = "loud" }, []string{`f.json: log.level: unknown level "loud"`}},
+		{"unknown expected load", RoleRouter, func(d map[string]any) { section(d, "balance")["expectedLoad"] = "yes" }, []string{`f.json: balance.expectedLoad: unknown value "yes" (use auto, on or off)`}},
+		{"number for the expected load", RoleRouter, func(d map[string]any) { section(d, "balance")["expectedLoad"] = 1 }, []string{"f.json: balance.expectedLoad: 1 is not a string"}},
+		{"unknown field of balance", RoleRouter, func(d map[string]any) { section(d, "balance")["expected"] = "on" }, []string{"f.json: balance.expected: unknown field"}},
 		{"open operators' port", RoleEntry, func(d map[string]any) { section(d, "listen")["operators"] = "0.0.0.0:7001" }, []string{"f.json: operatorKeyDigests: missing"}},
 		{"plain without services", RoleAgent, func(d map[string]any) { section(d, "upstream")["kind"] = "plain" }, []string{"f.json: upstream.services: missing"}},
 		{"two errors", RoleEntry, func(d map[string]any) { delete(d, "hall"); delete(d, "name") }, []string{"f.json: name: missing", "\nf.json: hall: missing"}},
@@ -81,6 +84,21 @@
 	}
 }
 
+// TestExpectedLoadDefaultsToAuto guards against settings files without the section, which are those
+// of earlier builds, that are rejected or change the choice of upstreams.
+func TestExpectedLoadDefaultsToAuto(t *testing.T) {
+	for value, expected := range map[string]ExpectedLoad{"": ExpectedLoadAuto, "auto": ExpectedLoadAuto, "on": ExpectedLoadOn, "off": ExpectedLoadOff} {
+		file, err := Parse("f.json", edit(t, RoleRouter, func(d map[string]any) {
+			delete(d, "balance")
+			if value != "" {
+				d["balance"] = map[string]any{"expectedLoad": value}
+			}
+		}))
+		require.NoError(t, err)
+		assert.Equal(t, expected, file.Router.Balance.ExpectedLoad, value)
+	}
+}
+
 func TestParseRejectsInvalidJSON(t *testing.T) {
 	for _, text := range []string{"", "{", "[]", `{"role":"entry"} {}`} {
 		_, err := Parse("f.json", []byte(text))
--- a/daemon/simulation/router.go
+++ b/daemon/simulation/router.go
@@ -156,6 +156,7 @@
 		e := r.engineOf(choice)
 		load, granted := e.ledger.Reserve(places.Request{Limit: limit, Engine: ratelimit.Upstream{ID: e.upstream.ID}, RateLimit: e.limitReport()})
 		r.pool.ReportLoad(choice.Upstream.ID, balance.LoadReport{Running: load.Running, Waiting: load.Waiting, Loading: load.Loading})
+		choice.RecordPlace(granted)
 		if granted {
 			r.loadTracker.RecordFull(service, load.Running+load.Waiting >= choice.Upstream.Places)
 			return e, choice, true
