--- a/daemon/internal/process/balance/balance.go
+++ b/daemon/internal/process/balance/balance.go
@@ -175,9 +175,9 @@
 	ReportAge time.Duration
 	// HasReport is set if there is a recent load report.
 	HasReport bool
-	// Expected is the expected load by which the upstream was chosen, in waiting requests; 0 if it
+	// Expected is the expected load by which the upstream was chosen, in waiting requests; nil if it
 	// was chosen by its last report alone.
-	Expected float64
+	Expected *float64
 	// OtherHall is set if the upstream is in another data hall than this process.
 	OtherHall bool
 
--- a/daemon/internal/process/balance/expected.go
+++ b/daemon/internal/process/balance/expected.go
@@ -171,7 +171,7 @@
 			score += linkCost
 		}
 		if score < best.Score {
-			best.Upstream, best.Score, best.InFlight, best.Expected = o.upstream, score, o.state.inFlight, expected
+			best.Upstream, best.Score, best.InFlight, best.Expected = o.upstream, score, o.state.inFlight, &expected
 		}
 	}
 }
--- a/daemon/internal/process/balance/expected_test.go
+++ b/daemon/internal/process/balance/expected_test.go
@@ -203,23 +203,23 @@
 	pool, now := evenPool()
 	pool.ExpectedLoad = always(balance.ExpectedLoadIfSlow)
 	candidates := fleetOf(3, 1)
-	chosenBy := func() float64 {
+	usesExpected := func() bool {
 		for i, candidate := range candidates {
 			pool.Report(candidate.ID, balance.LoadReport{Running: 3 + i, Models: candidate.Models})
 		}
 		choice, ok := pool.Choose(candidates, balance.Query{Model: "m"})
 		require.True(t, ok)
-		return choice.Expected
+		return choice.Expected != nil
 	}
-	assert.Zero(t, chosenBy())
+	assert.False(t, usesExpected())
 	pool.ReportLoad("u2", balance.LoadReport{Pace: 1.5})
-	assert.Positive(t, chosenBy())
+	assert.True(t, usesExpected())
 	*now = now.Add(9 * time.Second)
-	assert.Positive(t, chosenBy(), "for 10 s")
+	assert.True(t, usesExpected(), "for 10 s")
 	*now = now.Add(2 * time.Second)
-	assert.Zero(t, chosenBy())
+	assert.False(t, usesExpected())
 	pool.ReportLoad("u2", balance.LoadReport{Pace: math.NaN()})
-	assert.Zero(t, chosenBy(), "an invalid pace counts as missing")
+	assert.False(t, usesExpected(), "an invalid pace counts as missing")
 }
 
 // TestDeniedAndGrantedUpstreamsAreKnown guards against an engine that is queried again at once after
@@ -299,7 +299,7 @@
 	for range 40 {
 		choice, ok := pool.Choose(candidates, balance.Query{})
 		require.True(t, ok)
-		assert.Zero(t, choice.Expected)
+		assert.Nil(t, choice.Expected)
 		counts[choice.Upstream.ID]++
 	}
 	for id, count := range counts {
--- a/daemon/internal/request/dispatch/dispatch.go
+++ b/daemon/internal/request/dispatch/dispatch.go
@@ -149,10 +149,10 @@
 	Excess    int           `json:"beyond"`
 	Running   int           `json:"running"`
 	ReportAge time.Duration `json:"age"`
-	// Expected is the expected load by which the upstream was chosen, in waiting requests, 0 if it
-	// was chosen by its last report. OtherHall is set if it is in another data hall.
-	Expected  float64 `json:"expected,omitempty"`
-	OtherHall bool    `json:"otherHall,omitempty"`
+	// Expected is the expected load by which the upstream was chosen, in waiting requests, nil if
+	// it was chosen by its last report. OtherHall is set if it is in another data hall.
+	Expected  *float64 `json:"expected,omitempty"`
+	OtherHall bool     `json:"otherHall,omitempty"`
 	// Path is the admission path to the upstream, and Limit the rate limit that the
 	// response stated, "" if none.
 	Path  AdmissionPath `json:"door,omitempty"`
--- a/daemon/internal/request/dispatch/place.go
+++ b/daemon/internal/request/dispatch/place.go
@@ -29,9 +29,9 @@
 	// RetryAfter is when to request again if the engine's rate limit is used up.
 	RetryAfter time.Duration `json:"wait,omitempty"`
 	Cause      string        `json:"cause,omitempty"`
-	// Expected is the expected load by which the engine was chosen, in waiting requests, 0 if it
-	// was chosen by its last report. ReportAge is the age of that report.
-	Expected  float64       `json:"expected,omitempty"`
+	// Expected is the expected load by which the engine was chosen, in waiting requests, nil if
+	// it was chosen by its last report. ReportAge is the age of that report.
+	Expected  *float64      `json:"expected,omitempty"`
 	ReportAge time.Duration `json:"age,omitempty"`
 }
 
--- a/daemon/router/recorder_test.go
+++ b/daemon/router/recorder_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/telemetry"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/dispatch"
@@ -30,3 +31,26 @@
 	assert.Contains(t, text, `"message":"request lines left out"`)
 	assert.Equal(t, 1, bytes.Count(lines.Bytes(), []byte("left out")), "once a second at most")
 }
+
+// TestQueriesAndHallsAreCounted guards against a change of the choice of upstreams whose effect on
+// denied queries and on traffic between halls no metric shows.
+func TestQueriesAndHallsAreCounted(t *testing.T) {
+	tele, err := telemetry.New(telemetry.Options{Level: "info"})
+	require.NoError(t, err)
+	defer tele.Close()
+	scope := tally.NewTestScope("", nil)
+	tele.Scope = scope
+	newRecorder(tele).request(&dispatch.Trace{
+		Started: time.Now(), Outcome: dispatch.OutcomeServed,
+		PlaceRequests: []dispatch.PlaceRequest{{}, {}, {Cause: "no answer"}, {Granted: true}},
+		Attempts:      []dispatch.Attempt{{OtherHall: true}, {}},
+	})
+	counts := map[string]int64{}
+	for name, counter := range scope.Snapshot().Counters() {
+		counts[name] = counter.Value()
+	}
+	assert.Equal(t, int64(2), counts["place_queries+given=false"], "a loader that does not answer is not counted")
+	assert.Equal(t, int64(1), counts["place_queries+given=true"])
+	assert.Equal(t, int64(1), counts["sends+hall=other"])
+	assert.Equal(t, int64(1), counts["sends+hall=own"])
+}
