--- a/daemon/internal/request/dispatch/place.go
+++ b/daemon/internal/request/dispatch/place.go
@@ -39,6 +39,10 @@
 	Pace     float64           `json:"pace,omitempty"`
 	Late     enginetime.Reason `json:"late,omitempty"`
 	Estimate time.Duration     `json:"estimate,omitempty"`
+	// Expected is the expected load by which the engine was chosen, in waiting requests, nil if
+	// it was chosen by its last report. ReportAge is the age of that report.
+	Expected  *float64      `json:"expected,omitempty"`
+	ReportAge time.Duration `json:"age,omitempty"`
 }
 
 // choosePlace chooses an upstream and gets the request admitted there. For an engine with a
@@ -218,12 +222,14 @@
 		Upstream: choice.Upstream.ID, Granted: granted, Running: load.Running, Waiting: load.Waiting,
 		MaxWaiting: limit.Waiting, MaxInUse: limit.InUse, Duration: clock.Since(started), RetryAfter: load.RetryAfter,
 		First: times.First, Gap: times.Gap, Left: times.Left, Pace: enginetime.ReportedPace(load.Pace), Late: load.Late.Reason, Estimate: load.Late.Estimate,
+		Expected: choice.Expected, ReportAge: choice.ReportAge,
 	}
 	if err != nil {
 		result.Cause = err.Error()
 	} else {
 		q.LoadTracker.RecordPace(q.service.Name, load.Pace)
 		q.Pool.ReportLoad(choice.Upstream.ID, balance.LoadReport{Running: load.Running, Waiting: load.Waiting, Loading: load.Loading, Leaving: load.Leaving, Pace: load.Pace})
+		choice.RecordPlace(granted)
 	}
 	q.trace.PlaceRequests = append(q.trace.PlaceRequests, result)
 	return load, granted, err
