Divide scarce places among ranks and accounts

Cause: nearly all accounts have the same priority, which replaces that of the route, so routes of priority 0, 1 and 2 are refused equally often in an overload. Loaders grant places first come, first served, so an account that repeats more often gets more. The reserve by rank keeps places free that nobody asks for.

Change: for services whose routes have different priorities, order requests by the priority of the account and then by that of the route. Routers send account, rank and the position of a query in its search to the loader, which keeps the last two places of its engine for at most 60 ms for more urgent ranks and for accounts below their max-min share (package fairshare). Only ranks with recent requests count in a router's reserve and in queue classes. Services whose routes all have one priority are decided as before, and their queries name no caller.

--- a/daemon/internal/connection/places/client.go
+++ b/daemon/internal/connection/places/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/backoff"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/call"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/fairshare"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/ratelimit"
 )
 
@@ -43,6 +44,7 @@
 	RetryAfterMs int64             `json:"wait,omitempty"`
 	RateLimit    *ratelimit.Report `json:"limit,omitempty"`
 	Pace         float64           `json:"pace,omitempty"`
+	DeniedBy     fairshare.Reason  `json:"by,omitempty"`
 }
 
 // Response is the response of a loader.
@@ -53,6 +55,8 @@
 	Granted bool
 	// RateLimit is the rate limit of the engine as known to the loader; nil if there is none.
 	RateLimit *ratelimit.Report
+	// Caller is the caller of the request. Only the loader that responds knows it.
+	Caller Caller
 }
 
 // Handler serves requests for places from a ledger. OnResponse is called with each response,
@@ -65,13 +69,13 @@
 			return
 		}
 		load, granted := ledger.Reserve(req)
-		onResponse(Response{EngineLoad: load, Granted: granted})
+		onResponse(Response{EngineLoad: load, Granted: granted, Caller: req.Caller})
 		w.Header()["Date"] = nil
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(wireResponse{
 			Granted: granted, Running: load.Running, Waiting: load.Waiting, Loading: load.Loading, Leaving: load.Leaving,
 			RetryAfterMs: load.RetryAfter.Milliseconds(), RateLimit: ledger.RateLimit(req.Engine),
-			Pace: load.Pace,
+			Pace: load.Pace, DeniedBy: load.DeniedBy,
 		})
 	}
 }
@@ -99,7 +103,7 @@
 func parseCaller(query url.Values) Caller {
 	return Caller{
 		Account: query.Get(accountParam), Rank: parseCount(query, rankParam), Ranks: parseCount(query, ranksParam),
-		Retry: query.Get(retryParam) != "",
+		Retry: query.Get(retryParam) != "", Denied: parseCount(query, deniedParam), Last: query.Get(lastParam) != "",
 	}
 }
 
@@ -129,6 +133,8 @@
 	rankParam      = "rank"
 	ranksParam     = "ranks"
 	retryParam     = "retry"
+	deniedParam    = "denied"
+	lastParam      = "last"
 	promptParam    = "prompt" // in tokens
 	answerParam    = "answer" // in tokens
 )
@@ -238,6 +244,10 @@
 	if c.Retry {
 		query += "&" + retryParam + "=1"
 	}
+	query += countParam(deniedParam, c.Denied)
+	if c.Last {
+		query += "&" + lastParam + "=1"
+	}
 	return query
 }
 
@@ -274,6 +284,8 @@
 	if err := call.GetJSON(ctx, c.Client, target, maxResponse, &resp); err != nil {
 		return Response{}, fmt.Errorf("request place from loader %s: %w", loader, err)
 	}
-	load := EngineLoad{Running: resp.Running, Waiting: resp.Waiting, Loading: resp.Loading, Leaving: resp.Leaving, RetryAfter: time.Duration(resp.RetryAfterMs) * time.Millisecond, Pace: resp.Pace}
+	load := EngineLoad{
+		Running: resp.Running, Waiting: resp.Waiting, Loading: resp.Loading, Leaving: resp.Leaving, RetryAfter: time.Duration(resp.RetryAfterMs) * time.Millisecond, Pace: resp.Pace, DeniedBy: resp.DeniedBy,
+	}
 	return Response{EngineLoad: load, Granted: resp.Granted, RateLimit: resp.RateLimit}, nil
 }
--- a/daemon/internal/connection/places/ledger.go
+++ b/daemon/internal/connection/places/ledger.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/fairshare"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/ratelimit"
 )
 
@@ -36,6 +37,8 @@
 	RetryAfter time.Duration
 	// Pace is the factor by which the engine is slower than its declared rates; 0 means 1.
 	Pace float64
+	// DeniedBy is why a request that fits was denied a place, because it is kept for others.
+	DeniedBy fairshare.Reason
 }
 
 // Limit is the highest load of an engine at which a request is admitted.
@@ -72,6 +75,10 @@
 	Rank, Ranks int
 	// Retry means that the caller retries after a refusal.
 	Retry bool
+	// Denied is the number of engines that this search queried before, so that a loader counts
+	// each request once, and Last means that the search queries no further engine.
+	Denied int
+	Last   bool
 }
 
 // Size is the amount of work that a request asks of an engine; 0 means unknown.
@@ -101,6 +108,8 @@
 	rateLimits ratelimit.Table
 	// warmup limits the rate of requests while the engine is cold.
 	warmup ratelimit.WarmupTable
+	// shares divides the places among ranks and accounts while they are scarce.
+	shares fairshare.Divider
 }
 
 // Observe sets the current load of the engine. Ok is false if the engine did not respond.
@@ -143,10 +152,14 @@
 	defer l.mu.Unlock()
 	l.mergeLimits(req)
 	load, fits := l.fits(req.Limit)
+	now := helpers.Now(l.Now)
+	reason, granted := l.divide(req, load, fits, now)
 	if !fits {
 		return load, false
 	}
-	now := helpers.Now(l.Now)
+	if load.DeniedBy = reason; reason != fairshare.Granted {
+		return load, false
+	}
 	wait, ok := l.warmup.Allow(req.Engine, ratelimit.LoaderShare, now)
 	if ok {
 		wait, ok = l.rateLimits.Allow(req.Engine, ratelimit.LoaderShare, now)
@@ -155,6 +168,7 @@
 		load.RetryAfter = max(wait, time.Millisecond)
 		return load, false
 	}
+	granted()
 	l.pending = append(l.pending, now)
 	return load, true
 }
--- a/daemon/internal/connection/places/query_test.go
+++ b/daemon/internal/connection/places/query_test.go
@@ -13,7 +13,7 @@
 func TestQueryCarriesCallerAndSize(t *testing.T) {
 	sent := Request{
 		Limit:  Limit{Waiting: 1, InUse: 11},
-		Caller: Caller{Account: "a & b", Rank: 2, Ranks: 6, Retry: true},
+		Caller: Caller{Account: "a & b", Rank: 2, Ranks: 6, Retry: true, Denied: 7, Last: true},
 		Size:   Size{PromptTokens: 1290, AnswerTokens: 126},
 	}
 	received, err := parse(httptest.NewRequest("GET", Path+"?"+sent.query(), nil))
@@ -24,7 +24,7 @@
 // TestInvalidCallerAndSizeCountAsUnknown guards against requests that are denied because a router
 // of another build sends values that this one cannot parse.
 func TestInvalidCallerAndSizeCountAsUnknown(t *testing.T) {
-	received, err := parse(httptest.NewRequest("GET", Path+"?waiting=0&taken=1&lasts=2&rank=-1&ranks=x&prompt=1e9&answer=", nil))
+	received, err := parse(httptest.NewRequest("GET", Path+"?waiting=0&taken=1&lasts=2&rank=-1&ranks=x&denied=-2&prompt=1e9&answer=", nil))
 	require.NoError(t, err)
 	assert.Equal(t, Caller{}, received.Caller)
 	assert.Equal(t, Size{}, received.Size)
--- a/daemon/internal/process/replica/view.go
+++ b/daemon/internal/process/replica/view.go
@@ -30,8 +30,8 @@
 	routesByHost  map[string][]*provider.Route
 	accountsByKey map[string]*provider.Account
 	services      map[string]*provider.Service // by name
-	// priorities holds the priorities of each service's requests, most urgent first.
-	priorities map[string][]int
+	// rankings holds the order of each service's requests by urgency.
+	rankings map[string]*ranking
 	// objectives holds the shortest objective of each service's routes.
 	objectives map[string]time.Duration
 }
@@ -457,7 +457,7 @@
 			v.accountsByKey[key] = account
 		}
 	}
-	v.priorities = servicePriorities(configuration)
+	v.rankings = serviceRankings(configuration)
 	v.objectives = serviceObjectives(configuration)
 	v.services = map[string]*provider.Service{}
 	for i := range configuration.Services {
--- a/daemon/internal/request/admission/admission.go
+++ b/daemon/internal/request/admission/admission.go
@@ -97,6 +97,9 @@
 	// Rank is the rank of the request among the priorities of the service, 0 for the most
 	// urgent.
 	Rank int
+	// Divided means that a loader decides which ranks precede, so that the router reserves no
+	// places for them.
+	Divided bool
 	// Retry means that the caller retries after a refusal.
 	Retry bool
 	// Sent means that the request was sent to an engine before. Refusing it would waste the
@@ -105,9 +108,9 @@
 }
 
 // Reserve returns the number of places that a request leaves free on each engine for more urgent
-// ones.
+// ones. A loader that divides scarce places leaves fewer free, and only while they are asked for.
 func Reserve(s Service, r Request) int {
-	if s.Saturation < lowSaturation {
+	if s.Saturation < lowSaturation || r.Divided {
 		return 0
 	}
 	return min(r.Rank*reservePerRank, maxReserve)
--- a/daemon/internal/request/admission/search.go
+++ b/daemon/internal/request/admission/search.go
@@ -1,6 +1,9 @@
 package admission
 
-import "github.com/wheelcleat/wheelcleat/daemon/internal/connection/places"
+import (
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/places"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/fairshare"
+)
 
 // MaxUnresponsive is the number of unresponsive loaders after which a search ends. Each adds a
 // call timeout of 50 ms to the request's time to the first byte, which is some hundred.
@@ -24,7 +27,8 @@
 	denied, unresponsive int
 	// limited counts the engines at their rate limit.
 	limited int
-	// sawFree is set if an engine denied the request although it had a free place.
+	// sawFree is set if an engine denied the request although it had a free place that was not kept
+	// for others.
 	sawFree bool
 }
 
@@ -46,14 +50,18 @@
 
 // Limit returns the maximum load of the next engine. Only means that no other engine remains.
 func (s *Search) Limit(only bool) places.Limit {
-	last := only || s.denied+s.unresponsive+1 >= s.policy().MaxQueries
-	return s.policy().Limit(s.Service, s.Request, s.denied, last)
+	return s.policy().Limit(s.Service, s.Request, s.denied, s.Last(only))
+}
+
+// Last reports whether the next query is the last. Only means that no other engine remains.
+func (s *Search) Last(only bool) bool {
+	return only || s.denied+s.unresponsive+1 >= s.policy().MaxQueries
 }
 
 // AddDenied records that an engine with the given load denied a place.
 func (s *Search) AddDenied(load places.EngineLoad) {
 	s.denied++
-	s.sawFree = s.sawFree || load.Running+load.Waiting < s.Service.Places
+	s.sawFree = s.sawFree || load.DeniedBy == fairshare.Granted && load.Running+load.Waiting < s.Service.Places
 }
 
 // AddLimited records that an engine is at its rate limit.
@@ -65,5 +73,8 @@
 // Counts returns the number of engines that denied a place and that of unresponsive loaders.
 func (s *Search) Counts() (denied, unresponsive int) { return s.denied, s.unresponsive }
 
-// AllFull reports whether none of the engines that denied a place had a free one.
+// Answered returns the number of loaders that answered.
+func (s *Search) Answered() int { return s.denied + s.limited }
+
+// AllFull reports whether none of the engines that denied a place had one to give.
 func (s *Search) AllFull() bool { return !s.sawFree }
--- a/daemon/internal/request/dispatch/admit.go
+++ b/daemon/internal/request/dispatch/admit.go
@@ -54,7 +54,7 @@
 	}
 	q.deadline = q.trace.Started.Add(min(q.callerTimeout(), q.routeTimeout()))
 	q.trace.RemainingTime, q.trace.Retried = q.retryState()
-	q.rank, q.ranks = q.view.Rank(q.service.Name, q.route, q.account)
+	q.setRank()
 	q.priority = q.queuePriority()
 	return true
 }
--- a/daemon/internal/request/dispatch/dispatch.go
+++ b/daemon/internal/request/dispatch/dispatch.go
@@ -201,9 +201,12 @@
 	bodyReader *buffer.Body
 	// deadline is the caller's or the route's, whichever is earlier.
 	deadline time.Time
-	// rank is the index of the request's priority among those of its service, 0 for the
-	// most urgent, and ranks their number.
+	// rank is the index of the request's urgency among those of its service, 0 for the
+	// most urgent, and ranks their number. If loaders divide scarce places, only ranks count that
+	// had requests recently.
 	rank, ranks int
+	// caller describes the caller to loaders that divide scarce places; Ranks is 0 if they do not.
+	caller places.Caller
 	// priority is the class in an upstream's queue; negative means none.
 	priority int
 	// sent is the number of upstreams that the request was sent to.
--- a/daemon/internal/request/dispatch/loadtracker.go
+++ b/daemon/internal/request/dispatch/loadtracker.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/fairshare"
 )
 
 const (
@@ -36,6 +37,8 @@
 	// observed.
 	saturation float64
 	observed   time.Time
+	// ranks tracks which ranks had requests recently.
+	ranks fairshare.RecentRanks
 }
 
 func (t *LoadTracker) now() time.Time { return helpers.Now(t.Now) }
@@ -69,6 +72,14 @@
 	return t.service(service).holdTime
 }
 
+// RecentRank records a request of a rank, and returns the position of the rank among those that had
+// requests recently and their number.
+func (t *LoadTracker) RecentRank(service string, rank, ranks int) (position, present int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.service(service).ranks.Add(rank, ranks, t.now())
+}
+
 // Saturation returns the share of recent time in which no upstream of a service had a free place.
 func (t *LoadTracker) Saturation(service string) float64 {
 	t.mu.Lock()
--- a/daemon/internal/request/dispatch/place.go
+++ b/daemon/internal/request/dispatch/place.go
@@ -10,6 +10,7 @@
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/balance"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/admission"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/fairshare"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
@@ -28,7 +29,9 @@
 	Duration   time.Duration `json:"took"`
 	// RetryAfter is when to request again if the engine's rate limit is used up.
 	RetryAfter time.Duration `json:"wait,omitempty"`
-	Cause      string        `json:"cause,omitempty"`
+	// DeniedBy is why a place that was free was denied.
+	DeniedBy fairshare.Reason `json:"by,omitempty"`
+	Cause    string           `json:"cause,omitempty"`
 }
 
 // choosePlace chooses an upstream and gets the request admitted there. For an engine with a
@@ -85,7 +88,7 @@
 	if limit != admission.Unlimited {
 		limit.Duration = holdTime
 	}
-	load, granted, err := q.queryLoader(ctx, choice, limit)
+	load, granted, err := q.queryLoader(ctx, choice, q.placeRequest(limit, search, choice.Candidates == 1))
 	switch {
 	case granted && q.Pool.Withdrawn(choice.Upstream), load.Leaving:
 	case granted:
@@ -190,16 +193,19 @@
 	}
 	state := q.serviceState(choice, q.route.Objective)
 	state.Saturation = q.LoadTracker.RecordFull(q.service.Name, choice.Running+choice.Waiting+1 > choice.Upstream.Places)
-	return admission.Overloaded(state, q.admissionRequest(), places.EngineLoad{Running: choice.Running, Waiting: choice.Waiting})
+	request := q.admissionRequest()
+	request.Divided = false // no loader decides
+	return admission.Overloaded(state, request, places.EngineLoad{Running: choice.Running, Waiting: choice.Waiting})
 }
 
 // queryLoader requests a place and records the result.
-func (q *request) queryLoader(ctx context.Context, choice balance.Choice, limit places.Limit) (places.EngineLoad, bool, error) {
+func (q *request) queryLoader(ctx context.Context, choice balance.Choice, request places.Request) (places.EngineLoad, bool, error) {
 	started := clock.Now()
-	load, granted, err := q.RequestPlace(ctx, choice.Upstream, q.placeRequest(limit))
+	load, granted, err := q.RequestPlace(ctx, choice.Upstream, request)
 	result := PlaceRequest{
 		Upstream: choice.Upstream.ID, Granted: granted, Running: load.Running, Waiting: load.Waiting,
-		MaxWaiting: limit.Waiting, MaxInUse: limit.InUse, Duration: clock.Since(started), RetryAfter: load.RetryAfter,
+		MaxWaiting: request.Waiting, MaxInUse: request.InUse, Duration: clock.Since(started), RetryAfter: load.RetryAfter,
+		DeniedBy: load.DeniedBy,
 	}
 	if err != nil {
 		result.Cause = err.Error()
@@ -210,12 +216,27 @@
 	return load, granted, err
 }
 
-// placeRequest returns the request for a place within a limit.
-func (q *request) placeRequest(limit places.Limit) places.Request {
-	return places.Request{
-		Limit:  limit,
-		Caller: places.Caller{Account: q.accountName(), Rank: q.rank, Ranks: q.ranks, Retry: q.trace.Retried && q.sent == 0},
-		Size:   places.Size{PromptTokens: int(q.promptTokens()), AnswerTokens: int(q.answerTokens())},
+// placeRequest returns the next request of a search for a place within a limit. Only means that no
+// other engine remains.
+func (q *request) placeRequest(limit places.Limit, search *admission.Search, only bool) places.Request {
+	request := places.Request{
+		Limit: limit, Caller: q.caller,
+		Size: places.Size{PromptTokens: int(q.promptTokens()), AnswerTokens: int(q.answerTokens())},
+	}
+	if request.Caller.Ranks > 0 {
+		request.Caller.Retry = q.trace.Retried && q.sent == 0
+		request.Caller.Denied = search.Answered() + q.sent
+		request.Caller.Last = search.Last(only)
+	}
+	return request
+}
+
+// setRank sets the rank of the request.
+func (q *request) setRank() {
+	q.rank, q.ranks = q.view.Rank(q.service.Name, q.route, q.account)
+	if q.view.Divided(q.service.Name) {
+		q.caller = places.Caller{Account: q.accountName(), Rank: q.rank, Ranks: q.ranks}
+		q.rank, q.ranks = q.LoadTracker.RecentRank(q.service.Name, q.rank, q.ranks)
 	}
 }
 
@@ -230,7 +251,7 @@
 
 // admissionRequest returns the properties of the request for an admission decision.
 func (q *request) admissionRequest() admission.Request {
-	return admission.Request{Rank: q.rank, Retry: q.trace.Retried, Sent: q.sent > 0}
+	return admission.Request{Rank: q.rank, Divided: q.caller.Ranks > 0, Retry: q.trace.Retried, Sent: q.sent > 0}
 }
 
 // expectedHoldTime returns how long the request is likely to hold a place.
--- a/daemon/loader/events.go
+++ b/daemon/loader/events.go
@@ -1,6 +1,7 @@
 package loader
 
 import (
+	"strconv"
 	"sync/atomic"
 
 	"github.com/apex/log"
@@ -80,8 +81,16 @@
 		name = "places_denied"
 	}
 	p.telemetry.Scope.Counter(name).Inc(1)
+	if response.Caller.Ranks == 0 {
+		return
+	}
+	tags := map[string]string{"rank": strconv.Itoa(min(response.Caller.Rank, maxRankTag)), "kept_for": string(response.DeniedBy)}
+	p.telemetry.Scope.Tagged(tags).Counter(name + "_by_rank").Inc(1)
 }
 
+// maxRankTag bounds the ranks that metrics distinguish.
+const maxRankTag = 15
+
 // limitLogRate is the maximum number of log lines per second about limits, which may change
 // with each response.
 const limitLogRate = 5
