--- a/daemon/internal/connection/places/client.go
+++ b/daemon/internal/connection/places/client.go
@@ -15,6 +15,7 @@
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/backoff"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/call"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/enginetime"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/fairshare"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/ratelimit"
 )
 
@@ -47,6 +48,8 @@
 	// Late and EstimateMs tell why the engine cannot serve the request in time.
 	Late       string         `json:"late,omitempty"`
 	EstimateMs optionalNumber `json:"estimate,omitempty"`
+	// DeniedBy is for whom a free place is kept.
+	DeniedBy fairshare.Reason `json:"by,omitempty"`
 }
 
 // optionalNumber is a number that counts as missing if it cannot be parsed.
@@ -71,6 +74,8 @@
 	Granted bool
 	// RateLimit is the rate limit of the engine as known to the loader; nil if there is none.
 	RateLimit *ratelimit.Report
+	// Caller is the caller of the request. Only the loader that responds knows it.
+	Caller Caller
 }
 
 // Handler serves requests for places from a ledger. OnResponse is called with each response,
@@ -83,13 +88,14 @@
 			return
 		}
 		load, granted := ledger.Reserve(req)
-		onResponse(Response{EngineLoad: load, Granted: granted})
+		onResponse(Response{EngineLoad: load, Granted: granted, Caller: req.Caller})
 		w.Header()["Date"] = nil
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(wireResponse{
 			Granted: granted, Running: load.Running, Waiting: load.Waiting, Loading: load.Loading, Leaving: load.Leaving,
 			RetryAfterMs: load.RetryAfter.Milliseconds(), RateLimit: ledger.RateLimit(req.Engine),
 			Pace: optionalNumber(load.Pace), Late: string(load.Late.Reason), EstimateMs: optionalNumber(load.Late.Estimate.Milliseconds()),
+			DeniedBy: load.DeniedBy,
 		})
 	}
 }
@@ -117,7 +123,7 @@
 func parseCaller(query url.Values) Caller {
 	return Caller{
 		Account: query.Get(accountParam), Rank: parseCount(query, rankParam), Ranks: parseCount(query, ranksParam),
-		Retry: query.Get(retryParam) != "",
+		Retry: query.Get(retryParam) != "", Denied: parseCount(query, deniedParam), Last: query.Get(lastParam) != "",
 	}
 }
 
@@ -147,6 +153,8 @@
 	rankParam      = "rank"
 	ranksParam     = "ranks"
 	retryParam     = "retry"
+	deniedParam    = "denied"
+	lastParam      = "last"
 	promptParam    = "prompt" // in tokens
 	answerParam    = "answer" // in tokens
 	leftParam      = "left"   // in milliseconds, as firstParam and gapParam
@@ -259,6 +267,10 @@
 	if c.Retry {
 		query += "&" + retryParam + "=1"
 	}
+	query += countParam(deniedParam, c.Denied)
+	if c.Last {
+		query += "&" + lastParam + "=1"
+	}
 	return query
 }
 
@@ -298,6 +310,7 @@
 	load := EngineLoad{
 		Running: resp.Running, Waiting: resp.Waiting, Loading: resp.Loading, Leaving: resp.Leaving, RetryAfter: time.Duration(resp.RetryAfterMs) * time.Millisecond,
 		Pace: float64(resp.Pace), Late: enginetime.Denial{Reason: enginetime.Reason(resp.Late), Estimate: time.Duration(float64(resp.EstimateMs) * float64(time.Millisecond))},
+		DeniedBy: resp.DeniedBy,
 	}
 	return Response{EngineLoad: load, Granted: resp.Granted, RateLimit: resp.RateLimit}, nil
 }
--- a/daemon/internal/connection/places/ledger.go
+++ b/daemon/internal/connection/places/ledger.go
@@ -17,6 +17,7 @@
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/enginetime"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/fairshare"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/ratelimit"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
@@ -41,6 +42,8 @@
 	// Late is why the engine cannot serve the request in time; empty if that was not the reason of
 	// a denial.
 	Late enginetime.Denial
+	// DeniedBy is why a request that fits was denied a place, because it is kept for others.
+	DeniedBy fairshare.Reason
 }
 
 // Limit is the highest load of an engine at which a request is admitted.
@@ -80,6 +83,10 @@
 	Rank, Ranks int
 	// Retry means that the caller retries after a refusal.
 	Retry bool
+	// Denied is the number of engines that this search queried before, so that a loader counts
+	// each request once, and Last means that the search queries no further engine.
+	Denied int
+	Last   bool
 }
 
 // Size is the amount of work that a request asks of an engine; 0 means unknown.
@@ -113,6 +120,8 @@
 	// granted recently.
 	engine provider.EngineSpec
 	grants grants
+	// shares divides the places among ranks and accounts while they are scarce.
+	shares fairshare.Divider
 }
 
 // Observe sets the current load of the engine. Ok is false if the engine did not respond.
@@ -155,13 +164,18 @@
 	defer l.mu.Unlock()
 	l.mergeLimits(req)
 	load, fits := l.fits(req)
+	if fits {
+		load.Late = l.deniedForTime(load, req)
+		fits = load.Late.Reason == ""
+	}
+	now := helpers.Now(l.Now)
+	reason, granted := l.divide(req, load, fits, now)
 	if !fits {
 		return load, false
 	}
-	if load.Late = l.deniedForTime(load, req); load.Late.Reason != "" {
+	if load.DeniedBy = reason; reason != fairshare.Granted {
 		return load, false
 	}
-	now := helpers.Now(l.Now)
 	wait, ok := l.warmup.Allow(req.Engine, ratelimit.LoaderShare, now)
 	if ok {
 		wait, ok = l.rateLimits.Allow(req.Engine, ratelimit.LoaderShare, now)
@@ -170,6 +184,7 @@
 		load.RetryAfter = max(wait, time.Millisecond)
 		return load, false
 	}
+	granted()
 	l.pending = append(l.pending, now)
 	l.recordGrant(req.Size, now)
 	return load, true
--- a/daemon/internal/request/admission/search.go
+++ b/daemon/internal/request/admission/search.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/places"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/enginetime"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/fairshare"
 )
 
 // MaxUnresponsive is the number of unresponsive loaders after which a search ends. Each adds a
@@ -30,7 +31,8 @@
 	// late counts the denials of engines that cannot serve the request in time, and lateEnd those of
 	// them for the end of its answer.
 	late, lateEnd int
-	// sawFree is set if an engine denied the request for its load although it had a free place.
+	// sawFree is set if an engine denied the request for its load although it had a free place that
+	// was not kept for others.
 	sawFree bool
 }
 
@@ -85,7 +87,7 @@
 		}
 		return
 	}
-	s.sawFree = s.sawFree || load.Running+load.Waiting < s.Service.Places
+	s.sawFree = s.sawFree || load.DeniedBy == fairshare.Granted && load.Running+load.Waiting < s.Service.Places
 }
 
 // AddLimited records that an engine is at its rate limit.
@@ -97,7 +99,10 @@
 // Counts returns the number of engines that denied a place and that of unresponsive loaders.
 func (s *Search) Counts() (denied, unresponsive int) { return s.denied, s.unresponsive }
 
-// AllFull reports whether none of the engines that denied a place for their load had a free one.
+// Answered returns the number of loaders that answered.
+func (s *Search) Answered() int { return s.denied + s.limited }
+
+// AllFull reports whether none of the engines that denied a place for their load had one to give.
 func (s *Search) AllFull() bool { return !s.sawFree }
 
 // OnlyLate reports whether all engines that denied a place did so because they cannot serve the
