--- a/daemon/internal/version/reconcile/choose.go
+++ b/daemon/internal/version/reconcile/choose.go
@@ -87,23 +87,30 @@
 
 // applyChoices decides which of the versions use which sources, and logs each change while there are several.
 func (r *Reconciler) applyChoices(goals []Goal, plan Plan) {
+	if len(goals) == 1 && r.chosen == "" {
+		r.fetches[plan.Goal.Version].setSources(rollout.All)
+		return
+	}
 	versions := make([]rollout.Version, len(goals))
 	for i, goal := range goals {
 		versions[i] = r.describe(goal, plan)
 	}
 	choices := r.decide(versions, plan.rates(), r.now())
-	summary := make([]string, len(goals))
+	var chosen, reasons []string
 	for i, choice := range choices {
 		f := r.fetches[goals[i].Version]
 		f.setSources(choice.Sources)
 		f.preferred = choice.Preferred
-		summary[i] = fmt.Sprintf("version %d %s: %s", f.version, choice.Sources, choice.Reason)
+		part := fmt.Sprintf("version %d %s", f.version, choice.Sources)
+		chosen, reasons = append(chosen, part), append(reasons, part+": "+choice.Reason)
+	}
+	if all := strings.Join(chosen, "; "); all != r.chosen {
+		r.chosen = all
+		r.OnStep(Step{Name: StepChoose, Version: plan.Goal.Version, Reason: strings.Join(reasons, "; ")})
 	}
-	chosen := strings.Join(summary, "; ")
-	if chosen != r.chosen && (len(goals) > 1 || r.choseAmong > 1) {
-		r.OnStep(Step{Name: StepChoose, Version: plan.Goal.Version, Reason: chosen})
+	if len(goals) == 1 {
+		r.chosen = ""
 	}
-	r.chosen, r.choseAmong = chosen, len(goals)
 }
 
 // describe returns the state of a version's fetch.
@@ -134,10 +141,11 @@
 	if loaded > 0 {
 		closing = r.closing(loads, now)
 	}
-	if closing.StaysOpenFor != r.staysOpenFor && closing.StaysOpenFor > 0 {
+	if closing.StaysOpenFor > r.staysOpenFor { // logged once for a version, since the estimate varies
+		r.staysOpenFor = closing.StaysOpenFor
 		r.OnStep(Step{Name: StepClose, Version: closing.StaysOpenFor, Reason: closing.Reason})
 	}
-	r.closesAt, r.staysOpenFor = closing.At, closing.StaysOpenFor
+	r.closesAt = closing.At
 	r.expected, _ = rollout.Next(r.engineState(report, loaded), loads, now)
 	if report.Leaving {
 		r.expected = rollout.Expected{}
--- a/daemon/internal/version/reconcile/fetch.go
+++ b/daemon/internal/version/reconcile/fetch.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/wheelcleat/wheelcleat/daemon/internal/clock"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/version/rollout"
@@ -20,6 +22,10 @@
 // This file fetches the declared versions; choose.go decides which one from where, and manifest.go looks up a
 // manifest.
 
+// maxFailureSteps is the maximum number of steps per second for failed queries to the origin, which are frequent
+// during an outage.
+const maxFailureSteps = 1
+
 // versionFetch is the fetch of one version. It runs until the version is complete or no longer
 // needed, and is suspended while its sources are rollout.None.
 type versionFetch struct {
@@ -136,6 +142,7 @@
 func (r *Reconciler) manifest(ctx context.Context, f *versionFetch, plan Plan) (provider.Manifest, error) {
 	started := clock.Now()
 	goal := plan.Goal
+	failures := rate.NewLimiter(maxFailureSteps, maxFailureSteps)
 	lookup := &ManifestLookup{
 		Self: r.Self, Ranking: func() []netip.AddrPort { return r.RankLoaders(goal) },
 		QueryPeer: func(ctx context.Context, peer netip.AddrPort) (provider.Manifest, error) {
@@ -143,7 +150,9 @@
 		},
 		Check: func(manifest provider.Manifest) error { return checkManifest(manifest, plan) },
 		OnOriginFailure: func(err error) {
-			r.OnStep(Step{Name: StepManifest, Version: goal.Version, Err: err, Took: clock.Since(started)})
+			if failures.Allow() {
+				r.OnStep(Step{Name: StepManifest, Version: goal.Version, Err: err, Took: clock.Since(started)})
+			}
 		},
 	}
 	if f.newest.Load() {
--- a/daemon/internal/version/reconcile/reconcile.go
+++ b/daemon/internal/version/reconcile/reconcile.go
@@ -123,9 +123,8 @@
 	// idle is set while the engine must serve no version that it has: each of them is superseded for good. It is also
 	// read by fetches.
 	idle atomic.Bool
-	// chosen describes the last choice between versions, and choseAmong is their number.
-	chosen     string
-	choseAmong int
+	// chosen describes the last choice between versions, empty while there is one only.
+	chosen string
 	// lastLoaded is the version in the engine's last report.
 	lastLoaded int
 	// stagedVersion is the version that was written to the engine's staging area.
@@ -141,7 +140,7 @@
 	// engineStarted is the start time in the engine's last report.
 	engineStarted time.Time
 	// closesAt is the scheduled load time if the engine closes ahead of it, otherwise zero. staysOpenFor is the
-	// version for which it would close if its copy were expected in time, otherwise 0.
+	// newest version for which it did not close because its copy was not expected in time, 0 for none.
 	closesAt     time.Time
 	staysOpenFor int
 	// expected is the version that the engine is expected to serve next, zero if there is no estimate.
--- a/daemon/internal/version/swarm/assignment.go
+++ b/daemon/internal/version/swarm/assignment.go
@@ -42,14 +42,21 @@
 
 // offered reports whether a responsive neighbour has the chunk and does not send damaged ones only.
 func (f *Fetch) offered(index int) bool {
+	now := clock.Now()
 	for _, n := range f.neighbours {
-		if n.have.Has(index) && n.damaged < maxDamaged && clock.Since(n.reportedAt) < peerTimeout {
+		if n.have.Has(index) && n.offers(now) {
 			return true
 		}
 	}
 	return false
 }
 
+// offers reports whether the chunks of a neighbour count as offered: it is responsive and does not send
+// damaged ones only.
+func (n *neighbour) offers(now time.Time) bool {
+	return n.damaged < maxDamaged && now.Sub(n.reportedAt) < peerTimeout
+}
+
 // assign recomputes this host's assignments if the list of hosts has changed.
 func (f *Fetch) assign(hosts []Host) {
 	if slices.Equal(hosts, f.assignedHosts) {
--- a/daemon/internal/version/swarm/inbound_test.go
+++ b/daemon/internal/version/swarm/inbound_test.go
@@ -47,12 +47,14 @@
 		chunkTime time.Duration
 		early     bool
 		maxActive int
+		idle      bool
 	}{
-		"narrow link":             {100 * time.Millisecond, false, 1},
-		"link of a few megabit/s": {27 * time.Millisecond, false, 2},
-		"early host":              {27 * time.Millisecond, true, 3},
-		"wide link":               {time.Millisecond, false, 4},
-		"unknown link":            {0, false, 2},
+		"narrow link":             {100 * time.Millisecond, false, 1, false},
+		"link of a few megabit/s": {27 * time.Millisecond, false, 2, false},
+		"early host":              {27 * time.Millisecond, true, 3, false},
+		"wide link":               {time.Millisecond, false, 4, false},
+		"idle engine":             {100 * time.Millisecond, false, 4, true},
+		"unknown link":            {0, false, 2, false},
 	}
 	const hosts, chunkCount = 8, 24
 	data, manifest := sampleVersion(2, chunkCount)
@@ -72,12 +74,15 @@
 				Copy: swarm.NewCopy(manifest), Model: "m", Origin: provider.Origin{Chunk: o.chunk},
 				Self:  swarm.Host{Address: serve(t, &swarm.Copies{}).Address, Hall: "hall"},
 				Hosts: func() []swarm.Host { return listed }, Client: serve(t, &swarm.Copies{}).Client,
-				CopyTime: 50 * time.Millisecond, ChunkTime: test.chunkTime, Early: test.early,
+				CopyTime: 50 * time.Millisecond, ChunkTime: test.chunkTime, Early: test.early, Idle: func() bool { return test.idle },
 			}
 			ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 			defer cancel()
 			require.NoError(t, fetch.Run(ctx))
 			assert.LessOrEqual(t, s.maxActive, test.maxActive)
+			if test.idle {
+				assert.Greater(t, s.maxActive, 1, "no query needs the link")
+			}
 		})
 	}
 }
--- a/daemon/internal/version/swarm/progress.go
+++ b/daemon/internal/version/swarm/progress.go
@@ -1,6 +1,7 @@
 package swarm
 
 import (
+	"slices"
 	"time"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/clock"
@@ -24,18 +25,25 @@
 func (f *Fetch) Progress() Progress {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now := clock.Now()
+	var holders []*neighbour
+	for _, n := range f.neighbours {
+		if n.offers(now) {
+			holders = append(holders, n)
+		}
+	}
 	var p Progress
 	for index, present := range f.Copy.Present() {
 		if present {
 			continue
 		}
 		p.Missing++
-		if f.offered(index) {
+		if slices.ContainsFunc(holders, func(n *neighbour) bool { return n.have.Has(index) }) {
 			p.Offered++
 		}
 	}
 	if f.neighbours != nil { // Run has started the timeline
-		p.Quiet, p.OriginFails = f.timeline.Quiet(clock.Now()), f.timeline.OriginFails()
+		p.Quiet, p.OriginFails = f.timeline.Quiet(now), f.timeline.OriginFails()
 	}
 	return p
 }
