--- a/daemon/internal/version/rollout/rollout.go
+++ b/daemon/internal/version/rollout/rollout.go
@@ -34,6 +34,9 @@
 	// keepMargin is how much later an older version that was preferred before may be complete.
 	// Without it a small delay near the limit would waste what the origin has sent.
 	keepMargin = 500 * time.Millisecond
+	// loadPause is the engine time that a load of its own costs: the engine closes ahead of it, drains,
+	// and loads.
+	loadPause = 2 * time.Second
 	// nearlyCompleteShare and maxNearlyComplete bound a fetch that ends before the newest version's
 	// begins: the share of chunks on this host, and the time since its start.
 	nearlyCompleteShare = 0.6
@@ -102,10 +105,15 @@
 	OriginChunk, LinkChunk time.Duration
 }
 
-// complete returns the time at which a version would be complete on most hosts if it were fetched alone from now on.
+// complete returns the time at which a version would be complete on most hosts if it were fetched alone from
+// now on. While the origin has to send chunks, only what all hosts know alike counts: each chunk is assigned to
+// one host, so all would wait for the chunks of a host that decided otherwise.
 func (r Rates) complete(v Version, now time.Time) time.Time {
-	origin, link := time.Duration(v.originOnly())*r.OriginChunk, time.Duration(v.Missing)*r.LinkChunk
-	return now.Add(max(origin, link) + tailTime)
+	left := time.Duration(v.originOnly()) * r.OriginChunk
+	if left == 0 {
+		left = time.Duration(v.Missing) * r.LinkChunk
+	}
+	return now.Add(left + tailTime)
 }
 
 // Choice is the decision for one version.
@@ -159,7 +167,7 @@
 }
 
 // olderIsInTime reports whether the missing chunks of the older version can be fetched before that must
-// be in force, while the newest one would not be complete by then.
+// be in force, while engines would have to wait too long for the newest one after that.
 func (r Rates) olderIsInTime(newest, older Version, now time.Time) bool {
 	if !older.obtainable() || older.Due.IsZero() {
 		return false
@@ -168,7 +176,16 @@
 	if older.Preferred {
 		limit = limit.Add(keepMargin)
 	}
-	return !r.complete(older, now).After(limit) && r.complete(newest, now).After(older.Due)
+	if r.complete(older, now).After(limit) {
+		return false
+	}
+	if older.originOnly() == 0 {
+		return r.complete(newest, now).After(older.Due)
+	}
+	// The newest version waits for the origin's link meanwhile. That is worth it only if engines
+	// would otherwise serve nothing for longer than the load of the older version costs them.
+	delay := time.Duration(older.originOnly()) * r.OriginChunk
+	return !older.OriginFails && r.complete(newest, now).After(older.Due.Add(loadPause+delay))
 }
 
 func unavailableReason(newest Version) string {
