Count earlier grants once after a loader's answer

A loader's answer includes the places that it granted before, so these no longer add to the expected load of its engine. The logged expected load is rounded.

--- a/daemon/internal/process/balance/balance.go
+++ b/daemon/internal/process/balance/balance.go
@@ -320,7 +320,8 @@
 	now := p.now()
 	s := p.state(id, now)
 	s.report, s.reportedAt, s.modelsReportedAt, s.sentSinceReport = report, now, now, 0
-	s.expectation.reported(report.Pace, now)
+	s.expectation.reportedPace(report.Pace, now)
+	s.expectation.dropReported(now)
 	s.closesAt = time.Time{}
 	if report.ClosesIn > 0 {
 		s.closesAt = now.Add(report.ClosesIn)
@@ -337,7 +338,8 @@
 	s.report.Running, s.report.Waiting, s.report.Loading, s.report.Leaving = load.Running, load.Waiting, load.Loading, load.Leaving
 	s.report.Pace = load.Pace
 	s.reportedAt, s.sentSinceReport = now, 0
-	s.expectation.reported(load.Pace, now)
+	s.expectation.reportedPace(load.Pace, now)
+	s.expectation.grants = nil // a loader counts what it granted before
 }
 
 // Throttle withholds requests from an upstream for a while, because its rate limit is used
--- a/daemon/internal/process/balance/expected.go
+++ b/daemon/internal/process/balance/expected.go
@@ -45,6 +45,9 @@
 	denialPenalty = 3.0
 )
 
+// logScale rounds the expected load of a choice, which is logged, to hundredths.
+const logScale = 100
+
 // expectation is what is known of an upstream beyond its last report.
 type expectation struct {
 	// grants holds the times at which the host granted requests of this process that the last
@@ -55,11 +58,15 @@
 	slowAt time.Time
 }
 
-// reported applies a report that has just arrived.
-func (e *expectation) reported(pace float64, now time.Time) {
+// reportedPace applies the pace in a report that has just arrived.
+func (e *expectation) reportedPace(pace float64, now time.Time) {
 	if staleload.Pace(pace) > 1 {
 		e.slowAt = now
 	}
+}
+
+// dropReported drops the grants that a line of the host's feed includes.
+func (e *expectation) dropReported(now time.Time) {
 	first := 0
 	for first < len(e.grants) && now.Sub(e.grants[first]) > reportDelay {
 		first++
@@ -171,7 +178,8 @@
 			score += linkCost
 		}
 		if score < best.Score {
-			best.Upstream, best.Score, best.InFlight, best.Expected = o.upstream, score, o.state.inFlight, &expected
+			logged := math.Round(expected*logScale) / logScale
+			best.Upstream, best.Score, best.InFlight, best.Expected = o.upstream, score, o.state.inFlight, &logged
 		}
 	}
 }
