--- a/daemon/internal/version/rollout/rollout.go
+++ b/daemon/internal/version/rollout/rollout.go
@@ -185,7 +185,8 @@
 	// The newest version waits for the origin's link meanwhile. That is worth it only if engines
 	// would otherwise serve nothing for longer than the load of the older version costs them.
 	delay := time.Duration(older.originOnly()) * r.OriginChunk
-	return !older.OriginFails && r.complete(newest, now).After(older.Due.Add(loadPause+delay))
+	fails := older.OriginFails || newest.OriginFails
+	return !fails && r.complete(newest, now).After(older.Due.Add(loadPause+delay))
 }
 
 func unavailableReason(newest Version) string {
