Let the fault soak change the load and overlap versions

The first three record no fault, so that all checks stay in force, and add two: callers are served while no fault affects them, and no account is served less than a quarter as often as all.

Long streams have a route of priority 2, other streams one of priority 1, and the engines declare their rates, so that the decisions for urgency and pace apply.

--- a/cli/internal/soak/caller.go
+++ b/cli/internal/soak/caller.go
@@ -56,6 +56,11 @@
 	// requestCount numbers the requests of all callers.
 	requestCount *atomic.Int64
 	client       *http.Client
+	// destination is the router that run sends to: home, or another one while demand is shifted.
+	home        *router
+	destination atomic.Pointer[router]
+	// account is the number of the account that requests are sent for, 0 for that of constantKey.
+	account atomic.Int64
 }
 
 // request is one request of a caller. probe is the configuration that serves its path, or 0.
@@ -72,6 +77,8 @@
 	c.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}, Timeout: callTimeout}
 	defer c.client.CloseIdleConnections()
 	for ctx.Err() == nil {
+		to := c.destination.Load()
+		c.router, c.address = to.process, to.callers
 		outcome := c.send(ctx, c.nextRequest())
 		if ctx.Err() != nil {
 			return // the end of the run canceled the request
@@ -91,15 +98,16 @@
 
 // nextRequest draws the next request: half are streams, some of these long, a tenth probes.
 func (c *caller) nextRequest() request {
+	key := accountKey(c.account.Load())
 	switch drawn := rand.IntN(20); {
 	case drawn < 2:
-		return request{path: standin.LongPath + "x", key: constantKey}
+		return request{path: standin.LongPath + "x", key: key}
 	case drawn < 10:
-		return request{path: standin.StreamPath + "x", key: constantKey, parts: []string{systemPart, documentPart(rand.IntN(documents)), ownPart(int(c.requestCount.Load()))}}
+		return request{path: standin.StreamPath + "x", key: key, parts: []string{systemPart, documentPart(rand.IntN(documents)), ownPart(int(c.requestCount.Load()))}}
 	case drawn < 14:
-		return request{path: unsafePath + "x", key: constantKey}
+		return request{path: unsafePath + "x", key: key}
 	case drawn < 18:
-		return request{path: safePath + "x", key: constantKey}
+		return request{path: safePath + "x", key: key}
 	default:
 		probe := max(int(c.newestConfiguration.Load())-rand.IntN(2), 1)
 		return request{path: probePath(probe) + "x", key: probeKey(probe), probe: probe}
@@ -109,7 +117,7 @@
 // send sends a request, reads the complete answer and returns what the caller observed.
 func (c *caller) send(ctx context.Context, sent request) Outcome {
 	outcome := Outcome{
-		ID: fmt.Sprintf("soak-%d", c.requestCount.Add(1)), Router: c.router.name, Path: sent.path, Probe: sent.probe,
+		ID: fmt.Sprintf("soak-%d", c.requestCount.Add(1)), Router: c.router.name, Path: sent.path, Key: sent.key, Probe: sent.probe,
 		Started: time.Now(), ConditionBefore: c.router.condition(),
 	}
 	c.oracle.RecordSent(outcome.ID, outcome.Router)
--- a/cli/internal/soak/fleet.go
+++ b/cli/internal/soak/fleet.go
@@ -57,6 +57,10 @@
 	origin   *standin.Origin
 	routers  []*router
 	hosts    []*host
+	// callers are those that send for the whole run. greedy is set while a step changes the accounts
+	// of their requests.
+	callers []*caller
+	greedy  atomic.Bool
 	// newestConfiguration is the newest declared configuration.
 	newestConfiguration atomic.Int64
 	// requestCount numbers the requests of all callers, and crashingRequests the distinct crashing
@@ -331,27 +335,28 @@
 
 // declareConfiguration writes a configuration to the store. It must be called with declareMu held.
 func (f *fleet) declareConfiguration(next int) {
-	route := func(name, prefix, service string, mode provider.Mode) provider.Route {
+	route := func(name, prefix, service string, mode provider.Mode, priority int) provider.Route {
 		const attempts, objective = 2, 300 * time.Millisecond
 		return provider.Route{
 			Name: name, Host: callersHost, Prefix: prefix, Mode: mode, Timeout: routeTimeout, Objective: objective,
-			MaxAttempts: attempts, Resumable: mode == provider.ModeStream, Shares: []provider.Share{{Service: service, Weight: 1}},
+			MaxAttempts: attempts, Priority: priority, Resumable: mode == provider.ModeStream, Shares: []provider.Share{{Service: service, Weight: 1}},
 		}
 	}
 	f.store.Declare(provider.Configuration{
 		Version: uint64(next), //nolint:gosec // counts from 1
 		Routes: []provider.Route{
-			route("stream", standin.StreamPath, engineService, provider.ModeStream),
-			route("unsafe", unsafePath, plainService, provider.ModeUnsafe),
-			route("safe", safePath, plainService, provider.ModeSafe),
-			route("probe", probePath(next), plainService, provider.ModeSafe),
+			route("stream", standin.StreamPath, engineService, provider.ModeStream, 1),
+			route("long", standin.LongPath, engineService, provider.ModeStream, longPriority),
+			route("unsafe", unsafePath, plainService, provider.ModeUnsafe, 0),
+			route("safe", safePath, plainService, provider.ModeSafe, 0),
+			route("probe", probePath(next), plainService, provider.ModeSafe, 0),
 		},
 		Services: []provider.Service{
 			{Name: plainService, ColdRate: coldRate},
 			{Name: originService, Origin: addrPort(f.addressOf(platformHost), originPort)},
-			{Name: engineService, ColdRate: coldRate, Engine: &provider.EngineSpec{Model: modelName, Places: enginePlaces, Chunks: chunks, ChunkBytes: chunkBytes}},
+			{Name: engineService, ColdRate: coldRate, Engine: engineSpec()},
 		},
-		Accounts: []provider.Account{{Name: "constant", Keys: []string{constantKey}}, {Name: "changing", Keys: []string{probeKey(next)}}},
+		Accounts: append(accounts(), provider.Account{Name: "changing", Keys: []string{probeKey(next)}}),
 		Limits:   provider.Limits{MaxBodyBytes: 1 << 20},
 	})
 }
--- a/cli/internal/soak/inject.go
+++ b/cli/internal/soak/inject.go
@@ -26,7 +26,7 @@
 // change of the step.
 func (f *fleet) inject(step Step) {
 	if step.Kind.isChange() {
-		f.applyChange(step.Kind)
+		f.applyChange(step)
 		return
 	}
 	duration := time.Duration(step.For)
@@ -106,12 +106,17 @@
 	end()
 }
 
-func (f *fleet) applyChange(kind Kind) {
-	if kind == Configure {
+func (f *fleet) applyChange(step Step) {
+	switch step.Kind {
+	case Configure:
 		f.configure()
-		return
+	case Version:
+		f.publishVersion()
+	case VersionsOverlap:
+		f.overlapVersions(time.Duration(step.For), step.Strength)
+	default:
+		f.changeLoad(step)
 	}
-	f.publishVersion()
 }
 
 // injectProcess sends a process the signal of a step.
--- a/cli/internal/soak/oracle.go
+++ b/cli/internal/soak/oracle.go
@@ -62,6 +62,8 @@
 	CheckEvacuated          Check = "nothing to evacuated halls"
 	CheckCold               Check = "cold upstreams are spared"
 	CheckLeft               Check = "nothing for callers that left"
+	CheckServed             Check = "callers are served"
+	CheckShares             Check = "no account is left out"
 )
 
 // Violation is one case in which a check failed.
@@ -75,7 +77,7 @@
 
 // Outcome is what a caller observed of one request.
 type Outcome struct {
-	ID, Router, Path string
+	ID, Router, Path, Key string
 	// Probe is the only configuration that serves the path, or 0 for other paths.
 	Probe          int
 	Started, Ended time.Time
@@ -145,6 +147,8 @@
 	// inForce is the newest configuration that a router has answered by since each of its
 	// starts, by the router's name and the number of the start.
 	inForce map[string]observedConfiguration
+	// loads are the changes of the load that are in effect.
+	loads []*loadSpan
 }
 
 // observedConfiguration is a configuration that a router answered by, and when.
@@ -321,6 +325,7 @@
 	if outcome.Probe > 0 && outcome.Err == nil {
 		o.checkProbe(outcome)
 	}
+	o.countForLoads(outcome)
 }
 
 func (o *Oracle) checkComplete(outcome Outcome) {
--- a/cli/internal/soak/plan.go
+++ b/cli/internal/soak/plan.go
@@ -89,6 +89,12 @@
 	// Changes by operators.
 	Configure Kind = "configure"
 	Version   Kind = "version"
+	// VersionsOverlap declares two versions in close succession, the second while the origin is down.
+	VersionsOverlap Kind = "versions-overlap"
+	// Changes of the load. They are no faults: all checks stay in force.
+	EngineSlow    Kind = "engine-slow"    // an engine reports a pace above 1 and is that much slower
+	AccountGreedy Kind = "account-greedy" // the callers of one account send three times as many requests
+	DemandShift   Kind = "demand-shift"   // half of the callers of a hall use the routers of another
 )
 
 // kinds lists the kinds to draw from. Changes are listed twice, which doubles their frequency.
@@ -101,11 +107,14 @@
 	RequestsCrash, CallersLeave, EntriesCorrupt,
 	OriginDown, OriginCorrupt, OriginSlow,
 	HallEvacuate,
-	Configure, Configure, Version, Version,
+	Configure, Configure, Version, Version, VersionsOverlap,
+	EngineSlow, AccountGreedy, DemandShift,
 }
 
-// isChange reports whether the kind is an operator's change rather than a fault.
-func (k Kind) isChange() bool { return k == Configure || k == Version }
+// isChange reports whether the kind is a change by operators or of the load, rather than a fault.
+func (k Kind) isChange() bool {
+	return slices.Contains([]Kind{Configure, Version, VersionsOverlap, EngineSlow, AccountGreedy, DemandShift}, k)
+}
 
 // affects reports whether the kind is a fault of a component, such as "store".
 func (k Kind) affects(component string) bool { return strings.HasPrefix(string(k), component+"-") }
--- a/cli/internal/soak/run.go
+++ b/cli/internal/soak/run.go
@@ -97,10 +97,12 @@
 }
 
 func (r *run) caller(router *router, tally *Tally, oracle *Oracle) *caller {
-	return &caller{
-		router: router.process, address: router.callers, oracle: oracle, tally: tally,
+	c := &caller{
+		home: router, router: router.process, address: router.callers, oracle: oracle, tally: tally,
 		newestConfiguration: &r.fleet.newestConfiguration, requestCount: &r.fleet.requestCount,
 	}
+	c.destination.Store(router)
+	return c
 }
 
 // execute runs the callers and injects the steps of the plan, then waits for recovery with the
@@ -114,7 +116,9 @@
 	var callers, steps sync.WaitGroup
 	for _, router := range r.fleet.routers {
 		for range r.Callers {
-			callers.Go(func() { r.caller(router, r.tally, r.oracle).run(callersCtx) })
+			c := r.caller(router, r.tally, r.oracle)
+			r.fleet.callers = append(r.fleet.callers, c)
+			callers.Go(func() { c.run(callersCtx) })
 		}
 	}
 	callers.Go(func() { r.reportProgress(callersCtx) })
