--- a/cli/internal/soak/load.go
+++ b/cli/internal/soak/load.go
@@ -175,7 +175,7 @@
 		return outcome.Unsent || o.faultActive(outcome.Started, outcome.Ended, outcome.Router, components...)
 	}
 	for _, span := range o.loads {
-		if !affected("router", "loader", "all", "store", "link", "upstream", "engine", "requests", "entries", "origin") {
+		if !affected("router", "loader", "all", "store", "link", "upstream", "engine", "requests", "entries", "origin", "hall") {
 			span.unaffected.count(outcome)
 		}
 		if strings.HasPrefix(outcome.Path, standin.StreamPath) && !affected("router", "all") {
--- a/cli/internal/soak/load_test.go
+++ b/cli/internal/soak/load_test.go
@@ -29,6 +29,7 @@
 func TestChangesOfTheLoadAreChecked(t *testing.T) {
 	router := func(o *Oracle) { o.BeginFault(RouterKill, "router")() }
 	upstream := func(o *Oracle) { o.BeginFault(UpstreamShed, "u")() }
+	evacuation := func(o *Oracle) { o.BeginFault(HallEvacuate, "hall-1")() }
 	other := func(o *Oracle) { o.BeginFault(RouterKill, "router-2")() }
 	for _, c := range []struct {
 		name            string
@@ -41,6 +42,7 @@
 		{name: "some refused", kind: EngineSlow, served: 97, refused: 3, want: []Check{CheckServed}},
 		{name: "refused during a shift", kind: DemandShift, served: 97, refused: 3, want: []Check{CheckServed}},
 		{name: "refused after a fault", kind: EngineSlow, fault: upstream, served: 90, refused: 10},
+		{name: "refused after an evacuation", kind: DemandShift, fault: evacuation, served: 90, refused: 10},
 		{name: "refused after a fault of another router", kind: EngineSlow, fault: other, served: 90, refused: 10, want: []Check{CheckServed}},
 		{name: "an account below a quarter", kind: AccountGreedy, fault: upstream, served: 4, refused: 16, want: []Check{CheckShares}},
 		{name: "an account above a quarter", kind: AccountGreedy, fault: upstream, served: 5, refused: 15},
