--- a/daemon/internal/version/reconcile/overlapday_test.go
+++ b/daemon/internal/version/reconcile/overlapday_test.go
@@ -29,7 +29,7 @@
 			assert.Less(t, after.closed, before.closed, "closed ahead of loads that do not happen")
 			originTime, linkTime := time.Duration(day.chunks)*day.originChunk(), time.Duration(day.chunks)*day.linkChunk()
 			assert.Less(t, after.half, day.outageEnd+(originTime+linkTime)*3/2, "half of the engines have version 3")
-			// The two early hosts take over overdue chunks, by which up to 1.27 copies were sent under either rule.
+			// The two early hosts take over overdue chunks, by which up to 1.29 copies were sent.
 			assert.LessOrEqual(t, after.sent2, 1.4, "copies of version 2 that the origin sent")
 			assert.LessOrEqual(t, after.sent3, 1.4, "copies of version 3 that the origin sent")
 		})
