Keep a minimum per rank and check shares over many engines

Cause: a rank below its minimum overtook the next more urgent one, and the minimum of half the overall service ratio was missed in heavy overloads, since a loader sees few requests of each rank.

A query without a rank does not prolong the division. The replay draws the same requests in all runs and compares an account that repeats once and three times. Shares are checked over 45 engines: within 5 in 100 of max-min plus two standard errors where the other accounts ask for the room or more, and 8 otherwise.

--- a/daemon/internal/request/fairshare/fairshare.go
+++ b/daemon/internal/request/fairshare/fairshare.go
@@ -49,9 +49,9 @@
 	// places are granted before they are the last, and a busy account gets most of these.
 	keptPlaces = 2
 	// rankFloor and accountFloor are the fractions of the overall service ratio below which a rank
-	// and an account need not give precedence. Both exceed the required quarter, because kinds and
-	// accounts differ in the size of their requests.
-	rankFloor, accountFloor = 0.5, 0.35
+	// and an account need not give precedence. Both exceed the required half and quarter, because a
+	// loader sees few requests of each and the ratios scatter.
+	rankFloor, accountFloor = 0.7, 0.35
 	// maxAccounts is the number of accounts that are kept; the others share one entry.
 	maxAccounts = 256
 	// maxRanks is the number of ranks that are distinguished.
@@ -148,8 +148,9 @@
 	ranks    [maxRanks]rank
 	total    usage
 	meanSize float64
-	// updated is the time up to which counts are decayed, and started that of the first query.
-	updated, started time.Time
+	// updated is the time up to which counts are decayed, started that of the first query, and
+	// ranked that of the last one with a rank.
+	updated, started, ranked time.Time
 	// refused is when a search last ended here without a place.
 	refused time.Time
 	// kept holds, for each place that is kept free for others, when a request was first denied it,
@@ -161,7 +162,7 @@
 // Applies reports whether the division applies to a query: if its rank is known, or if queries with a
 // rank were seen within the window.
 func (d *Divider) Applies(q Query, now time.Time) bool {
-	return q.Ranks > 1 || !d.started.IsZero() && now.Sub(d.updated) < window
+	return q.Ranks > 1 || recent(d.ranked, now, window)
 }
 
 // Decide decides on a query. A request that is granted its place must be recorded by Grant.
@@ -171,7 +172,7 @@
 	r, a := &d.ranks[index], d.account(q.Account)
 	a.seen = d.updated
 	if q.Ranks > 1 {
-		r.seen = d.updated
+		r.seen, d.ranked = d.updated, d.updated
 	}
 	if q.First && !q.Retry {
 		for _, u := range []*usage{&r.usage, &a.usage, &d.total} {
--- a/daemon/internal/request/fairshare/fairshare_test.go
+++ b/daemon/internal/request/fairshare/fairshare_test.go
@@ -99,14 +99,15 @@
 	perSecond float64
 }
 
-// serve lets each source's requests arrive at random at ten engines for 6 s, each of which queries up to
-// eight of the engines at random, 3 ms apart. It returns how many requests of each source were asked and
+// serve lets each source's requests arrive at random at 45 engines for 6 s, each of which queries up to
+// eight of the engines, 3 ms apart: of two at random the one with fewer places in use when it was last
+// queried. It returns how many requests of each source were asked and
 // granted after the first 2 s. The rates of sources are per engine.
 func serve(sources []source, seed uint64) (asked, granted []float64) {
 	type search struct{ source, queries int }
 	asked, granted = make([]float64, len(sources)), make([]float64, len(sources))
 	rng, due := rand.New(rand.NewPCG(1, seed)), map[int][]search{}
-	var fleet [10]*engine
+	var fleet [45]*engine
 	for i := range fleet {
 		fleet[i] = newEngine()
 	}
@@ -119,6 +120,9 @@
 		rng.Shuffle(len(due[ms]), func(i, j int) { due[ms][i], due[ms][j] = due[ms][j], due[ms][i] })
 		for _, s := range due[ms] {
 			e := fleet[rng.IntN(len(fleet))]
+			if other := fleet[rng.IntN(len(fleet))]; len(other.inUse) < len(e.inUse) {
+				e = other
+			}
 			e.now = epoch.Add(time.Duration(ms) * time.Millisecond)
 			q := Query{Account: sources[s.source].account, Rank: sources[s.source].rank, Ranks: 6, First: s.queries == 0, Last: s.queries == 7}
 			reason := e.ask(q, 800*time.Millisecond+time.Duration(rng.IntN(800))*time.Millisecond)
@@ -137,22 +141,22 @@
 	return asked, granted
 }
 
-// TestSharesAreMaxMinFair guards against shares of engine time that differ by more than 12 in 100 of
-// the whole from the max-min fair ones in overloads as the deployments have them: a busy account
-// with 0.4 to 0.6 times the room beside others with 0.9 to 1.6. With any demand the bounded time for which a
-// place is kept allows 15 in 100.
+// TestSharesAreMaxMinFair guards against shares of engine time that differ over some seconds by more than
+// 5 in 100 of the whole from the max-min fair ones, apart from sampling noise, and against accounts
+// that get nothing. A busy account asks for 0.4 to 0.6 times the room, the others together for 1
+// to 1.6 times. If they ask for less, places are not scarce all the time, and 8 in 100 are allowed.
 func TestSharesAreMaxMinFair(t *testing.T) {
-	const room = 10 // requests a second
+	const room = 10 // requests a second and engine
 	rapid.Check(t, func(t *rapid.T) {
 		var sources []source
 		sum := 0.0
-		for i, rate := range rapid.SliceOfN(rapid.Float64Range(1, 4), 1, 9).Draw(t, "others") {
+		for i, rate := range rapid.SliceOfN(rapid.Float64Range(1, 4), 2, 9).Draw(t, "others") {
 			sources = append(sources, source{fmt.Sprint(i), 3, rate})
 			sum += rate
 		}
-		tolerance, load := 0.12, rapid.Float64Range(0.9, 1.6).Draw(t, "load of the others")
-		if len(sources) < 5 || rapid.Bool().Draw(t, "any demand") {
-			tolerance, load = 0.15, rapid.Float64Range(0.1, 1).Draw(t, "any load of the others")
+		load, allowed := rapid.Float64Range(0.4, 1.6).Draw(t, "load of the others"), 0.05
+		if load < 1 {
+			allowed = 0.08
 		}
 		for i := range sources {
 			sources[i].perSecond *= load * room / sum
@@ -171,15 +175,15 @@
 			remaining -= demand
 		}
 		for i, grants := range granted {
-			assert.InDelta(t, min(asked[i], level)/total, grants/total, tolerance, "account %d: %v of %v", i, granted, asked)
-			if asked[i] > 20 {
-				assert.Positive(t, grants)
-			}
+			share := min(asked[i], level) / total
+			tolerance := allowed + 2*math.Sqrt(share*(1-share)/total)
+			assert.InDelta(t, share, grants/total, tolerance, "account %d: %v of %v", i, granted, asked)
+			assert.Positive(t, grants)
 		}
 	})
 }
 
-// TestNoRankStarves guards against a rank that is served less than a third as often as all, or more
+// TestNoRankStarves guards against a rank that is served less than half as often as all, or more
 // often than a more urgent one by more than 5 in 100.
 func TestNoRankStarves(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -201,7 +205,7 @@
 			allAsked, allGranted, ratios[rank] = allAsked+a, allGranted+g, g/a
 			noise[rank] = 2 * math.Sqrt(max(0, ratios[rank]*(1-ratios[rank]))/a)
 		}
-		assert.Greater(t, ratios[2], allGranted/allAsked/3, "%v", ratios)
+		assert.Greater(t, ratios[2], allGranted/allAsked/2-noise[2], "%v", ratios)
 		const tolerance = 0.05
 		assert.GreaterOrEqual(t, ratios[0], ratios[1]-tolerance-noise[0]-noise[1], "%v", ratios)
 		assert.GreaterOrEqual(t, ratios[1], ratios[2]-tolerance-noise[1]-noise[2], "%v", ratios)
--- a/daemon/internal/request/fairshare/replay_test.go
+++ b/daemon/internal/request/fairshare/replay_test.go
@@ -60,12 +60,14 @@
 
 type replay struct {
 	divided bool
+	repeats int // of the busy account
 	now     time.Duration
 	events  events
-	rng     *rand.Rand
-	engines []*engine
-	calls   []*call
-	weights []float64
+	// arrivals draws the requests, the same ones in all runs, and rng everything else.
+	arrivals, rng *rand.Rand
+	engines       []*engine
+	calls         []*call
+	weights       []float64
 	// saturation is the share of searches that found all engines full, and idle sums the free
 	// places over time.
 	saturation, idle float64
@@ -75,9 +77,10 @@
 	heap.Push(&r.events, event{r.now + delay, run})
 }
 
-// run replays requests at a multiple of the room. Extra multiplies the rate of one kind for 6 s.
-func run(divided bool, load, extra float64) *replay {
-	r := &replay{divided: divided, rng: rand.New(rand.NewPCG(1, 2))}
+// run replays requests at a multiple of the room. Extra multiplies the rate of one kind for 6 s, and
+// repeats is how often the busy account repeats a refused request.
+func run(divided bool, load, extra float64, repeats int) *replay {
+	r := &replay{divided: divided, repeats: repeats, arrivals: rand.New(rand.NewPCG(1, 2)), rng: rand.New(rand.NewPCG(3, 4))}
 	for range engines {
 		e := &engine{}
 		e.ledger.Now = func() time.Time { return time.Unix(1000, 0).Add(r.now) }
@@ -121,16 +124,16 @@
 // arrive schedules the requests of one kind.
 func (r *replay) arrive(kind int, rate, extra float64) {
 	if r.now > 6*time.Second && r.now < 12*time.Second && kind == kinds-1 {
-		r.after(time.Duration(r.rng.ExpFloat64()/(rate*extra)*float64(time.Second)), func() { r.arrive(kind, rate, extra) })
+		r.after(time.Duration(r.arrivals.ExpFloat64()/(rate*extra)*float64(time.Second)), func() { r.arrive(kind, rate, extra) })
 	} else {
-		r.after(time.Duration(r.rng.ExpFloat64()/rate*float64(time.Second)), func() { r.arrive(kind, rate, extra) })
+		r.after(time.Duration(r.arrivals.ExpFloat64()/rate*float64(time.Second)), func() { r.arrive(kind, rate, extra) })
 	}
 	if r.now >= duration {
 		r.events = r.events[:0]
 		return
 	}
-	c := &call{kind: kind, size: 0.3 + 0.7*r.rng.ExpFloat64(), measured: r.now > warmup}
-	for draw := r.rng.Float64(); c.account < accounts-1 && draw >= r.weights[c.account]; c.account++ {
+	c := &call{kind: kind, size: 0.3 + 0.7*r.arrivals.ExpFloat64(), measured: r.now > warmup}
+	for draw := r.arrivals.Float64(); c.account < accounts-1 && draw >= r.weights[c.account]; c.account++ {
 		draw -= r.weights[c.account]
 	}
 	r.calls = append(r.calls, c)
@@ -208,7 +211,7 @@
 // refuse lets a caller repeat once, and that of the busy account three times.
 func (r *replay) refuse(c *call) {
 	c.refusals++
-	if c.refusals == 1 || c.account == busyAccount && c.refusals <= 3 {
+	if c.refusals == 1 || c.account == busyAccount && c.refusals <= r.repeats {
 		r.after(admission.RetryAfter(admission.EnginesFull, r.rng.Float64()), func() { r.search(c) })
 	}
 }
@@ -273,7 +276,7 @@
 	}{{"slight", 1.1, 1, 0.03}, {"1.3 times the room", 1.3, 1, 0}, {"2 times the room", 2, 1, 0}, {"burst", 1, 2.1, 0}}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			base, got := run(false, test.load, test.burst), run(true, test.load, test.burst)
+			base, got := run(false, test.load, test.burst, 3), run(true, test.load, test.burst, 3)
 			t.Logf("before: %s", base)
 			t.Logf("now:    %s", got)
 			all := got.served(func(*call) bool { return true })
@@ -289,7 +292,11 @@
 				assert.Greater(t, got.byAccount(account), all/4, "account %d", account)
 			}
 			assert.GreaterOrEqual(t, got.byAccount(urgentAccount), got.byKind(0)-0.05)
+			once, baseOnce := run(true, test.load, test.burst, 1), run(false, test.load, test.burst, 1)
+			t.Logf("busy account: repeats once %.3f (before %.3f), three times %.3f (before %.3f)",
+				once.byAccount(busyAccount), baseOnce.byAccount(busyAccount), got.byAccount(busyAccount), base.byAccount(busyAccount))
 			assert.Less(t, got.byAccount(busyAccount), base.byAccount(busyAccount))
+			assert.Less(t, got.byAccount(busyAccount)-once.byAccount(busyAccount), 0.07)
 			assert.Greater(t, got.work(), base.work()-test.maxLoss)
 		})
 	}
@@ -297,6 +304,6 @@
 
 // TestCalmLoadIsUndivided guards against requests that are refused while there is room for all.
 func TestCalmLoadIsUndivided(t *testing.T) {
-	base, got := run(false, 0.9, 1), run(true, 0.9, 1)
+	base, got := run(false, 0.9, 1, 3), run(true, 0.9, 1, 3)
 	assert.Equal(t, base.String(), got.String())
 }
--- a/daemon/loader/events_test.go
+++ b/daemon/loader/events_test.go
@@ -6,11 +6,13 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/loadfeed"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/places"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/replica"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/telemetry"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/fairshare"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/version/reconcile"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 	"github.com/wheelcleat/wheelcleat/daemon/settings"
@@ -63,3 +65,21 @@
 	config.OriginRate = 5e5
 	assert.Equal(t, 4*time.Second, p.copyTime(config))
 }
+
+// TestPlacesAreCountedByRank guards against denials in favor of others that no metric shows, and
+// against labels without bound.
+func TestPlacesAreCountedByRank(t *testing.T) {
+	scope := tally.NewTestScope("", nil)
+	p := &Process{telemetry: &telemetry.Telemetry{Scope: scope}}
+	p.countResponse(places.Response{Granted: true})
+	p.countResponse(places.Response{Granted: true, Caller: places.Caller{Rank: 2, Ranks: 6}})
+	p.countResponse(places.Response{EngineLoad: places.EngineLoad{DeniedBy: fairshare.ByShare}, Caller: places.Caller{Rank: 1 << 40, Ranks: 1 << 41}})
+	counted := map[string]int64{}
+	for id, counter := range scope.Snapshot().Counters() {
+		counted[id] = counter.Value()
+	}
+	assert.Equal(t, map[string]int64{
+		"places_given+": 2, "places_given_by_rank+kept_for=,rank=2": 1,
+		"places_denied+": 1, "places_denied_by_rank+kept_for=share,rank=15": 1,
+	}, counted)
+}
