Use all queue classes for services of many ranks

Cause: six ranks share ten queue classes, one each, so four classes are unused and short requests no longer go first within a rank.

Change: for services whose routes have different priorities, divide all classes among the ranks that had requests recently. Others keep their classes.

--- a/daemon/internal/request/dispatch/dispatch.go
+++ b/daemon/internal/request/dispatch/dispatch.go
@@ -409,6 +409,9 @@
 	}
 	estimate := promptTokens/q.service.Engine.PromptRate + q.answerTokens()*hintWeight.Seconds()
 	size := min(int(estimate/priorityStep.Seconds()), priorityClasses-1)
+	if q.caller.Ranks > 0 {
+		return spreadClass(q.rank, q.ranks, size)
+	}
 	return priorityClass(q.rank, q.ranks, size)
 }
 
@@ -444,6 +447,16 @@
 	return rank*perRank + size*perRank/priorityClasses
 }
 
+// spreadClass is priorityClass for services with many ranks: it uses all classes, so that most of six
+// ranks keep an order by size.
+func spreadClass(rank, ranks, size int) int {
+	ranks = min(ranks, priorityClasses)
+	rank = min(rank, ranks-1)
+	first := rank * priorityClasses / ranks
+	width := (rank+1)*priorityClasses/ranks - first
+	return first + size*width/priorityClasses
+}
+
 const (
 	// priorityClasses is the number of classes in an upstream's queue.
 	priorityClasses = 10
