--- a/daemon/internal/request/fairshare/fairshare_test.go
+++ b/daemon/internal/request/fairshare/fairshare_test.go
@@ -146,6 +146,7 @@
 // that get nothing. A busy account asks for 0.4 to 0.6 times the room, the others together for 1
 // to 1.6 times. If they ask for less, places are not scarce all the time, and 8 in 100 are allowed.
 func TestSharesAreMaxMinFair(t *testing.T) {
+	t.Parallel()
 	const room = 10 // requests a second and engine
 	rapid.Check(t, func(t *rapid.T) {
 		var sources []source
@@ -186,6 +187,7 @@
 // TestNoRankStarves guards against a rank that is served less than half as often as all, or more
 // often than a more urgent one by more than 5 in 100.
 func TestNoRankStarves(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		var sources []source
 		for rank := range 3 {
--- a/daemon/internal/request/fairshare/replay_test.go
+++ b/daemon/internal/request/fairshare/replay_test.go
@@ -276,6 +276,7 @@
 	}{{"slight", 1.1, 1, 0.03}, {"1.3 times the room", 1.3, 1, 0}, {"2 times the room", 2, 1, 0}, {"burst", 1, 2.1, 0}}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			base, got := run(false, test.load, test.burst, 3), run(true, test.load, test.burst, 3)
 			t.Logf("before: %s", base)
 			t.Logf("now:    %s", got)
