Count negative loads as none and passed objectives as whole ones

A negative number of waiting requests in an engine's report panicked in the loader. A time of 0 means unknown, so a slow engine accepted any queue once the objective of a request had passed.

--- a/daemon/internal/connection/places/ledger.go
+++ b/daemon/internal/connection/places/ledger.go
@@ -115,8 +115,10 @@
 	grants grants
 }
 
-// Observe sets the current load of the engine. Ok is false if the engine did not respond.
+// Observe sets the current load of the engine. Ok is false if the engine did not respond. Negative
+// numbers of requests count as none.
 func (l *Ledger) Observe(load EngineLoad, ok bool) {
+	load.Running, load.Waiting = max(0, load.Running), max(0, load.Waiting)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.load, l.observed = load, ok
--- a/daemon/internal/connection/places/times_test.go
+++ b/daemon/internal/connection/places/times_test.go
@@ -154,6 +154,18 @@
 	assert.Zero(t, g.waitingTokens(0, 900))
 }
 
+// TestNegativeLoadCountsAsNone guards against a loader that fails on each query for a place because
+// its engine reports a negative number of requests.
+func TestNegativeLoadCountsAsNone(t *testing.T) {
+	ledger := &Ledger{}
+	ledger.SetEngine(testSpec)
+	ledger.Observe(EngineLoad{Running: -2, Waiting: -3, Pace: 2.5}, true)
+	load, granted := ledger.Reserve(Request{Limit: Limit{InUse: 11}, Times: testTimes})
+	assert.True(t, granted)
+	assert.Zero(t, load.Running)
+	assert.Zero(t, load.Waiting)
+}
+
 // TestDenialTravelsToTheRouter checks that the time limits reach the loader, and that its reason and
 // estimate reach the router.
 func TestDenialTravelsToTheRouter(t *testing.T) {
--- a/daemon/internal/request/dispatch/timelimits.go
+++ b/daemon/internal/request/dispatch/timelimits.go
@@ -33,17 +33,18 @@
 // without slow engines whose routes all have the same priority: their loaders decide by the
 // number of requests alone.
 //
-// A caller's retry has missed the objective of its first attempt. Its first byte is expected within
-// the objective from now on, so that a slow engine does not hold it until its deadline.
+// A request whose objective has passed, like most retries of callers, must get its first byte within
+// the whole objective from now on, and a deadline that has passed counts as one millisecond: a time
+// of 0 means unknown, with which a slow engine would accept any queue.
 func (q *request) timeLimits() enginetime.Limits {
 	name := q.service.Name
 	if !q.view.PrioritiesDiffer(name) && !q.LoadTracker.Slow(name) {
 		return enginetime.Limits{}
 	}
 	now := clock.Now()
-	limits := enginetime.Limits{Gap: q.view.EventGap(name), Left: max(0, q.deadline.Sub(now))}
-	if q.route.Objective > 0 {
-		limits.First = max(0, q.trace.Started.Add(q.route.Objective).Sub(now))
+	limits := enginetime.Limits{First: q.route.Objective, Gap: q.view.EventGap(name), Left: max(time.Millisecond, q.deadline.Sub(now))}
+	if remaining := q.trace.Started.Add(q.route.Objective).Sub(now); remaining > 0 {
+		limits.First = remaining
 	}
 	return limits
 }
--- a/daemon/internal/request/dispatch/timelimits_test.go
+++ b/daemon/internal/request/dispatch/timelimits_test.go
@@ -49,6 +49,25 @@
 	assert.NotZero(t, limits(tracker), "routes have different priorities")
 }
 
+// TestPassedTimesAreNotUnknown guards against a slow engine that accepts any queue because the
+// objective or the deadline of the request has passed, since a time of 0 means unknown.
+func TestPassedTimesAreNotUnknown(t *testing.T) {
+	f := newFleet(t, 1, nil)
+	limits := func(age, left time.Duration) enginetime.Limits {
+		q := f.request("short-objective", 0)
+		q.LoadTracker = &LoadTracker{}
+		q.LoadTracker.RecordPace("s", 2.5)
+		q.trace.Started, q.deadline = clock.Now().Add(-age), clock.Now().Add(left)
+		return q.timeLimits()
+	}
+	whole := f.request("short-objective", 0).route.Objective
+	require.Positive(t, whole)
+	assert.Equal(t, whole, limits(whole+time.Second, time.Second).First)
+	assert.Equal(t, whole, limits(whole, time.Second).First, "the objective has just passed")
+	assert.Less(t, limits(whole/2, time.Second).First, whole)
+	assert.Equal(t, time.Millisecond, limits(0, -time.Second).Left)
+}
+
 // TestDenialForTimeGoesToAnotherEngine checks that a slow engine's denial leads to another engine,
 // raises no saturation, and is recorded with its reason and estimate.
 func TestDenialForTimeGoesToAnotherEngine(t *testing.T) {
