Let the last query of a search guard only against wasted work

The last query now requires the first byte before the caller's deadline, unless most denials come from full engines as fast as declared. It carries no time left, so that a loader that infers an early query from an empty queue does not apply that rule to it. A pace below 1.1 counts as 1 in decisions.

--- a/daemon/internal/request/admission/search.go
+++ b/daemon/internal/request/admission/search.go
@@ -27,9 +27,9 @@
 	denied, unresponsive int
 	// limited counts the engines at their rate limit.
 	limited int
-	// late counts the denials of engines that cannot serve the request in time, and lateEnd those of
-	// them for the end of its answer.
-	late, lateEnd int
+	// late counts the denials of engines that cannot serve the request in time, and fastFull the
+	// denials for their load of engines as fast as declared.
+	late, fastFull int
 	// sawFree is set if an engine denied the request for its load although it had a free place.
 	sawFree bool
 }
@@ -60,17 +60,28 @@
 	return only || s.denied+s.unresponsive+1 >= s.policy().MaxQueries
 }
 
-// Times returns the time limits of the next query, given those of the request. If all engines denied
-// it for the end of its answer, whose length is only an estimate, the last query keeps only
-// the limit of the first byte. A request that any engine must admit has none.
+// Times returns the time limits of the next query, given those of the request. A request that any
+// engine must admit has none.
+//
+// The last query has no limit for the end of the answer. Its length is only an estimate, and no
+// emptier engine will be queried, for which an engine as fast as declared would deny it.
+//
+// Unless most denials come from engines as fast as declared that are full, the last query guards only
+// against wasted work: the first byte must come before the caller's deadline. Limits that no engine meets
+// would otherwise refuse the largest requests of a fleet of slow engines, and other requests while slow
+// engines have room. The end of the answer is no such limit, because its stated length is often far off
+// and would refuse requests by size again. Denials of slow engines for their load tell nothing, since
+// the first queries accept only an empty queue.
 func (s *Search) Times(times enginetime.Limits, only bool) enginetime.Limits {
 	switch {
 	case s.Limit(only) == Unlimited:
 		return enginetime.Limits{}
-	case s.Last(only) && s.lateEnd == s.denied:
-		return enginetime.Limits{First: times.First}
-	default:
+	case !s.Last(only):
 		return times
+	case s.fastFull <= s.late:
+		return enginetime.Limits{First: times.Left}
+	default:
+		return enginetime.Limits{First: times.First, Gap: times.Gap}
 	}
 }
 
@@ -80,11 +91,11 @@
 	s.denied++
 	if load.Late.Reason != "" {
 		s.late++
-		if load.Late.Reason == enginetime.End {
-			s.lateEnd++
-		}
 		return
 	}
+	if !enginetime.Slow(load.Pace) {
+		s.fastFull++
+	}
 	s.sawFree = s.sawFree || load.Running+load.Waiting < s.Service.Places
 }
 
--- a/daemon/internal/request/enginetime/enginetime.go
+++ b/daemon/internal/request/enginetime/enginetime.go
@@ -28,6 +28,9 @@
 const (
 	// maxPace bounds a reported pace. A slower engine serves no request in time either.
 	maxPace = 100
+	// minSlowPace is the least pace of an engine that counts as slow. A pace measured from passes of
+	// different sizes varies by a few percent.
+	minSlowPace = 1.1
 	// defaultPromptTokens and defaultAnswerTokens are the assumed mean lengths if none are declared.
 	defaultPromptTokens = 900.0
 	defaultAnswerTokens = 92.0
@@ -52,6 +55,10 @@
 	return 0
 }
 
+// Slow reports whether an engine with a reported pace counts as slow. A smaller pace counts as 1 in
+// decisions, so that the variation of a report does not change the rules.
+func Slow(pace float64) bool { return NormalPace(pace) >= minSlowPace }
+
 // Engine is an engine with its declared rates and its pace.
 type Engine struct {
 	Spec provider.EngineSpec
@@ -59,8 +66,16 @@
 	Pace float64
 }
 
-// Slow reports whether the engine is slower than declared.
-func (e Engine) Slow() bool { return NormalPace(e.Pace) > 1 }
+// Slow reports whether the engine counts as slower than declared.
+func (e Engine) Slow() bool { return Slow(e.Pace) }
+
+// pace returns the pace with which times are estimated.
+func (e Engine) pace() float64 {
+	if !e.Slow() {
+		return 1
+	}
+	return NormalPace(e.Pace)
+}
 
 // Known reports whether the declared rates suffice for an estimate.
 func (e Engine) Known() bool {
@@ -125,7 +140,7 @@
 		firstByte += float64(excess) * hold / float64(e.Spec.Places)
 	}
 	end := firstByte + max(0, math.Ceil(answer/float64(e.Spec.StepsPerPass))-1)*pass
-	pace := NormalPace(e.Pace)
+	pace := e.pace()
 	return Estimate{FirstByte: duration(pace * firstByte), Gap: duration(pace * gap), End: duration(pace * end)}
 }
 
@@ -154,7 +169,7 @@
 	mean := e.MeanPrompt()
 	chunk := float64(e.Spec.PromptTokensPerPass)
 	longest := decode + e.readTime(chunk, min(mean, chunk))
-	reading := NormalPace(e.Pace) * e.readTime(max(admittedTokens, 0), mean)
+	reading := e.pace() * e.readTime(max(admittedTokens, 0), mean)
 	if reading >= 1 {
 		return longest
 	}
--- a/daemon/internal/request/enginetime/enginetime_test.go
+++ b/daemon/internal/request/enginetime/enginetime_test.go
@@ -146,3 +146,18 @@
 	assert.Equal(t, 2.5, enginetime.ReportedPace(2.5))
 	assert.Equal(t, 100.0, enginetime.NormalPace(1e9))
 }
+
+// TestSmallVariationOfPaceChangesNothing guards against a report whose jitter around 1 switches the rules
+// for slow engines on.
+func TestSmallVariationOfPaceChangesNothing(t *testing.T) {
+	load := enginetime.Load{Running: 8, Waiting: 2, WaitingTokens: 1800, AdmittedTokens: 5000}
+	limits := enginetime.Limits{First: time.Millisecond, Gap: time.Millisecond, Left: 6 * time.Second}
+	for pace, slow := range map[float64]bool{0: false, 1: false, 1.09: false, 1.1: true, 2.5: true, math.NaN(): false} {
+		e := enginetime.Engine{Spec: spec, Pace: pace}
+		assert.Equal(t, slow, enginetime.Slow(pace), "%v", pace)
+		assert.Equal(t, slow, enginetime.Decide(e, load, enginetime.Request{}, limits, false).Reason != "", "%v", pace)
+		if !slow {
+			assert.Equal(t, enginetime.Engine{Spec: spec}.Estimate(load, enginetime.Request{}), e.Estimate(load, enginetime.Request{}), "%v", pace)
+		}
+	}
+}
