Count slow engines by one predicate, load feeds included

A service counted as one with slow engines for time limits only through the responses to queries for places. The predicate of the expected load also counts the reports of load feeds.

--- a/daemon/internal/process/balance/expected.go
+++ b/daemon/internal/process/balance/expected.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/staleload"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/enginetime"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
@@ -17,13 +18,14 @@
 // The cases in which a service's requests are sent by expected load.
 const (
 	ExpectedLoadNever ExpectedLoad = iota
-	// ExpectedLoadIfSlow means while an upstream has recently reported a pace above 1.
+	// ExpectedLoadIfSlow means while an upstream has recently reported the pace of a slow engine.
 	ExpectedLoadIfSlow
 	ExpectedLoadAlways
 )
 
 const (
-	// slowRetention is how long after a report of a pace above 1 a service counts as uneven.
+	// slowRetention is how long after a report of a slow engine a service counts as one with slow
+	// engines. It spans times in which no report of that engine arrives.
 	slowRetention = 10 * time.Second
 	// drawnHere and drawnElsewhere are the numbers of upstreams that are compared, of this hall and
 	// of all others. Where this hall has fewer that accept requests, more of the others are drawn.
@@ -51,13 +53,13 @@
 	// report may not include, oldest first.
 	grants   []time.Time
 	deniedAt time.Time
-	// slowAt is when a pace above 1 was last reported.
+	// slowAt is when the pace of a slow engine was last reported.
 	slowAt time.Time
 }
 
 // reported applies a report that has just arrived.
 func (e *expectation) reported(pace float64, now time.Time) {
-	if staleload.Pace(pace) > 1 {
+	if enginetime.Slow(pace) {
 		e.slowAt = now
 	}
 	first := 0
@@ -108,6 +110,14 @@
 	return p.anyReport(upstreams, now)
 }
 
+// AnySlow reports whether one of the upstreams recently reported the pace of a slow engine, in its
+// load feed or with its response to a query for a place.
+func (p *Pool) AnySlow(upstreams []*provider.Upstream) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.anySlow(upstreams, p.now())
+}
+
 func (p *Pool) anySlow(upstreams []*provider.Upstream, now time.Time) bool {
 	for _, candidate := range upstreams {
 		if s := p.states[candidate.ID]; s != nil && !s.expectation.slowAt.IsZero() && now.Sub(s.expectation.slowAt) <= slowRetention {
--- a/daemon/internal/process/balance/expected_test.go
+++ b/daemon/internal/process/balance/expected_test.go
@@ -220,6 +220,8 @@
 	assert.False(t, usesExpected())
 	pool.ReportLoad("u2", balance.LoadReport{Pace: math.NaN()})
 	assert.False(t, usesExpected(), "an invalid pace counts as missing")
+	pool.ReportLoad("u2", balance.LoadReport{Pace: 1.05})
+	assert.False(t, usesExpected(), "a variation of the report is no slow engine")
 }
 
 // TestDeniedAndGrantedUpstreamsAreKnown guards against an engine that is queried again at once after
--- a/daemon/internal/request/dispatch/loadtracker.go
+++ b/daemon/internal/request/dispatch/loadtracker.go
@@ -36,8 +36,6 @@
 	// observed.
 	saturation float64
 	observed   time.Time
-	// slowAt is when an engine last reported a pace above 1, zero if none did.
-	slowAt time.Time
 }
 
 func (t *LoadTracker) now() time.Time { return helpers.Now(t.Now) }
--- a/daemon/internal/request/dispatch/place.go
+++ b/daemon/internal/request/dispatch/place.go
@@ -227,7 +227,6 @@
 	if err != nil {
 		result.Cause = err.Error()
 	} else {
-		q.LoadTracker.RecordPace(q.service.Name, load.Pace)
 		q.Pool.ReportLoad(choice.Upstream.ID, balance.LoadReport{Running: load.Running, Waiting: load.Waiting, Loading: load.Loading, Leaving: load.Leaving, Pace: load.Pace})
 		choice.RecordPlace(granted)
 	}
--- a/daemon/internal/request/dispatch/timelimits.go
+++ b/daemon/internal/request/dispatch/timelimits.go
@@ -7,28 +7,6 @@
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/enginetime"
 )
 
-// slowRetention is how long after a pace above 1 was reported a service counts as one with slow
-// engines. It spans times in which this process queries none of them.
-const slowRetention = 10 * time.Second
-
-// RecordPace records the pace that an engine of a service reported.
-func (t *LoadTracker) RecordPace(service string, pace float64) {
-	if enginetime.NormalPace(pace) == 1 {
-		return
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.service(service).slowAt = t.now()
-}
-
-// Slow reports whether an engine of a service recently reported a pace above 1.
-func (t *LoadTracker) Slow(service string) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	slowAt := t.service(service).slowAt
-	return !slowAt.IsZero() && t.now().Sub(slowAt) <= slowRetention
-}
-
 // timeLimits returns the times within which the request must be served. There are none for services
 // without slow engines whose routes all have the same priority: their loaders decide by the
 // number of requests alone.
@@ -38,7 +16,7 @@
 // of 0 means unknown, with which a slow engine would accept any queue.
 func (q *request) timeLimits() enginetime.Limits {
 	name := q.service.Name
-	if !q.view.PrioritiesDiffer(name) && !q.LoadTracker.Slow(name) {
+	if !q.view.PrioritiesDiffer(name) && !q.Pool.AnySlow(q.view.Upstreams[name]) {
 		return enginetime.Limits{}
 	}
 	now := clock.Now()
--- a/daemon/internal/request/dispatch/timelimits_test.go
+++ b/daemon/internal/request/dispatch/timelimits_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/clock"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/places"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/process/balance"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/replica"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/enginetime"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
@@ -20,24 +21,26 @@
 func TestTimeLimitsOnlyWhereEnginesOrRoutesDiffer(t *testing.T) {
 	f := newFleet(t, 1, nil)
 	now := time.Unix(1000, 0)
-	limits := func(tracker *LoadTracker) enginetime.Limits {
+	f.pool.Now = func() time.Time { return now }
+	limits := func() enginetime.Limits {
 		q := f.request("short-objective", 0)
-		q.LoadTracker = tracker
 		q.trace.Started, q.deadline = clock.Now(), clock.Now().Add(6*time.Second)
 		return q.timeLimits()
 	}
-	tracker := &LoadTracker{Now: func() time.Time { return now }}
-	assert.Zero(t, limits(tracker))
-	tracker.RecordPace("s", 1)
-	tracker.RecordPace("t", 2.5)
-	assert.Zero(t, limits(tracker), "no engine of the service is slow")
+	assert.Zero(t, limits())
+	f.pool.Report("u0", balance.LoadReport{Pace: 1.05})
+	f.pool.Report("engine-of-another-service", balance.LoadReport{Pace: 2.5})
+	assert.Zero(t, limits(), "no engine of the service is slow")
 
-	tracker.RecordPace("s", 2.5)
-	found := limits(tracker)
+	f.pool.ReportLoad("u0", balance.LoadReport{Pace: 2.5})
+	found := limits()
 	assert.InDelta(t, 6, found.Left.Seconds(), 0.1)
 	assert.InDelta(t, 0.3, found.First.Seconds(), 0.1)
-	now = now.Add(slowRetention + 1)
-	assert.Zero(t, limits(tracker), "no slow engine was seen recently")
+	now = now.Add(11 * time.Second)
+	assert.Zero(t, limits(), "no slow engine was seen recently")
+	f.pool.Report("u0", balance.LoadReport{Pace: 2.5})
+	assert.NotZero(t, limits(), "a load feed reports a slow engine that was not queried")
+	now = now.Add(11 * time.Second)
 
 	configuration := *f.view.Configuration
 	configuration.Routes[0].Priority++
@@ -46,7 +49,7 @@
 	}}
 	compiler.Apply([]provider.Entry{{Key: "c", Revision: 1}})
 	f.view = compiler.View()
-	assert.NotZero(t, limits(tracker), "routes have different priorities")
+	assert.NotZero(t, limits(), "routes have different priorities")
 }
 
 // TestPassedTimesAreNotUnknown guards against a slow engine that accepts any queue because the
@@ -55,8 +58,7 @@
 	f := newFleet(t, 1, nil)
 	limits := func(age, left time.Duration) enginetime.Limits {
 		q := f.request("short-objective", 0)
-		q.LoadTracker = &LoadTracker{}
-		q.LoadTracker.RecordPace("s", 2.5)
+		f.pool.Report("u0", balance.LoadReport{Pace: 2.5})
 		q.trace.Started, q.deadline = clock.Now().Add(-age), clock.Now().Add(left)
 		return q.timeLimits()
 	}
