Decode optional numbers by one type

The load feed ignored an error of the decoder if it named an optional field. The decoder returns only the first one, so an invalid pace hid an invalid number of running requests, which counted as 0. An invalid next version also arrived as version 0.

--- a/daemon/internal/connection/loadfeed/deliver_test.go
+++ b/daemon/internal/connection/loadfeed/deliver_test.go
@@ -19,8 +19,13 @@
 		assert.Equal(t, 3, received.Running, field)
 		assert.Equal(t, 1, received.Waiting, field)
 		assert.Zero(t, received.Pace, field)
+		assert.Nil(t, received.Next, field)
 	}
-	for _, line := range []string{`{"running":"x"}`, `{"pace":`, `[]`} {
+	require.NoError(t, reader.deliver(netip.AddrPort{}, []byte(`{"running":3,"pace":2.5,"next":{"version":4,"in":250},"later":1}`)))
+	assert.Equal(t, State{Running: 3, Pace: 2.5, Next: &NextVersion{Version: 4, In: 250}}, received)
+	require.NoError(t, reader.deliver(netip.AddrPort{}, []byte(`{"next":null}`)))
+	assert.Equal(t, State{}, received)
+	for _, line := range []string{`{"running":"x"}`, `{"pace":`, `[]`, `{"pace":"fast","running":"x"}`, `{"next":7,"models":1}`} {
 		require.Error(t, reader.deliver(netip.AddrPort{}, []byte(line)), line)
 	}
 }
--- a/daemon/internal/connection/loadfeed/loadfeed.go
+++ b/daemon/internal/connection/loadfeed/loadfeed.go
@@ -9,12 +9,10 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -57,6 +55,26 @@
 	Next *NextVersion `json:"next,omitempty"`
 }
 
+// UnmarshalJSON implements json.Unmarshaler. A pace or a next version that cannot be decoded counts as
+// missing.
+func (s *State) UnmarshalJSON(data []byte) error {
+	type required State
+	fields := struct {
+		*required
+		Pace provider.OptionalNumber `json:"pace"`
+		Next json.RawMessage         `json:"next"`
+	}{required: (*required)(s)}
+	if err := json.Unmarshal(data, &fields); err != nil {
+		return fmt.Errorf("required fields: %w", err)
+	}
+	s.Pace, s.Next = float64(fields.Pace), nil
+	var next NextVersion
+	if len(fields.Next) > 0 && string(fields.Next) != "null" && json.Unmarshal(fields.Next, &next) == nil {
+		s.Next = &next
+	}
+	return nil
+}
+
 // NextVersion is a version that an engine is expected to serve.
 type NextVersion struct {
 	Version int `json:"version"`
@@ -189,20 +207,9 @@
 // deliver decodes a line and passes the state to OnState.
 func (r *Reader) deliver(host netip.AddrPort, data []byte) error {
 	var state State
-	if err := json.Unmarshal(data, &state); err != nil && !onlyOptional(err) {
+	if err := json.Unmarshal(data, &state); err != nil {
 		return fmt.Errorf("decode engine state of %s: %w", host, err)
 	}
 	r.OnState(host, state)
 	return nil
 }
-
-// onlyOptional reports whether a line cannot be decoded only because of a field that may be missing.
-// The decoder leaves such a field at 0 and decodes the others.
-func onlyOptional(err error) bool {
-	var invalid *json.UnmarshalTypeError
-	if !errors.As(err, &invalid) {
-		return false
-	}
-	field, _, _ := strings.Cut(invalid.Field, ".")
-	return field == "pace" || field == "next"
-}
--- a/daemon/internal/connection/places/client.go
+++ b/daemon/internal/connection/places/client.go
@@ -16,6 +16,7 @@
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/call"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/enginetime"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/ratelimit"
+	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
 // Path is the URL path of the call. A request is a GET with a short query, and its
@@ -36,31 +37,17 @@
 
 // wireResponse is the encoded form of a Response.
 type wireResponse struct {
-	Granted      bool              `json:"given"`
-	Running      int               `json:"running"`
-	Waiting      int               `json:"waiting"`
-	Loading      bool              `json:"loading,omitempty"`
-	Leaving      bool              `json:"leaving,omitempty"`
-	RetryAfterMs int64             `json:"wait,omitempty"`
-	RateLimit    *ratelimit.Report `json:"limit,omitempty"`
-	Pace         optionalNumber    `json:"pace,omitempty"`
+	Granted      bool                    `json:"given"`
+	Running      int                     `json:"running"`
+	Waiting      int                     `json:"waiting"`
+	Loading      bool                    `json:"loading,omitempty"`
+	Leaving      bool                    `json:"leaving,omitempty"`
+	RetryAfterMs int64                   `json:"wait,omitempty"`
+	RateLimit    *ratelimit.Report       `json:"limit,omitempty"`
+	Pace         provider.OptionalNumber `json:"pace,omitempty"`
 	// Late and EstimateMs tell why the engine cannot serve the request in time.
-	Late       string         `json:"late,omitempty"`
-	EstimateMs optionalNumber `json:"estimate,omitempty"`
-}
-
-// optionalNumber is a number that counts as missing if it cannot be parsed.
-type optionalNumber float64
-
-// UnmarshalJSON implements json.Unmarshaler. It never fails, because the value of another build
-// must not cost a request its response.
-func (n *optionalNumber) UnmarshalJSON(data []byte) error {
-	value, err := strconv.ParseFloat(string(data), 64)
-	if err != nil {
-		value = 0
-	}
-	*n = optionalNumber(value)
-	return nil
+	Late       string                  `json:"late,omitempty"`
+	EstimateMs provider.OptionalNumber `json:"estimate,omitempty"`
 }
 
 // Response is the response of a loader.
@@ -89,7 +76,7 @@
 		_ = json.NewEncoder(w).Encode(wireResponse{
 			Granted: granted, Running: load.Running, Waiting: load.Waiting, Loading: load.Loading, Leaving: load.Leaving,
 			RetryAfterMs: load.RetryAfter.Milliseconds(), RateLimit: ledger.RateLimit(req.Engine),
-			Pace: optionalNumber(load.Pace), Late: string(load.Late.Reason), EstimateMs: optionalNumber(load.Late.Estimate.Milliseconds()),
+			Pace: provider.OptionalNumber(load.Pace), Late: string(load.Late.Reason), EstimateMs: provider.OptionalNumber(load.Late.Estimate.Milliseconds()),
 		})
 	}
 }
