--- a/daemon/internal/process/replica/servicelimits_test.go
+++ b/daemon/internal/process/replica/servicelimits_test.go
@@ -21,6 +21,7 @@
 		Routes:   []provider.Route{route("s", 1, 0), route("s", 1, 500*time.Millisecond), route("s", 1, 400*time.Millisecond), route("t", 0, 0), route("t", 2, 0)},
 		Accounts: []provider.Account{{Name: "a", Priority: &urgent}},
 	}
+	configuration.Routes[0].Objective, configuration.Routes[2].Objective = 500*time.Millisecond, 300*time.Millisecond
 	compiler := &replica.Compiler{Decode: func(provider.Entry) (provider.Record, error) {
 		return provider.Record{Configuration: configuration}, nil
 	}}
@@ -31,4 +32,6 @@
 	assert.True(t, view.PrioritiesDiffer("t"))
 	assert.Equal(t, 400*time.Millisecond, view.EventGap("s"))
 	assert.Zero(t, view.EventGap("t"))
+	assert.Equal(t, 300*time.Millisecond, view.Objective("s"))
+	assert.Zero(t, view.Objective("t"))
 }
--- a/daemon/internal/process/replica/view.go
+++ b/daemon/internal/process/replica/view.go
@@ -30,10 +30,6 @@
 	routesByHost  map[string][]*provider.Route
 	accountsByKey map[string]*provider.Account
 	services      map[string]*provider.Service // by name
-	// priorities holds the priorities of each service's requests, most urgent first.
-	priorities map[string][]int
-	// objectives holds the shortest objective of each service's routes.
-	objectives map[string]time.Duration
 	// limits holds what the routes of each service require of its engines.
 	limits map[string]serviceLimits
 }
@@ -459,8 +455,6 @@
 			v.accountsByKey[key] = account
 		}
 	}
-	v.priorities = servicePriorities(configuration)
-	v.objectives = serviceObjectives(configuration)
 	v.limits = limitsOfServices(configuration)
 	v.services = map[string]*provider.Service{}
 	for i := range configuration.Services {
--- a/daemon/router/expectedload.go
+++ b/daemon/router/expectedload.go
@@ -3,7 +3,6 @@
 import (
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/balance"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/replica"
-	"github.com/wheelcleat/wheelcleat/daemon/provider"
 	"github.com/wheelcleat/wheelcleat/daemon/settings"
 )
 
@@ -11,8 +10,6 @@
 // since a view is read for each request.
 type balanceFacts struct {
 	view *replica.View
-	// severalPriorities holds the services whose routes have different priorities.
-	severalPriorities map[string]bool
 	// otherRouters counts the routers of each data hall without this one.
 	otherRouters map[string]int
 }
@@ -23,7 +20,7 @@
 	if facts := p.facts.Load(); facts != nil && facts.view == view {
 		return facts
 	}
-	facts := &balanceFacts{view: view, severalPriorities: severalPriorities(view.Configuration), otherRouters: map[string]int{}}
+	facts := &balanceFacts{view: view, otherRouters: map[string]int{}}
 	for _, member := range view.Members {
 		if member.Name != p.current.Load().Name {
 			facts.otherRouters[member.Hall]++
@@ -33,23 +30,6 @@
 	return facts
 }
 
-// severalPriorities returns the services whose routes have different priorities.
-func severalPriorities(configuration *provider.Configuration) map[string]bool {
-	several, first := map[string]bool{}, map[string]int{}
-	if configuration == nil {
-		return several
-	}
-	for _, route := range configuration.Routes {
-		for _, share := range route.Shares {
-			if priority, ok := first[share.Service]; ok && priority != route.Priority {
-				several[share.Service] = true
-			}
-			first[share.Service] = route.Priority
-		}
-	}
-	return several
-}
-
 // expectedLoad returns when requests of a service are sent by expected load.
 func (p *Process) expectedLoad(service string) balance.ExpectedLoad {
 	switch p.current.Load().Balance.ExpectedLoad {
@@ -58,7 +38,7 @@
 	case settings.ExpectedLoadOff:
 		return balance.ExpectedLoadNever
 	default:
-		if p.balanceFacts().severalPriorities[service] {
+		if p.compiler.View().PrioritiesDiffer(service) {
 			return balance.ExpectedLoadAlways
 		}
 		return balance.ExpectedLoadIfSlow
