--- a/daemon/internal/connection/places/replay_test.go
+++ b/daemon/internal/connection/places/replay_test.go
@@ -297,3 +297,11 @@
 		}
 	}
 }
+
+// TestFleetOfSlowEnginesRefusesNoMoreBelowFullLoad guards against requests that are refused at four fifths of a
+// full load, where the engines still have room for those that come late.
+func TestFleetOfSlowEnginesRefusesNoMoreBelowFullLoad(t *testing.T) {
+	before, after := replay(0.8, 1, false), replay(0.8, 1, true)
+	t.Logf("before %+v, after %+v", before.all, after.all)
+	assert.LessOrEqual(t, float64(after.all.refused), float64(before.all.refused)+refusedMore*float64(after.all.all), "refused")
+}
