--- a/daemon/internal/process/balance/expected.go
+++ b/daemon/internal/process/balance/expected.go
@@ -209,7 +209,7 @@
 func (p *Pool) draw(options []option, count int) []option {
 	penalties := make([]float64, len(options))
 	for i, o := range options {
-		penalties[i] = o.penalty + math.Log(staleload.Pace(o.state.report.Pace))
+		penalties[i] = o.penalty + math.Log(enginetime.NormalPace(o.state.report.Pace))
 	}
 	var drawn []option
 	for _, index := range staleload.Draw(penalties, count, p.random) {
@@ -238,14 +238,14 @@
 func (s *state) expectedCost(candidate *provider.Upstream, reservedPlaces int, othersPerSecond float64, now time.Time) float64 {
 	report := staleload.Report{
 		Running: s.report.Running, Waiting: s.report.Waiting, Age: now.Sub(s.reportedAt), Sent: s.sentSinceReport + len(s.expectation.grants),
-		Places: candidate.Places, Pace: staleload.Pace(s.report.Pace), OthersPerSecond: othersPerSecond,
+		Places: candidate.Places, Pace: enginetime.NormalPace(s.report.Pace), OthersPerSecond: othersPerSecond,
 	}
 	return report.Expected().Cost(candidate.Places, reservedPlaces, report.Pace)
 }
 
 // denialPenalty returns the penalty of an upstream that denied a place recently.
 func (s *state) denialPenalty(now time.Time) float64 {
-	hold := time.Duration(float64(denialHold) * staleload.Pace(s.report.Pace))
+	hold := time.Duration(float64(denialHold) * enginetime.NormalPace(s.report.Pace))
 	if s.expectation.deniedAt.IsZero() || now.Sub(s.expectation.deniedAt) >= hold {
 		return 0
 	}
--- a/daemon/internal/process/staleload/staleload.go
+++ b/daemon/internal/process/staleload/staleload.go
@@ -29,19 +29,8 @@
 	runningWeight = 4.0
 	// excessWeight is the cost of a request beyond the places, which waits until another one ends.
 	excessWeight = 3.0
-	// maxPace bounds the pace that an engine may report.
-	maxPace = 100.0
 )
 
-// Pace returns the factor by which an engine is slower than declared: 1 for a report without a
-// valid pace.
-func Pace(reported float64) float64 {
-	if !(reported >= 1) || math.IsInf(reported, 1) {
-		return 1
-	}
-	return min(reported, maxPace)
-}
-
 // Report is what a router knows of one engine.
 type Report struct {
 	// Running and Waiting are the reported numbers of requests, and Age the age of the report.
--- a/daemon/internal/process/staleload/staleload_test.go
+++ b/daemon/internal/process/staleload/staleload_test.go
@@ -13,15 +13,6 @@
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/staleload"
 )
 
-// TestInvalidPaceCountsAsOne guards against a report that makes an engine look fast or free.
-func TestInvalidPaceCountsAsOne(t *testing.T) {
-	for _, invalid := range []float64{0, -3, 0.5, math.NaN(), math.Inf(1), math.Inf(-1)} {
-		assert.Equal(t, 1.0, staleload.Pace(invalid), "%v", invalid)
-	}
-	assert.Equal(t, 2.5, staleload.Pace(2.5))
-	assert.Equal(t, 100.0, staleload.Pace(1e9))
-}
-
 // drawReport draws what a router knows of an engine.
 func drawReport(t *rapid.T) staleload.Report {
 	places := rapid.IntRange(1, 64).Draw(t, "places")
