--- a/daemon/internal/process/kvwrite/kvwrite_test.go
+++ b/daemon/internal/process/kvwrite/kvwrite_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -139,8 +140,12 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			service := &kv.Server{}
+			// Each call arrives on a connection of its own, so handlers run in different goroutines.
+			var mu sync.Mutex
 			calls := 0
 			service.Fault = func(kv.Op, string) kv.Fault {
+				mu.Lock()
+				defer mu.Unlock()
 				calls++
 				if calls == 2 && test.rewrite {
 					service.Store.Put("k", encode("other", 0), 0, 0)
