Use one predicate for recent reports and one version policy

Whether a load report may be used was spelled seven times, under two names; each query for a place scanned all upstreams twice for a slow engine also where none is; the version policy had a second function for a later time; two functions of the fetch had one name, and two that change state read like queries. Change: each is one piece, without a change of behaviour.

--- a/daemon/internal/process/balance/balance.go
+++ b/daemon/internal/process/balance/balance.go
@@ -84,6 +84,8 @@
 	evictedAt time.Time
 	// granted holds the rate at which hosts grant requests of this process, by service.
 	granted map[string]*staleload.Rate
+	// slowAt is when any upstream last reported the pace of a slow engine, zero if none did.
+	slowAt time.Time
 }
 
 // state is the state of one upstream, guarded by Pool.mu.
@@ -212,7 +214,7 @@
 	chosen := p.states[best.Upstream.ID]
 	best.Waiting, best.Excess = chosen.queue(best.Upstream, query.ReservedPlaces, now)
 	best.Running, best.ReportAge = chosen.running(now)
-	best.HasReport = now.Sub(chosen.reportedAt) <= reportMaxAge
+	best.HasReport = chosen.reportedRecently(now)
 	chosen.inFlight++
 	chosen.sentSinceReport++
 	if best.probe = chosen.pause.active; best.probe {
@@ -310,7 +312,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.states[id]
-	return s != nil && s.report.Loading && p.now().Sub(s.reportedAt) <= reportMaxAge
+	return s != nil && s.report.Loading && s.reportedRecently(p.now())
 }
 
 // Report records a report of an upstream's host.
@@ -320,7 +322,7 @@
 	now := p.now()
 	s := p.state(id, now)
 	s.report, s.reportedAt, s.modelsReportedAt, s.sentSinceReport = report, now, now, 0
-	s.expectation.reportedPace(report.Pace, now)
+	p.recordPace(s, report.Pace, now)
 	s.expectation.dropReported(now)
 	s.closesAt = time.Time{}
 	if report.ClosesIn > 0 {
@@ -338,7 +340,7 @@
 	s.report.Running, s.report.Waiting, s.report.Loading, s.report.Leaving = load.Running, load.Waiting, load.Loading, load.Leaving
 	s.report.Pace = load.Pace
 	s.reportedAt, s.sentSinceReport = now, 0
-	s.expectation.reportedPace(load.Pace, now)
+	p.recordPace(s, load.Pace, now)
 	s.expectation.grants = nil // a loader counts what it granted before
 }
 
--- a/daemon/internal/process/balance/expected.go
+++ b/daemon/internal/process/balance/expected.go
@@ -60,10 +60,10 @@
 	slowAt time.Time
 }
 
-// reportedPace applies the pace in a report that has just arrived.
-func (e *expectation) reportedPace(pace float64, now time.Time) {
+// recordPace applies the pace in a report that has just arrived. The caller holds mu.
+func (p *Pool) recordPace(s *state, pace float64, now time.Time) {
 	if enginetime.Slow(pace) {
-		e.slowAt = now
+		s.expectation.slowAt, p.slowAt = now, now
 	}
 }
 
@@ -125,7 +125,12 @@
 	return p.anySlow(upstreams, p.now())
 }
 
+// anySlow is AnySlow for callers that hold mu. It runs for each query for a place, so it does not
+// look at the upstreams while none of this process has been slow.
 func (p *Pool) anySlow(upstreams []*provider.Upstream, now time.Time) bool {
+	if p.slowAt.IsZero() || now.Sub(p.slowAt) > slowRetention {
+		return false
+	}
 	for _, candidate := range upstreams {
 		if s := p.states[candidate.ID]; s != nil && !s.expectation.slowAt.IsZero() && now.Sub(s.expectation.slowAt) <= slowRetention {
 			return true
@@ -136,15 +141,13 @@
 
 func (p *Pool) anyReport(upstreams []*provider.Upstream, now time.Time) bool {
 	for _, candidate := range upstreams {
-		if s := p.states[candidate.ID]; s != nil && s.hasReport(now) {
+		if s := p.states[candidate.ID]; s != nil && s.reportedRecently(now) {
 			return true
 		}
 	}
 	return false
 }
 
-func (s *state) hasReport(now time.Time) bool { return now.Sub(s.reportedAt) <= reportMaxAge }
-
 // option is an eligible upstream.
 type option struct {
 	upstream *provider.Upstream
@@ -225,7 +228,7 @@
 	sum, count := 0.0, 0
 	for i := range options {
 		o := &options[i]
-		if o.hasLoad = o.state.hasReport(now); !o.hasLoad {
+		if o.hasLoad = o.state.reportedRecently(now); !o.hasLoad {
 			continue
 		}
 		o.expected = o.state.expectedCost(o.upstream, query.ReservedPlaces, p.othersPerSecond(o.upstream.Hall, upstreams, now), now)
--- a/daemon/internal/process/balance/leaving.go
+++ b/daemon/internal/process/balance/leaving.go
@@ -48,7 +48,7 @@
 // reportedLeaving reports whether the upstream's host reported recently that the upstream is
 // leaving.
 func (s *state) reportedLeaving(now time.Time) bool {
-	return s.report.Leaving && now.Sub(s.reportedAt) <= reportMaxAge
+	return s.report.Leaving && s.reportedRecently(now)
 }
 
 // retention returns how long the state of an upstream without requests is kept.
--- a/daemon/internal/process/balance/readiness.go
+++ b/daemon/internal/process/balance/readiness.go
@@ -102,8 +102,3 @@
 func (s *state) closesBefore(end time.Time) bool {
 	return !s.closesAt.IsZero() && s.closesAt.Before(end)
 }
-
-// reportedRecently reports whether the load report of the upstream's host may be used.
-func (s *state) reportedRecently(now time.Time) bool {
-	return !s.reportedAt.IsZero() && now.Sub(s.reportedAt) <= reportMaxAge
-}
--- a/daemon/internal/process/balance/score.go
+++ b/daemon/internal/process/balance/score.go
@@ -68,7 +68,7 @@
 	s.decay(now)
 	share := s.failures / (s.outcomes + priorWeight)
 	score := load + failurePenalty*max(0, share-healthyFailureShare)
-	if now.Before(s.blockedUntil) || s.report.Loading && now.Sub(s.reportedAt) <= reportMaxAge {
+	if now.Before(s.blockedUntil) || s.report.Loading && s.reportedRecently(now) {
 		score += blockedPenalty
 	}
 	if s.unresponsive(now) {
@@ -88,9 +88,14 @@
 	return 0
 }
 
+// reportedRecently reports whether the load report of the upstream's host may be used.
+func (s *state) reportedRecently(now time.Time) bool {
+	return !s.reportedAt.IsZero() && now.Sub(s.reportedAt) <= reportMaxAge
+}
+
 // unresponsive reports whether the upstream's host has reported, but not recently.
 func (s *state) unresponsive(now time.Time) bool {
-	return !s.reportedAt.IsZero() && now.Sub(s.reportedAt) > reportMaxAge
+	return !s.reportedAt.IsZero() && !s.reportedRecently(now)
 }
 
 // referencePlaces scales the load of upstreams of different sizes.
@@ -103,7 +108,7 @@
 // because an engine reads their prompts first; running ones count only once all places
 // are in use.
 func (s *state) load(candidate *provider.Upstream, reservedPlaces int, now time.Time) float64 {
-	if now.Sub(s.reportedAt) > reportMaxAge {
+	if !s.reportedRecently(now) {
 		if candidate.Places == 0 {
 			return float64(s.inFlight)
 		}
@@ -116,7 +121,7 @@
 // queue returns how many requests wait before the next one and how many must end before
 // it gets a place, by the last load report; 0 if there is no recent one.
 func (s *state) queue(candidate *provider.Upstream, reservedPlaces int, now time.Time) (waiting, excess int) {
-	if now.Sub(s.reportedAt) > reportMaxAge {
+	if !s.reportedRecently(now) {
 		return 0, 0
 	}
 	waiting = s.report.Waiting + s.sentSinceReport
--- a/daemon/internal/request/admission/retryafter.go
+++ b/daemon/internal/request/admission/retryafter.go
@@ -12,8 +12,9 @@
 // Around the deadline of a version, no engine may run requests for some seconds, and then the
 // engines become ready within a second or two. First attempts alone need more places than the first
 // engines that are ready have. So the returns are spread until shortly after most engines are
-// ready, at a rate in proportion to the engines that are ready by then. Returns that end when half of the engines are
-// ready arrive at three times the rate of first attempts, and nearly all of them are refused again.
+// ready, at a rate in proportion to the engines that are ready by then. Returns that end when half of
+// the engines are ready arrive at three times the rate of first attempts, and nearly all of them are
+// refused again.
 
 // RefusalReason is why a request is refused.
 type RefusalReason int
--- a/daemon/internal/request/dispatch/dispatch.go
+++ b/daemon/internal/request/dispatch/dispatch.go
@@ -54,11 +54,8 @@
 	BufferBudget buffer.Budget
 	// Region returns the region of a data hall, "" if unknown. It may be nil.
 	Region func(hall string) string
-	// VersionPolicy returns on which versions of a model requests may run.
-	VersionPolicy func(declared *replica.Declaration) replica.VersionPolicy
-	// VersionPolicyAfter returns the same for requests that arrive after a delay. Nil means that
-	// the policy does not change.
-	VersionPolicyAfter func(declared *replica.Declaration, delay time.Duration) replica.VersionPolicy
+	// VersionPolicy returns on which versions of a model requests may run that arrive after a delay.
+	VersionPolicy func(declared *replica.Declaration, delay time.Duration) replica.VersionPolicy
 	// PromptParts returns the parts of a request's prompt. It may be nil.
 	PromptParts func(http.Header) []provider.PromptPart
 	// RequestPlace requests a place from an engine's loader. An error means that the loader
@@ -330,7 +327,7 @@
 	query.Duration = q.expectedHoldTime()
 	query.ReservedPlaces = admission.Reserve(admission.Service{Saturation: q.LoadTracker.Saturation(q.service.Name)}, q.admissionRequest())
 	if declared, ok := q.View().Targets[query.Model]; ok {
-		policy := q.VersionPolicy(&declared)
+		policy := q.VersionPolicy(&declared, 0)
 		query.MinVersion, query.PreferredVersion, query.AvoidWeight = policy.MinVersion, policy.PreferredVersion, policy.AvoidWeight
 	}
 	return query
--- a/daemon/internal/request/dispatch/place_test.go
+++ b/daemon/internal/request/dispatch/place_test.go
@@ -67,7 +67,7 @@
 	q := &request{
 		Dispatcher: &Dispatcher{
 			Pool: f.pool, LoadTracker: &LoadTracker{}, RequestPlace: f.requestPlace, View: func() *replica.View { return f.view },
-			VersionPolicy: func(*replica.Declaration) replica.VersionPolicy { return replica.VersionPolicy{} },
+			VersionPolicy: func(*replica.Declaration, time.Duration) replica.VersionPolicy { return replica.VersionPolicy{} },
 		},
 		Request: httptest.NewRequest("GET", "/", nil), view: f.view, service: f.view.Service("s"), sent: sent, trace: &Trace{},
 	}
--- a/daemon/internal/request/dispatch/refusal_test.go
+++ b/daemon/internal/request/dispatch/refusal_test.go
@@ -36,7 +36,9 @@
 	q.RequestPlace = func(context.Context, *provider.Upstream, places.Request) (places.EngineLoad, bool, error) {
 		return response, false, nil
 	}
-	q.VersionPolicy = func(*replica.Declaration) replica.VersionPolicy { return replica.VersionPolicy{MinVersion: 2} }
+	q.VersionPolicy = func(*replica.Declaration, time.Duration) replica.VersionPolicy {
+		return replica.VersionPolicy{MinVersion: 2}
+	}
 	return q
 }
 
@@ -127,7 +129,10 @@
 				report.NextVersion = 3
 			}
 			q := refusedRequest(t, func(int) balance.LoadReport { return report }, places.EngineLoad{Running: 16})
-			q.VersionPolicyAfter = func(_ *replica.Declaration, delay time.Duration) replica.VersionPolicy {
+			q.VersionPolicy = func(_ *replica.Declaration, delay time.Duration) replica.VersionPolicy {
+				if delay == 0 {
+					return replica.VersionPolicy{}
+				}
 				assert.Greater(t, delay, admission.MinRetryAfter)
 				assert.Less(t, delay, admission.MaxRetryAfter)
 				return replica.VersionPolicy{MinVersion: 3}
--- a/daemon/internal/version/reconcile/choose.go
+++ b/daemon/internal/version/reconcile/choose.go
@@ -146,7 +146,7 @@
 		r.OnStep(Step{Name: StepClose, Version: closing.StaysOpenFor, Reason: closing.Reason})
 	}
 	r.closesAt = closing.At
-	r.expected, _ = rollout.Next(r.engineState(report, loaded), loads, now)
+	r.expected, _ = rollout.Next(r.updateEngineState(report, loaded), loads, now)
 	if report.Leaving {
 		r.expected = rollout.Expected{}
 	}
@@ -170,8 +170,8 @@
 	return loads
 }
 
-// engineState returns the state of the engine and of its order, and measures how long a load takes.
-func (r *Reconciler) engineState(report provider.EngineReport, loaded int) rollout.Engine {
+// updateEngineState measures how long a load takes, and returns the state of the engine and of its order.
+func (r *Reconciler) updateEngineState(report provider.EngineReport, loaded int) rollout.Engine {
 	if r.orderedVersion > 0 && loaded >= r.orderedVersion && !report.Loading {
 		r.loadTook = r.now().Sub(r.orderedAt)
 		r.orderedVersion = 0
--- a/daemon/internal/version/reconcile/reconcile.go
+++ b/daemon/internal/version/reconcile/reconcile.go
@@ -120,8 +120,8 @@
 	// decideVersions replaces rollout.Decide in tests of the rule before it, and closeAhead rollout.Close.
 	decideVersions func([]rollout.Version, rollout.Rates, time.Time) []rollout.Choice
 	closeAhead     func([]rollout.Load, time.Duration, time.Time) rollout.Closing
-	// idle is set while the engine must serve no version that it has: each of them is superseded for good. It is also
-	// read by fetches.
+	// idle is set while the version that the engine has loaded is below the lowest that may be served.
+	// Fetches read it too.
 	idle atomic.Bool
 	// chosen describes the last choice between versions, empty while there is one only.
 	chosen string
@@ -282,7 +282,8 @@
 // order is imminent. Only OnReport may call it.
 func (r *Reconciler) Draining() bool { return !r.drainStarted.IsZero() }
 
-// ClosesAt returns the scheduled load time if the engine closes ahead of it, otherwise zero. Only OnReport may call it.
+// ClosesAt returns the scheduled load time if the engine closes ahead of it, otherwise zero. Only
+// OnReport may call it.
 func (r *Reconciler) ClosesAt() time.Time { return r.closesAt }
 
 // Expected returns the version that the engine is expected to serve next, zero if there is no estimate. Only
--- a/daemon/internal/version/swarm/fromorigin.go
+++ b/daemon/internal/version/swarm/fromorigin.go
@@ -65,7 +65,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := clock.Now()
-	if !f.allowed(now).Has(rollout.Origin) {
+	if !f.updateSources(now).Has(rollout.Origin) {
 		return 0, false
 	}
 	f.assign(f.liveHosts(now))
--- a/daemon/internal/version/swarm/frompeers.go
+++ b/daemon/internal/version/swarm/frompeers.go
@@ -44,7 +44,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := clock.Now()
-	if !f.allowed(now).Has(rollout.Peers) || worker >= f.concurrency || f.arriving(now) >= f.maxInbound() {
+	if !f.updateSources(now).Has(rollout.Peers) || worker >= f.concurrency || f.arriving(now) >= f.maxInbound() {
 		return 0, netip.AddrPort{}, false
 	}
 	f.assign(f.liveHosts(now))
@@ -89,12 +89,12 @@
 	if f.Idle != nil && f.Idle() {
 		return f.maxConcurrency
 	}
-	return maxInbound(f.ChunkTime, f.Early)
+	return inboundForLink(f.ChunkTime, f.Early)
 }
 
-// maxInbound returns the number of chunks that may arrive at once, given how long one takes
-// over the host's link.
-func maxInbound(chunkTime time.Duration, early bool) int {
+// inboundForLink returns the number of chunks that may arrive at once, given how long one takes over
+// the host's link.
+func inboundForLink(chunkTime time.Duration, early bool) int {
 	count := defaultInbound
 	if chunkTime > 0 {
 		count = max(1, int(math.Round(float64(inboundWindow)/float64(chunkTime))))
--- a/daemon/internal/version/swarm/progress.go
+++ b/daemon/internal/version/swarm/progress.go
@@ -48,10 +48,10 @@
 	return p
 }
 
-// allowed returns the sources from which chunks may be requested now, and keeps the time without them from
-// counting as overdue: otherwise all hosts would take over chunks from each other when the
+// updateSources returns the sources from which chunks may be requested now, and keeps the time without
+// them from counting as overdue: otherwise all hosts would take over chunks from each other when the
 // sources are available again. The caller holds mu.
-func (f *Fetch) allowed(now time.Time) rollout.Sources {
+func (f *Fetch) updateSources(now time.Time) rollout.Sources {
 	if f.Sources == nil {
 		return rollout.All
 	}
--- a/daemon/router/listeners.go
+++ b/daemon/router/listeners.go
@@ -60,8 +60,7 @@
 		Pool: p.pool, RetryBudget: p.retryBudget, LoadTracker: &dispatch.LoadTracker{}, RetryDetector: &admission.RetryDetector{}, View: p.compiler.View, Stale: p.isStale,
 		BufferBudget:  buffer.Budget{MaxBytes: p.maxBufferedBytes()},
 		Region:        func(hall string) string { return p.current.Load().RegionOf(hall) },
-		VersionPolicy: p.versionPolicy, VersionPolicyAfter: p.versionPolicyAfter,
-		Report: p.recorder.request, RequestPlace: p.requestPlace, PromptParts: p.provider.PromptParts, OnDisconnect: p.connectionBroke,
+		VersionPolicy: p.versionPolicy, Report: p.recorder.request, RequestPlace: p.requestPlace, PromptParts: p.provider.PromptParts, OnDisconnect: p.connectionBroke,
 		ProbeUpstream:  p.probeUpstream,
 		OnAnnouncement: p.announced, AllowSend: p.allowSend,
 		AdmitContent: p.admitContent, CheckContent: p.suspects.verdict, OnServed: p.contentCompleted, ShutdownDeadline: p.drainExpired,
@@ -75,13 +74,8 @@
 	return int64(p.current.Load().Bounds.MemoryMB) * megabyte / divisor
 }
 
-// versionPolicy returns the versions of a model on which requests may run.
-func (p *Process) versionPolicy(declared *replica.Declaration) replica.VersionPolicy {
-	return p.versionPolicyAfter(declared, 0)
-}
-
-// versionPolicyAfter returns the same for requests that arrive after a delay.
-func (p *Process) versionPolicyAfter(declared *replica.Declaration, delay time.Duration) replica.VersionPolicy {
+// versionPolicy returns the versions of a model on which requests may run that arrive after a delay.
+func (p *Process) versionPolicy(declared *replica.Declaration, delay time.Duration) replica.VersionPolicy {
 	return declared.VersionPolicy(clock.Now().Add(delay), p.current.Load().Bounds.VersionApply.Std())
 }
 
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -253,8 +253,8 @@
 }
 
 // Reload applies changed settings. Seeds, regions, the log level, the choice by expected load and the
-// bounds of retries and version changes take effect at once. If the role, the name or an address has changed, Reload logs that a
-// restart is needed and keeps the settings in force.
+// bounds of retries and version changes take effect at once. If the role, the name or an address has
+// changed, Reload logs that a restart is needed and keeps the settings in force.
 func (p *Process) Reload(file settings.File) {
 	if file.Router == nil {
 		p.recorder.reloaded("the settings are for another role", false)
