--- a/review/cmd/mixedload/main.go
+++ b/review/cmd/mixedload/main.go
@@ -1,6 +1,7 @@
 // Command mixedload names new versions in quick succession to a fleet of sixteen runners, and freezes
-// one machine of the class "side" once, while its loader writes a version to the staging area of a
-// runner that is draining for the version before. It checks whether the runner makes tokens with
+// one machine of the class "side" while its loader writes a version to the staging area of a
+// runner that is draining for the version before. If the write did not time out, a machine is frozen
+// in the same way in a later pair of versions. It checks whether the runner makes tokens with
 // layers of two versions.
 package main
 
@@ -61,9 +62,10 @@
 	record *harness.Record
 	store  *harness.Store
 
-	mu     sync.Mutex
-	hosts  [machines]machine
-	frozen bool
+	mu    sync.Mutex
+	hosts [machines]machine
+	// frozenAt is when a machine was last frozen, zero before.
+	frozenAt time.Time
 	// mixedRuns counts the requests that ran on layers of two versions.
 	mixedRuns int
 	mixed     string
@@ -119,7 +121,7 @@
 	}
 	time.Sleep(2 * time.Second)
 	version := 2
-	for pair := 0; pair < maxPairs && !s.wasFrozen(); pair++ {
+	for pair := 0; pair < maxPairs && !s.broken(); pair++ {
 		s.name(version)
 		time.Sleep(nameGap)
 		s.name(version + 1)
@@ -134,7 +136,7 @@
 	case s.mixedRuns > 0:
 		s.record.Printf("BROKEN (WHOLE): %d requests ran on layers that were taken while pieces of them were of another version (%s)", s.mixedRuns, s.mixed)
 		return exitBroken, nil
-	case harness.Trouble() && !s.frozen:
+	case harness.Trouble() && s.frozenAt.IsZero():
 		return 0, fmt.Errorf("no machine was frozen: no runner was draining for one version while the next one was written")
 	default:
 		s.record.Printf("held: each request ran on whole layers")
@@ -147,7 +149,7 @@
 	ip := fmt.Sprintf("127.0.1.%d", i+1)
 	address := fmt.Sprintf("%s:%d", ip, ports[4])
 	engine, err := s.fleet.Start(fmt.Sprintf("engine-%d", i+1), nil, func(line string) { s.onEngineLine(i, line) }, "target/review/engine",
-		"-address", address, "-id", fmt.Sprintf("i-%d", i+1), "-event-gap", "60ms", "-put-time", "3ms")
+		"-address", address, "-id", fmt.Sprintf("i-%d", i+1), "-event-gap", "60ms", "-put-time", "6ms")
 	if err != nil {
 		return err
 	}
@@ -187,10 +189,10 @@
 	}
 }
 
-func (s *script) wasFrozen() bool {
+func (s *script) broken() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.frozen
+	return s.mixedRuns > 0
 }
 
 func (s *script) onEngineLine(i int, line string) {
@@ -237,10 +239,10 @@
 // freeze freezes the processes of a machine, the runner and its loader, and wakes them again. The
 // caller holds mu.
 func (s *script) freeze(i int) {
-	if s.frozen || !harness.Trouble() {
+	if s.mixedRuns > 0 || time.Since(s.frozenAt) < pairTime-nameGap || !harness.Trouble() {
 		return
 	}
-	s.frozen = true
+	s.frozenAt = time.Now()
 	engine, loader := s.hosts[i].engine, s.hosts[i].loader
 	engine.Signal(syscall.SIGSTOP)
 	loader.Signal(syscall.SIGSTOP)
--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -50,10 +50,13 @@
 	done chan struct{}
 }
 
-// Start starts a program of the repository. Lines of its standard output go to onLine, or to a log
+// Start starts a program of the repository, or one by its absolute path. Lines of its standard output go to onLine, or to a log
 // file in the temporary folder if onLine is nil.
 func (f *Fleet) Start(name string, env []string, onLine func(string), program string, args ...string) (*Process, error) {
-	cmd := exec.Command(filepath.Join(f.Root, program), args...)
+	if !filepath.IsAbs(program) {
+		program = filepath.Join(f.Root, program)
+	}
+	cmd := exec.Command(program, args...)
 	cmd.Dir, cmd.Env = f.Root, append([]string{"PATH=" + os.Getenv("PATH"), "HOME=" + f.Temp, "LANG=C"}, env...)
 	log, err := os.Create(filepath.Join(f.Temp, name+".log"))
 	if err != nil {
