--- a/daemon/internal/version/reconcile/reconcile.go
+++ b/daemon/internal/version/reconcile/reconcile.go
@@ -19,7 +19,6 @@
 
 	"gopkg.in/tomb.v2"
 
-	"github.com/wheelcleat/wheelcleat/daemon/internal/clock"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/version/rollout"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/version/swarm"
@@ -127,9 +126,8 @@
 	chosen string
 	// lastLoaded is the version in the engine's last report.
 	lastLoaded int
-	// stagedVersion is the version that was written to the engine's staging area.
-	stagedVersion int
-	orderedAt     time.Time
+	staging    staging
+	orderedAt  time.Time
 	// orderedVersion is the version of the last order until the engine has loaded it, otherwise 0, and
 	// loadTook the time that this took the last time.
 	orderedVersion int
@@ -223,6 +221,7 @@
 	}
 	r.engineStarted = started
 	r.orderedAt, r.drainStarted, r.orderedVersion = time.Time{}, time.Time{}, 0
+	r.staging.verification = verification{}
 }
 
 // isBusy reports whether so many of an engine's places are in use that routers need
@@ -239,23 +238,24 @@
 		r.drainStarted = time.Time{}
 		return
 	}
-	if r.stagedVersion != goal.Version {
+	if r.staging.written != goal.Version {
 		r.stage(ctx, goal, c)
 	}
-	loaded := loadedVersion(report)
 	if r.now().Sub(r.orderedAt) < orderRetryInterval {
 		return
 	}
-	if loaded == 0 && r.verify(ctx, goal, c) || loaded > 0 && r.drained(ctx, goal, c, report) {
+	if (loadedVersion(report) == 0 || r.drained(ctx, goal, c, report)) && r.ensureVerified(ctx, goal, c) {
 		r.order(ctx, goal, report)
 	}
 }
 
-// drained reports whether a serving engine may be ordered to load: its load time has come,
-// the staged chunks were verified, routers were notified to send no more requests, and the
-// engine's queue is empty. A request that is queued at the order may start on the old version
-// much later if the engine stalls in between. Running requests are not waited for: the engine
-// accepts nothing new, lets them end, and then loads.
+// drained reports whether a serving engine has been drained for a load: its load time has come,
+// routers were notified to send no more requests, and the engine's queue is empty. A request
+// that is queued at the order may start on the old version much later if the engine stalls in
+// between. Running requests are not waited for: the engine accepts nothing new, lets them end,
+// and then loads. The drain begins only once the staged chunks are verified, since no request
+// may start at the engine meanwhile. It may end for a newer version than it began for, so it
+// says nothing about the chunks that are staged then.
 func (r *Reconciler) drained(ctx context.Context, goal Goal, c *swarm.Copy, report provider.EngineReport) bool {
 	now := r.now()
 	if now.Before(goal.LoadAt) {
@@ -263,7 +263,7 @@
 		return false
 	}
 	if r.drainStarted.IsZero() {
-		if !r.verify(ctx, goal, c) {
+		if !r.ensureVerified(ctx, goal, c) {
 			return false
 		}
 		if report.Running+report.Waiting == 0 {
@@ -343,14 +343,16 @@
 
 // order sends the engine the order to load the staged version.
 func (r *Reconciler) order(ctx context.Context, goal Goal, report provider.EngineReport) {
-	started := clock.Now()
+	started := r.now()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	result, err := r.Engine.Start(ctx, r.EngineAddress, provider.Order{
 		Model: goal.Model, Version: goal.Version, FencingToken: goal.FencingToken, Sequence: report.Sequence,
 	})
+	reason := fmt.Sprintf("version %d loaded, %d requests running, chunks verified %s ago, order %s",
+		loadedVersion(report), report.Running, started.Sub(r.staging.verification.started).Round(time.Millisecond), result)
+	r.staging.verification = verification{} // the next order needs its own
 	r.orderedAt, r.orderedVersion = r.now(), goal.Version
 	r.drainStarted = time.Time{}
-	reason := fmt.Sprintf("version %d loaded, %d requests running, order %s", loadedVersion(report), report.Running, result)
-	r.OnStep(Step{Name: StepOrder, Version: goal.Version, Reason: reason, Err: err, Took: clock.Since(started), Running: report.Running})
+	r.OnStep(Step{Name: StepOrder, Version: goal.Version, Reason: reason, Err: err, Took: r.now().Sub(started), Running: report.Running})
 }
--- a/daemon/internal/version/reconcile/reconcile_test.go
+++ b/daemon/internal/version/reconcile/reconcile_test.go
@@ -52,6 +52,13 @@
 	fenced int
 	// fence is the highest fencing token that the engine has seen.
 	fence provider.Revision
+	// failWrite makes a write of a chunk fail without effect; nil means none fails.
+	failWrite func(index int, chunk []byte) bool
+	// delayOrder makes the next order fail, which the engine takes when takeDelayed is called.
+	delayOrder bool
+	delayed    *provider.Order
+	// lateWrite carries out a write that failed, at the latest before the next order is taken.
+	lateWrite func()
 	// lostResponses is the number of orders that take effect but whose response is lost.
 	lostResponses int
 	// draining holds whether the engine was draining at the last report, and rounds counts
@@ -96,6 +103,9 @@
 		WriteStaged: func(_ context.Context, _ netip.AddrPort, _ string, index int, chunk []byte) error {
 			e.mu.Lock()
 			defer e.mu.Unlock()
+			if e.failWrite != nil && e.failWrite(index, chunk) {
+				return errResponseLost
+			}
 			e.staged[index] = chunk
 			return nil
 		},
@@ -114,6 +124,31 @@
 func (e *engine) start(_ context.Context, _ netip.AddrPort, order provider.Order) (provider.OrderResult, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.delayOrder {
+		e.delayOrder, e.delayed = false, &order
+		return provider.OrderUnknown, errResponseLost
+	}
+	return e.take(order)
+}
+
+// takeDelayed makes the engine take the order that was delayed.
+func (e *engine) takeDelayed() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_, _ = e.take(*e.delayed)
+	e.delayed = nil
+}
+
+// writeLate carries out the write that failed; the caller holds mu.
+func (e *engine) writeLate() {
+	if e.lateWrite != nil {
+		e.lateWrite()
+		e.lateWrite = nil
+	}
+}
+
+// take carries out an order; the caller holds mu.
+func (e *engine) take(order provider.Order) (provider.OrderResult, error) {
 	if order.Sequence != e.sequence {
 		return provider.OrderConflict, errors.New("sequence")
 	}
@@ -121,6 +156,7 @@
 		e.fenced++
 		return provider.OrderFenced, errors.New("fence")
 	}
+	e.writeLate()
 	for index := range chunks {
 		assert.Equal(e.t, chunkOf(order.Version, index), e.staged[index], "ordered to load an incomplete version")
 	}
@@ -300,6 +336,57 @@
 	assert.False(t, e.draining.Load(), "an idle engine was drained")
 }
 
+// TestChunksAreVerifiedForTheVersionThatIsOrdered guards against an engine that loads chunks of two
+// versions: it drained for the earlier one, whose chunks were verified, and a write of the newer one failed.
+func TestChunksAreVerifiedForTheVersionThatIsOrdered(t *testing.T) {
+	e := &engine{t: t, staged: map[int][]byte{}, loaded: 1, waiting: 1}
+	e.clock.Store(time.Hour.Nanoseconds())
+	var newest atomic.Int32
+	newest.Store(2)
+	r := newReconciler(e, func() reconcile.Plan {
+		if newest.Load() == 2 {
+			return planOf(goal(2, time.Unix(0, 0)))
+		}
+		return planOf(goal(3, time.Unix(0, 0)), goal(2, time.Unix(0, 0)))
+	})
+	r.Copies.Add(completeCopy(t, 2))
+	r.Copies.Add(completeCopy(t, 3))
+	r.Start()
+	t.Cleanup(r.Stop)
+	await(t, "engine is draining for version 2", e.draining.Load)
+
+	e.mu.Lock()
+	failed := false
+	e.failWrite = func(index int, chunk []byte) bool {
+		fails := !failed && index == chunks/2 && string(chunk) == string(chunkOf(3, index))
+		failed = failed || fails
+		if fails {
+			e.clock.Add(int64(3 * time.Second)) // the host was frozen, so the drain has ended too
+			e.waiting = 0
+		}
+		return fails
+	}
+	e.mu.Unlock()
+	newest.Store(3)
+	await(t, "version 3", func() bool { return e.version() == 3 }) // start asserts that all chunks are of one version
+	assert.True(t, failed, "no write failed")
+}
+
+// TestOldVerificationDoesNotAllowAnOrder guards against loading chunks that became corrupt while the
+// host was frozen in a drain.
+func TestOldVerificationDoesNotAllowAnOrder(t *testing.T) {
+	e := &engine{t: t, staged: map[int][]byte{}, loaded: 1, waiting: 1}
+	e.clock.Store(time.Hour.Nanoseconds())
+	start(t, e, func() reconcile.Plan { return planOf(goal(2, time.Unix(0, 0))) })
+	await(t, "engine is draining", e.draining.Load)
+	e.mu.Lock()
+	e.clock.Add(int64(4 * time.Second))
+	e.staged[1] = []byte("corrupt chunk")
+	e.waiting = 0
+	e.mu.Unlock()
+	await(t, "version 2", func() bool { return e.version() == 2 })
+}
+
 func TestLostResponseCausesNoSecondLoad(t *testing.T) {
 	e := &engine{t: t, staged: map[int][]byte{}, lostResponses: 1}
 	r := start(t, e, func() reconcile.Plan { return planOf(goal(2, time.Time{})) })
--- a/daemon/internal/version/reconcile/stage.go
+++ b/daemon/internal/version/reconcile/stage.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/clock"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
@@ -13,6 +14,28 @@
 
 // This file writes chunks to the engine's staging area and reads them back.
 
+const (
+	// maxVerificationAge is the age from which a verification no longer allows an order, because chunks may
+	// become corrupt after they were read back. It is longer than a drain.
+	maxVerificationAge = maxDrain + 500*time.Millisecond
+)
+
+// staging is what is known about the engine's staging area, which holds one copy of the model.
+type staging struct {
+	// written is the version whose chunks were all written, 0 from the first write of another version until
+	// its last one succeeded.
+	written      int
+	verification verification
+}
+
+// verification is a complete reading of the staged chunks that found those of one version. Each write of a
+// chunk of another version invalidates it, and so does an order.
+type verification struct {
+	version int
+	// started is when the first chunk was read.
+	started time.Time
+}
+
 // reuseStaged adds to a copy the chunks of its version that are in the engine's staging area
 // already, from before a restart of this loader or of the engine. It retries until the
 // engine answers.
@@ -47,12 +70,13 @@
 // only right before the order, because staged chunks may become corrupt in between.
 func (r *Reconciler) stage(ctx context.Context, goal Goal, c *swarm.Copy) {
 	started := clock.Now()
+	r.staging = staging{}
 	var err error
 	for index := 0; index < len(c.Manifest.Digests) && err == nil; index++ {
-		err = r.writeChunk(ctx, goal.Model, index, c.Chunk(index))
+		err = r.writeChunk(ctx, goal, index, c.Chunk(index))
 	}
 	if err == nil {
-		r.stagedVersion = goal.Version
+		r.staging.written = goal.Version
 	}
 	r.OnStep(Step{Name: StepStage, Version: goal.Version, Err: err, Took: clock.Since(started)})
 }
@@ -65,7 +89,7 @@
 			continue
 		}
 		repaired++
-		if err := r.writeChunk(ctx, goal.Model, index, c.Chunk(index)); err != nil {
+		if err := r.writeChunk(ctx, goal, index, c.Chunk(index)); err != nil {
 			return repaired, fmt.Errorf("stage chunk %d: %w", index, err)
 		}
 		if !r.stagedMatches(ctx, goal, c, index) {
@@ -80,19 +104,34 @@
 	return err == nil && c.Matches(index, chunk)
 }
 
-func (r *Reconciler) writeChunk(ctx context.Context, model string, index int, chunk []byte) error {
+func (r *Reconciler) writeChunk(ctx context.Context, goal Goal, index int, chunk []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return r.Engine.WriteStaged(ctx, r.EngineAddress, model, index, chunk)
+	return r.Engine.WriteStaged(ctx, r.EngineAddress, goal.Model, index, chunk)
+}
+
+// ensureVerified reports whether all staged chunks are those of a version by a recent verification. If there is
+// none it verifies them.
+func (r *Reconciler) ensureVerified(ctx context.Context, goal Goal, c *swarm.Copy) bool {
+	return r.verified(goal) || r.verify(ctx, goal, c) && r.verified(goal)
+}
+
+func (r *Reconciler) verified(goal Goal) bool {
+	v := r.staging.verification
+	return v.version == goal.Version && r.now().Sub(v.started) < maxVerificationAge
 }
 
 // verify verifies and repairs the staged version, and reports whether it is complete.
 func (r *Reconciler) verify(ctx context.Context, goal Goal, c *swarm.Copy) bool {
-	started := clock.Now()
+	started := r.now()
+	r.staging.verification = verification{}
 	repaired, err := r.repairStaged(ctx, goal, c)
 	if repaired > 0 || err != nil {
 		reason := fmt.Sprintf("%d corrupt or missing chunks", repaired)
-		r.OnStep(Step{Name: StepVerify, Version: goal.Version, Reason: reason, Err: err, Took: clock.Since(started)})
+		r.OnStep(Step{Name: StepVerify, Version: goal.Version, Reason: reason, Err: err, Took: r.now().Sub(started)})
+	}
+	if err == nil {
+		r.staging.verification = verification{version: goal.Version, started: started}
 	}
 	return err == nil
 }
