--- a/daemon/internal/version/reconcile/reconcile.go
+++ b/daemon/internal/version/reconcile/reconcile.go
@@ -127,6 +127,7 @@
 	// lastLoaded is the version in the engine's last report.
 	lastLoaded int
 	staging    staging
+	unanswered unanswered
 	orderedAt  time.Time
 	// orderedVersion is the version of the last order until the engine has loaded it, otherwise 0, and
 	// loadTook the time that this took the last time.
@@ -209,6 +210,7 @@
 		return false
 	}
 	r.resetOnRestart(report.Started)
+	r.unanswered.reportReceived(r.now())
 	r.advance(ctx, plan, report)
 	return isBusy(report, plan.Places)
 }
@@ -221,7 +223,7 @@
 	}
 	r.engineStarted = started
 	r.orderedAt, r.drainStarted, r.orderedVersion = time.Time{}, time.Time{}, 0
-	r.staging.verification = verification{}
+	r.staging.verification, r.unanswered = verification{}, unanswered{}
 }
 
 // isBusy reports whether so many of an engine's places are in use that routers need
@@ -238,6 +240,9 @@
 		r.drainStarted = time.Time{}
 		return
 	}
+	if r.unanswered.mayOverwrite(goal.Version, r.now()) {
+		return
+	}
 	if r.staging.written != goal.Version {
 		r.stage(ctx, goal, c)
 	}
@@ -349,6 +354,9 @@
 	result, err := r.Engine.Start(ctx, r.EngineAddress, provider.Order{
 		Model: goal.Model, Version: goal.Version, FencingToken: goal.FencingToken, Sequence: report.Sequence,
 	})
+	if result == provider.OrderUnknown {
+		r.unanswered = unanswered{version: goal.Version}
+	}
 	reason := fmt.Sprintf("version %d loaded, %d requests running, chunks verified %s ago, order %s",
 		loadedVersion(report), report.Running, started.Sub(r.staging.verification.started).Round(time.Millisecond), result)
 	r.staging.verification = verification{} // the next order needs its own
--- a/daemon/internal/version/reconcile/reconcile_test.go
+++ b/daemon/internal/version/reconcile/reconcile_test.go
@@ -387,6 +387,55 @@
 	await(t, "version 2", func() bool { return e.version() == 2 })
 }
 
+// TestUnansweredOrderDelaysNextVersion guards against an engine that takes an order late, whose response
+// was lost, while the loader replaces the chunks by those of the next version.
+func TestUnansweredOrderDelaysNextVersion(t *testing.T) {
+	e := &engine{t: t, staged: map[int][]byte{}, delayOrder: true}
+	e.clock.Store(time.Hour.Nanoseconds())
+	var newest atomic.Int32
+	newest.Store(2)
+	start(t, e, func() reconcile.Plan { return planOf(goal(int(newest.Load()), time.Unix(0, 0))) })
+	await(t, "an order without response", func() bool {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return e.delayed != nil
+	})
+	newest.Store(3)
+	e.advance(0)
+	e.takeDelayed() // asserts that all chunks are of version 2
+	assert.Equal(t, 2, e.version())
+	e.advance(time.Second)
+	await(t, "version 3", func() bool { return e.version() == 3 })
+}
+
+// TestUnansweredWriteDelaysNextVersion guards against a chunk of an earlier version that the engine writes
+// late, after the chunks of the next version were verified.
+func TestUnansweredWriteDelaysNextVersion(t *testing.T) {
+	e := &engine{t: t, staged: map[int][]byte{}}
+	e.clock.Store(time.Hour.Nanoseconds())
+	var newest atomic.Int32
+	newest.Store(2)
+	failed := make(chan struct{})
+	e.failWrite = func(index int, chunk []byte) bool {
+		if index != 1 || string(chunk) != string(chunkOf(2, index)) {
+			return false
+		}
+		if newest.Swap(3) == 2 {
+			e.lateWrite = func() { e.staged[index] = chunk }
+			close(failed)
+		}
+		return true
+	}
+	start(t, e, func() reconcile.Plan { return planOf(goal(int(newest.Load()), time.Unix(0, 0))) })
+	<-failed
+	e.advance(0)
+	e.mu.Lock()
+	e.writeLate()
+	e.mu.Unlock()
+	e.advance(time.Second)
+	await(t, "version 3", func() bool { return e.version() == 3 })
+}
+
 func TestLostResponseCausesNoSecondLoad(t *testing.T) {
 	e := &engine{t: t, staged: map[int][]byte{}, lostResponses: 1}
 	r := start(t, e, func() reconcile.Plan { return planOf(goal(2, time.Time{})) })
--- a/daemon/internal/version/reconcile/stage.go
+++ b/daemon/internal/version/reconcile/stage.go
@@ -18,6 +18,9 @@
 	// maxVerificationAge is the age from which a verification no longer allows an order, because chunks may
 	// become corrupt after they were read back. It is longer than a drain.
 	maxVerificationAge = maxDrain + 500*time.Millisecond
+	// lateEffectTime is how long after the engine answers again a call to it that failed before may still take
+	// effect.
+	lateEffectTime = 500 * time.Millisecond
 )
 
 // staging is what is known about the engine's staging area, which holds one copy of the model.
@@ -36,6 +39,28 @@
 	started time.Time
 }
 
+// unanswered is the last write or order that failed. The engine may still carry it out, for example
+// after the host was frozen.
+type unanswered struct {
+	// version is the version of the call, 0 for none.
+	version int
+	// until is when the call can no longer take effect, zero until the engine has sent a report.
+	until time.Time
+}
+
+// reportReceived notes that the engine has answered a later call.
+func (u *unanswered) reportReceived(now time.Time) {
+	if u.version != 0 && u.until.IsZero() {
+		u.until = now.Add(lateEffectTime)
+	}
+}
+
+// mayOverwrite reports whether the call may still replace chunks of a version by those of another one, or load
+// them as another one.
+func (u *unanswered) mayOverwrite(version int, now time.Time) bool {
+	return u.version != 0 && u.version != version && (u.until.IsZero() || now.Before(u.until))
+}
+
 // reuseStaged adds to a copy the chunks of its version that are in the engine's staging area
 // already, from before a restart of this loader or of the engine. It retries until the
 // engine answers.
@@ -107,7 +132,11 @@
 func (r *Reconciler) writeChunk(ctx context.Context, goal Goal, index int, chunk []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return r.Engine.WriteStaged(ctx, r.EngineAddress, goal.Model, index, chunk)
+	err := r.Engine.WriteStaged(ctx, r.EngineAddress, goal.Model, index, chunk)
+	if err != nil {
+		r.unanswered = unanswered{version: goal.Version}
+	}
+	return err
 }
 
 // ensureVerified reports whether all staged chunks are those of a version by a recent verification. If there is
