--- a/daemon/internal/process/server/server.go
+++ b/daemon/internal/process/server/server.go
@@ -88,7 +88,8 @@
 type connectionKey struct{}
 
 // closeWhenDraining makes responses close their connections once keep-alives are disabled,
-// so that callers reconnect to another server. It aborts a request that was read while
+// so that callers reconnect to another server. This applies to all responses whose head is
+// written from then on, also if the request arrived before. It aborts a request that was read while
 // checkIdle closed its connection: the request would run although no caller could receive
 // the response.
 func (s *Server) closeWhenDraining(handler http.Handler) http.Handler {
@@ -96,13 +97,47 @@
 		if conn, ok := r.Context().Value(connectionKey{}).(net.Conn); ok && s.conns.isClosed(conn) {
 			panic(http.ErrAbortHandler)
 		}
-		if s.keepAlivesDisabled.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		handler.ServeHTTP(w, r)
+		handler.ServeHTTP(&responseWriter{ResponseWriter: w, closes: &s.keepAlivesDisabled}, r)
 	})
 }
 
+// responseWriter adds "Connection: close" to the head of a response if its connection closes.
+type responseWriter struct {
+	http.ResponseWriter
+	closes *atomic.Bool
+	// headWritten is set once the final head was written.
+	headWritten bool
+}
+
+func (w *responseWriter) WriteHeader(status int) {
+	w.prepareHead(status)
+	w.ResponseWriter.WriteHeader(status)
+}
+
+func (w *responseWriter) Write(body []byte) (int, error) {
+	w.prepareHead(http.StatusOK)
+	return w.ResponseWriter.Write(body)
+}
+
+// Unwrap returns the underlying writer to http.ResponseController.
+func (w *responseWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// Flush is for callers that look for http.Flusher.
+func (w *responseWriter) Flush() {
+	w.prepareHead(http.StatusOK)
+	_ = http.NewResponseController(w.ResponseWriter).Flush()
+}
+
+func (w *responseWriter) prepareHead(status int) {
+	if w.headWritten || status < http.StatusOK {
+		return // written, or an interim response, which is no head
+	}
+	w.headWritten = true
+	if w.closes.Load() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // DisableKeepAlives makes every further response close its connection.
 func (s *Server) DisableKeepAlives() { s.keepAlivesDisabled.Store(true) }
 
--- a/daemon/internal/process/server/server_test.go
+++ b/daemon/internal/process/server/server_test.go
@@ -92,6 +92,29 @@
 	require.NoError(t, <-shutdown(t, s))
 }
 
+// Guards against callers that keep a connection to a stopping server, because their request arrived before the
+// stop and the response was written after it.
+func TestResponseToEarlierRequestClosesConnection(t *testing.T) {
+	started, release := make(chan struct{}), make(chan struct{})
+	s, err := server.Listen(server.Options{
+		Name: "callers", Address: netip.MustParseAddrPort("127.0.0.1:0"),
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			close(started)
+			<-release
+			_, _ = io.WriteString(w, "ok")
+		}),
+	})
+	require.NoError(t, err)
+	t.Cleanup(s.Close)
+	conn := dial(t, s)
+	go func() {
+		<-started
+		s.DisableKeepAlives()
+		close(release)
+	}()
+	assert.True(t, get(t, conn).Close)
+}
+
 // Guards against idle connections that stay open while another one is active: their callers
 // would send new requests on them until the shutdown's deadline.
 func TestShutdownClosesIdleConnections(t *testing.T) {
