--- a/daemon/internal/request/dispatch/admit.go
+++ b/daemon/internal/request/dispatch/admit.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"errors"
 	"io"
 	"math/rand/v2"
@@ -56,6 +57,10 @@
 	q.trace.RemainingTime, q.trace.Retried = q.retryState()
 	q.setRank()
 	q.priority = q.queuePriority()
+	if !q.Drain.Accepts(q.expectedDuration(), q.deadline) {
+		q.refuseStopping("it may not end before this router does")
+		return false
+	}
 	return true
 }
 
@@ -132,7 +137,15 @@
 	}
 	_ = http.NewResponseController(q.writer).SetReadDeadline(time.Now().Add(bodyTimeout))
 	q.bodyReader = &buffer.Body{Reader: http.MaxBytesReader(q.writer, q.Body, limit), Budget: &q.BufferBudget}
+	// A body that is still arriving at the end of a drain is given up, so that its caller gets a response.
+	cancelInterrupt := context.AfterFunc(q.Drain.Expired(), func() {
+		_ = http.NewResponseController(q.writer).SetReadDeadline(time.Now())
+	})
 	body, err := io.ReadAll(q.bodyReader)
+	if !cancelInterrupt() {
+		q.refuseStopping("the request body has not arrived") // the read deadline stays, so that the server closes the connection
+		return false
+	}
 	_ = http.NewResponseController(q.writer).SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
--- a/daemon/internal/request/dispatch/dispatch.go
+++ b/daemon/internal/request/dispatch/dispatch.go
@@ -26,6 +26,7 @@
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/places"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/balance"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/process/drain"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/replica"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/admission"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/buffer"
@@ -79,9 +80,8 @@
 	// nil.
 	AdmitContent, CheckContent func([]content.Digest) quarantine.Verdict
 	OnServed                   func([]content.Digest)
-	// ShutdownDeadline is closed shortly before a stopping process closes its callers'
-	// connections. Nil means never.
-	ShutdownDeadline <-chan struct{}
+	// Drain decides what still begins while the process is stopping. Nil means that it never stops.
+	Drain *drain.Drain
 	// Report is called once for each request that ended.
 	Report func(*Trace)
 }
@@ -306,12 +306,7 @@
 // expired reports whether the request's time is over, also because the process is stopping.
 // It compares the clock, because a context's timer stands still while the host is suspended.
 func (q *request) expired() bool {
-	select {
-	case <-q.ShutdownDeadline:
-		return true
-	default:
-		return clock.Until(q.deadline) <= 0
-	}
+	return q.Drain.Expired().Err() != nil || clock.Until(q.deadline) <= 0
 }
 
 // defaultPromptTokens is the assumed mean length of prompts if the configuration declares none.
@@ -357,9 +352,9 @@
 //	safe, resumable       yes     yes, within attempts  yes, within attempts
 //
 // Content that crashed several upstreams in a row is sent again only if it did not run, and
-// quarantined content not at all.
+// quarantined content not at all. A stopping process sends nothing that it would cut.
 func (q *request) mayRetry(kind exchange.Kind) bool {
-	if kind == exchange.Answered || len(q.tried) >= maxUpstreams {
+	if kind == exchange.Answered || len(q.tried) >= maxUpstreams || !q.endsInDrain() {
 		return false
 	}
 	if verdict := q.verdict(); verdict == quarantine.Quarantined || verdict == quarantine.SingleAttempt && kind == exchange.Unknown {
--- a/daemon/internal/request/dispatch/refusal.go
+++ b/daemon/internal/request/dispatch/refusal.go
@@ -25,6 +25,7 @@
 	RetryRuleNotReady  RetryRule = "not-ready" // the upstreams cannot run the request, and it is unknown when they will
 	RetryRuleReadiness RetryRule = "readiness" // the upstreams cannot run the request before a known time
 	RetryRulePause     RetryRule = "pause"     // the upstreams asked for a pause
+	RetryRuleStopping  RetryRule = "stopping"  // this process is stopping, and the others are not
 	RetryRuleTooLate   RetryRule = "too-late"  // the caller's remaining time is too short for any upstream
 )
 
--- a/daemon/internal/request/dispatch/response.go
+++ b/daemon/internal/request/dispatch/response.go
@@ -157,6 +157,10 @@
 		cause = result.Err.Error()
 	}
 	if result.Kind.NotRun() && q.neverRan() {
+		if !q.endsInDrain() {
+			q.refuseStopping(cause)
+			return
+		}
 		q.refuse(notRunReason(result.Kind), cause)
 		return
 	}
--- a/daemon/internal/request/dispatch/send.go
+++ b/daemon/internal/request/dispatch/send.go
@@ -121,7 +121,7 @@
 	var second *pendingSend
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
-	nextSearch, searchDone, stopping := time.Time{}, searchCtx.Done(), q.ShutdownDeadline
+	nextSearch, searchDone, stopping := time.Time{}, searchCtx.Done(), q.Drain.Expired().Done()
 	for {
 		select {
 		case <-searchDone:
@@ -201,7 +201,7 @@
 
 // mayHedge reports whether a request with a pending send may go to another upstream too.
 func (q *request) mayHedge() bool {
-	return q.repeatable() && q.sent < q.route.MaxAttempts && len(q.tried) < maxUpstreams && q.verdict() == quarantine.Unrestricted
+	return q.repeatable() && q.endsInDrain() && q.sent < q.route.MaxAttempts && len(q.tried) < maxUpstreams && q.verdict() == quarantine.Unrestricted
 }
 
 // startHedge sends the request to another upstream, if one has a place before searchCtx is
--- a/daemon/router/listeners.go
+++ b/daemon/router/listeners.go
@@ -63,7 +63,7 @@
 		VersionPolicy: p.versionPolicy, Report: p.recorder.request, RequestPlace: p.requestPlace, PromptParts: p.provider.PromptParts, OnDisconnect: p.connectionBroke,
 		ProbeUpstream:  p.probeUpstream,
 		OnAnnouncement: p.announced, AllowSend: p.allowSend,
-		AdmitContent: p.admitContent, CheckContent: p.suspects.verdict, OnServed: p.contentCompleted, ShutdownDeadline: p.drainExpired,
+		AdmitContent: p.admitContent, CheckContent: p.suspects.verdict, OnServed: p.contentCompleted, Drain: &p.drain,
 	}
 }
 
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -25,6 +25,7 @@
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/places"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/balance"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/process/drain"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/fanout"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/replica"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/server"
@@ -56,9 +57,6 @@
 	// upstreams that were kept for that reason are checked again.
 	unreliableExpiryPeriod = 2 * time.Second
 	expiredRecheckDelay    = 500 * time.Millisecond
-	// drainResponseMargin is how long before the drain deadline the router itself answers the
-	// requests that no upstream has begun to answer. At the deadline their connections are cut.
-	drainResponseMargin = 400 * time.Millisecond
 	// maxHeaderBytes bounds the headers of a caller's request.
 	maxHeaderBytes = 64 << 10
 )
@@ -122,9 +120,8 @@
 
 	callers, ready, peers, metrics *server.Server
 	draining                       atomic.Bool
-	// drainExpired is closed shortly before a stop cuts the connections of callers.
-	drainExpired chan struct{}
-	done         chan struct{}
+	drain                          drain.Drain
+	done                           chan struct{}
 }
 
 // New prepares a router; Start runs it.
@@ -146,7 +143,6 @@
 		options: options, telemetry: t, output: output, recorder: newRecorder(t),
 		table: &replica.Table{}, pool: &balance.Pool{Hall: s.Hall}, done: make(chan struct{}),
 		probe: &livenessprobe.Probe{Dial: dial.WithTimeout(probeConnectTimeout, options.Dial)}, suspects: &suspects{}, limits: &limits{},
-		drainExpired: make(chan struct{}),
 	}
 	p.pool.ExpectedLoad, p.pool.OtherRouters = p.expectedLoad, p.otherRoutersOf
 	p.current.Store(&s)
@@ -211,8 +207,9 @@
 	p.telemetry.SetNotReady("stopping")
 	p.recorder.stopping()
 	p.callers.DisableKeepAlives()
-	defer p.startDrainTimer(ctx)()
+	defer p.drain.Begin(ctx)()
 	helpers.Pause(helpers.OrDefault(p.options.LameDuck, lameDuckPeriod), ctx.Done())
+	p.drain.CloseToNewCallers()
 	err := p.callers.Shutdown(ctx)
 	p.announcer.stop()
 	p.crashNotifier.Stop()
@@ -228,18 +225,6 @@
 	return err
 }
 
-// startDrainTimer closes drainExpired shortly before the deadline of ctx, so that requests that
-// no upstream has begun to answer get a response instead of a closed connection. The returned
-// function stops the timer.
-func (p *Process) startDrainTimer(ctx context.Context) func() {
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		return func() {}
-	}
-	timer := time.AfterFunc(time.Until(deadline)-drainResponseMargin, func() { close(p.drainExpired) })
-	return func() { timer.Stop() }
-}
-
 // Done returns a channel that is closed when the router has stopped.
 func (p *Process) Done() <-chan struct{} { return p.done }
 
