--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -24,6 +24,7 @@
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/upstream"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/wire"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/process/drain"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/hosts"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/kvwatch"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/members"
@@ -89,6 +90,8 @@
 
 	callers, operators, peers *server.Server
 
+	drain drain.Drain
+
 	// mu guards the fields below.
 	mu sync.Mutex
 	// loaded is set once the table holds a configuration from any source.
@@ -177,7 +180,7 @@
 	handler := &intake.Handler{
 		Table: p.table, Members: p.members, Selector: p.selector,
 		AccountLimiter: &account.Limiter{}, RetryBudgets: &intake.RetryBudgets{},
-		Transport: p.transport, Telemetry: p.telemetry, MaxBodyBytes: p.settings.Requests.MaxBodyBytes,
+		Transport: p.transport, Telemetry: p.telemetry, MaxBodyBytes: p.settings.Requests.MaxBodyBytes, Drain: &p.drain,
 	}
 	handler.Register(router)
 	mux := http.NewServeMux()
@@ -289,13 +292,13 @@
 func (p *Process) Stop(ctx context.Context) error {
 	var err error
 	p.stopOnce.Do(func() {
-		err = p.drain(ctx)
+		err = p.shutDown(ctx)
 		p.close()
 	})
 	return err
 }
 
-func (p *Process) drain(ctx context.Context) error {
+func (p *Process) shutDown(ctx context.Context) error {
 	p.mu.Lock()
 	close(p.stopping)
 	p.telemetry.SetNotReady("stopping")
@@ -303,7 +306,9 @@
 	p.telemetry.LogDecision(telemetry.Decision{Step: "leave", Choice: "drain", Reason: "shutdown requested"})
 	p.placer.Stop() // releases the lease, so that another entry can acquire it at once
 	p.callers.DisableKeepAlives()
+	defer p.drain.Begin(ctx)()
 	helpers.Pause(helpers.OrDefault(p.options.LameDuck, lameDuckPeriod), ctx.Done())
+	p.drain.CloseToNewCallers()
 	return errors.Join(p.callers.Shutdown(ctx), p.operators.Shutdown(ctx), p.peers.Shutdown(ctx))
 }
 
--- a/daemon/internal/request/intake/intake.go
+++ b/daemon/internal/request/intake/intake.go
@@ -25,6 +25,8 @@
 	"github.com/uptrace/bunrouter"
 
 	"github.com/wheelcleat/wheelcleat/api"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/clock"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/process/drain"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/members"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/tables"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/telemetry"
@@ -65,6 +67,8 @@
 	Telemetry      *telemetry.Telemetry
 	// MaxBodyBytes bounds a request's body.
 	MaxBodyBytes int64
+	// Drain decides which requests still begin while the process is stopping. Nil means that it never stops.
+	Drain *drain.Drain
 
 	metrics handlerMetrics
 }
@@ -211,6 +215,9 @@
 	if refusal := p.bufferBody(); refusal != nil {
 		return refusal
 	}
+	if refusal := p.checkDrain(ctx); refusal != nil {
+		return refusal
+	}
 	budget := p.handler.RetryBudgets.For(p.service)
 	budget.CountRequest()
 	var last *outcome.Refusal
@@ -239,6 +246,20 @@
 	return last
 }
 
+// checkDrain refuses a request that may not end before a stopping entry does. An entry does not know how long requests
+// take, so while the load balancer still sends some it accepts all.
+func (p *proxyRequest) checkDrain(ctx context.Context) *outcome.Refusal {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return nil
+	}
+	if p.handler.Drain.Accepts(0, clock.Now().Add(time.Until(deadline))) {
+		return nil
+	}
+	p.w.Header().Set("Connection", "close")
+	return outcome.NotRun(http.StatusServiceUnavailable, outcome.ReasonStopping, "this entry is stopping, and the request may not end before it does")
+}
+
 // choose returns the host for the next attempt, false if there is none.
 func (p *proxyRequest) choose() (route.Choice, bool) {
 	selector := p.handler.Selector
--- a/daemon/internal/request/intake/intake_test.go
+++ b/daemon/internal/request/intake/intake_test.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"io"
@@ -16,12 +17,14 @@
 
 	"github.com/wheelcleat/wheelcleat/api"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/wire"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/process/drain"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/members"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/platform"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/tables"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/telemetry"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/account"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/gate"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/outcome"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/route"
 )
 
@@ -91,8 +94,33 @@
 	}
 }
 
+// TestStoppingEntryRefusesRequestThatMayOutlastIt guards against cutting a request that arrives on a connection in
+// use after the listener was closed.
+func TestStoppingEntryRefusesRequestThatMayOutlastIt(t *testing.T) {
+	host := startChangedHost(t, "b")
+	host.gate.Open(gate.Serving{Services: []string{"s"}, Manifest: "v1"})
+	d := &drain.Drain{}
+	entry := startEntryWithDrain(t, d, &wire.Member{Name: "b", Address: address(t, host.Server).String(), ReadyService: "s", ReadyManifest: "v1", Incarnation: 1})
+	ctx, cancel := context.WithTimeout(t.Context(), defaultTimeout/2)
+	defer cancel()
+	defer d.Begin(ctx)()
+	assert.Equal(t, http.StatusOK, get(t, entry).StatusCode, "the load balancer still sends requests")
+	d.CloseToNewCallers()
+	response := get(t, entry)
+	assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	assert.Equal(t, string(api.OutcomeNotRun), response.Header.Get(api.HeaderOutcome))
+	assert.Equal(t, string(outcome.ReasonStopping), response.Header.Get(outcome.HeaderReason))
+	assert.True(t, response.Close)
+	assert.Len(t, host.requestedVersions, 1, "the request was not sent")
+}
+
 // startEntry starts an entry whose member table holds the given hosts.
 func startEntry(t *testing.T, hosts ...*wire.Member) *httptest.Server {
+	t.Helper()
+	return startEntryWithDrain(t, nil, hosts...)
+}
+
+func startEntryWithDrain(t *testing.T, d *drain.Drain, hosts ...*wire.Member) *httptest.Server {
 	t.Helper()
 	sum := sha256.Sum256([]byte(testKey))
 	table := &tables.Table{}
@@ -105,7 +133,7 @@
 	router := bunrouter.New()
 	(&Handler{
 		Table: table, Members: memberTable, Selector: &route.Selector{}, AccountLimiter: &account.Limiter{}, RetryBudgets: &RetryBudgets{},
-		Transport: &http.Transport{}, Telemetry: discardTelemetry(t), MaxBodyBytes: 1 << 20,
+		Transport: &http.Transport{}, Telemetry: discardTelemetry(t), MaxBodyBytes: 1 << 20, Drain: d,
 	}).Register(router)
 	server := httptest.NewServer(router)
 	t.Cleanup(server.Close)
