--- a/daemon/internal/process/server/server.go
+++ b/daemon/internal/process/server/server.go
@@ -10,6 +10,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -119,6 +120,12 @@
 	return w.ResponseWriter.Write(body)
 }
 
+// ReadFrom is for io.Copy, which otherwise allocates a buffer.
+func (w *responseWriter) ReadFrom(body io.Reader) (int64, error) {
+	w.prepareHead(http.StatusOK)
+	return io.Copy(w.ResponseWriter, body)
+}
+
 // Unwrap returns the underlying writer to http.ResponseController.
 func (w *responseWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
--- a/daemon/internal/request/dispatch/dispatch.go
+++ b/daemon/internal/request/dispatch/dispatch.go
@@ -209,6 +209,8 @@
 	digests []content.Digest
 	// bodyReader read the body, nil before that.
 	bodyReader *buffer.Body
+	// reserved is the size of the buffered responses in the memory budget.
+	reserved int
 	// deadline is the caller's or the route's, whichever is earlier.
 	deadline time.Time
 	// rank is the index of the request's urgency among those of its service, 0 for the
--- a/daemon/internal/request/dispatch/interrupt.go
+++ b/daemon/internal/request/dispatch/interrupt.go
@@ -112,6 +112,7 @@
 	if q.bodyReader != nil {
 		q.bodyReader.Release()
 	}
+	q.BufferBudget.Release(q.reserved)
 	if failure != nil {
 		panic(failure)
 	}
--- a/daemon/internal/request/dispatch/response.go
+++ b/daemon/internal/request/dispatch/response.go
@@ -32,8 +32,8 @@
 // can be retried if the response is truncated. Long responses are streamed instead.
 func (q *request) forwardBuffered(choice balance.Choice, response *http.Response) bool {
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBuffered))
-	if err == nil && len(body) == maxBuffered {
+	body, complete, err := q.bufferBody(response.Body)
+	if err == nil && !complete {
 		q.forwardLong(choice, response, body)
 		return true
 	}
@@ -66,6 +66,31 @@
 	return true
 }
 
+// bufferBody reads a body up to maxBuffered bytes, or as far as the memory budget allows, and reports whether that
+// is all of it. The buffer stays in the budget until the request ends.
+func (q *request) bufferBody(body io.Reader) (read []byte, complete bool, err error) {
+	const firstBuffer = 512
+	for len(read) < maxBuffered {
+		if len(read) == cap(read) {
+			size := max(firstBuffer, 2*cap(read))
+			if !q.BufferBudget.Reserve(size - cap(read)) {
+				return read, false, nil
+			}
+			q.reserved += size - cap(read)
+			read = append(make([]byte, 0, size), read...)
+		}
+		n, err := body.Read(read[len(read):cap(read)])
+		read = read[:len(read)+n]
+		if errors.Is(err, io.EOF) {
+			return read, true, nil
+		}
+		if err != nil {
+			return read, false, err
+		}
+	}
+	return read, false, nil
+}
+
 // forwardLong writes the first part of a long response and streams the rest. If the rest is
 // truncated, it closes the connection, so that the response does not look complete.
 func (q *request) forwardLong(choice balance.Choice, response *http.Response, first []byte) {
--- a/daemon/internal/request/dispatch/stream.go
+++ b/daemon/internal/request/dispatch/stream.go
@@ -16,7 +16,13 @@
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/exchange"
 )
 
-var errMissingEvent = errors.New("event missing from the stream")
+var (
+	errMissingEvent   = errors.New("event missing from the stream")
+	errRepeatedEvents = errors.New("the stream repeats events without end")
+)
+
+// maxRepeated bounds the repeated events of a stream in bytes, which callers do not get.
+const maxRepeated = 64 << 10
 
 // maxReadAhead is how many bytes a stream is read ahead of its caller.
 const maxReadAhead = 64 << 10
@@ -73,6 +79,8 @@
 	// lastID is the ID of the last forwarded event, if hasLastID.
 	lastID    int64
 	hasLastID bool
+	// repeated is the size in bytes of the events that were not forwarded because they were before.
+	repeated int
 	// lastWrite is when the last event was forwarded, or the stream started.
 	lastWrite time.Time
 }
@@ -85,7 +93,8 @@
 	watch := s.watchStall(ctx, response)
 	defer func() { watch.cancel() }()
 	attempt := s.answeredAttempt
-	events := exchange.NewEvents(response)
+	events := exchange.NewEvents(response, &s.BufferBudget)
+	defer events.Release()
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
@@ -124,6 +133,10 @@
 func (s *stream) forwardEvent(response *http.Response, event exchange.Event) error {
 	if event.HasID && s.hasLastID {
 		if event.ID <= s.lastID {
+			s.repeated += len(event.Bytes)
+			if s.repeated > maxRepeated {
+				return errRepeatedEvents
+			}
 			return nil
 		}
 		if event.ID != s.lastID+1 {
--- a/daemon/internal/request/exchange/events_test.go
+++ b/daemon/internal/request/exchange/events_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/assert"
 	"pgregory.net/rapid"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/request/buffer"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/exchange"
 )
 
@@ -31,7 +32,7 @@
 			response.Header.Set("Content-Type", "text/event-stream")
 		}
 
-		events, got := exchange.NewEvents(response), ""
+		events, got := exchange.NewEvents(response, &buffer.Budget{}), ""
 		var err error
 		for err == nil {
 			var event exchange.Event
--- a/daemon/router/endless_test.go
+++ b/daemon/router/endless_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -87,6 +88,12 @@
 	return most
 }
 
+// mostOpen returns the most bytes that were received on the connections that were open at the same time.
+func (d *countingDialer) mostOpen() int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.maxOpen
+}
 
 // endlessResponse starts a response and then repeats bytes until its connection closes.
 type endlessResponse struct {
@@ -157,6 +164,17 @@
 	}
 }
 
+func endlessEvents() map[string]endlessResponse {
+	unmarkedBody := func(body string) func(*http.Request) string {
+		return func(req *http.Request) string { return unmarked.head(req, 0) + body }
+	}
+	return map[string]endlessResponse{
+		"an event":        {start: unmarkedBody("id: 1\ndata: "), repeat: strings.Repeat("x", 16<<10), maxReceived: maxEvent},
+		"a slow event":    {start: unmarkedBody("id: 1\ndata: "), repeat: strings.Repeat("x", 16<<10), pause: 5 * time.Millisecond, maxReceived: maxEvent},
+		"repeated events": {start: unmarkedBody(""), repeat: strings.Repeat("id: 1\ndata: token\n\n", 1<<10), maxReceived: maxRepeated},
+	}
+}
+
 // startEndless starts a router with one upstream, and counts what it receives from it.
 func startEndless(t *testing.T, answer upstreamFunc, bounds settings.RouterBounds) (*countingDialer, settings.Router) {
 	t.Helper()
@@ -185,6 +203,9 @@
 	for name, response := range endlessResponses() {
 		cases[name], targets[name] = response, []string{"/unsafe/x", "/safe/x", "/stream/x"}
 	}
+	for name, response := range endlessEvents() {
+		cases[name], targets[name] = response, []string{"/stream/x"}
+	}
 	for name, response := range cases {
 		for _, target := range targets[name] {
 			t.Run(name+" "+target, func(t *testing.T) {
@@ -213,3 +234,54 @@
 		}
 	}
 }
+
+// startWithBudget starts a router whose budget for buffered bytes is one megabyte.
+func startWithBudget(t *testing.T, answer upstreamFunc) (*countingDialer, settings.Router) {
+	t.Helper()
+	return startEndless(t, answer, settings.RouterBounds{MemoryMB: 4})
+}
+
+const budgetBytes = 1 << 20
+
+// TestManyEndlessEventsStayInBudget guards against streams that each buffer one event, and together more than the
+// memory of the host.
+func TestManyEndlessEventsStayInBudget(t *testing.T) {
+	const callers = 60
+	d, cfg := startWithBudget(t, endlessEvents()["a slow event"].answer)
+	replies := make(chan reply, callers)
+	for i := range callers {
+		go func() { replies <- call(t, cfg, fmt.Sprint("id-", i), "POST", "/stream/x", "body") }()
+	}
+	for range callers {
+		<-replies
+	}
+	const unbudgeted = 32 << 10 // the first buffers of a stream, which most events fit in
+	assert.LessOrEqual(t, d.mostOpen(), int64(budgetBytes+callers*unbudgeted))
+}
+
+// TestManyBufferedResponsesStayInBudget guards against responses that are buffered until they are complete, and
+// together take more than the memory of the host. Once the budget is spent they are forwarded as they arrive.
+func TestManyBufferedResponsesStayInBudget(t *testing.T) {
+	const callers, bodyBytes = 48, 60 << 10
+	end := make(chan struct{})
+	_, cfg := startWithBudget(t, func(req *http.Request, conn net.Conn) {
+		_, _ = io.WriteString(conn, markedByChunks.head(req, 0)+markedByChunks.encode(strings.Repeat("x", bodyBytes)))
+		<-end
+		_, _ = io.WriteString(conn, "0\r\n\r\n")
+	})
+	var forwarded atomic.Int64
+	replies := make(chan reply, callers)
+	for i := range callers {
+		go func() {
+			replies <- callAndObserve(t, cfg, fmt.Sprint("id-", i), "POST", "/unsafe/x", "body", func() { forwarded.Add(1) })
+		}()
+	}
+	const buffered = budgetBytes / (64 << 10)
+	await(t, "heads are forwarded", func() bool { return forwarded.Load() >= callers-buffered })
+	close(end)
+	for range callers {
+		got := <-replies
+		assert.NoError(t, got.err)
+		assert.Len(t, got.body, bodyBytes)
+	}
+}
