--- a/daemon/internal/version/swarm/fromorigin.go
+++ b/daemon/internal/version/swarm/fromorigin.go
@@ -9,6 +9,7 @@
 	"github.com/wheelcleat/wheelcleat/daemon/internal/clock"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/version/rollout"
+	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
 // This file fetches from the origin the chunks that are assigned to this host.
@@ -40,6 +41,7 @@
 	defer f.release(index)
 	ctx, cancel := context.WithTimeout(ctx, chunkTimeout+f.CopyTime)
 	defer cancel()
+	ctx = provider.WithMaxBytes(ctx, int64(f.Copy.Manifest.ChunkBytes))
 	chunk, err := f.Origin.Chunk(ctx, f.OriginAddress, f.Model, f.Copy.Manifest.Version, index)
 	if err != nil {
 		return nil, err
--- a/daemon/provider/progress.go
+++ b/daemon/provider/progress.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"io"
 )
 
@@ -23,10 +25,28 @@
 	return func(int) {}
 }
 
-// ReadAll reads at most limit bytes of a response and reports progress. On an error it also
-// returns the bytes read so far.
+// ErrTooLarge means that a response is longer than its limit.
+var ErrTooLarge = errors.New("the response is larger than its limit")
+
+// sizeKey is the context key of the size limit.
+type sizeKey struct{}
+
+// WithMaxBytes returns a context whose calls accept responses of at most limit bytes; 0 adds no limit.
+func WithMaxBytes(ctx context.Context, limit int64) context.Context {
+	return context.WithValue(ctx, sizeKey{}, limit)
+}
+
+// ReadAll reads a response of at most limit bytes, or of the limit of the context if that is lower, and reports
+// progress. On an error, ErrTooLarge for a longer response, it also returns the bytes read so far.
 func ReadAll(ctx context.Context, body io.Reader, limit int64) ([]byte, error) {
-	return io.ReadAll(io.LimitReader(reportingReader{body, Progress(ctx)}, limit))
+	if lower, ok := ctx.Value(sizeKey{}).(int64); ok && lower > 0 {
+		limit = min(limit, lower)
+	}
+	data, err := io.ReadAll(io.LimitReader(reportingReader{body, Progress(ctx)}, limit+1))
+	if err == nil && int64(len(data)) > limit {
+		err = fmt.Errorf("%w of %d bytes", ErrTooLarge, limit)
+	}
+	return data, err
 }
 
 // reportingReader reports the bytes that are read through it.
