--- a/daemon/cmd/wheelcleatd/main.go
+++ b/daemon/cmd/wheelcleatd/main.go
@@ -15,6 +15,7 @@
 	"log"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -103,12 +104,38 @@
 	if err := p.start(); err != nil {
 		return err
 	}
+	limitMemory(memoryLimit(file))
 	followSettings(path, p, signals)
 	ctx, cancel := context.WithTimeout(context.Background(), p.drain)
 	defer cancel()
 	return p.stop(ctx)
 }
 
+// memoryLimit returns the memory limit of the process in MiB, 0 if it is not known.
+func memoryLimit(file settings.File) float64 {
+	switch {
+	case file.Router != nil:
+		return file.Router.Bounds.MemoryMB
+	case file.Loader != nil:
+		return file.Loader.Bounds.MemoryMB
+	default:
+		return 0
+	}
+}
+
+// heapShare is the share of the memory limit that the runtime may use before it collects garbage more often. The
+// rest is for data in socket buffers and for what is allocated during a collection.
+const heapShare = 0.75
+
+// limitMemory makes the runtime collect garbage before the process reaches a limit in MiB. By default the heap
+// grows to twice the live data, and the host would end the process.
+func limitMemory(limit float64) {
+	const mebibyte = 1 << 20
+	if limit > 0 {
+		debug.SetMemoryLimit(int64(limit * heapShare * mebibyte))
+	}
+}
+
 // settingsPath returns the path from the command line, or else from the environment.
 func settingsPath(command *cli.Command) (string, error) {
 	switch path := os.Getenv(settingsVariable); {
--- a/daemon/settings/router_loader.go
+++ b/daemon/settings/router_loader.go
@@ -130,6 +130,8 @@
 	VersionApply api.Duration `json:"versionApply,omitempty"`
 	// LinkMbps is the rate of the host's link in megabits per second; 0 means unknown.
 	LinkMbps float64 `json:"linkMbps,omitempty"`
+	// MemoryMB is the memory limit of the process in MiB; 0 means unknown.
+	MemoryMB float64 `json:"memoryMb,omitempty"`
 }
 
 // Defaults of the settings of routers and loaders.
@@ -198,6 +200,7 @@
 	}
 	c.duration("bounds.versionApply", l.Bounds.VersionApply)
 	c.notNegative("bounds.linkMbps", l.Bounds.LinkMbps)
+	c.notNegative("bounds.memoryMb", l.Bounds.MemoryMB)
 	c.duration("drain", l.Drain)
 	c.level(l.Log)
 	return c.fieldErrs
