--- a/daemon/internal/request/dispatch/close_test.go
+++ b/daemon/internal/request/dispatch/close_test.go
@@ -4,19 +4,61 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/livenessprobe"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/balance"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/process/replica"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/content"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/exchange"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
+// TestSuccessorAtAddressMeansCrash guards against a crash that looks like the end of a response, because its end was
+// read after another upstream had started at the address. The record of that one may arrive later.
+func TestSuccessorAtAddressMeansCrash(t *testing.T) {
+	address := netip.MustParseAddrPort("127.0.0.1:1")
+	at := func(id string, second int64) *provider.Upstream {
+		return &provider.Upstream{ID: id, Started: time.Unix(second, 0), Service: "s", Address: address}
+	}
+	list := func(upstreams ...*provider.Upstream) *replica.View {
+		return &replica.View{Upstreams: map[string][]*provider.Upstream{"s": upstreams}}
+	}
+	sentTo, previous := at("u1", 10), at("u0", 5)
+	elsewhere := &provider.Upstream{ID: "u9", Service: "s", Address: netip.MustParseAddrPort("127.0.0.1:2")}
+	successors := map[string]*provider.Upstream{"another ID": at("u2", 20), "the same ID": at("u1", 20), "another service": {ID: "u3", Service: "x", Address: address}}
+	for name, successor := range successors {
+		t.Run(name, func(t *testing.T) {
+			before, after := list(previous, sentTo), list(previous, sentTo, elsewhere, successor)
+			checks, delay := 0, 0
+			q := &request{
+				Dispatcher: &Dispatcher{View: func() *replica.View {
+					checks++
+					if checks > delay {
+						return after
+					}
+					return before
+				}},
+				Request: httptest.NewRequest("GET", "/", nil), view: before,
+			}
+			assert.True(t, q.replaced(sentTo, false))
+			checks, delay = 0, 2
+			assert.False(t, q.replaced(sentTo, false), "the end was read at once")
+			checks = 0
+			assert.True(t, q.replaced(sentTo, true))
+			assert.False(t, q.replaced(successor, false), "the request was sent to the successor")
+			after = list(sentTo, elsewhere)
+			assert.False(t, q.replaced(sentTo, false))
+		})
+	}
+}
+
 // TestUnconfirmedEndDoesNotClearContent guards against a crash behind a cut link that clears the
 // content which caused it.
 func TestUnconfirmedEndDoesNotClearContent(t *testing.T) {
--- a/daemon/internal/request/dispatch/response.go
+++ b/daemon/internal/request/dispatch/response.go
@@ -32,13 +32,14 @@
 // can be retried if the response is truncated. Long responses are streamed instead.
 func (q *request) forwardBuffered(choice balance.Choice, response *http.Response) bool {
 	defer func() { _ = response.Body.Close() }()
+	end := watchEnd(response)
 	body, complete, err := q.bufferBody(response.Body)
 	if err == nil && !complete {
-		q.forwardLong(choice, response, body)
+		q.forwardLong(choice, response, body, end)
 		return true
 	}
 	if err == nil {
-		err = q.checkClose(choice, response)
+		err = q.checkClose(choice, end)
 	}
 	if err != nil {
 		err = fmt.Errorf("response from %s truncated: %w", choice.Upstream.ID, err)
@@ -93,7 +94,7 @@
 
 // forwardLong writes the first part of a long response and streams the rest. If the rest is
 // truncated, it closes the connection, so that the response does not look complete.
-func (q *request) forwardLong(choice balance.Choice, response *http.Response, first []byte) {
+func (q *request) forwardLong(choice balance.Choice, response *http.Response, first []byte, end *unmarkedBody) {
 	q.copyHeader(response)
 	if response.ContentLength >= 0 {
 		q.writer.Header().Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
@@ -104,7 +105,7 @@
 		_, err = io.Copy(q.writer, response.Body)
 	}
 	if err == nil {
-		err = q.checkClose(choice, response)
+		err = q.checkClose(choice, end)
 	}
 	if err != nil {
 		err = fmt.Errorf("response from %s truncated: %w", choice.Upstream.ID, err)
--- a/daemon/internal/request/dispatch/stream.go
+++ b/daemon/internal/request/dispatch/stream.go
@@ -88,6 +88,7 @@
 // copyEvents forwards one upstream's events until its stream ends; a nil error means a complete
 // stream. If the stream has resumed at another upstream meanwhile, it returns the resumption.
 func (s *stream) copyEvents(ctx context.Context, choice balance.Choice, response *http.Response) (*resumption, error) {
+	end := watchEnd(response)
 	response.Body = buffer.Prefetch(response.Body, &s.BufferBudget, maxReadAhead)
 	defer func() { _ = response.Body.Close() }()
 	watch := s.watchStall(ctx, response)
@@ -98,7 +99,7 @@
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			state := s.probeAfterClose(choice, response)
+			state := s.probeAfterClose(choice, end)
 			if state != livenessprobe.Crashed {
 				watch.stop().discard()
 				s.trace.Attempts[attempt].AfterClose = state
--- a/daemon/router/close_test.go
+++ b/daemon/router/close_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -104,6 +105,48 @@
 	}
 }
 
+// TestCrashBehindSlowCallerIsNoticed guards against a truncated response that looks complete, because the upstream
+// crashed and its successor had started at the address before the caller read on.
+func TestCrashBehindSlowCallerIsNoticed(t *testing.T) {
+	for target, part := range map[string]string{"/safe/long": strings.Repeat("x", 1<<20), "/stream/x": strings.Repeat("data: token\n\n", 64<<10)} {
+		t.Run(target, func(t *testing.T) {
+			crashed := make(chan struct{})
+			var requests atomic.Int64
+			s, u, cfg := startServing(t, "u1", func(req *http.Request, conn net.Conn) {
+				if requests.Add(1) > 1 {
+					closeConnection(req, conn) // the stream does not resume
+					return
+				}
+				_, _ = io.WriteString(conn, unmarked.head(req, 0))
+				const full = 300 * time.Millisecond // more than the caller's connection and this one hold takes longer
+				for {
+					_ = conn.SetWriteDeadline(time.Now().Add(full))
+					if n, err := io.WriteString(conn, part); err != nil {
+						_, _ = io.WriteString(conn, part[n:])
+						break
+					}
+				}
+				_ = conn.Close()
+				close(crashed)
+			})
+			reached := make(chan struct{})
+			got := make(chan reply, 1)
+			go func() {
+				got <- callAndObserve(t, cfg, "id-1", "POST", target, "body", func() {
+					close(reached)
+					<-crashed
+					successor := u.record()
+					successor.ID = "u2"
+					s.register(successor)
+					awaitListed(s, cfg, "u/u2")
+				})
+			}()
+			<-reached
+			assert.Error(t, (<-got).err, "the response must not look complete")
+		})
+	}
+}
+
 // TestCrashDoesNotLookLikeCompleteResponse guards against a crash that clears the content which
 // caused it, because the end of the connection was taken for the end of the response.
 func TestCrashDoesNotLookLikeCompleteResponse(t *testing.T) {
