--- a/daemon/internal/connection/dial/hosts.go
+++ b/daemon/internal/connection/dial/hosts.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"syscall"
 	"time"
 
@@ -43,6 +45,15 @@
 	}
 }
 
+// CloseIdleAfterTimeout closes the idle connections of a client after a call that timed out. What silenced the
+// connection of that call may have silenced the idle ones too, which nothing shows before the next call over one
+// of them times out as well.
+func CloseIdleAfterTimeout(client *http.Client, err error) {
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded) {
+		client.CloseIdleConnections()
+	}
+}
+
 // setUserTimeout sets TCP_USER_TIMEOUT on a socket before it connects.
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var optErr error
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -172,7 +172,7 @@
 	breaker := &replica.CircuitBreaker{}
 	follower := func(prefix string) *replica.Follower {
 		return &replica.Follower{
-			Store: p.provider.Store, Prefix: prefix, Table: p.table, OnConnectionChange: p.telemetry.LogStoreConnection,
+			Store: p.provider.Store, Prefix: prefix, Table: p.table, OnConnectionChange: p.storeConnectionChanged,
 			Breaker: breaker,
 		}
 	}
@@ -201,7 +201,19 @@
 
 // newRouterClient returns a client of this hall's routers for one follower.
 func (p *Process) newRouterClient() *peering.Neighbours {
-	return &peering.Neighbours{Client: p.client, Choose: p.chooseRouter, MinEra: p.table.Era, OnBackoff: p.telemetry.LogNeighbourBackoff}
+	return &peering.Neighbours{Client: p.client, Choose: p.chooseRouter, MinEra: p.table.Era, OnBackoff: p.routerFailed}
+}
+
+// routerFailed is called when a call to a router has failed.
+func (p *Process) routerFailed(router netip.AddrPort, reason error) {
+	p.telemetry.LogNeighbourBackoff(router, reason)
+	dial.CloseIdleAfterTimeout(p.client, reason)
+}
+
+// storeConnectionChanged is called when calls to the store begin to fail, and when they succeed again.
+func (p *Process) storeConnectionChanged(prefix string, cause error) {
+	p.telemetry.LogStoreConnection(prefix, cause)
+	dial.CloseIdleAfterTimeout(p.client, cause)
 }
 
 // routersDelay returns the delay before the hall's routers are listed again, which is short
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -163,18 +163,26 @@
 // initReplication prepares the store follower, the fallback to peers and the announcement of this
 // router.
 func (p *Process) initReplication(client *http.Client) {
-	p.neighbours = &peering.Neighbours{Client: client, Choose: p.neighbourToFollow, DeferStoreRead: p.defersStoreRead, MinEra: p.table.Era, OnBackoff: p.telemetry.LogNeighbourBackoff}
+	p.neighbours = &peering.Neighbours{Client: client, Choose: p.neighbourToFollow, DeferStoreRead: p.defersStoreRead, MinEra: p.table.Era}
+	p.neighbours.OnBackoff = func(neighbour netip.AddrPort, reason error) {
+		p.telemetry.LogNeighbourBackoff(neighbour, reason)
+		dial.CloseIdleAfterTimeout(client, reason)
+	}
+	connectionChanged := func(prefix string, cause error) {
+		p.recorder.storeConnectionChanged(prefix, cause)
+		dial.CloseIdleAfterTimeout(client, cause)
+	}
 	own := p.memberRecord()
 	shardPrefix, hallPrefix := p.provider.Prefixes.MembersOfHall(own.Hall, own.Shard), p.provider.Prefixes.MembersOfHall(own.Hall, "")
 	p.follower = &replica.Follower{
-		Store: p.provider.Store, Prefix: p.provider.Prefixes.Root, Table: p.table, OnConnectionChange: p.recorder.storeConnectionChanged,
+		Store: p.provider.Store, Prefix: p.provider.Prefixes.Root, Table: p.table, OnConnectionChange: connectionChanged,
 		OnBytes: p.recorder.storeBytes, OnRestore: p.storeRestored, Debounce: p.debounce, ProbeInterval: storeProbeInterval, ProbePrefix: p.provider.Prefixes.Versions,
 		QueryPeer: p.neighbours.FetchUpdate, BootstrapPrefixes: []string{shardPrefix, hallPrefix}, BootstrapRecent: p.hallDiscovered, BootstrapDone: p.followsPeer,
 	}
 	p.puller = &peering.Puller{
 		Client: client, Follower: p.follower, Peer: p.choosePeer, Needed: p.needsPeerPull, OnPull: p.recorder.peerPulled, FirstPrefix: hallPrefix,
 	}
-	p.announcer = &announcer{store: p.provider.Store, onConnectionChange: p.recorder.storeConnectionChanged, put: p.provider.EncodeMember(own), lost: make(chan struct{}, 1)}
+	p.announcer = &announcer{store: p.provider.Store, onConnectionChange: connectionChanged, put: p.provider.EncodeMember(own), lost: make(chan struct{}, 1)}
 }
 
 // memberRecord returns the record under which this router announces itself.
