--- a/daemon/internal/process/server/connections.go
+++ b/daemon/internal/process/server/connections.go
@@ -25,10 +25,15 @@
 	closed map[net.Conn]bool
 	// drained is closed once no connection remains; nil while no caller waits for that.
 	drained chan struct{}
+	// limit is the number of connections above which idle ones are closed; 0 means unlimited. It is set
+	// before the first connection.
+	limit int
 }
 
 type connection struct {
 	state http.ConnState
+	// since is when the state changed.
+	since time.Time
 	// checks counts the idle checks since the state changed.
 	checks int
 }
@@ -40,10 +45,38 @@
 	if c.tracked == nil {
 		c.tracked = map[net.Conn]connection{}
 	}
-	c.tracked[conn] = connection{state: state}
-	if state == http.StateClosed || state == http.StateHijacked {
+	c.tracked[conn] = connection{state: state, since: time.Now()}
+	switch {
+	case state == http.StateClosed || state == http.StateHijacked:
 		c.remove(conn)
 		delete(c.closed, conn)
+	case state == http.StateNew && c.limit > 0 && len(c.tracked) > c.limit:
+		c.closeLongestIdle()
+	}
+}
+
+// closeLongestIdle closes the connection that has been idle for the longest time, so that a new caller finds room.
+// The caller holds mu.
+func (c *connections) closeLongestIdle() {
+	var longest net.Conn
+	for conn, tracked := range c.tracked {
+		if tracked.state == http.StateIdle && (longest == nil || tracked.since.Before(c.tracked[longest].since)) {
+			longest = conn
+		}
+	}
+	if longest != nil && !hasUnreadData(longest) {
+		c.closeConn(longest)
+	}
+}
+
+// closeIdleSince closes the connections that have been idle since a time or longer.
+func (c *connections) closeIdleSince(since time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn, tracked := range c.tracked {
+		if tracked.state == http.StateIdle && !tracked.since.After(since) && !hasUnreadData(conn) {
+			c.closeConn(conn)
+		}
 	}
 }
 
--- a/daemon/internal/process/server/server.go
+++ b/daemon/internal/process/server/server.go
@@ -14,6 +14,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -40,6 +41,9 @@
 	listener    *net.TCPListener
 	idleTimeout time.Duration
 	conns       connections
+	// keepAlive is how long connections may be idle, in nanoseconds, and keepAliveOnce starts its enforcement.
+	keepAlive     atomic.Int64
+	keepAliveOnce sync.Once
 	// keepAlivesDisabled makes responses close their connections.
 	keepAlivesDisabled atomic.Bool
 	done               chan struct{}
@@ -56,6 +60,9 @@
 	IdleTimeout time.Duration
 	// KeepAlive is how long a connection is kept open between two requests; 0 means 5 minutes.
 	KeepAlive time.Duration
+	// MaxConns is the number of connections above which a new one makes the server close the one that has been
+	// idle for the longest time; 0 means unlimited. Idle callers could use up all descriptors otherwise.
+	MaxConns int
 }
 
 // Listen binds the address and serves in a goroutine.
@@ -71,6 +78,7 @@
 	s := &Server{
 		Address: bound.AddrPort(), listener: listener, idleTimeout: helpers.OrDefault(options.IdleTimeout, defaultIdleTimeout), done: make(chan struct{}),
 	}
+	s.conns.limit = options.MaxConns
 	s.http = &http.Server{
 		Handler: s.closeWhenDraining(options.Handler), ConnState: s.conns.setState, MaxHeaderBytes: options.MaxHeaderBytes,
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: helpers.OrDefault(options.KeepAlive, defaultKeepAlive),
@@ -85,6 +93,27 @@
 	return s, nil
 }
 
+// keepAliveCheckInterval is the interval of checks for connections that have been idle for too long.
+const keepAliveCheckInterval = 500 * time.Millisecond
+
+// SetKeepAlive changes how long a connection may be idle between two requests. 0 restores the option KeepAlive, which
+// is the longest time in any case.
+func (s *Server) SetKeepAlive(keepAlive time.Duration) {
+	s.keepAlive.Store(int64(keepAlive))
+	if keepAlive > 0 {
+		s.keepAliveOnce.Do(func() { go s.enforceKeepAlive() })
+	}
+}
+
+// enforceKeepAlive closes idle connections until the listener is closed; Shutdown closes the others.
+func (s *Server) enforceKeepAlive() {
+	for helpers.Pause(keepAliveCheckInterval, s.done) {
+		if keepAlive := time.Duration(s.keepAlive.Load()); keepAlive > 0 {
+			s.conns.closeIdleSince(time.Now().Add(-keepAlive))
+		}
+	}
+}
+
 // connectionKey is the key of a request's connection in its context.
 type connectionKey struct{}
 
--- a/daemon/provider/configuration.go
+++ b/daemon/provider/configuration.go
@@ -128,6 +128,8 @@
 // Limits bound the requests of callers.
 type Limits struct {
 	MaxBodyBytes int64
+	// IdleTimeout is how long a caller's connection may be idle; 0 means the router's default.
+	IdleTimeout time.Duration
 }
 
 // Upstream is the record that an upstream keeps of itself in the store.
--- a/daemon/router/listeners.go
+++ b/daemon/router/listeners.go
@@ -1,10 +1,12 @@
 package router
 
 import (
+	"math"
 	"net/http"
 	"time"
 
 	"github.com/uptrace/bunrouter"
+	"golang.org/x/sys/unix"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/clock"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/dial"
@@ -25,6 +27,7 @@
 	}{
 		{&p.callers, server.Options{
 			Name: "callers", Address: p.current.Load().Listen.Callers, Handler: p.dispatcher(), MaxHeaderBytes: maxHeaderBytes,
+			MaxConns: p.maxCallerConns(),
 		}},
 		{&p.ready, server.Options{Name: "readiness", Address: p.current.Load().Listen.Ready, Handler: p.readinessHandler()}},
 		{&p.peers, server.Options{Name: "peers", Address: p.current.Load().Listen.Peers, Handler: p.peerHandler()}},
@@ -74,6 +77,17 @@
 	return int64(p.current.Load().Bounds.MemoryMB) * megabyte / divisor
 }
 
+// maxCallerConns returns the number of callers' connections above which idle ones are closed, or 0 for no bound: three
+// quarters of the descriptors, since requests in progress need connections to upstreams too.
+func (p *Process) maxCallerConns() int {
+	descriptors := p.current.Load().Bounds.MaxDescriptors
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err == nil && limit.Cur <= math.MaxInt32 && (descriptors == 0 || int(limit.Cur) < descriptors) {
+		descriptors = int(limit.Cur)
+	}
+	return descriptors * 3 / 4
+}
+
 // versionPolicy returns the versions of a model on which requests may run that arrive after a delay.
 func (p *Process) versionPolicy(declared *replica.Declaration, delay time.Duration) replica.VersionPolicy {
 	return declared.VersionPolicy(clock.Now().Add(delay), p.current.Load().Bounds.VersionApply.Std())
--- a/daemon/router/upstreams.go
+++ b/daemon/router/upstreams.go
@@ -16,8 +16,11 @@
 	if p.compiler.HasExpired() && p.recheckScheduled.CompareAndSwap(false, true) {
 		time.AfterFunc(expiredRecheckDelay, p.recheckExpired)
 	}
-	if p.compiler.View().Configuration != nil && !p.draining.Load() {
-		p.telemetry.SetReady()
+	if configuration := p.compiler.View().Configuration; configuration != nil {
+		p.callers.SetKeepAlive(configuration.Limits.IdleTimeout)
+		if !p.draining.Load() {
+			p.telemetry.SetReady()
+		}
 	}
 	port := p.current.Load().LoaderPort
 	if port == 0 {
--- a/daemon/settings/router_loader.go
+++ b/daemon/settings/router_loader.go
@@ -76,6 +76,9 @@
 	LinkMbps float64 `json:"linkMbps,omitempty"`
 	// MemoryMB is the memory limit of the process in MiB; 0 means unknown.
 	MemoryMB float64 `json:"memoryMb,omitempty"`
+	// MaxDescriptors is the number of file descriptors that the process may open; 0 means that of the
+	// operating system.
+	MaxDescriptors int `json:"maxDescriptors,omitempty"`
 }
 
 // Balance holds the settings of the choice of upstreams.
@@ -178,6 +181,7 @@
 	c.duration("bounds.versionApply", r.Bounds.VersionApply)
 	c.notNegative("bounds.linkMbps", r.Bounds.LinkMbps)
 	c.notNegative("bounds.memoryMb", r.Bounds.MemoryMB)
+	c.notNegative("bounds.maxDescriptors", float64(r.Bounds.MaxDescriptors))
 	c.duration("bounds.retryWindow", r.Bounds.RetryWindow)
 	c.notNegative("bounds.retryRatio", r.Bounds.RetryRatio)
 	c.notNegative("bounds.retrySlack", r.Bounds.RetrySlack)
