--- a/daemon/internal/process/server/server_test.go
+++ b/daemon/internal/process/server/server_test.go
@@ -24,15 +24,31 @@
 
 func startWithKeepAlive(t *testing.T, keepAlive time.Duration) *server.Server {
 	t.Helper()
-	s, err := server.Listen(server.Options{
-		Name: "callers", Address: netip.MustParseAddrPort("127.0.0.1:0"), IdleTimeout: time.Minute, KeepAlive: keepAlive,
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }),
-	})
+	return listen(t, server.Options{IdleTimeout: time.Minute, KeepAlive: keepAlive, Handler: http.HandlerFunc(serveOK)})
+}
+
+// listen starts a server on a free port.
+func listen(t *testing.T, options server.Options) *server.Server {
+	t.Helper()
+	options.Name, options.Address = "callers", netip.MustParseAddrPort("127.0.0.1:0")
+	s, err := server.Listen(options)
 	require.NoError(t, err)
 	t.Cleanup(s.Close)
 	return s
 }
 
+func serveOK(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }
+
+// blockingHandler serves "ok" once release is closed. It closes started when a request has arrived.
+func blockingHandler() (handler http.Handler, started, release chan struct{}) {
+	started, release = make(chan struct{}), make(chan struct{})
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		close(started)
+		<-release
+		serveOK(w, r)
+	}), started, release
+}
+
 func dial(t *testing.T, s *server.Server) net.Conn {
 	t.Helper()
 	conn, err := net.Dial("tcp", s.Address.String())
@@ -95,17 +111,8 @@
 // Guards against callers that keep a connection to a stopping server, because their request arrived before the
 // stop and the response was written after it.
 func TestResponseToEarlierRequestClosesConnection(t *testing.T) {
-	started, release := make(chan struct{}), make(chan struct{})
-	s, err := server.Listen(server.Options{
-		Name: "callers", Address: netip.MustParseAddrPort("127.0.0.1:0"),
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			close(started)
-			<-release
-			_, _ = io.WriteString(w, "ok")
-		}),
-	})
-	require.NoError(t, err)
-	t.Cleanup(s.Close)
+	handler, started, release := blockingHandler()
+	s := listen(t, server.Options{Handler: handler})
 	conn := dial(t, s)
 	go func() {
 		<-started
@@ -118,19 +125,10 @@
 // Guards against idle connections that stay open while another one is active: their callers
 // would send new requests on them until the shutdown's deadline.
 func TestShutdownClosesIdleConnections(t *testing.T) {
-	started, release := make(chan struct{}), make(chan struct{})
-	s, err := server.Listen(server.Options{
-		Name: "callers", Address: netip.MustParseAddrPort("127.0.0.1:0"), IdleTimeout: time.Millisecond,
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			close(started)
-			<-release
-			_, _ = io.WriteString(w, "ok")
-		}),
-	})
-	require.NoError(t, err)
-	t.Cleanup(s.Close)
+	handler, started, release := blockingHandler()
+	s := listen(t, server.Options{IdleTimeout: time.Millisecond, Handler: handler})
 	idle, busy := dial(t, s), dial(t, s)
-	_, err = io.WriteString(busy, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	_, err := io.WriteString(busy, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
 	require.NoError(t, err)
 	<-started
 	done := shutdown(t, s)
@@ -147,12 +145,7 @@
 // descriptor for others, while its readiness check succeeds on an open connection.
 func TestIdleCallersDoNotKeepOthersOut(t *testing.T) {
 	const maxConns = 3
-	s, err := server.Listen(server.Options{
-		Name: "callers", Address: netip.MustParseAddrPort("127.0.0.1:0"), MaxConns: maxConns,
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }),
-	})
-	require.NoError(t, err)
-	t.Cleanup(s.Close)
+	s := listen(t, server.Options{MaxConns: maxConns, Handler: http.HandlerFunc(serveOK)})
 	var conns []net.Conn
 	for range maxConns + 2 {
 		conn := dial(t, s)
