--- a/daemon/internal/connection/upstream/transport.go
+++ b/daemon/internal/connection/upstream/transport.go
@@ -34,10 +34,10 @@
 		IdleConnTimeout:       idleTimeout,
 		ExpectContinueTimeout: continueTimeout,
 		DisableCompression:    true,
+		WriteBufferSize:       16 << 10,
+		ReadBufferSize:        16 << 10,
 
 		MaxResponseHeaderBytes: dial.MaxResponseHead,
-		WriteBufferSize:        16 << 10,
-		ReadBufferSize:         16 << 10,
 	}
 }
 
--- a/daemon/internal/process/drain/drain.go
+++ b/daemon/internal/process/drain/drain.go
@@ -75,8 +75,8 @@
 	}
 }
 
-// Accepts reports whether a request that has arrived may begin: it is expected to take a time, and certain to
-// end by its deadline. Once callers can open no connections only the deadline counts, because refusing the
+// Accepts reports whether a request that has arrived may begin, by the time that it is expected to take and its
+// deadline, which ends it for certain. Once callers can open no connections only the deadline counts, because refusing the
 // request costs its caller no more than a new connection.
 func (d *Drain) Accepts(expected time.Duration, deadline time.Time) bool {
 	if d == nil {
--- a/daemon/internal/version/reconcile/reconcile.go
+++ b/daemon/internal/version/reconcile/reconcile.go
@@ -5,9 +5,10 @@
 // host.
 //
 // The package is a reconciliation loop: each round starts from the engine's own report
-// and compares it with the declared versions. Nothing depends on the response to an
-// order, so a lost response, a restarted engine and a restarted loader need no handling
-// of their own.
+// and compares it with the declared versions. The response to an order does not tell what
+// the engine holds, so a restarted engine and a restarted loader need no handling of their
+// own. A lost response only delays calls for another version, because the engine may still
+// carry out the order.
 package reconcile
 
 import (
