Log why an upstream without a record is used, and the state of a drain

What the log told of a request to an upstream that has left did not show whether the router knew of the removal, kept the upstream on purpose, or sent all the same; and nothing told how long a request that a stop cut had been expected to take.

Lines of changes have the time since the last answer (gap), the routers passed (hops), and for removals keptFor and keptAfter; attempts have the revision of the record and the time since its removal; a line ends each grace period. Requests that arrive in a stop have drainLeft and expected. New counters: upstreams_kept{after}, sends_kept.

--- a/daemon/internal/process/drain/drain.go
+++ b/daemon/internal/process/drain/drain.go
@@ -90,6 +90,16 @@
 	return !d.closed && d.fits(expected)
 }
 
+// Remaining returns the time until all work must be done, and false if the process is not stopping.
+func (d *Drain) Remaining() (time.Duration, bool) {
+	if d == nil {
+		return 0, false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return clock.Until(d.end), !d.end.IsZero()
+}
+
 // Fits reports whether work that is expected to take a time ends before the drain does.
 func (d *Drain) Fits(expected time.Duration) bool {
 	if d == nil {
--- a/daemon/internal/process/drain/drain_test.go
+++ b/daemon/internal/process/drain/drain_test.go
@@ -63,3 +63,14 @@
 	<-waiting.Done()
 	assert.False(t, d.Fits(0))
 }
+
+func TestRemainingIsKnownInDrain(t *testing.T) {
+	var d drain.Drain
+	_, stopping := d.Remaining()
+	assert.False(t, stopping)
+	begin(t, &d, time.Minute)
+	remaining, stopping := d.Remaining()
+	assert.True(t, stopping)
+	assert.Positive(t, remaining)
+	assert.Less(t, remaining, time.Minute, "responses need time to reach callers")
+}
--- a/daemon/internal/process/replica/follower.go
+++ b/daemon/internal/process/replica/follower.go
@@ -131,6 +131,8 @@
 	// answer may still prove to be an error. All are nanoseconds of the monotonic clock
 	// since start; 0 means never.
 	lastAnswer, lastData, reconnectedAt, currentData atomic.Int64
+	// answerGap is the time between the last two complete answers, in nanoseconds.
+	answerGap atomic.Int64
 	// failures counts the consecutive failed calls to the store.
 	failures atomic.Int64
 	start    time.Time
@@ -161,6 +163,10 @@
 	return f.elapsed() - time.Duration(f.lastAnswer.Load())
 }
 
+// AnswerGap returns the time between the last two answers of the store or a peer, within which what
+// the later one contains has changed.
+func (f *Follower) AnswerGap() time.Duration { return time.Duration(f.answerGap.Load()) }
+
 // SinceReconnect returns the time since the store last answered after a failure. It
 // returns false if there was no such answer.
 func (f *Follower) SinceReconnect() (time.Duration, bool) {
@@ -415,6 +421,9 @@
 // because how a removal is treated depends on whether the store was unreachable.
 func (f *Follower) recordAnswer(answerAge, dataAge time.Duration) {
 	now := f.elapsed()
+	if previous := f.lastAnswer.Load(); previous != 0 {
+		f.answerGap.Store(max(int64(now)-previous, 0))
+	}
 	f.lastAnswer.Store(max(f.lastAnswer.Load(), int64(now-answerAge), 1))
 	f.lastData.Store(max(f.lastData.Load(), int64(now-dataAge), 1))
 	if f.failing {
--- a/daemon/internal/process/replica/view.go
+++ b/daemon/internal/process/replica/view.go
@@ -108,6 +108,9 @@
 	Decode func(provider.Entry) (provider.Record, error)
 	// OnEntryChange is called for each changed entry. It may be nil.
 	OnEntryChange func(EntryChange)
+	// OnKeptEnd is called for each upstream that stayed in use after its entry was removed, once its
+	// entry is back or its grace period is over. It may be nil.
+	OnKeptEnd func(upstream *provider.Upstream, registered bool)
 	// OnSuspect receives the routers' encoded reports about quarantined contents. It may be
 	// nil.
 	OnSuspect func(report []byte) error
@@ -191,8 +194,21 @@
 	Err    error
 	// Dropped is set if the upstream or router that the entry named is no longer in use.
 	Dropped bool
+	// Kept is how long the upstream of a removed entry stays in use, and KeepReason why, 0 and empty
+	// if it does not.
+	Kept       time.Duration
+	KeepReason KeepReason
 }
 
+// KeepReason is why an upstream stays in use for a while after its entry was removed.
+type KeepReason string
+
+// Values of KeepReason.
+const (
+	KeepAfterOutage  KeepReason = "outage"  // the entry may have expired while the store was unreachable
+	KeepAfterRestore KeepReason = "restore" // the entry may have been lost when the store was restored from a copy
+)
+
 // View returns the newest view; it is never nil.
 func (c *Compiler) View() *View {
 	if view := c.view.Load(); view != nil {
@@ -251,8 +267,13 @@
 // over.
 func (c *Compiler) pruneExpired() {
 	for key, upstream := range c.expired {
-		if _, registered := c.upstreams[key]; registered || !c.now().Before(upstream.until) {
-			delete(c.expired, key)
+		_, registered := c.upstreams[key]
+		if !registered && c.now().Before(upstream.until) {
+			continue
+		}
+		delete(c.expired, key)
+		if c.OnKeptEnd != nil {
+			c.OnKeptEnd(upstream.Upstream, registered)
 		}
 	}
 	for key, member := range c.lostMembers {
@@ -290,12 +311,13 @@
 // applyEntry applies one changed entry.
 func (c *Compiler) applyEntry(next *View, entry provider.Entry) {
 	if entry.Deleted {
-		c.keepExpired(entry.Key)
+		change := EntryChange{Entry: entry}
+		change.Kept, change.KeepReason = c.keepExpired(entry.Key)
 		c.forgetLeft(entry.Key)
 		delete(c.upstreams, entry.Key)
 		delete(c.members, entry.Key)
 		delete(c.evacuated, entry.Key)
-		c.report(EntryChange{Entry: entry})
+		c.report(change)
 		return
 	}
 	record, err := c.Decode(entry)
@@ -313,6 +335,7 @@
 		if record.Upstream.ColdFor > 0 {
 			record.Upstream.ColdUntil = c.now().Add(record.Upstream.ColdFor)
 		}
+		record.Upstream.Revision = entry.Revision
 		c.keepLeaving(record.Upstream)
 		c.upstreams[entry.Key] = registeredUpstream{record.Upstream, helpers.OrDefault(entry.CreateRevision, entry.Revision)}
 	case record.Target != nil:
@@ -340,19 +363,28 @@
 }
 
 // keepExpired keeps an upstream whose entry is removed, if the entry may only have
-// expired.
-func (c *Compiler) keepExpired(key string) {
-	upstream, ok := c.upstreams[key]
+// expired, and returns for how long and why.
+func (c *Compiler) keepExpired(key string) (kept time.Duration, reason KeepReason) {
 	mayBeLost := c.MayBeLost != nil && c.MayBeLost()
-	switch {
-	case ok && !upstream.Leaving && mayBeLost:
-		c.expired[key] = expiredUpstream{registeredUpstream: upstream, until: c.now().Add(restoreGrace)}
-	case ok && !upstream.Leaving && c.MayHaveExpired != nil && c.MayHaveExpired():
-		c.expired[key] = expiredUpstream{registeredUpstream: upstream, until: c.now().Add(expiryGrace)}
-	}
 	if member := c.members[key]; member != nil && mayBeLost {
 		c.lostMembers[key] = lostMember{Member: member, until: c.now().Add(memberRestoreGrace)}
 	}
+	upstream, ok := c.upstreams[key]
+	switch {
+	case !ok || upstream.Leaving:
+		return 0, ""
+	case mayBeLost:
+		kept, reason = restoreGrace, KeepAfterRestore
+	case c.MayHaveExpired != nil && c.MayHaveExpired():
+		kept, reason = expiryGrace, KeepAfterOutage
+	default:
+		return 0, ""
+	}
+	copied := *upstream.Upstream
+	copied.KeptSince = c.now()
+	upstream.Upstream = &copied
+	c.expired[key] = expiredUpstream{registeredUpstream: upstream, until: c.now().Add(kept)}
+	return kept, reason
 }
 
 // keepLeaving marks an upstream as leaving if an earlier record of the same run did.
--- a/daemon/internal/request/dispatch/admit.go
+++ b/daemon/internal/request/dispatch/admit.go
@@ -57,7 +57,11 @@
 	q.trace.RemainingTime, q.trace.Retried = q.retryState()
 	q.setRank()
 	q.priority = q.queuePriority()
-	if !q.Drain.Accepts(q.expectedDuration(), q.deadline) {
+	expected := q.expectedDuration()
+	if remaining, stopping := q.Drain.Remaining(); stopping {
+		q.trace.Drain = &DrainState{Remaining: remaining, Expected: expected}
+	}
+	if !q.Drain.Accepts(expected, q.deadline) {
 		q.refuseStopping("it may not end before this router does")
 		return false
 	}
--- a/daemon/internal/request/dispatch/dispatch.go
+++ b/daemon/internal/request/dispatch/dispatch.go
@@ -125,10 +125,19 @@
 	// whether it may have been out of date.
 	Configuration provider.Revision
 	Stale         bool
+	// Drain is set if the process was stopping when the request arrived.
+	Drain *DrainState
 	// RemainingRetries is what remained of this process's retry budget for the service.
 	RemainingRetries float64
 }
 
+// DrainState is what decided whether a request begins at a stopping process.
+type DrainState struct {
+	// Remaining is the time until the process ends its work, and Expected how long the request was
+	// expected to take.
+	Remaining, Expected time.Duration
+}
+
 // Attempt is one send of a request to an upstream.
 type Attempt struct {
 	Upstream string         `json:"upstream"`
@@ -146,8 +155,12 @@
 	// ended with its connection, and empty for other responses.
 	AfterClose livenessprobe.State `json:"afterClose,omitempty"`
 	Version    int                 `json:"version,omitempty"`
-	InFlight   int                 `json:"inFlight"`
-	Candidates int                 `json:"candidates"`
+	// Record is the revision of the upstream's record by which it was chosen, without its era, and
+	// Kept how long the record had been removed.
+	Record     uint64        `json:"record"`
+	Kept       time.Duration `json:"kept,omitempty"`
+	InFlight   int           `json:"inFlight"`
+	Candidates int           `json:"candidates"`
 	// Waiting, Excess and Running are the load, over all routers, by which the upstream was
 	// chosen. Excess is the number of requests that must finish first. ReportAge is the age of
 	// the load report.
@@ -389,12 +402,15 @@
 func (q *request) recordAttempt(choice balance.Choice, result exchange.Result, started time.Time) {
 	attempt := Attempt{
 		Upstream: choice.Upstream.ID, Address: choice.Upstream.Address, Offset: started.Sub(q.trace.Started), Duration: clock.Since(started), Result: result.Kind.String(),
-		Version: choice.Version, InFlight: choice.InFlight, Candidates: choice.Candidates,
+		Version: choice.Version, Record: choice.Upstream.Revision.Number(), InFlight: choice.InFlight, Candidates: choice.Candidates,
 		Waiting: choice.Waiting, Excess: choice.Excess, Running: choice.Running, ReportAge: choice.ReportAge,
 		Expected: choice.Expected, OtherHall: choice.OtherHall,
 		Path: q.paths[choice.Upstream.ID], Limit: result.Announcement.Limit.String(),
 		Leaving: result.Announcement.Leaving, RetryAfter: result.Announcement.RetryAfter,
 	}
+	if kept := choice.Upstream.KeptSince; !kept.IsZero() {
+		attempt.Kept = started.Sub(kept)
+	}
 	if result.Err != nil {
 		q.recordInterrupt(&attempt, result.Err)
 		q.reportDisconnect(choice, attempt, result.Err)
--- a/daemon/provider/configuration.go
+++ b/daemon/provider/configuration.go
@@ -152,6 +152,10 @@
 	// the same as a time on the clock of the daemon that read the record.
 	ColdFor   time.Duration
 	ColdUntil time.Time
+	// Revision is that of the record, and KeptSince when the record was removed, by the clock of the
+	// daemon that read it, zero unless the upstream stays in use for a while after that.
+	Revision  Revision  `json:"-"`
+	KeptSince time.Time `json:"-"`
 }
 
 // ColdRemaining returns how much longer the upstream remains cold, or 0 if it is warm.
--- a/daemon/router/recorder.go
+++ b/daemon/router/recorder.go
@@ -104,6 +104,12 @@
 		fields["reason"] = trace.Cause
 		fields["budgetLeft"] = math.Round(trace.RemainingRetries)
 	}
+	addAdmissionFields(fields, trace)
+	r.log.WithFields(fields).Info("request ended")
+}
+
+// addAdmissionFields adds what decided whether a request was admitted, and when its caller may return.
+func addAdmissionFields(fields log.Fields, trace *dispatch.Trace) {
 	if trace.Stale {
 		fields["stale"] = true
 	}
@@ -116,10 +122,12 @@
 	if trace.RetryAfter > 0 {
 		fields["retryAfter"], fields["retryRule"] = trace.RetryAfter.Round(time.Millisecond).String(), trace.RetryRule
 	}
+	if trace.Drain != nil {
+		fields["drainLeft"], fields["expected"] = trace.Drain.Remaining.Round(time.Millisecond).String(), trace.Drain.Expected.Round(time.Millisecond).String()
+	}
 	if trace.Readiness != nil {
 		fields["readiness"] = trace.Readiness
 	}
-	r.log.WithFields(fields).Info("request ended")
 }
 
 // connectionBroke logs a broken connection to an upstream: whether the upstream crashed, and the
@@ -306,6 +314,9 @@
 	}
 	for _, attempt := range trace.Attempts {
 		r.scope.Tagged(map[string]string{"hall": hallTag(attempt.OtherHall)}).Counter("sends").Inc(1)
+		if attempt.Kept > 0 {
+			r.scope.Counter("sends_kept").Inc(1)
+		}
 		if attempt.AfterClose != "" {
 			r.scope.Tagged(map[string]string{"upstream": string(attempt.AfterClose)}).Counter("responses_closed").Inc(1)
 		}
@@ -326,10 +337,12 @@
 	return "own"
 }
 
-// entryApplied logs a change of the replica, or an entry that was rejected.
-func (r *recorder) entryApplied(change replica.EntryChange) {
+// entryApplied logs a change of the replica, or an entry that was rejected. The change was made
+// within gap before, and passed hops other routers on its way from the store.
+func (r *recorder) entryApplied(change replica.EntryChange, gap time.Duration, hops int) {
 	fields := log.Fields{
 		fieldDecision: decisionBelieve, "key": change.Entry.Key, "revision": change.Entry.Revision.Number(), "bytes": len(change.Entry.Value),
+		"gap": gap.Round(time.Millisecond).String(), "hops": hops,
 	}
 	if era := change.Entry.Revision.Era(); era > 0 {
 		fields["era"] = era
@@ -347,6 +360,10 @@
 		return
 	case change.Entry.Deleted:
 		fields["gone"] = true
+		if change.Kept > 0 {
+			r.scope.Tagged(map[string]string{"after": string(change.KeepReason)}).Counter("upstreams_kept").Inc(1)
+			fields["keptFor"], fields["keptAfter"] = change.Kept.Round(time.Millisecond).String(), change.KeepReason
+		}
 	case record.Configuration != nil:
 		fields["version"] = record.Configuration.Version
 		fields["routes"] = len(record.Configuration.Routes)
@@ -370,6 +387,14 @@
 	r.log.WithFields(fields).Info("belief changed")
 }
 
+// keptEnded logs that an upstream whose entry was removed is listed again, or is out of use now.
+func (r *recorder) keptEnded(upstream *provider.Upstream, registered bool) {
+	r.log.WithFields(log.Fields{
+		fieldDecision: decisionBelieve, fieldUpstream: upstream.ID, fieldAddress: upstream.Address, "registered": registered,
+		"keptFor": clock.Since(upstream.KeptSince).Round(time.Millisecond).String(),
+	}).Info("upstream without an entry is no longer kept")
+}
+
 // storeConnectionChanged logs that the store became unreachable, with the cause, or is reachable
 // again.
 func (r *recorder) storeConnectionChanged(prefix string, cause error) {
--- a/daemon/router/recorder_test.go
+++ b/daemon/router/recorder_test.go
@@ -9,8 +9,10 @@
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/process/replica"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/telemetry"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/dispatch"
+	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
 // TestFailureLinesAreNotSuppressedBySuccesses guards against losing failures in a flood of served
@@ -76,3 +78,53 @@
 	assert.Equal(t, int64(1), counts["sends+hall=other"])
 	assert.Equal(t, int64(1), counts["sends+hall=own"])
 }
+
+// newTestRecorder returns a recorder that writes its lines to lines and its counters to the scope.
+func newTestRecorder(t *testing.T, lines *bytes.Buffer) (*recorder, tally.TestScope) {
+	t.Helper()
+	tele, err := telemetry.New(telemetry.Options{Level: "info", Output: lines})
+	require.NoError(t, err)
+	t.Cleanup(tele.Close)
+	scope := tally.NewTestScope("", nil)
+	tele.Scope = scope
+	return newRecorder(tele), scope
+}
+
+// TestLinesTellWhyUpstreamWithoutRecordIsUsed guards against a request to an upstream that has left of
+// which the log does not tell whether the router knew.
+func TestLinesTellWhyUpstreamWithoutRecordIsUsed(t *testing.T) {
+	var lines bytes.Buffer
+	r, scope := newTestRecorder(t, &lines)
+	change := replica.EntryChange{Entry: provider.Entry{Key: "u/1", Deleted: true}, Kept: 1500 * time.Millisecond, KeepReason: replica.KeepAfterOutage}
+	r.entryApplied(change, 3*time.Second, 1)
+	assert.Contains(t, lines.String(), `"keptFor":"1.5s"`)
+	assert.Contains(t, lines.String(), `"keptAfter":"outage"`)
+	assert.Contains(t, lines.String(), `"gap":"3s"`)
+	assert.Contains(t, lines.String(), `"hops":1`)
+
+	lines.Reset()
+	r.request(&dispatch.Trace{
+		ID: "a", Started: time.Now(), Outcome: dispatch.OutcomeServed, Attempts: []dispatch.Attempt{{Upstream: "1", Record: 7, Kept: time.Second}},
+	})
+	assert.Contains(t, lines.String(), `"record":7`)
+	assert.Contains(t, lines.String(), `"kept":1000000000`)
+	r.keptEnded(&provider.Upstream{ID: "1", KeptSince: time.Now()}, true)
+	assert.Contains(t, lines.String(), `"registered":true`)
+
+	counters := scope.Snapshot().Counters()
+	assert.Equal(t, int64(1), counters["upstreams_kept+after=outage"].Value())
+	assert.Equal(t, int64(1), counters["sends_kept+"].Value())
+}
+
+// TestLineOfRequestTellsStateOfDrain guards against a response that is cut by a stop and of which the log
+// does not tell how long the request was expected to take.
+func TestLineOfRequestTellsStateOfDrain(t *testing.T) {
+	var lines bytes.Buffer
+	r, _ := newTestRecorder(t, &lines)
+	r.request(&dispatch.Trace{ID: "a", Started: time.Now(), Outcome: dispatch.OutcomeTruncated, Drain: &dispatch.DrainState{Remaining: 5 * time.Second, Expected: 2 * time.Second}})
+	assert.Contains(t, lines.String(), `"drainLeft":"5s"`)
+	assert.Contains(t, lines.String(), `"expected":"2s"`)
+	lines.Reset()
+	r.request(&dispatch.Trace{ID: "b", Started: time.Now(), Outcome: dispatch.OutcomeServed})
+	assert.NotContains(t, lines.String(), "drainLeft")
+}
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -149,7 +149,7 @@
 	client := &http.Client{Transport: dial.NewHostTransport(options.Dial, storeIdleTimeout)}
 	p.provider = options.Provider(s.Store, client, client)
 	p.compiler = &replica.Compiler{
-		Decode: p.provider.Decode, OnEntryChange: p.recorder.entryApplied, OnSuperseded: p.recorder.entrySuperseded,
+		Decode: p.provider.Decode, OnEntryChange: p.entryApplied, OnSuperseded: p.recorder.entrySuperseded, OnKeptEnd: p.recorder.keptEnded,
 		MayHaveExpired: p.expiryUnreliable, MayBeLost: p.entriesMayBeLost, OnSuspect: p.applyStoredSuspect,
 	}
 	p.table.OnChange = p.applyChanges
--- a/daemon/router/upstreams.go
+++ b/daemon/router/upstreams.go
@@ -6,6 +6,7 @@
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/loadfeed"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/balance"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/process/replica"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
@@ -31,6 +32,12 @@
 	p.loadReader.Follow(chooseLoadFeeds(engines, p.current.Load().Hall, p.current.Load().Name, port))
 }
 
+// entryApplied records a change of the replica. An update that was pulled from a peer is no answer of
+// the follower's own source, so the change may be as old as the last one.
+func (p *Process) entryApplied(change replica.EntryChange) {
+	p.recorder.entryApplied(change, max(p.follower.AnswerGap(), p.follower.Age()), p.follower.Status().Hops)
+}
+
 // groupByHost returns the IDs of engines by the address of their host.
 func groupByHost(engines []*provider.Upstream) *map[netip.Addr][]string {
 	ids := map[netip.Addr][]string{}
