--- a/daemon/internal/connection/peering/peering_test.go
+++ b/daemon/internal/connection/peering/peering_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/replica"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
@@ -301,3 +302,49 @@
 	assert.Len(t, follower.Table.EntriesAfter(0).Entries, 2)
 	assert.Equal(t, provider.Revision(9), follower.Revision())
 }
+
+// roundTripper answers the calls of a client without a network.
+type roundTripper func(*http.Request) (*http.Response, error)
+
+func (f roundTripper) RoundTrip(req *http.Request) (*http.Response, error) { return f(req) }
+
+// TestFrozenNeighboursDelayChangesLessThanDrainTime guards against a router that follows one neighbour after the
+// other, each of which stands still, for longer than an upstream serves after its record is removed.
+func TestFrozenNeighboursDelayChangesLessThanDrainTime(t *testing.T) {
+	const drainTime = 2 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		addresses := []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1"), netip.MustParseAddrPort("127.0.0.1:2"), netip.MustParseAddrPort("127.0.0.1:3")}
+		table := &replica.Table{}
+		table.Apply(entries(1, 2, 3))
+		source := &Source{Table: table, Status: func() replica.Status { return replica.Status{Revision: table.LatestRevision()} }}
+		frozen := map[string]bool{}
+		client := &http.Client{Transport: roundTripper(func(req *http.Request) (*http.Response, error) {
+			if frozen[req.URL.Host] {
+				<-req.Context().Done()
+				return nil, req.Context().Err()
+			}
+			rec := httptest.NewRecorder()
+			source.ServeHTTP(rec, req)
+			return rec.Result(), nil
+		})}
+		neighbours := &Neighbours{Client: client, Choose: func(usable func(netip.AddrPort) bool) (netip.AddrPort, bool) {
+			for _, address := range addresses {
+				if usable(address) {
+					return address, true
+				}
+			}
+			return netip.AddrPort{}, false
+		}}
+		follower := &replica.Follower{Table: &replica.Table{}, QueryPeer: neighbours.FetchUpdate, PeerAttempts: len(addresses)}
+		follower.Start()
+		defer follower.Stop()
+		helpers.Pause(drainTime, nil)
+		require.EqualValues(t, 3, follower.Table.LatestRevision())
+
+		frozen[addresses[0].String()], frozen[addresses[1].String()] = true, true
+		helpers.Pause(LongPollWait, nil) // the call that is waiting ends
+		table.Apply(entries(4))
+		helpers.Pause(drainTime, nil)
+		assert.EqualValues(t, 4, follower.Table.LatestRevision())
+	})
+}
--- a/daemon/internal/request/dispatch/leaving_test.go
+++ b/daemon/internal/request/dispatch/leaving_test.go
@@ -36,3 +36,29 @@
 	_, err = q.choosePlace(context.Background())
 	require.ErrorIs(t, err, errNoUpstream)
 }
+
+// TestUpstreamWhoseRecordChangesDuringPlaceRequestIsSkipped guards against a send to an upstream that has left,
+// as the router knows by then, because it was chosen before.
+func TestUpstreamWhoseRecordChangesDuringPlaceRequestIsSkipped(t *testing.T) {
+	for name, removed := range map[string]bool{"its record is removed": true, "its record says that it leaves": false} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 3, nil)
+			q := f.request("long-objective", 0)
+			left := ""
+			q.RequestPlace = func(_ context.Context, engine *provider.Upstream, _ places.Request) (places.EngineLoad, bool, error) {
+				if left == "" {
+					left = engine.ID
+					changed := *engine
+					changed.Leaving = true
+					f.records[left] = provider.Record{Upstream: &changed}
+					f.apply(provider.Entry{Key: left, Revision: 2, Deleted: removed})
+				}
+				return places.EngineLoad{}, true, nil
+			}
+			choice, err := q.choosePlace(context.Background())
+			require.NoError(t, err)
+			assert.NotEqual(t, left, choice.Upstream.ID)
+			choice.Done(0)
+		})
+	}
+}
--- a/daemon/internal/request/dispatch/place_test.go
+++ b/daemon/internal/request/dispatch/place_test.go
@@ -22,9 +22,12 @@
 
 // fleet is a set of engines whose loaders grant places as a test sets.
 type fleet struct {
-	pool    *balance.Pool
-	view    *replica.View
-	queries []places.Limit
+	pool *balance.Pool
+	// compiler compiles the entries of records, by key, into view.
+	compiler *replica.Compiler
+	records  map[string]provider.Record
+	view     *replica.View
+	queries  []places.Limit
 	// grant returns the result of the n-th request for a place.
 	grant func(n int) (bool, error)
 }
@@ -47,16 +50,21 @@
 		}}
 		f.pool.Report(id, balance.LoadReport{Models: []provider.LoadedModel{{Model: "m", Version: 1}}})
 	}
-	compiler := &replica.Compiler{Decode: func(entry provider.Entry) (provider.Record, error) { return records[entry.Key], nil }}
+	f.records, f.compiler = records, &replica.Compiler{Decode: func(entry provider.Entry) (provider.Record, error) { return records[entry.Key], nil }}
 	var entries []provider.Entry
 	for key := range records {
 		entries = append(entries, provider.Entry{Key: key, Revision: 1})
 	}
-	compiler.Apply(entries)
-	f.view = compiler.View()
+	f.apply(entries...)
 	return f
 }
 
+// apply applies changed entries to the view.
+func (f *fleet) apply(entries ...provider.Entry) {
+	f.compiler.Apply(entries)
+	f.view = f.compiler.View()
+}
+
 func (f *fleet) requestPlace(_ context.Context, _ *provider.Upstream, request places.Request) (places.EngineLoad, bool, error) {
 	f.queries = append(f.queries, request.Limit)
 	granted, err := f.grant(len(f.queries))
--- a/daemon/router/fixture_test.go
+++ b/daemon/router/fixture_test.go
@@ -35,6 +35,8 @@
 	kv kv.Store
 	// unreachable holds the names of the routers that cannot reach the store.
 	unreachable sync.Map
+	// failures is the number of further calls that fail.
+	failures atomic.Int64
 	// readers holds the names of the routers that received the configuration from the store.
 	readers sync.Map
 }
@@ -94,6 +96,9 @@
 		if _, unreachable := s.unreachable.Load(name); unreachable {
 			return errStoreDown
 		}
+		if s.failures.Load() > 0 && s.failures.Add(-1) >= 0 {
+			return errStoreDown
+		}
 		return nil
 	}
 	list := func(_ context.Context, prefix string) (provider.Listing, error) {
