Check before a send that the upstream is still listed

A request could go to an upstream whose record was removed, or said that it leaves, while the router asked loaders for a place: the candidates were taken before, up to eight questions of 50 ms earlier. That adds up to 0.4 s to the time in which the removal reaches the router. After a question only what the upstream's own responses had stated was looked at.

Both ways out of a question, a granted place and a recent load report, now look at the newest view; a choice without any answer takes the candidates anew.

--- a/daemon/internal/request/dispatch/candidates.go
+++ b/daemon/internal/request/dispatch/candidates.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/residency"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
@@ -31,6 +32,15 @@
 	return allowed, nil
 }
 
+// eligible reports whether an upstream that was chosen before a question to a loader may still get the request.
+func (q *request) eligible(chosen *provider.Upstream) bool {
+	candidates, err := q.candidates()
+	listed := err == nil && slices.ContainsFunc(candidates, func(upstream *provider.Upstream) bool {
+		return upstream.ID == chosen.ID && upstream.Address == chosen.Address && !upstream.Leaving
+	})
+	return listed && !q.Pool.Withdrawn(chosen)
+}
+
 func (q *request) residency() residency.Rule {
 	rule := residency.Rule{Route: q.route.AllowedRegions}
 	if q.account != nil {
--- a/daemon/internal/request/dispatch/place.go
+++ b/daemon/internal/request/dispatch/place.go
@@ -88,7 +88,7 @@
 		return balance.Choice{}, q.unplacedError(candidates)
 	}
 	if denied == 0 {
-		return q.placeByReports(candidates)
+		return q.placeByReports()
 	}
 	if search.OnlyLate() {
 		return balance.Choice{}, fmt.Errorf("%w: %d engines cannot serve the request in time, %d more did not answer", errOverloaded, denied, unresponsive)
@@ -111,12 +111,12 @@
 	}
 	load, granted, err := q.queryLoader(ctx, choice, q.placeRequest(limit, search, only))
 	switch {
-	case granted && q.Pool.Withdrawn(choice.Upstream), load.Leaving:
+	case granted && !q.eligible(choice.Upstream), load.Leaving:
 	case granted:
 		q.LoadTracker.RecordFull(q.service.Name, load.Running+load.Waiting >= choice.Upstream.Places)
 		q.recordPath(choice, PathLoader)
 		return choice.WithLoad(load.Running, load.Waiting), true, nil
-	case err != nil && choice.HasReport && choice.ReportAge < maxReportAge:
+	case err != nil && choice.HasReport && choice.ReportAge < maxReportAge && q.eligible(choice.Upstream):
 		return q.admitUnqueried(choice, PathLoadReport)
 	case err != nil:
 		search.AddUnresponsive()
@@ -131,7 +131,11 @@
 }
 
 // placeByReports chooses an upstream by load reports, because no loader answered.
-func (q *request) placeByReports(candidates []*provider.Upstream) (balance.Choice, error) {
+func (q *request) placeByReports() (balance.Choice, error) {
+	candidates, err := q.candidates()
+	if err != nil {
+		return balance.Choice{}, err
+	}
 	query := q.upstreamQuery()
 	for {
 		choice, ok := q.Pool.Choose(candidates, query)
