Ask peers for removals that the store withholds before their upstreams end

A reader whose calls to the store are not answered asked peers 2.05 s (6 routers) to 2.4 s (25 and more) after the last data, and then in three of four cases one of its own hall, whose routers follow it and know nothing else. An upstream whose record is removed serves for 2 s on small fleets and 3 s on large ones. With the interval of these calls and two hops the sum was 2.67 s and 3.02 s, where 2 s and 3 s are allowed.

The time after which peers are asked is now one of its own: no hops are counted that there are not, and an answer may be late by 0.2 s, since such a call costs little. A reader asks other halls in three of four cases.

--- a/daemon/internal/connection/peering/puller.go
+++ b/daemon/internal/connection/peering/puller.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// pullInterval is the time between calls while the store is unreachable.
-	pullInterval = 300 * time.Millisecond
+	// PullInterval is the time between calls while the store is unreachable.
+	PullInterval = 300 * time.Millisecond
 	// maxRetryPause bounds the additional random pause after a failed call for the complete
 	// replica. It spreads the calls of a hall whose routers all start at once and share a
 	// narrow link.
@@ -54,9 +54,9 @@
 
 func (p *Puller) run() error {
 	ctx := p.tomb.Context(nil) //nolint:staticcheck // tomb takes nil for "no parent"
-	pause := pullInterval
+	pause := PullInterval
 	for helpers.Pause(pause, p.tomb.Dying()) {
-		pause = pullInterval
+		pause = PullInterval
 		if !p.Needed() {
 			continue
 		}
@@ -112,12 +112,12 @@
 	}
 }
 
-// ChoosePeer returns a random peer, or false if there is none. It is a remote one in one of
-// remoteOneIn cases on average, and otherwise a local one, which has a wide link.
-func ChoosePeer(local, remote []netip.AddrPort, remoteOneIn int) (netip.AddrPort, bool) {
-	peers := remote
-	if len(local) > 0 && (len(remote) == 0 || rand.IntN(remoteOneIn) > 0) {
-		peers = local
+// ChoosePeer returns a random peer, or false if there is none. It is one of the others in one of
+// otherOneIn cases on average, and otherwise a preferred one.
+func ChoosePeer(preferred, others []netip.AddrPort, otherOneIn int) (netip.AddrPort, bool) {
+	peers := others
+	if len(preferred) > 0 && (len(others) == 0 || rand.IntN(otherOneIn) > 0) {
+		peers = preferred
 	}
 	if len(peers) == 0 {
 		return netip.AddrPort{}, false
--- a/daemon/router/replication.go
+++ b/daemon/router/replication.go
@@ -21,10 +21,13 @@
 	debouncePerRouter = 20 * time.Millisecond
 	minDebounce       = 150 * time.Millisecond
 	maxDebounce       = 500 * time.Millisecond
-	// storeResponseSlack is how late an answer of the store may be before peers are queried, and
-	// before an unknown key or route is no longer a final refusal.
+	// storeResponseSlack is how late an answer of the store may be before an unknown key or route
+	// is no longer a final refusal.
 	storeResponseSlack = 400 * time.Millisecond
-	// remotePeerOneIn is the share of peer queries that go to other halls, as one in so many.
+	// pullSlack is how late an answer of the store may be before peers are queried for what is new.
+	pullSlack = 200 * time.Millisecond
+	// remotePeerOneIn is the share of peer queries that go to other halls, as one in so many. For a
+	// router that reads the store, whom its hall follows, it is the share that stay in the hall.
 	// fullCopyRemoteOneIn is the same while the replica is empty, when each answer is a full
 	// copy.
 	remotePeerOneIn     = 4
@@ -114,13 +117,15 @@
 // times a second.
 func (p *Process) needsPeerPull() bool {
 	p.checkSuspension()
-	return p.storeUnreachable()
+	return !p.follower.Synced() || p.follower.Status().SinceData > p.pullAfter()
 }
 
-// storeUnreachable reports whether no bytes have arrived from the store for too long. While a
-// long answer is in transit the replica may be stale, but the store is reachable.
-func (p *Process) storeUnreachable() bool {
-	return !p.follower.Synced() || p.follower.Status().SinceData > p.staleAfter()
+// pullAfter returns the time without bytes from the store after which peers are queried. While a
+// long answer is in transit the replica may be stale, but the store is reachable. A removal that the
+// store does not deliver must arrive this way while its upstream still serves, also at the routers that
+// follow this one. So it is less than staleAfter, and nothing is added for hops that there are not.
+func (p *Process) pullAfter() time.Duration {
+	return storeProbeInterval + p.debounce() + pullSlack + time.Duration(p.follower.Status().Hops)*replica.HopWait
 }
 
 // choosePeer returns a router, of this hall or another, to query while the store is unreachable.
@@ -144,5 +149,8 @@
 	if p.follower.Revision() == 0 {
 		return peering.ChoosePeer(local, remote, fullCopyRemoteOneIn)
 	}
+	if action, _ := p.readAction(); action == fanout.Read {
+		return peering.ChoosePeer(remote, local, remotePeerOneIn) // the routers of this hall follow this one
+	}
 	return peering.ChoosePeer(local, remote, remotePeerOneIn)
 }
