End grace periods also at a stopping router

A stopping router that had kept an upstream past the removal of its record sent to it until the router had stopped, up to 8 s: the check at the end of a grace period was skipped then, so that it would not start load feeds. A stopped reader of feeds starts none by itself.

The check runs until the router has stopped.

--- a/daemon/router/upstreams.go
+++ b/daemon/router/upstreams.go
@@ -58,9 +58,11 @@
 }
 
 // recheckExpired drops the upstreams and routers that were kept although their entries are gone, and
-// that have not registered again.
+// that have not registered again. A stopping router still sends requests, so it does that too.
 func (p *Process) recheckExpired() {
-	if !p.draining.Load() {
+	select {
+	case <-p.done:
+	default:
 		p.table.Recompile()
 	}
 }
