Schedule the end of grace periods in the compiler

Routers and loaders each set a timer for it after each change, in the same words. The compiler sets it now and calls Recompile. The tests of grace periods run on a fake clock and assert when it is called; no behaviour changes.

--- a/daemon/internal/process/replica/expiry_test.go
+++ b/daemon/internal/process/replica/expiry_test.go
@@ -3,11 +3,13 @@
 import (
 	"net/netip"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/replica"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
@@ -16,70 +18,71 @@
 // for that long. One that was leaving, or whose entry is removed without one, is dropped at once.
 func TestUpstreamsStayInUseForGracePeriod(t *testing.T) {
 	const period = 2 * time.Second
-	now := time.Unix(1000, 0)
-	leaving := false
-	registered := 0
-	table := &replica.Table{}
-	compiler := &replica.Compiler{
-		Decode: func(entry provider.Entry) (provider.Record, error) {
-			return provider.Record{Upstream: &provider.Upstream{ID: entry.Key, Service: "s", Leaving: leaving}}, nil
-		},
-		Now: func() time.Time { return now },
-		OnKeptEnd: func(_ *provider.Upstream, again bool) {
-			if again {
-				registered++
-			}
-		},
-	}
-	table.OnChange = compiler.Apply
-	revision := provider.Revision(0)
-	apply := func(entry provider.Entry) {
-		revision++
-		entry.Revision = revision
-		table.Apply([]provider.Entry{entry})
-	}
-	removed := func(key string) provider.Entry {
-		return provider.Entry{Key: key, Deleted: true, Grace: provider.Grace{For: period, Reason: provider.GraceOutage}}
-	}
-	inUse := func() int { return len(compiler.View().Upstreams["s"]) }
-	next := func() time.Duration {
-		remaining, ok := compiler.NextExpiry()
-		if !ok {
-			return 0
+	synctest.Test(t, func(t *testing.T) {
+		leaving := false
+		registered, recompiled := 0, 0
+		table := &replica.Table{}
+		compiler := &replica.Compiler{
+			Decode: func(entry provider.Entry) (provider.Record, error) {
+				return provider.Record{Upstream: &provider.Upstream{ID: entry.Key, Service: "s", Leaving: leaving}}, nil
+			},
+			OnKeptEnd: func(_ *provider.Upstream, again bool) {
+				if again {
+					registered++
+				}
+			},
+			Recompile: func() {
+				recompiled++
+				table.Recompile()
+			},
+		}
+		table.OnChange = compiler.Apply
+		revision := provider.Revision(0)
+		apply := func(entry provider.Entry) {
+			revision++
+			entry.Revision = revision
+			table.Apply([]provider.Entry{entry})
+		}
+		removed := func(key string) provider.Entry {
+			return provider.Entry{Key: key, Deleted: true, Grace: provider.Grace{For: period, Reason: provider.GraceOutage}}
+		}
+		inUse := func() int { return len(compiler.View().Upstreams["s"]) }
+		wait := func(d time.Duration) {
+			helpers.Pause(d, nil)
+			synctest.Wait()
 		}
-		return remaining
-	}
 
-	apply(provider.Entry{Key: "a"})
-	apply(removed("a"))
-	require.Equal(t, 1, inUse(), "the entry may be written again")
-	assert.Equal(t, now, compiler.View().Upstreams["s"][0].KeptSince)
-	assert.Equal(t, period, next())
-	apply(provider.Entry{Key: "a"})
-	require.Equal(t, 1, inUse(), "registered again, listed once")
-	assert.Zero(t, compiler.View().Upstreams["s"][0].KeptSince)
-	assert.Zero(t, next())
-	assert.Equal(t, 1, registered)
+		apply(provider.Entry{Key: "a"})
+		apply(removed("a"))
+		require.Equal(t, 1, inUse(), "the entry may be written again")
+		assert.Equal(t, time.Now(), compiler.View().Upstreams["s"][0].KeptSince)
+		apply(provider.Entry{Key: "a"})
+		require.Equal(t, 1, inUse(), "registered again, listed once")
+		assert.Zero(t, compiler.View().Upstreams["s"][0].KeptSince)
+		assert.Equal(t, 1, registered)
+		wait(period)
+		assert.Zero(t, recompiled, "no period is left")
 
-	apply(removed("a"))
-	now = now.Add(period - 1)
-	table.Recompile()
-	assert.Equal(t, 1, inUse())
-	now = now.Add(1)
-	table.Recompile()
-	assert.Zero(t, inUse(), "the grace period is over")
-	assert.Zero(t, next())
-	assert.Equal(t, 1, registered)
+		apply(removed("a"))
+		wait(period - 1)
+		assert.Equal(t, 1, inUse())
+		wait(1)
+		assert.Zero(t, inUse(), "the grace period is over")
+		assert.Equal(t, 1, recompiled)
+		assert.Equal(t, 1, registered)
 
-	leaving = true
-	apply(provider.Entry{Key: "b"})
-	apply(removed("b"))
-	assert.Zero(t, inUse(), "the upstream was leaving")
+		leaving = true
+		apply(provider.Entry{Key: "b"})
+		apply(removed("b"))
+		assert.Zero(t, inUse(), "the upstream was leaving")
 
-	leaving = false
-	apply(provider.Entry{Key: "c"})
-	apply(provider.Entry{Key: "c", Deleted: true})
-	assert.Zero(t, inUse(), "the entry has no grace period")
+		leaving = false
+		apply(provider.Entry{Key: "c"})
+		apply(provider.Entry{Key: "c", Deleted: true})
+		assert.Zero(t, inUse(), "the entry has no grace period")
+		wait(period)
+		assert.Equal(t, 1, recompiled)
+	})
 }
 
 // TestOneUpstreamPerAddress checks that of several entries for one address the one created
--- a/daemon/internal/process/replica/replica_test.go
+++ b/daemon/internal/process/replica/replica_test.go
@@ -212,6 +212,7 @@
 	var last replica.EntryChange
 	compiler := &replica.Compiler{
 		Decode: decode, OnEntryChange: func(change replica.EntryChange) { last = change },
+		OnKeptEnd: func(*provider.Upstream, bool) { assert.Fail(t, "an upstream of an invalid entry was kept") },
 	}
 	inUse := func() int { return len(compiler.View().Upstreams["s"]) }
 	register := func(key, address string, revision provider.Revision) {
@@ -226,9 +227,6 @@
 	assert.Equal(t, 1, inUse())
 	assert.True(t, last.Dropped)
 	require.Error(t, last.Err)
-	_, kept := compiler.NextExpiry()
-	assert.False(t, kept)
-
 	register("a", "10.0.0.1:80", 4)
 	assert.Equal(t, 2, inUse())
 
--- a/daemon/internal/process/replica/restore_test.go
+++ b/daemon/internal/process/replica/restore_test.go
@@ -245,34 +245,38 @@
 // have written their entries again.
 func TestEntriesLostInRestoreStayInUse(t *testing.T) {
 	const period = 4 * time.Second
-	now := time.Unix(1000, 0)
-	records := map[string]provider.Record{
-		"u": {Upstream: &provider.Upstream{ID: "u", Service: "s"}},
-		"m": {Member: &provider.Member{Name: "m"}},
-	}
-	table := &replica.Table{}
-	compiler := &replica.Compiler{
-		Decode: func(entry provider.Entry) (provider.Record, error) { return records[entry.Key], nil },
-		Now:    func() time.Time { return now },
-	}
-	table.OnChange = compiler.Apply
-	inUse := func() (int, int) { return len(compiler.View().Upstreams["s"]), len(compiler.View().Members) }
-	table.Apply([]provider.Entry{{Key: "u", Revision: 1}, {Key: "m", Revision: 2}})
-	table.Replace("", provider.Listing{Revision: provider.NewRevision(1, 1), Grace: provider.Grace{For: period, Reason: provider.GraceRestore}})
-	upstreams, members := inUse()
-	assert.Equal(t, 1, upstreams)
-	assert.Equal(t, 1, members)
-	now = now.Add(period)
-	table.Recompile()
-	upstreams, members = inUse()
-	assert.Zero(t, upstreams)
-	assert.Equal(t, 1, members, "routers write their entries again spread over some seconds")
-	now = now.Add(time.Minute)
-	table.Recompile()
-	_, members = inUse()
-	assert.Zero(t, members)
-	_, kept := compiler.NextExpiry()
-	assert.False(t, kept)
+	synctest.Test(t, func(t *testing.T) {
+		records := map[string]provider.Record{
+			"u": {Upstream: &provider.Upstream{ID: "u", Service: "s"}},
+			"m": {Member: &provider.Member{Name: "m"}},
+		}
+		table := &replica.Table{}
+		recompiled := 0
+		compiler := &replica.Compiler{
+			Decode: func(entry provider.Entry) (provider.Record, error) { return records[entry.Key], nil },
+			Recompile: func() {
+				recompiled++
+				table.Recompile()
+			},
+		}
+		table.OnChange = compiler.Apply
+		inUse := func() (int, int) { return len(compiler.View().Upstreams["s"]), len(compiler.View().Members) }
+		table.Apply([]provider.Entry{{Key: "u", Revision: 1}, {Key: "m", Revision: 2}})
+		table.Replace("", provider.Listing{Revision: provider.NewRevision(1, 1), Grace: provider.Grace{For: period, Reason: provider.GraceRestore}})
+		upstreams, members := inUse()
+		assert.Equal(t, 1, upstreams)
+		assert.Equal(t, 1, members)
+		helpers.Pause(period, nil)
+		synctest.Wait()
+		upstreams, members = inUse()
+		assert.Zero(t, upstreams)
+		assert.Equal(t, 1, members, "routers write their entries again spread over some seconds")
+		helpers.Pause(time.Minute, nil)
+		synctest.Wait()
+		_, members = inUse()
+		assert.Zero(t, members)
+		assert.Equal(t, 2, recompiled)
+	})
 }
 
 // TestRewrittenVersionKeepsItsDeadline guards against a version whose time to come into force starts
--- a/daemon/internal/process/replica/view.go
+++ b/daemon/internal/process/replica/view.go
@@ -114,6 +114,9 @@
 	// OnSuspect receives the routers' encoded reports about quarantined contents. It may be
 	// nil.
 	OnSuspect func(report []byte) error
+	// Recompile is called at the end of the next grace period of a removed entry, and must call Apply,
+	// not concurrently with another call. Nil means that nobody needs the end in time.
+	Recompile func()
 	// OnSuperseded is called for each entry of a restored store that is older than what is in
 	// force, which stays. It may be nil.
 	OnSuperseded func(provider.Entry)
@@ -128,9 +131,11 @@
 	// evacuated holds the evacuated halls, which get no requests, by key.
 	evacuated map[string]string
 	// expired holds upstreams whose entry was removed with a grace period, by key, and lostMembers the
-	// routers whose entry was lost in a restore. The owner of the compiler must call Apply at NextExpiry.
+	// routers whose entry was lost in a restore.
 	expired     map[string]expiredUpstream
 	lostMembers map[string]lostMember
+	// expiry calls Recompile at the end of the next of these periods, nil if there was none yet.
+	expiry *time.Timer
 	// left holds when each upstream that is known to be leaving was last seen in that state, by
 	// run, so that no older record makes it ready again.
 	left map[upstreamRun]time.Time
@@ -231,6 +236,17 @@
 		next.Members[member.Name] = member
 	}
 	c.view.Store(&next)
+	c.scheduleRecompile()
+}
+
+// scheduleRecompile schedules Recompile for the end of the next grace period.
+func (c *Compiler) scheduleRecompile() {
+	if c.expiry != nil {
+		c.expiry.Stop()
+	}
+	if remaining, ok := c.nextExpiry(); ok && c.Recompile != nil {
+		c.expiry = time.AfterFunc(remaining, c.Recompile)
+	}
 }
 
 func (c *Compiler) isNotMember(entry provider.Entry) bool { return c.members[entry.Key] == nil }
@@ -406,9 +422,9 @@
 
 func (c *Compiler) now() time.Time { return helpers.Now(c.Now) }
 
-// NextExpiry returns the time until the next grace period of an upstream or router whose entry was
-// removed is over, and false if there is none. It must not be called concurrently with Apply.
-func (c *Compiler) NextExpiry() (time.Duration, bool) {
+// nextExpiry returns the time until the next grace period of an upstream or router whose entry was
+// removed is over, and false if there is none.
+func (c *Compiler) nextExpiry() (time.Duration, bool) {
 	var next time.Time
 	earliest := func(until time.Time) {
 		if next.IsZero() || until.Before(next) {
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -111,8 +111,6 @@
 	routerClient *peering.Neighbours
 	// engineLeaving is whether the engine's last report stated that it is leaving.
 	engineLeaving atomic.Bool
-	// recheckTimer runs until the next check of the kept entries. Only applyChanges uses it.
-	recheckTimer *time.Timer
 	// receivedBytes counts chunk bytes by source.
 	receivedBytes receivedBytes
 	// cachedRoster is the roster of the newest view.
@@ -149,8 +147,8 @@
 	p.ledger.OnRateLimitChange = p.logLimit
 	hostClient := &http.Client{Transport: dial.NewHostTransport(options.Dial, originIdleTimeout)}
 	p.provider = options.Provider(s.Store, p.client, hostClient)
-	p.compiler = &replica.Compiler{Decode: p.provider.Decode, OnEntryChange: p.logDeclaration, OnSuperseded: p.logSuperseded}
-	p.table.OnChange = p.applyChanges
+	p.compiler = &replica.Compiler{Decode: p.provider.Decode, OnEntryChange: p.logDeclaration, OnSuperseded: p.logSuperseded, Recompile: p.table.Recompile}
+	p.table.OnChange = p.compiler.Apply
 	p.routerClient = p.newRouterClient()
 	p.routerClient.DeferStoreRead = p.starting
 	p.addFollowers()
@@ -296,18 +294,6 @@
 	return reconcile.Goal{Model: declared.Model, Version: declared.Version, FencingToken: p.table.LatestRevision(), LoadAt: window.LoadTime(rank, hosts), Due: declared.DeclaredAt(apply).Add(apply)}
 }
 
-// applyChanges compiles changes of the replica, and checks later whether entries that were kept
-// although they are gone have been written again.
-func (p *Process) applyChanges(changed []provider.Entry) {
-	p.compiler.Apply(changed)
-	if p.recheckTimer != nil {
-		p.recheckTimer.Stop()
-	}
-	if next, ok := p.compiler.NextExpiry(); ok {
-		p.recheckTimer = time.AfterFunc(next, p.table.Recompile)
-	}
-}
-
 // rank returns this host's rank in the order in which hosts load a version, and their number.
 func (p *Process) rank(model string, version int) (rank, hosts int) {
 	r := p.roster()
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -110,8 +110,6 @@
 	// nanoseconds, for which the host had been suspended at the last check.
 	upstreamTransport *http.Transport
 	suspended         atomic.Int64
-	// recheckTimer runs until the next check of the kept upstreams and routers. Only applyChanges uses it.
-	recheckTimer *time.Timer
 
 	callers, ready, peers, metrics *server.Server
 	draining                       atomic.Bool
@@ -145,7 +143,7 @@
 	p.provider = options.Provider(s.Store, client, client)
 	p.compiler = &replica.Compiler{
 		Decode: p.provider.Decode, OnEntryChange: p.entryApplied, OnSuperseded: p.recorder.entrySuperseded, OnKeptEnd: p.recorder.keptEnded,
-		OnSuspect: p.applyStoredSuspect,
+		OnSuspect: p.applyStoredSuspect, Recompile: p.recheckExpired,
 	}
 	p.table.OnChange = p.applyChanges
 	p.loadReader = &loadfeed.Reader{Client: client, OnState: p.applyLoad}
--- a/daemon/router/upstreams.go
+++ b/daemon/router/upstreams.go
@@ -14,7 +14,6 @@
 // lists.
 func (p *Process) applyChanges(changed []provider.Entry) {
 	p.compiler.Apply(changed)
-	p.scheduleRecheck()
 	if configuration := p.compiler.View().Configuration; configuration != nil {
 		p.callers.SetKeepAlive(configuration.Limits.IdleTimeout)
 		if !p.draining.Load() {
@@ -46,17 +45,6 @@
 	return &ids
 }
 
-// scheduleRecheck schedules recheckExpired for the end of the next grace period. It is called with the
-// table's changes, so one call at a time.
-func (p *Process) scheduleRecheck() {
-	if p.recheckTimer != nil {
-		p.recheckTimer.Stop()
-	}
-	if next, ok := p.compiler.NextExpiry(); ok {
-		p.recheckTimer = time.AfterFunc(next, p.recheckExpired)
-	}
-}
-
 // recheckExpired drops the upstreams and routers that were kept although their entries are gone, and
 // that have not registered again. A stopping router still sends requests, so it does that too.
 func (p *Process) recheckExpired() {
--- a/daemon/router/upstreams_test.go
+++ b/daemon/router/upstreams_test.go
@@ -22,7 +22,7 @@
 		p.current.Store(&settings.Router{})
 		p.compiler = &replica.Compiler{Decode: func(provider.Entry) (provider.Record, error) {
 			return provider.Record{Upstream: &provider.Upstream{ID: "u", Service: "s"}}, nil
-		}}
+		}, Recompile: p.recheckExpired}
 		p.table.OnChange = p.applyChanges
 		p.table.Apply([]provider.Entry{{Key: "u", Revision: 1}})
 		p.draining.Store(true)
