Remove data races from two tests

The race detector found that the fake store of TestGraceFollowsOutageOfStore and the set of frozen neighbours are read while the test writes them. Assertions are as before.

--- a/daemon/internal/connection/peering/peering_test.go
+++ b/daemon/internal/connection/peering/peering_test.go
@@ -322,9 +322,9 @@
 		table := &replica.Table{}
 		table.Apply(entries(1, 2, 3))
 		source := &Source{Table: table, Status: func() replica.Status { return replica.Status{Revision: table.LatestRevision()} }}
-		frozen := map[string]bool{}
+		var frozen sync.Map
 		client := &http.Client{Transport: roundTripper(func(req *http.Request) (*http.Response, error) {
-			if frozen[req.URL.Host] {
+			if _, ok := frozen.Load(req.URL.Host); ok {
 				<-req.Context().Done()
 				return nil, req.Context().Err()
 			}
@@ -346,7 +346,8 @@
 		helpers.Pause(drainTime, nil)
 		require.EqualValues(t, 3, follower.Table.LatestRevision())
 
-		frozen[addresses[0].String()], frozen[addresses[1].String()] = true, true
+		frozen.Store(addresses[0].String(), true)
+		frozen.Store(addresses[1].String(), true)
 		helpers.Pause(LongPollWait, nil) // the call that is waiting ends
 		table.Apply(entries(4))
 		helpers.Pause(drainTime, nil)
--- a/daemon/internal/process/replica/grace_test.go
+++ b/daemon/internal/process/replica/grace_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,7 +24,7 @@
 
 // outageStore is a store with one entry. Its calls fail while it is down.
 type outageStore struct {
-	down, removed bool
+	down, removed atomic.Bool
 }
 
 var errOutage = errors.New("the store is down")
@@ -37,9 +38,9 @@
 			const latency = 10 * time.Millisecond
 			helpers.Pause(latency, nil)
 			switch {
-			case s.down:
+			case s.down.Load():
 				return provider.Listing{}, errOutage
-			case s.removed && after < 2:
+			case s.removed.Load() && after < 2:
 				return provider.Listing{Revision: 2, Entries: []provider.Entry{{Key: "u", Revision: 2, Deleted: true}}}, nil
 			default:
 				return provider.Listing{Revision: after}, nil
@@ -79,25 +80,27 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s := &outageStore{}
-				var grace provider.Grace
-				table := &replica.Table{OnChange: func(changed []provider.Entry) { grace = changed[0].Grace }}
+				removals := make(chan provider.Grace, 1)
+				table := &replica.Table{OnChange: func(changed []provider.Entry) {
+					if changed[0].Deleted {
+						removals <- changed[0].Grace
+					}
+				}}
 				follower := &replica.Follower{Table: table, Store: s.store(), WatchWait: func() time.Duration { return time.Second }}
 				follower.Start()
 				defer follower.Stop()
 				helpers.Pause(time.Second, nil)
 
-				s.down = c.outage > 0
+				s.down.Store(c.outage > 0)
 				helpers.Pause(c.outage, nil)
 				if c.meanwhile != nil {
 					c.meanwhile(follower)
 				}
-				s.down = false
+				s.down.Store(false)
 				recovered := time.Now()
 				helpers.Pause(c.removedAfter, nil)
-				s.removed = true
-				for table.LatestRevision() < 2 {
-					helpers.Pause(time.Millisecond, nil)
-				}
+				s.removed.Store(true)
+				grace := <-removals
 				if !c.kept {
 					assert.Zero(t, grace)
 					return
