Keep upstreams after an outage that a restarted peer does not know

For entries that a complete replica lacks, the router's own knowledge of the store decides, whatever the cause of its silence. Removals that a peer does pass on keep the grace that the peer states. The test fails before in the two cases after an outage.

--- a/daemon/internal/process/replica/follower.go
+++ b/daemon/internal/process/replica/follower.go
@@ -131,8 +131,9 @@
 	// since start; 0 means never.
 	lastAnswer, lastData, currentData atomic.Int64
 	// lastKnownAnswer is when the store last answered any daemon, as far as this one knows, and
-	// outageEnd when the last outage ended in which entries may have expired, 0 for none.
-	lastKnownAnswer, outageEnd atomic.Int64
+	// outageEnd when the last outage ended in which entries may have expired, 0 for none. silenceEnd is
+	// when the last such time ended in which it knew of no answer, whatever the cause.
+	lastKnownAnswer, outageEnd, silenceEnd atomic.Int64
 	// answerGap is the time between the last two complete answers, in nanoseconds.
 	answerGap atomic.Int64
 	// failures counts the consecutive failed calls to the store.
--- a/daemon/internal/process/replica/grace.go
+++ b/daemon/internal/process/replica/grace.go
@@ -37,7 +37,13 @@
 	at := int64(f.elapsed() - age)
 	for {
 		known := f.lastKnownAnswer.Load()
-		if at <= known || f.lastKnownAnswer.CompareAndSwap(known, at) {
+		if at <= known {
+			return
+		}
+		if f.lastKnownAnswer.CompareAndSwap(known, at) {
+			if time.Duration(at-known) >= minExpiryOutage {
+				f.silenceEnd.Store(at)
+			}
 			return
 		}
 	}
@@ -65,6 +71,15 @@
 	return f.expiryGrace()
 }
 
+// copyGrace returns the grace of an entry that the complete replica of a peer lacks. A peer that restarted in an
+// outage has no removal to pass on, so what this daemon has known of the store decides.
+func (f *Follower) copyGrace() provider.Grace {
+	if grace := f.restoreGrace(); grace.For > 0 {
+		return grace
+	}
+	return f.graceAfter(f.silenceEnd.Load(), reregisterTime, provider.GraceOutage)
+}
+
 // graceAfter returns the grace of an entry that is written again within a time of an event, 0 for none.
 func (f *Follower) graceAfter(event int64, within time.Duration, reason provider.GraceReason) provider.Grace {
 	remaining := time.Duration(event) + within - f.elapsed()
--- a/daemon/internal/process/replica/grace_test.go
+++ b/daemon/internal/process/replica/grace_test.go
@@ -148,3 +148,35 @@
 	follower.ApplyUpdate(replica.Update{Entries: []provider.Entry{{Key: "u", Revision: 2, Deleted: true}}, After: 1, Status: replica.Status{Revision: 2}})
 	assert.Empty(t, compiler.View().Upstreams["s"])
 }
+
+// TestCopyOfRestartedPeerKeepsUpstreamsAfterOutage guards against dropping the upstreams whose entries expired in an
+// outage, because a peer that restarted meanwhile does not know that there were any.
+func TestCopyOfRestartedPeerKeepsUpstreamsAfterOutage(t *testing.T) {
+	for name, c := range map[string]struct {
+		silence, sinceAnswer time.Duration
+		want                 provider.Grace
+	}{
+		"the store answers":     {silence: shortOutage},
+		"after an outage":       {silence: longOutage, want: provider.Grace{For: reregisterTime, Reason: provider.GraceOutage}},
+		"a while after it":      {silence: longOutage + shortOutage, sinceAnswer: shortOutage, want: provider.Grace{For: reregisterTime - shortOutage, Reason: provider.GraceOutage}},
+		"the outage still goes": {silence: longOutage, sinceAnswer: longOutage},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				follower := &replica.Follower{Table: &replica.Table{}, QueryPeer: func(ctx context.Context, _ string, _ provider.Revision) (replica.Update, error) {
+					<-ctx.Done()
+					return replica.Update{}, ctx.Err()
+				}}
+				follower.Start()
+				defer follower.Stop()
+				helpers.Pause(time.Second, nil)
+				follower.ApplyUpdate(replica.Update{Entries: []provider.Entry{{Key: "u", Revision: 1}}, Status: replica.Status{Revision: 1}})
+				helpers.Pause(c.silence, nil)
+				news := replica.Update{After: 1, Status: replica.Status{Revision: 1, SinceAnswer: c.sinceAnswer}}
+				follower.ApplyUpdate(news)
+				follower.ApplyUpdate(replica.Update{Status: replica.Status{Revision: 5, SinceAnswer: c.sinceAnswer}})
+				assert.Equal(t, c.want, follower.Table.Graces("")["u"])
+			})
+		})
+	}
+}
--- a/daemon/internal/process/replica/peer.go
+++ b/daemon/internal/process/replica/peer.go
@@ -139,7 +139,7 @@
 	}
 	applied := 0
 	if update.After == 0 && update.Revision > 0 {
-		applied = f.Table.Replace(f.Prefix, provider.Listing{Entries: update.Entries, Revision: update.Revision, Grace: f.restoreGrace()})
+		applied = f.Table.Replace(f.Prefix, provider.Listing{Entries: update.Entries, Revision: update.Revision, Grace: f.copyGrace()})
 	} else {
 		applied = f.Table.Apply(update.Entries)
 	}
