Check the soak's promises by their bounds

The bounds of configurations, versions, evacuations, quarantines, stated leavings, limits and callers that left had 2 s on top for a busy machine, as that of leaving upstreams had: a check that cannot see a fault of that size. What the machine adds is now measured by the harness's heartbeat for all of them.

--- a/cli/internal/soak/departure.go
+++ b/cli/internal/soak/departure.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// This file checks that upstreams that leave get no more requests. Its bound is that of the promise, with what the
-// machine of the run is measured to add.
+// This file checks that upstreams that leave get no more requests, and measures what the machine of the run adds to
+// the bounds of all checks.
 
 const (
 	// leaveBound is the time after which routers must not send to an upstream whose leaving the store has
@@ -73,7 +73,7 @@
 		return
 	}
 	since := now.Sub(left.at)
-	if bound := leaveBound + o.lateness(left.at) + o.Slack; since > bound {
+	if bound := leaveBound + o.slack(left.at); since > bound {
 		o.violatef(CheckLeaving, id, "%s received a request from %s %s after it announced that it leaves, %s are allowed",
 			upstream, o.routerOf[id], since.Round(time.Millisecond), bound.Round(time.Millisecond))
 	}
@@ -125,6 +125,9 @@
 	o.delays = append(o.delays, delay{at: now, by: late})
 }
 
+// slack returns what is added to a bound that runs from a time.
+func (o *Oracle) slack(since time.Time) time.Duration { return o.Slack + o.lateness(since) }
+
 // lateness returns how late the heartbeats were together since a time. It must be called with mu held.
 func (o *Oracle) lateness(since time.Time) time.Duration {
 	total := time.Duration(0)
--- a/cli/internal/soak/evacuation.go
+++ b/cli/internal/soak/evacuation.go
@@ -4,7 +4,7 @@
 
 // evacuationBound is the time within which routers must stop sending to the upstreams of an
 // evacuated hall.
-const evacuationBound = 5*time.Second + boundSlack
+const evacuationBound = 5 * time.Second
 
 // evacuateHall evacuates a hall until the duration has passed since the bound of the check.
 func (f *fleet) evacuateHall(hall string, duration time.Duration) {
@@ -74,7 +74,7 @@
 func (o *Oracle) checkEvacuation(id, upstream string, now time.Time) {
 	hall, router := o.hallOf[upstream], o.routerOf[id]
 	at, evacuated := o.evacuated[hall]
-	due := at.Add(evacuationBound + o.Slack)
+	due := at.Add(evacuationBound + o.slack(at))
 	if !evacuated || !now.After(due) || o.faultActive(at, due, router, "store") || o.faultActive(at, now, router, "router", "all") {
 		return
 	}
--- a/cli/internal/soak/leaving.go
+++ b/cli/internal/soak/leaving.go
@@ -14,7 +14,7 @@
 const (
 	// leftBound is the time after a caller left within which its request must no longer be sent to
 	// an upstream, and an upstream that runs it must be told, unless it may run at most once.
-	leftBound = 500*time.Millisecond + boundSlack
+	leftBound = 500 * time.Millisecond
 	// A caller that leaves waits for up to maxPatience, and sends every second body in two parts up
 	// to maxBodyPause apart. The next one follows after leavingInterval.
 	maxPatience     = 400 * time.Millisecond
@@ -88,5 +88,5 @@
 func (o *Oracle) sinceLeft(id string, now time.Time) (time.Duration, bool) {
 	left, ok := o.leftAt[id]
 	since := now.Sub(left)
-	return since, ok && since > leftBound+o.Slack && !o.faultActive(left, now, o.routerOf[id], "router", "all", "link")
+	return since, ok && since > leftBound+o.slack(left) && !o.faultActive(left, now, o.routerOf[id], "router", "all", "link")
 }
--- a/cli/internal/soak/limit.go
+++ b/cli/internal/soak/limit.go
@@ -9,7 +9,7 @@
 	// From limitGrace after an upstream announced its limit, it may receive in any limitWindow
 	// limitSlack times the requests that the limit allows, plus limitExtra. Oracle.Slack is not
 	// added, since a slow machine sends fewer requests, not more.
-	limitGrace             = 3*time.Second + boundSlack
+	limitGrace             = 3 * time.Second
 	limitWindow            = 4 * time.Second
 	limitSlack, limitExtra = 1.5, 5.0
 	// maxUpstreamLimit is the limit that a step of strength 1 announces, in requests per second.
@@ -70,7 +70,7 @@
 // It must be called with mu held.
 func (o *Oracle) checkLimit(id, upstream string, now time.Time) {
 	l := o.limits[upstream]
-	if l == nil || now.Sub(l.since) < limitGrace || o.faultActive(l.since, now, o.routerOf[id], "router", "all") {
+	if l == nil || now.Sub(l.since) < limitGrace+o.lateness(l.since) || o.faultActive(l.since, now, o.routerOf[id], "router", "all") {
 		return
 	}
 	received := l.arrivals.add(now, limitWindow)
--- a/cli/internal/soak/oracle.go
+++ b/cli/internal/soak/oracle.go
@@ -11,13 +11,12 @@
 	"github.com/wheelcleat/wheelcleat/platform/standin"
 )
 
-// Bounds of the checks, from docs/PLATFORM.md, each with slack for a loaded machine.
+// Bounds of the checks, from docs/PLATFORM.md. What the machine of a run adds is measured, see slack.
 const (
 	// configurationBound is the time within which a change must be in force.
-	configurationBound = 3*time.Second + boundSlack
+	configurationBound = 3 * time.Second
 	// versionBound is how long requests may start on an older version.
-	versionBound = 8*time.Second + boundSlack
-	boundSlack   = 2 * time.Second
+	versionBound = 8 * time.Second
 	// settleTime is how long after a fault the checks of time bounds stay suspended, while
 	// the daemons work off what the fault delayed.
 	settleTime = 6 * time.Second
@@ -31,7 +30,7 @@
 	// same holds for all requests with a part that crashed partQuarantineAfter upstreams.
 	quarantineAfter, maxLateRuns, maxCrashingRuns = 3, 3, 8
 	partQuarantineAfter                           = 5
-	quarantineBound                               = 3*time.Second + boundSlack
+	quarantineBound                               = 3 * time.Second
 )
 
 // Check names a guarantee of the daemons that the oracle checks.
@@ -256,7 +255,7 @@
 		o.violatef(CheckAtMostOnce, run.ID, "%s started a request that may run at most once; start number %d", run.Upstream, count)
 	}
 	published := o.published[o.newestVersion]
-	if run.Version > 0 && run.Version < o.newestVersion && run.At.Sub(published) > versionBound+o.Slack &&
+	if run.Version > 0 && run.Version < o.newestVersion && run.At.Sub(published) > versionBound+o.slack(published) &&
 		!o.faultActive(published, run.At, o.routerOf[run.ID], "store", "router", "loader", "all", "link", "upstream", "engine", "origin") {
 		o.violatef(CheckVersion, run.ID, "%s started a request on version %d, %s after version %d was published",
 			run.Upstream, run.Version, run.At.Sub(published).Round(time.Millisecond), o.newestVersion)
@@ -282,7 +281,7 @@
 	}
 	lateRuns := 0
 	for _, at := range runs[after:] {
-		if at.Sub(runs[after-1]) > quarantineBound+o.Slack {
+		if at.Sub(runs[after-1]) > quarantineBound+o.slack(runs[after-1]) {
 			lateRuns++
 		}
 	}
@@ -369,7 +368,7 @@
 func (o *Oracle) checkLatef(outcome Outcome, declared time.Time, format string, args ...any) {
 	delay := outcome.Started.Sub(declared)
 	justStarted := outcome.Started.Sub(outcome.ConditionBefore.started) < settleTime
-	if delay <= configurationBound+o.Slack || justStarted || o.faultActive(declared, outcome.Ended, outcome.Router, "store", "router", "all") {
+	if delay <= configurationBound+o.slack(declared) || justStarted || o.faultActive(declared, outcome.Ended, outcome.Router, "store", "router", "all") {
 		return
 	}
 	o.violatef(CheckConfiguration, outcome.ID, "%s %s, %s after the change was acknowledged", outcome.Router,
--- a/cli/internal/soak/withdrawal.go
+++ b/cli/internal/soak/withdrawal.go
@@ -11,7 +11,7 @@
 const (
 	// statedLeaveBound is the time after which a router must not send to an upstream that stated
 	// to it that it leaves.
-	statedLeaveBound = 2*time.Second + boundSlack
+	statedLeaveBound = 2 * time.Second
 	// From pauseGrace after an upstream asked a router for a pause, maxInPause requests of that
 	// router may arrive until its end.
 	pauseGrace = 500 * time.Millisecond
@@ -95,12 +95,12 @@
 	if w == nil {
 		return
 	}
-	if stated, ok := w.stated[router]; ok && now.Sub(stated) > statedLeaveBound+o.Slack && !o.withdrawalExcused(stated, now, router) {
+	if stated, ok := w.stated[router]; ok && now.Sub(stated) > statedLeaveBound+o.slack(stated) && !o.withdrawalExcused(stated, now, router) {
 		o.violatef(CheckStatedLeaving, id, "%s received a request from %s %s after its response to that router stated that it leaves",
 			upstream, router, now.Sub(stated).Round(time.Millisecond))
 	}
 	for _, p := range w.pauses[router] {
-		if now.Before(p.from.Add(pauseGrace+o.Slack)) || !now.Before(p.until) {
+		if now.Before(p.from.Add(pauseGrace+o.slack(p.from))) || !now.Before(p.until) {
 			continue
 		}
 		if p.arrivals++; p.arrivals > maxInPause && !o.withdrawalExcused(p.from, now, router) {
