Accept queued connections before a listener is closed

Cause: the kernel establishes connections by itself, and closing a listener resets those that no call of accept has returned. On a busy machine the router may not be scheduled for milliseconds before that.

The server now takes what is queued off the listener first and serves it: the responses close their connections. The test holds the server back from accepting and fails before with 'connection reset by peer', each time.

--- a/daemon/internal/process/server/connections_test.go
+++ b/daemon/internal/process/server/connections_test.go
@@ -1,11 +1,13 @@
 package server
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -121,3 +123,34 @@
 	assert.PanicsWithError(t, http.ErrAbortHandler.Error(), func() { handler.ServeHTTP(httptest.NewRecorder(), request) })
 	assert.Equal(t, 1, handled)
 }
+
+// Guards against resetting connections whose requests have arrived before the server has accepted them, because the
+// process was not scheduled when its listener was closed.
+func TestShutdownServesConnectionsThatWereNotAccepted(t *testing.T) {
+	s, err := bind(Options{Name: "callers", Address: netip.MustParseAddrPort("127.0.0.1:0"), Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "ok")
+	})})
+	require.NoError(t, err)
+	defer s.Close()
+	close(s.done) // serve does not run
+	const callers = 3
+	var conns []net.Conn
+	for range callers {
+		conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", s.Address.String())
+		require.NoError(t, err)
+		defer func() { _ = conn.Close() }()
+		_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		require.NoError(t, err)
+		conns = append(conns, conn)
+	}
+	require.NoError(t, s.Shutdown(t.Context()))
+	for _, conn := range conns {
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		require.NoError(t, err)
+		body, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		require.NoError(t, err)
+		assert.Equal(t, "ok", string(body))
+		assert.True(t, resp.Close)
+	}
+}
--- a/daemon/internal/process/server/server.go
+++ b/daemon/internal/process/server/server.go
@@ -67,6 +67,16 @@
 
 // Listen binds the address and serves in a goroutine.
 func Listen(options Options) (*Server, error) {
+	s, err := bind(options)
+	if err != nil {
+		return nil, err
+	}
+	go s.serve()
+	return s, nil
+}
+
+// bind binds the address. Callers can connect from then on, and are served once serve runs.
+func bind(options Options) (*Server, error) {
 	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(options.Address))
 	if err != nil {
 		return nil, fmt.Errorf("listen for %s on %s: %w", options.Name, options.Address, err)
@@ -86,13 +96,15 @@
 			return context.WithValue(ctx, connectionKey{}, conn)
 		},
 	}
-	go func() {
-		defer close(s.done)
-		_ = s.http.Serve(listener)
-	}()
 	return s, nil
 }
 
+// serve accepts connections until the listener is closed.
+func (s *Server) serve() {
+	defer close(s.done)
+	_ = s.http.Serve(s.listener)
+}
+
 // keepAliveCheckInterval is the interval of checks for connections that have been idle for too long.
 const keepAliveCheckInterval = 500 * time.Millisecond
 
@@ -182,8 +194,10 @@
 // http.Server.Shutdown, which drops requests that arrive later.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.DisableKeepAlives()
+	queued := acceptQueued(s.listener)
 	_ = s.listener.Close()
 	<-s.done
+	_ = s.http.Serve(&queuedListener{Listener: s.listener, queued: queued})
 	s.conns.closeIdle(ctx, s.idleTimeout)
 	err := s.http.Shutdown(ctx)
 	if err != nil && !errors.Is(err, http.ErrServerClosed) {
