--- a/cli/internal/soak/caller.go
+++ b/cli/internal/soak/caller.go
@@ -32,7 +32,9 @@
 	// waits for the complete answer. callTimeout is longer: a caller that timed out first
 	// could not be distinguished from one whose connection the router cut.
 	routeTimeout = 10 * time.Second
-	callTimeout  = routeTimeout + 2*time.Second
+	callTimeout  = routeTimeout + responseSlack
+	// responseSlack is how late the response to a request that reached its time limit may arrive.
+	responseSlack = 2 * time.Second
 	// minPause and maxPause bound the pause between a caller's requests. dialRetryPause
 	// follows a failed dial.
 	minPause, maxPause = 10 * time.Millisecond, 60 * time.Millisecond
--- a/cli/internal/soak/departure.go
+++ b/cli/internal/soak/departure.go
@@ -74,7 +74,7 @@
 	}
 	since := now.Sub(left.at)
 	if bound := leaveBound + o.slack(left.at); since > bound {
-		o.violatef(CheckLeaving, id, "%s received a request from %s %s after it announced that it leaves, %s are allowed",
+		o.violatef(CheckLeaving, id, "%s received a request from %s %s after the store acknowledged that it leaves, %s are allowed",
 			upstream, o.routerOf[id], since.Round(time.Millisecond), bound.Round(time.Millisecond))
 	}
 }
@@ -88,8 +88,7 @@
 // activeSince is faultActive without the time after a fault for which checks stay suspended.
 func (o *Oracle) activeSince(from time.Time, router string, components ...string) bool {
 	return slices.ContainsFunc(o.spans, func(s *faultSpan) bool {
-		applies := !s.kind.affects("router") || s.target == router
-		return applies && (s.to.IsZero() || !s.to.Before(from)) && slices.ContainsFunc(components, s.kind.affects)
+		return (s.to.IsZero() || !s.to.Before(from)) && s.affects(router, components)
 	})
 }
 
--- a/cli/internal/soak/oracle.go
+++ b/cli/internal/soak/oracle.go
@@ -191,14 +191,18 @@
 	}
 }
 
-// faultActive reports whether a fault of the given components was active between from and to,
-// or within settleTime before. Faults of routers count only for the named router: the others
-// must keep their guarantees without it. It must be called with mu held.
+// affects reports whether a fault is one of the given components. Faults of routers count only for the named router:
+// the others must keep their guarantees without it.
+func (s *faultSpan) affects(router string, components []string) bool {
+	return (!s.kind.affects("router") || s.target == router) && slices.ContainsFunc(components, s.kind.affects)
+}
+
+// faultActive reports whether a fault that affects the router by the given components was active between from and to,
+// or within settleTime before. It must be called with mu held.
 func (o *Oracle) faultActive(from, to time.Time, router string, components ...string) bool {
 	return slices.ContainsFunc(o.spans, func(s *faultSpan) bool {
 		active := !s.from.After(to) && (s.to.IsZero() || s.to.After(from.Add(-settleTime)))
-		applies := !s.kind.affects("router") || s.target == router
-		return active && applies && slices.ContainsFunc(components, func(component string) bool { return s.kind.affects(component) })
+		return active && s.affects(router, components)
 	})
 }
 
--- a/daemon/internal/process/replica/peer.go
+++ b/daemon/internal/process/replica/peer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
@@ -134,14 +135,15 @@
 func (f *Follower) ApplyUpdate(update Update) int {
 	f.observeEra(newestOf(update))
 	f.recordKnownAnswer(update.SinceAnswer)
-	for i := range update.Entries {
-		update.Entries[i].Grace = update.Graces[update.Entries[i].Key]
+	entries := slices.Clone(update.Entries)
+	for i := range entries {
+		entries[i].Grace = update.Graces[entries[i].Key]
 	}
 	applied := 0
 	if update.After == 0 && update.Revision > 0 {
-		applied = f.Table.Replace(f.Prefix, provider.Listing{Entries: update.Entries, Revision: update.Revision, Grace: f.copyGrace()})
+		applied = f.Table.Replace(f.Prefix, provider.Listing{Entries: entries, Revision: update.Revision, Grace: f.copyGrace()})
 	} else {
-		applied = f.Table.Apply(update.Entries)
+		applied = f.Table.Apply(entries)
 	}
 	f.advance(update.Revision)
 	return applied
