Await the stale replica before its refusals are checked

Since readers ask peers earlier, a router that is cut off from the store has a removed key from a peer before its own replica counts as stale, and then refuses the key for good (401), rightly: the removal is acknowledged. It awaits the stale replica now and asserts 503 for twenty further calls, one before.

--- a/daemon/router/router_test.go
+++ b/daemon/router/router_test.go
@@ -237,8 +237,12 @@
 	await(t, "the removed key is refused without the store", func() bool {
 		return call(t, second, "id-2", "GET", "/safe/x", "").status != http.StatusOK
 	})
-	got := call(t, second, "id-3", "GET", "/safe/x", "")
-	assert.Equal(t, http.StatusServiceUnavailable, got.status, "a replica that may be stale gives no final refusal")
+	const furtherCalls = 20
+	status := func(id string) int { return call(t, second, id, "GET", "/safe/x", "").status }
+	await(t, "the replica counts as stale", func() bool { return status("id-3") == http.StatusServiceUnavailable })
+	for i := range furtherCalls {
+		assert.Equal(t, http.StatusServiceUnavailable, status(fmt.Sprintf("id-%d", 4+i)), "a replica that may be stale gives no final refusal")
+	}
 }
 
 // TestHallReceivesUpdatesWhileOneRouterIsCutOff removes a key while one of a hall's two routers
