--- a/cli/internal/soak/leaving.go
+++ b/cli/internal/soak/leaving.go
@@ -38,16 +38,21 @@
 	})
 }
 
+// callerWith returns a caller that sends single requests to a router with a client.
+func (f *fleet) callerWith(client *http.Client, router *router) *caller {
+	return &caller{
+		router: router.process, address: router.callers, oracle: f.oracle,
+		newestConfiguration: &f.newestConfiguration, requestCount: &f.requestCount, client: client,
+	}
+}
+
 // sendAndLeaveOnce sends a request to a router, and closes the connection unless the response is complete
 // by then.
 func (f *fleet) sendAndLeaveOnce(router *router) {
 	ctx, cancel := context.WithTimeout(context.Background(), rand.N(maxPatience))
 	defer cancel()
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	c := &caller{
-		router: router.process, address: router.callers, oracle: f.oracle,
-		newestConfiguration: &f.newestConfiguration, requestCount: &f.requestCount, client: client,
-	}
+	c := f.callerWith(client, router)
 	sent := c.nextRequest()
 	if rand.IntN(2) == 0 {
 		sent.bodyPause = rand.N(maxBodyPause)
--- a/cli/internal/soak/stopping.go
+++ b/cli/internal/soak/stopping.go
@@ -45,10 +45,7 @@
 func (f *fleet) sendStreams(ctx context.Context, router *router) {
 	client := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}, Timeout: callTimeout}
 	defer client.CloseIdleConnections()
-	c := &caller{
-		router: router.process, address: router.callers, oracle: f.oracle,
-		newestConfiguration: &f.newestConfiguration, requestCount: &f.requestCount, client: client,
-	}
+	c := f.callerWith(client, router)
 	for ctx.Err() == nil && !f.isCanceled() {
 		outcome := c.send(context.WithoutCancel(ctx), request{path: standin.LongestPath + "x", key: constantKey})
 		f.oracle.RecordOutcome(outcome)
--- a/daemon/router/recorder_test.go
+++ b/daemon/router/recorder_test.go
@@ -19,10 +19,7 @@
 // requests, and expects a notice of the suppressed lines.
 func TestFailureLinesAreNotSuppressedBySuccesses(t *testing.T) {
 	var lines bytes.Buffer
-	tele, err := telemetry.New(telemetry.Options{Level: "info", Output: &lines})
-	require.NoError(t, err)
-	defer tele.Close()
-	r := newRecorder(tele)
+	r, _ := newTestRecorder(t, &lines)
 	for range 3 * maxServedLines {
 		r.request(&dispatch.Trace{ID: "served", Started: time.Now(), Outcome: dispatch.OutcomeServed})
 	}
@@ -38,10 +35,7 @@
 // the log.
 func TestRefusalLineNamesItsRule(t *testing.T) {
 	var lines bytes.Buffer
-	tele, err := telemetry.New(telemetry.Options{Level: "info", Output: &lines})
-	require.NoError(t, err)
-	defer tele.Close()
-	r := newRecorder(tele)
+	r, _ := newTestRecorder(t, &lines)
 	r.request(&dispatch.Trace{
 		ID: "a", Started: time.Now(), Outcome: dispatch.OutcomeRefused, RetryAfter: 2500 * time.Millisecond, RetryRule: dispatch.RetryRuleReadiness,
 		Readiness: &dispatch.Readiness{Expected: 38, Unknown: 2, From: 2 * time.Second, To: 4 * time.Second},
@@ -59,12 +53,8 @@
 // TestQueriesAndHallsAreCounted guards against a change of the choice of upstreams whose effect on
 // denied queries and on traffic between halls no metric shows.
 func TestQueriesAndHallsAreCounted(t *testing.T) {
-	tele, err := telemetry.New(telemetry.Options{Level: "info"})
-	require.NoError(t, err)
-	defer tele.Close()
-	scope := tally.NewTestScope("", nil)
-	tele.Scope = scope
-	newRecorder(tele).request(&dispatch.Trace{
+	r, scope := newTestRecorder(t, &bytes.Buffer{})
+	r.request(&dispatch.Trace{
 		Started: time.Now(), Outcome: dispatch.OutcomeServed,
 		PlaceRequests: []dispatch.PlaceRequest{{}, {}, {Cause: "no answer"}, {Granted: true}},
 		Attempts:      []dispatch.Attempt{{OtherHall: true}, {}},
