Bound the memory of heads beneath net/http, by lines and for all connections

What callers saw: a process ran out of memory and ended, or took hundreds of megabytes over its limit and answered late, when clients sent heads over the limit, heads without end, or many heads that they never completed.

Cause: net/http stores each header line as it arrives, as a map entry, a slice and strings. So a head costs by its lines, ten times its size and more, before the limit of bytes ends it. Nothing bounded the heads of all connections together, and the ports for readiness, peers and metrics had a limit of 1 MiB for each. A limit of the memory of the runtime does not bound live data.

Change: a connection reads a head itself and gives it to net/http only once it is complete and within the limit. Where a head leaves the length of the body open, the connection closes after the response. All heads of a process, by their estimated memory, share a budget of an eighth of its memory. Up to 16 KiB of a head are free, so ordinary requests do not need it. Heads that have not arrived make room for others, the oldest first; they and complete heads without room get 503 with Retry-After, heads over the limit 431, late ones 408, and more than eight bytes of empty lines 400. A single head within the limit always has room, with as many lines as fit in it. Up to eight bytes of empty lines before a request are skipped now.

--- a/cli/internal/hostile/hostile_test.go
+++ b/cli/internal/hostile/hostile_test.go
@@ -3,7 +3,13 @@
 // answers ordinary requests while the connections of the crowd are open.
 package hostile
 
-import "testing"
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/wheelcleat/wheelcleat/platform/standin"
+)
 
 // testCrowd starts each kind of process, lets a crowd of clients misbehave at all its listeners, and checks the process.
 func testCrowd(t *testing.T, behave behavior) {
@@ -17,6 +23,97 @@
 	}
 }
 
+// form returns which of several forms the client with a number sends, so that each listener gets all of them.
+func form(number, forms int) int {
+	const mostListeners = 4
+	return number / mostListeners % forms
+}
+
+// requestLine begins a request for the path of a target's ordinary request.
+func requestLine(method string, target target) string {
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\n", method, target.path, callersHost, callersKey)
+}
+
+// ordinary is a complete ordinary request.
+func ordinary(target target) string {
+	return requestLine("GET", target) + standin.HeaderRequestID + ": crowd\r\n\r\n"
+}
+
+// TestHeadsOverTheLimitInShortLines guards against heads that take many times their size in memory, since each line
+// is stored on its own.
+func TestHeadsOverTheLimitInShortLines(t *testing.T) {
+	const size = 60 << 10
+	lines := shortLines(size)
+	testCrowd(t, func(target target, _ int) client { return client{first: requestLine("GET", target) + lines + "\r\n"} })
+}
+
+// TestHeadsOverTheLimitInOneLine guards against many long header lines that are read at the same time.
+func TestHeadsOverTheLimitInOneLine(t *testing.T) {
+	const size = 66 << 10
+	line := "X: " + strings.Repeat("x", size)
+	testCrowd(t, func(target target, _ int) client { return client{first: requestLine("GET", target) + line} })
+}
+
+// TestEndlessHeadsInShortLines guards against heads that go on without end in short lines.
+func TestEndlessHeadsInShortLines(t *testing.T) {
+	testCrowd(t, func(target target, _ int) client {
+		return client{first: requestLine("GET", target), then: &endlessLines{}}
+	})
+}
+
+// TestEndlessHeadsInOneLine guards against a header line without end.
+func TestEndlessHeadsInOneLine(t *testing.T) {
+	testCrowd(t, func(target target, _ int) client {
+		return client{first: requestLine("GET", target) + "X: ", then: &endless{text: "x"}}
+	})
+}
+
+// TestEndlessRequestLines guards against a request line without end.
+func TestEndlessRequestLines(t *testing.T) {
+	testCrowd(t, func(target, int) client { return client{first: "GET /", then: &endless{text: "x"}} })
+}
+
+// TestEndlessHeadsOfLaterRequests guards against a server that bounds only the first head of a connection.
+func TestEndlessHeadsOfLaterRequests(t *testing.T) {
+	testCrowd(t, func(target target, _ int) client {
+		return client{first: ordinary(target) + requestLine("GET", target), then: &endlessLines{}}
+	})
+}
+
+// TestEmptyLinesBeforeFirstRequests guards against a server that skips empty lines before a request without end.
+func TestEmptyLinesBeforeFirstRequests(t *testing.T) {
+	testCrowd(t, func(target, int) client { return client{then: &endless{text: "\r\n"}} })
+}
+
+// TestEmptyLinesBeforeLaterRequests guards against the same on a connection that has served a request.
+func TestEmptyLinesBeforeLaterRequests(t *testing.T) {
+	testCrowd(t, func(target target, number int) client {
+		first := ordinary(target)
+		if form(number, 2) == 0 { // empty lines after a request with a body are handled on their own by net/http
+			first = requestLine("POST", target) + "Content-Length: 1\r\n\r\nx"
+		}
+		return client{first: first, then: &endless{text: "\r\n"}}
+	})
+}
+
+// TestUnfinishedHeadsWithinTheLimit guards against clients that each send less than the limit, but never the end.
+func TestUnfinishedHeadsWithinTheLimit(t *testing.T) {
+	const size = 15 << 10
+	forms := []string{shortLines(size), "X: " + strings.Repeat("x", size)}
+	testCrowd(t, func(target target, number int) client {
+		return client{first: requestLine("GET", target) + forms[form(number, len(forms))]}
+	})
+}
+
+// TestManyHeadsWithinTheLimit guards against the memory of many complete heads of the largest allowed size.
+func TestManyHeadsWithinTheLimit(t *testing.T) {
+	const size = 15 << 10
+	lines := shortLines(size)
+	testCrowd(t, func(target target, number int) client {
+		return client{first: requestLine("GET", target) + fmt.Sprintf("%s: crowd-%d\r\n", standin.HeaderRequestID, number) + lines + "\r\n"}
+	})
+}
+
 // TestSilentConnections guards against connections without a request that use up the descriptors.
 func TestSilentConnections(t *testing.T) {
 	testCrowd(t, func(target, int) client { return client{} })
--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -155,8 +155,8 @@
 func (p *Process) listen(mux *http.ServeMux) error {
 	var limits server.Limits
 	s, err := server.Listen(server.Options{
-		Name: "peers", Address: p.settings.Listen.Peers, Handler: mux,
-		MaxConns: limits.MaxConns(server.MainShare),
+		Name: "peers", Address: p.settings.Listen.Peers, Handler: mux, MaxHeaderBytes: http.DefaultMaxHeaderBytes,
+		MaxConns: limits.MaxConns(server.MainShare), HeadBudget: limits.HeadBudget(),
 	})
 	if err != nil {
 		return fmt.Errorf("agent %s: %w", p.settings.Name, err)
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -156,18 +156,19 @@
 
 func (p *Process) listen(kv *platform.KV) error {
 	var limits server.Limits
+	heads := limits.HeadBudget()
 	var err error
 	requests := p.settings.Requests
 	p.callers, err = server.Listen(server.Options{
 		Name: "callers", Address: p.settings.Listen.Callers, Handler: p.callerRoutes(), MaxHeaderBytes: requests.MaxHeaderBytes,
-		MaxConns: limits.MaxConns(server.EntryCallersShare),
+		MaxConns: limits.MaxConns(server.EntryCallersShare), HeadBudget: heads,
 	})
 	if err != nil {
 		return err
 	}
 	p.operators, err = server.Listen(server.Options{
 		Name: "operators", Address: p.settings.Listen.Operators, Handler: p.operatorRoutes(kv),
-		MaxConns: limits.MaxConns(server.ControlShare),
+		MaxConns: limits.MaxConns(server.ControlShare), HeadBudget: heads,
 	})
 	if err != nil {
 		return err
@@ -177,7 +178,7 @@
 	mux.Handle(service.PathPrefix(), service)
 	p.peers, err = server.Listen(server.Options{
 		Name: "peers", Address: p.settings.Listen.Peers, Handler: mux,
-		MaxConns: limits.MaxConns(server.EntryPeersShare),
+		MaxConns: limits.MaxConns(server.EntryPeersShare), HeadBudget: heads,
 	})
 	return err
 }
--- /dev/null
+++ b/daemon/internal/process/server/conn.go
@@ -0,0 +1,331 @@
+package server
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/framing"
+)
+
+const (
+	// defaultMaxHeadBytes bounds the head of a request if neither the options nor the configuration do.
+	defaultMaxHeadBytes = 64 << 10
+	// largestHeadBytes bounds the head of a request whatever the configuration says.
+	largestHeadBytes = 16 << 20
+	// requestLineBytes is what a head may take in addition to its limit, which is one of the header lines.
+	requestLineBytes = 4 << 10
+	// maxEmptyLineBytes is how many bytes of empty lines may precede a request.
+	maxEmptyLineBytes = 8
+	// defaultHeadTimeout bounds the time in which a head must arrive, and silentTimeout that until the first byte
+	// arrives on a new connection.
+	defaultHeadTimeout, silentTimeout = 10 * time.Second, 10 * time.Second
+	// unreadGrace is how long a read goes on after its deadline if data has arrived: the process may not have run.
+	unreadGrace = time.Second
+	// lingerTimeout and lingerBytes bound what is read from a refused client, so that it can read the refusal. To close
+	// a connection with unread data resets it.
+	lingerTimeout, lingerBytes = 500 * time.Millisecond, 256 << 10
+)
+
+// conn is a connection of a client. It gives net/http the head of a request only once the head has arrived completely
+// and within the limits. Reads are sequential, as net/http does them.
+type conn struct {
+	net.Conn
+	tcp    *net.TCPConn
+	server *Server
+
+	// The fields below belong to the goroutine that reads.
+
+	// head scans the head of the next request, partial holds its bytes so far, and body is the position in the body of
+	// the current request. If body has not ended, the head is empty.
+	head    framing.Head
+	partial []byte
+	body    framing.Body
+	// ready holds bytes of the current request for net/http, and early bytes of the next one that arrived with it.
+	ready, early []byte
+	// graceUsed is set once the deadline of the head was extended.
+	graceUsed bool
+
+	// memory is the share of the head in the budget. evicted is set once another head has got that share.
+	memory  reservation
+	evicted atomic.Bool
+	// serving is set from the time at which net/http has parsed a head to the end of the response.
+	serving atomic.Bool
+	// last is set if the connection must close after the response, since the end of the request is ambiguous.
+	last atomic.Bool
+
+	// mu guards the deadlines. readDeadline is the one that net/http and handlers set, and ownDeadline the one that
+	// this connection set.
+	mu                        sync.Mutex
+	readDeadline, ownDeadline time.Time
+}
+
+func (s *Server) newConn(accepted net.Conn) net.Conn {
+	tcp, ok := accepted.(*net.TCPConn)
+	if !ok {
+		return accepted
+	}
+	c := &conn{Conn: tcp, tcp: tcp, server: s}
+	c.memory.evict = c.evictHead
+	c.setOwnDeadline(time.Now().Add(silentTimeout))
+	return c
+}
+
+// SyscallConn gives access to the socket.
+func (c *conn) SyscallConn() (syscall.RawConn, error) { return c.tcp.SyscallConn() }
+
+// CloseWrite closes the sending direction.
+func (c *conn) CloseWrite() error { return c.tcp.CloseWrite() }
+
+// Read returns bytes of at most one request.
+func (c *conn) Read(p []byte) (int, error) {
+	switch {
+	case len(p) == 0:
+		return 0, nil
+	case len(c.ready) > 0:
+		return c.takeReady(p), nil
+	case !c.body.Ended() && !c.serving.Load():
+		return 0, io.EOF // the handler gave up the body, so the next request cannot be found
+	case !c.body.Ended():
+		return c.readBody(p)
+	case c.serving.Load():
+		return c.readAhead(p[:1])
+	default:
+		return c.readHead(p)
+	}
+}
+
+// takeReady copies bytes of the current request to p.
+func (c *conn) takeReady(p []byte) int {
+	n := copy(p, c.ready)
+	c.ready = c.ready[n:]
+	if len(c.ready) == 0 {
+		c.ready = nil
+	}
+	return n
+}
+
+// receive reads from the bytes that arrived early, or else from the socket.
+func (c *conn) receive(p []byte) (int, error) {
+	if len(c.early) > 0 {
+		n := copy(p, c.early)
+		c.early = c.early[n:]
+		if len(c.early) == 0 {
+			c.early = nil
+		}
+		return n, nil
+	}
+	return c.Conn.Read(p)
+}
+
+// readBody reads bytes of the body of the current request.
+func (c *conn) readBody(p []byte) (int, error) {
+	n, err := c.receive(p)
+	return c.splitBody(p[:n]), err
+}
+
+// splitBody returns how many bytes belong to the body. It keeps the others for the next request.
+func (c *conn) splitBody(data []byte) int {
+	n := c.body.Scan(data)
+	if n < len(data) {
+		c.early = append(append([]byte(nil), data[n:]...), c.early...)
+	}
+	return n
+}
+
+// readAhead reads the first byte of the next request while the current one is served. net/http does that to detect
+// that the client has disconnected.
+func (c *conn) readAhead(p []byte) (int, error) {
+	for {
+		n, err := c.receive(p)
+		if n == 0 {
+			return 0, err
+		}
+		if rest := c.head.SkipEmptyLines(p); len(rest) > 0 {
+			c.head.Scan(rest)
+			return n, err
+		}
+		if c.head.EmptyLines > maxEmptyLineBytes {
+			return n, err // readHead refuses the next request
+		}
+	}
+}
+
+// readHead reads a head until it is complete, and returns its first bytes.
+func (c *conn) readHead(p []byte) (int, error) {
+	if c.head.Size > 0 {
+		c.beginHead() // readAhead has read its first byte
+	}
+	for c.head.EmptyLines <= maxEmptyLineBytes {
+		n, err := c.receive(p)
+		data := c.head.SkipEmptyLines(p[:n])
+		if err != nil && !c.extendDeadline(err) {
+			return c.headError(err)
+		}
+		if len(data) == 0 {
+			continue
+		}
+		if c.head.Size == 0 {
+			c.beginHead()
+		}
+		scanned, complete := c.head.Scan(data)
+		if c.head.Size > c.server.maxHeadBytes() {
+			return c.refuse(HeadTooLarge)
+		}
+		if complete {
+			return c.finishHead(p, data, scanned)
+		}
+		c.partial = append(c.partial, data...)
+		if !c.server.headBudget.growPartial(&c.memory, cap(c.partial)) {
+			return c.refuse(HeadMemory)
+		}
+	}
+	return c.refuse(EmptyLines)
+}
+
+// beginHead starts the time limit for a head whose first byte has arrived.
+func (c *conn) beginHead() {
+	c.setOwnDeadline(time.Now().Add(c.server.headTimeout()))
+	c.server.conns.setPhase(c, phaseHead)
+}
+
+// finishHead begins the request whose head ends after the first scanned bytes of data. data may lie in p.
+func (c *conn) finishHead(p, data []byte, scanned int) (int, error) {
+	if !c.server.headBudget.complete(&c.memory, c.head.Size, c.head.Lines) {
+		return c.refuse(HeadMemory)
+	}
+	head, rest := data[:scanned], data[scanned:]
+	if len(c.partial) == 0 {
+		c.beginRequest(head)
+		return copy(p, data[:scanned+c.splitBody(rest)]), nil
+	}
+	c.partial = append(c.partial, head...)
+	c.ready, c.partial = c.partial, nil
+	c.beginRequest(c.ready)
+	c.ready = append(c.ready, rest[:c.splitBody(rest)]...)
+	return c.takeReady(p), nil
+}
+
+// beginRequest begins the request with a head.
+func (c *conn) beginRequest(head []byte) {
+	c.body = framing.BodyOf(head)
+	c.last.Store(c.body.Unbounded())
+	c.head, c.graceUsed = framing.Head{}, false
+	c.setOwnDeadline(time.Time{})
+}
+
+// headError handles an error while a head arrives.
+func (c *conn) headError(err error) (int, error) {
+	if c.ownDeadlinePassed(err) && c.head.Size > 0 {
+		return c.refuse(HeadTimeout)
+	}
+	if c.ownDeadlinePassed(err) {
+		c.server.closed(HeadTimeout)
+	}
+	return 0, err
+}
+
+// extendDeadline extends the deadline of a head once if it has passed although data has arrived. The process may not
+// have run for a while.
+func (c *conn) extendDeadline(err error) bool {
+	if c.graceUsed || !c.ownDeadlinePassed(err) || !hasUnreadData(c) {
+		return false
+	}
+	c.graceUsed = true
+	c.setOwnDeadline(time.Now().Add(unreadGrace))
+	return true
+}
+
+// refuse answers a request that has not been parsed, and ends the connection. No response is in progress.
+func (c *conn) refuse(reason Reason) (int, error) {
+	c.partial, c.early = nil, nil
+	c.server.headBudget.release(&c.memory)
+	if c.evicted.Load() {
+		return 0, io.EOF
+	}
+	c.server.closed(reason)
+	_ = c.Conn.SetDeadline(time.Now().Add(lingerTimeout))
+	if _, err := io.WriteString(c.Conn, reason.refusal()); err == nil && c.CloseWrite() == nil {
+		_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
+	}
+	_ = c.Close()
+	return 0, io.EOF
+}
+
+// evictHead closes the connection because its partial head takes memory that another head needs. It may be called from
+// any goroutine.
+func (c *conn) evictHead() {
+	c.evicted.Store(true)
+	c.writeNow(HeadMemory.refusal())
+	_ = c.Close()
+	c.server.closed(HeadMemory)
+}
+
+// writeNow writes a short text if the socket accepts it without blocking.
+func (c *conn) writeNow(text string) {
+	raw, err := c.tcp.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Write(func(fd uintptr) bool {
+		_, _ = syscall.Write(int(fd), []byte(text))
+		return true
+	})
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(deadline time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readDeadline = deadline
+	return c.applyReadDeadline()
+}
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(deadline time.Time) error {
+	return errors.Join(c.SetReadDeadline(deadline), c.SetWriteDeadline(deadline))
+}
+
+func (c *conn) setOwnDeadline(deadline time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ownDeadline = deadline
+	_ = c.applyReadDeadline()
+}
+
+// applyReadDeadline sets the earlier deadline. The caller holds mu.
+func (c *conn) applyReadDeadline() error {
+	deadline := c.readDeadline
+	if deadline.IsZero() || !c.ownDeadline.IsZero() && c.ownDeadline.Before(deadline) {
+		deadline = c.ownDeadline
+	}
+	return c.Conn.SetReadDeadline(deadline)
+}
+
+// ownDeadlinePassed reports whether err means that ownDeadline has passed, and not one that net/http set.
+func (c *conn) ownDeadlinePassed(err error) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return errors.Is(err, os.ErrDeadlineExceeded) && !c.ownDeadline.IsZero() && (c.readDeadline.IsZero() || c.ownDeadline.Before(c.readDeadline))
+}
+
+// setState follows the state that net/http reports.
+func (c *conn) setState(state http.ConnState) {
+	switch state {
+	case http.StateActive:
+		c.serving.Store(true)
+	case http.StateIdle, http.StateClosed, http.StateHijacked:
+		c.serving.Store(false)
+		c.server.headBudget.release(&c.memory)
+	default:
+	}
+}
+
+func statusLine(status int) string { return strconv.Itoa(status) + " " + http.StatusText(status) }
--- a/daemon/internal/process/server/limits.go
+++ b/daemon/internal/process/server/limits.go
@@ -6,11 +6,13 @@
 	"golang.org/x/sys/unix"
 )
 
-// Limits are the resources of a process that its listeners share. The zero value has the descriptors that the
-// operating system allows.
+// Limits are the resources of a process that its listeners share. The zero value has no limit of memory, and the
+// descriptors that the operating system allows.
 type Limits struct {
 	// Descriptors is the number of descriptors that the process may open; 0 means that of the operating system.
 	Descriptors int
+	// MemoryMB is the memory limit of the process in MiB; 0 means unknown.
+	MemoryMB float64
 }
 
 // Shares of the descriptors that a listener's connections may take. Those of a process together leave some for
@@ -31,6 +33,12 @@
 // MaxConns returns how many connections a listener may have, given its share.
 func (l Limits) MaxConns(share float64) int { return int(float64(l.descriptors()) * share) }
 
+// HeadBudget returns a budget for heads: an eighth of the memory.
+func (l Limits) HeadBudget() *HeadBudget {
+	const share, mebibyte = 8, 1 << 20
+	return &HeadBudget{MaxBytes: int64(l.MemoryMB * mebibyte / share)}
+}
+
 // descriptors returns the number of descriptors, or 0 if there is no limit.
 func (l Limits) descriptors() int {
 	var limit unix.Rlimit
--- a/daemon/internal/process/server/server.go
+++ b/daemon/internal/process/server/server.go
@@ -22,7 +22,6 @@
 )
 
 const (
-	headerTimeout = 10 * time.Second
 	// defaultIdleTimeout is several round trips between a caller and a host. Requests that
 	// arrive in that time must end before the shutdown's deadline, so a longer timeout would
 	// abort long requests.
@@ -46,15 +45,27 @@
 	keepAliveOnce sync.Once
 	// keepAlivesDisabled makes responses close their connections.
 	keepAlivesDisabled atomic.Bool
-	done               chan struct{}
+	// headLimit is the limit of a head in bytes, and headWait the time in which it must arrive, in nanoseconds. 0 means
+	// the default. SetHeadLimits changes them.
+	headLimit, headWait atomic.Int64
+	headBudget          *HeadBudget
+	name                string
+	onClose             func(name, reason string)
+	done                chan struct{}
 }
 
 // Options describe a server.
 type Options struct {
-	Name           string
-	Address        netip.AddrPort
-	Handler        http.Handler
+	Name    string
+	Address netip.AddrPort
+	Handler http.Handler
+	// MaxHeaderBytes limits the head of a request, without the request line; 0 means 64 KiB.
 	MaxHeaderBytes int
+	// HeadBudget bounds the memory of the heads of all connections of the process; nil means one of its own.
+	HeadBudget *HeadBudget
+	// OnClose is called with the server's name for each connection that is closed for a Reason. It must not block, and
+	// may be nil.
+	OnClose func(name, reason string)
 	// IdleTimeout is how long a connection must have been idle before a shutdown closes it;
 	// 0 means 100 ms.
 	IdleTimeout time.Duration
@@ -87,11 +98,16 @@
 	}
 	s := &Server{
 		Address: bound.AddrPort(), listener: listener, idleTimeout: helpers.OrDefault(options.IdleTimeout, defaultIdleTimeout), done: make(chan struct{}),
+		headBudget: options.HeadBudget, name: options.Name, onClose: options.OnClose,
+	}
+	if s.headBudget == nil {
+		s.headBudget = &HeadBudget{}
 	}
-	s.conns.limit = options.MaxConns
-	s.http = &http.Server{
-		Handler: s.closeWhenDraining(options.Handler), ConnState: s.conns.setState, MaxHeaderBytes: options.MaxHeaderBytes,
-		ReadHeaderTimeout: headerTimeout, IdleTimeout: helpers.OrDefault(options.KeepAlive, defaultKeepAlive),
+	s.SetHeadLimits(options.MaxHeaderBytes, 0)
+	s.conns.limit, s.conns.onEvict = options.MaxConns, func() { s.closed(TooManyConnections) }
+	s.http = &http.Server{ //nolint:gosec // a connection limits the time for a head itself
+		Handler: s.closeWhenDraining(options.Handler), ConnState: s.setState, MaxHeaderBytes: largestHeadBytes,
+		IdleTimeout: helpers.OrDefault(options.KeepAlive, defaultKeepAlive),
 		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
 			return context.WithValue(ctx, connectionKey{}, conn)
 		},
@@ -102,7 +118,54 @@
 // serve accepts connections until the listener is closed.
 func (s *Server) serve() {
 	defer close(s.done)
-	_ = s.http.Serve(s.listener)
+	_ = s.http.Serve(&boundedListener{Listener: s.listener, server: s})
+}
+
+// boundedListener returns connections that limit what their clients send.
+type boundedListener struct {
+	net.Listener
+	server *Server
+}
+
+// Accept returns the next connection.
+func (l *boundedListener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.server.newConn(accepted), nil
+}
+
+// setState is the ConnState hook of net/http.
+func (s *Server) setState(accepted net.Conn, state http.ConnState) {
+	s.conns.setState(accepted, state)
+	if c, ok := accepted.(*conn); ok {
+		c.setState(state)
+	}
+}
+
+// closed reports a connection that is closed for a reason.
+func (s *Server) closed(reason Reason) {
+	if s.onClose != nil {
+		s.onClose(s.name, string(reason))
+	}
+}
+
+// SetHeadLimits changes the limit of a head in bytes and the time in which it must arrive. 0 restores the default: 64
+// KiB, and 10 s.
+func (s *Server) SetHeadLimits(maxBytes int, timeout time.Duration) {
+	s.headLimit.Store(int64(maxBytes))
+	s.headWait.Store(int64(timeout))
+}
+
+// maxHeadBytes returns the limit of a head with its request line.
+func (s *Server) maxHeadBytes() int {
+	limit := helpers.OrDefault(int(s.headLimit.Load()), defaultMaxHeadBytes)
+	return min(limit, largestHeadBytes) + requestLineBytes
+}
+
+func (s *Server) headTimeout() time.Duration {
+	return helpers.OrDefault(time.Duration(s.headWait.Load()), defaultHeadTimeout)
 }
 
 // keepAliveCheckInterval is the interval of checks for connections that have been idle for too long.
@@ -136,17 +199,23 @@
 // the response.
 func (s *Server) closeWhenDraining(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if conn, ok := r.Context().Value(connectionKey{}).(net.Conn); ok && s.conns.isClosed(conn) {
+		accepted, ok := r.Context().Value(connectionKey{}).(net.Conn)
+		if ok && s.conns.isClosed(accepted) {
 			panic(http.ErrAbortHandler)
 		}
-		handler.ServeHTTP(&responseWriter{ResponseWriter: w, closes: &s.keepAlivesDisabled}, r)
+		closes := s.keepAlivesDisabled.Load
+		if c, ok := accepted.(*conn); ok && c.last.Load() {
+			closes = c.last.Load
+		}
+		handler.ServeHTTP(&responseWriter{ResponseWriter: w, closes: closes}, r)
 	})
 }
 
 // responseWriter adds "Connection: close" to the head of a response if its connection closes.
 type responseWriter struct {
 	http.ResponseWriter
-	closes *atomic.Bool
+	// closes reports whether the connection closes after the response.
+	closes func() bool
 	// headWritten is set once the final head was written.
 	headWritten bool
 }
@@ -181,7 +250,7 @@
 		return // written, or an interim response, which is no head
 	}
 	w.headWritten = true
-	if w.closes.Load() {
+	if w.closes() {
 		w.Header().Set("Connection", "close")
 	}
 }
@@ -197,7 +266,7 @@
 	queued := acceptQueued(s.listener)
 	_ = s.listener.Close()
 	<-s.done
-	_ = s.http.Serve(&queuedListener{Listener: s.listener, queued: queued})
+	_ = s.http.Serve(&boundedListener{Listener: &queuedListener{Listener: s.listener, queued: queued}, server: s})
 	s.conns.closeIdle(ctx, s.idleTimeout)
 	err := s.http.Shutdown(ctx)
 	if err != nil && !errors.Is(err, http.ErrServerClosed) {
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -235,11 +235,12 @@
 	(&swarm.Server{Copies: p.copies, Uplink: swarm.Uplink{BytesPerSecond: p.linkRate}}).Register(routes)
 	routes.Compat().GET(loadfeed.Path, p.feed.ServeHTTP)
 	routes.Compat().GET(places.Path, places.Handler(p.ledger, p.countResponse))
-	var limits server.Limits
+	limits := server.Limits{MemoryMB: p.current.Load().Bounds.MemoryMB}
+	heads := limits.HeadBudget()
 	var err error
 	p.peers, err = server.Listen(server.Options{
 		Name: "peers", Address: p.current.Load().Listen.Peers, Handler: routes,
-		MaxConns: limits.MaxConns(server.MainShare),
+		MaxConns: limits.MaxConns(server.MainShare), HeadBudget: heads,
 	})
 	if err != nil {
 		return fmt.Errorf("loader %s: %w", p.current.Load().Name, err)
@@ -248,7 +249,7 @@
 	p.telemetry.RegisterPages(mux)
 	p.metrics, err = server.Listen(server.Options{
 		Name: "metrics", Address: p.current.Load().Listen.Metrics, Handler: mux,
-		MaxConns: limits.MaxConns(server.ControlShare),
+		MaxConns: limits.MaxConns(server.ControlShare), HeadBudget: heads,
 	})
 	if err != nil {
 		p.peers.Close()
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -52,8 +52,6 @@
 	probeConnectTimeout = 50 * time.Millisecond
 	// storeIdleTimeout closes idle connections to the store and to peers.
 	storeIdleTimeout = 30 * time.Second
-	// maxHeaderBytes bounds the headers of a caller's request.
-	maxHeaderBytes = 64 << 10
 )
 
 // Options configure a router. Provider must be set; the other fields have defaults.
