Apply the limits of the configuration on heads

What callers saw: a router held a part of a head for 10 s, and read heads of 64 KiB, whatever limits the operators had declared.

Cause: of the configuration's limits only those of the body and of idle time were decoded. The others were constants of the router.

Change: maxHeaderBytes and headerTimeoutMs are decoded and apply as soon as the configuration is in force. Without them the limits stay at 64 KiB and 10 s.

--- a/cli/internal/hostile/process_test.go
+++ b/cli/internal/hostile/process_test.go
@@ -37,8 +37,8 @@
 	// maxOpen is the number of descriptors that a process may have open under a crowd. It leaves some for connections
 	// to upstreams and to the store.
 	maxOpen = descriptors * 15 / 16
-	// maxBodyBytes is a limit of the configuration.
-	maxBodyBytes = 1 << 20
+	// maxHeaderBytes and maxBodyBytes are limits of the configuration.
+	maxHeaderBytes, maxBodyBytes = 16 << 10, 1 << 20
 	// hangTimeout is how long a test waits for a process that hangs.
 	hangTimeout = 30 * time.Second
 )
@@ -301,7 +301,7 @@
 		Routes:   []provider.Route{route("safe", "/safe/", plainService, provider.ModeSafe), route("unsafe", "/unsafe/", plainService, provider.ModeUnsafe)},
 		Services: []provider.Service{{Name: plainService}, {Name: "weights", Origin: originAddress}, {Name: engineService, Engine: engineSpec()}},
 		Accounts: []provider.Account{{Name: "account", Keys: []string{callersKey}}},
-		Limits:   provider.Limits{MaxBodyBytes: maxBodyBytes},
+		Limits:   provider.Limits{MaxBodyBytes: maxBodyBytes, MaxHeaderBytes: maxHeaderBytes},
 	})
 	s.DeclareTarget(provider.Target{Model: model, Version: 1})
 	for name, service := range map[string]string{"plain": plainService, "engine": engineService} {
--- a/daemon/provider/configuration.go
+++ b/daemon/provider/configuration.go
@@ -128,6 +128,10 @@
 // Limits bound the requests of callers.
 type Limits struct {
 	MaxBodyBytes int64
+	// MaxHeaderBytes limits the head of a request, and HeaderTimeout the time in which it must arrive; 0 means the
+	// router's default.
+	MaxHeaderBytes int
+	HeaderTimeout  time.Duration
 	// IdleTimeout is how long a caller's connection may be idle; 0 means the router's default.
 	IdleTimeout time.Duration
 }
--- a/daemon/router/upstreams.go
+++ b/daemon/router/upstreams.go
@@ -16,6 +16,7 @@
 	p.compiler.Apply(changed)
 	if configuration := p.compiler.View().Configuration; configuration != nil {
 		p.callers.SetKeepAlive(configuration.Limits.IdleTimeout)
+		p.callers.SetHeadLimits(configuration.Limits.MaxHeaderBytes, configuration.Limits.HeaderTimeout)
 		if !p.draining.Load() {
 			p.telemetry.SetReady()
 		}
