Close connections whose body or response makes no progress

What callers saw: requests whose body never arrived took all connections of a listener, and an ordinary request got no answer, on each listener of each process. A connection whose client read no responses was held as long as the client liked.

Cause: net/http reads the rest of a body that the handler does not want, and writes responses, without a time limit unless the handler sets one. And a connection that waits for a body counted as one whose request is served, which a new connection does not replace.

Change: a connection without progress for 30 s while its body arrives, or while a response is written for which the handler has set no deadline, is closed. Where connections are scarce, one whose body has been late for a second makes room for a new one. A body that the handler gave up ends the connection, since the next request cannot be found.

Evidence: TestBodiesThatNeverArrive failed on all ten listeners of the four processes without this change and passes now. TestLateBodiesMakeRoom, TestStalledBodyEndsTheConnection and TestUnreadResponseEndsTheConnection pass too. TestUnfinishedBodies, TestEndlessBodies and TestRequestsWithUnreadResponses passed without it, once connections and heads were bounded, and guard the rest of the class.

--- a/cli/internal/hostile/hostile_test.go
+++ b/cli/internal/hostile/hostile_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"io"
 	"strings"
 	"testing"
 
@@ -118,3 +119,50 @@
 func TestSilentConnections(t *testing.T) {
 	testCrowd(t, func(target, int) client { return client{} })
 }
+
+// TestRequestsWithUnreadResponses guards against clients that send one request after the other and read no response.
+func TestRequestsWithUnreadResponses(t *testing.T) {
+	const sent = 128 << 10
+	testCrowd(t, func(target target, _ int) client {
+		return client{then: io.LimitReader(&endless{text: ordinary(target)}, sent), ignoresResponses: true}
+	})
+}
+
+// TestBodiesThatNeverArrive guards against requests whose body is announced and never sent. They use up the
+// descriptors, and those that are refused wait for the rest of the body.
+func TestBodiesThatNeverArrive(t *testing.T) {
+	testCrowd(t, func(target target, number int) client {
+		path := target
+		if form(number, 2) == 0 {
+			path.path = "/nothing-here"
+		}
+		return client{first: requestLine("POST", path) + "Content-Length: 1000\r\n\r\nx"}
+	})
+}
+
+// TestUnfinishedBodies guards against bodies within the limit that stay unfinished.
+func TestUnfinishedBodies(t *testing.T) {
+	const announced, sent = "1000000", 900_000
+	testCrowd(t, func(target target, number int) client {
+		framing := "Content-Length: " + announced + "\r\n\r\n"
+		if form(number, 2) == 0 {
+			framing = "Transfer-Encoding: chunked\r\n\r\nf4240\r\n"
+		}
+		return client{first: requestLine("POST", target) + framing, then: io.LimitReader(&endless{text: "x"}, sent)}
+	})
+}
+
+// TestEndlessBodies guards against chunked bodies without end: in chunks, in the extension of a chunk, and in trailers.
+func TestEndlessBodies(t *testing.T) {
+	testCrowd(t, func(target target, number int) client {
+		first := requestLine("POST", target) + "Transfer-Encoding: chunked\r\n\r\n"
+		switch form(number, 3) {
+		case 0:
+			return client{first: first, then: &endless{text: "1\r\nx\r\n"}}
+		case 1:
+			return client{first: first + "1;", then: &endless{text: "x"}}
+		default:
+			return client{first: first + "0\r\n", then: &endlessLines{}}
+		}
+	})
+}
--- a/daemon/internal/process/server/conn.go
+++ b/daemon/internal/process/server/conn.go
@@ -27,6 +27,8 @@
 	// defaultHeadTimeout bounds the time in which a head must arrive, and silentTimeout that until the first byte
 	// arrives on a new connection.
 	defaultHeadTimeout, silentTimeout = 10 * time.Second, 10 * time.Second
+	// defaultStallTimeout bounds the time without progress while a body arrives or a response is written.
+	defaultStallTimeout = 30 * time.Second
 	// unreadGrace is how long a read goes on after its deadline if data has arrived: the process may not have run.
 	unreadGrace = time.Second
 	// lingerTimeout and lingerBytes bound what is read from a refused client, so that it can read the refusal. To close
@@ -61,10 +63,10 @@
 	// last is set if the connection must close after the response, since the end of the request is ambiguous.
 	last atomic.Bool
 
-	// mu guards the deadlines. readDeadline is the one that net/http and handlers set, and ownDeadline the one that
-	// this connection set.
-	mu                        sync.Mutex
-	readDeadline, ownDeadline time.Time
+	// mu guards the deadlines. readDeadline and writeDeadline are those that net/http and handlers set, and ownDeadline
+	// is one for reads that this connection set.
+	mu                                       sync.Mutex
+	readDeadline, ownDeadline, writeDeadline time.Time
 }
 
 func (s *Server) newConn(accepted net.Conn) net.Conn {
@@ -127,8 +129,17 @@
 
 // readBody reads bytes of the body of the current request.
 func (c *conn) readBody(p []byte) (int, error) {
+	c.setOwnDeadline(time.Now().Add(c.server.stallTimeout))
 	n, err := c.receive(p)
-	return c.splitBody(p[:n]), err
+	n = c.splitBody(p[:n])
+	if c.body.Ended() {
+		c.setOwnDeadline(time.Time{})
+		c.server.conns.setPhase(c, phaseRequest)
+	}
+	if err != nil && c.ownDeadlinePassed(err) {
+		c.server.closed(BodyStalled)
+	}
+	return n, err
 }
 
 // splitBody returns how many bytes belong to the body. It keeps the others for the next request.
@@ -280,6 +291,30 @@
 	})
 }
 
+// Write bounds the time without progress unless a handler has set a deadline.
+func (c *conn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	bounded := c.writeDeadline.IsZero()
+	c.mu.Unlock()
+	if !bounded {
+		return c.Conn.Write(p)
+	}
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(c.server.stallTimeout))
+	n, err := c.Conn.Write(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.server.closed(ResponseNotRead)
+	}
+	return n, err
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *conn) SetWriteDeadline(deadline time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeDeadline = deadline
+	return c.Conn.SetWriteDeadline(deadline)
+}
+
 // SetReadDeadline implements net.Conn.
 func (c *conn) SetReadDeadline(deadline time.Time) error {
 	c.mu.Lock()
@@ -321,6 +356,9 @@
 	switch state {
 	case http.StateActive:
 		c.serving.Store(true)
+		if !c.body.Ended() {
+			c.server.conns.setPhase(c, phaseBody)
+		}
 	case http.StateIdle, http.StateClosed, http.StateHijacked:
 		c.serving.Store(false)
 		c.server.headBudget.release(&c.memory)
--- a/daemon/internal/process/server/conn_test.go
+++ b/daemon/internal/process/server/conn_test.go
@@ -284,3 +284,44 @@
 	close(release)
 	assert.Equal(t, http.StatusOK, status(t, bufio.NewReader(busy)))
 }
+
+// TestLateBodiesMakeRoom guards against clients that take all connections with requests whose body never arrives.
+func TestLateBodiesMakeRoom(t *testing.T) {
+	s := listen(t, server.Options{MaxConns: 1, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.Copy(io.Discard, r.Body); err == nil {
+			serveOK(w, r)
+		}
+	})})
+	late := dial(t, s)
+	send(t, late, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nx")
+	require.Eventually(t, func() bool {
+		conn := dial(t, s)
+		_, err := io.WriteString(conn, requestStart+"\r\n")
+		return err == nil && status(t, bufio.NewReader(conn)) == http.StatusOK
+	}, 10*time.Second, time.Millisecond)
+	assert.Equal(t, 0, status(t, bufio.NewReader(late)))
+}
+
+// TestStalledBodyEndsTheConnection guards against connections that wait for the rest of a body without end, also if
+// nothing reads that body but the server itself.
+func TestStalledBodyEndsTheConnection(t *testing.T) {
+	closed := &reasons{}
+	s := listen(t, server.Options{StallTimeout: time.Millisecond, Handler: http.HandlerFunc(serveOK), OnClose: closed.add})
+	conn := dial(t, s)
+	reader := bufio.NewReader(conn)
+	send(t, conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nx")
+	assert.Equal(t, http.StatusOK, status(t, reader))
+	assert.Equal(t, 0, status(t, reader), "the connection is closed")
+	assert.Positive(t, closed.count(server.BodyStalled))
+}
+
+// TestUnreadResponseEndsTheConnection guards against connections whose client does not read its responses.
+func TestUnreadResponseEndsTheConnection(t *testing.T) {
+	const size = 64 << 20
+	closed := &reasons{}
+	s := listen(t, server.Options{StallTimeout: time.Millisecond, OnClose: closed.add, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(make([]byte, size))
+	})})
+	send(t, dial(t, s), requestStart+"\r\n")
+	require.Eventually(t, func() bool { return closed.count(server.ResponseNotRead) == 1 }, 10*time.Second, time.Millisecond)
+}
--- a/daemon/internal/process/server/reason.go
+++ b/daemon/internal/process/server/reason.go
@@ -16,6 +16,10 @@
 	HeadTimeout Reason = "head-timeout"
 	// HeadMemory means that the heads of all connections took the memory that they may take.
 	HeadMemory Reason = "head-memory"
+	// BodyStalled means that a body stopped arriving.
+	BodyStalled Reason = "body-stalled"
+	// ResponseNotRead means that the client stopped reading its response.
+	ResponseNotRead Reason = "response-not-read"
 	// TooManyConnections means that a connection was closed to make room for a new one, or was itself the new one.
 	TooManyConnections Reason = "too-many-connections"
 )
--- a/daemon/internal/process/server/server.go
+++ b/daemon/internal/process/server/server.go
@@ -39,7 +39,9 @@
 	http        *http.Server
 	listener    *net.TCPListener
 	idleTimeout time.Duration
-	conns       connections
+	// stallTimeout is the option StallTimeout, or its default.
+	stallTimeout time.Duration
+	conns        connections
 	// keepAlive is how long connections may be idle, in nanoseconds, and keepAliveOnce starts its enforcement.
 	keepAlive     atomic.Int64
 	keepAliveOnce sync.Once
@@ -71,6 +73,9 @@
 	IdleTimeout time.Duration
 	// KeepAlive is how long a connection is kept open between two requests; 0 means 5 minutes.
 	KeepAlive time.Duration
+	// StallTimeout is the time without progress after which a connection is closed while a body arrives, or while a
+	// response is written for which the handler has set no deadline; 0 means 30 s.
+	StallTimeout time.Duration
 	// MaxConns is the number of connections above which a new one makes the server close one on which no request is
 	// served, or else the new one; 0 means unlimited. Clients could use up all descriptors otherwise.
 	MaxConns int
@@ -98,7 +103,7 @@
 	}
 	s := &Server{
 		Address: bound.AddrPort(), listener: listener, idleTimeout: helpers.OrDefault(options.IdleTimeout, defaultIdleTimeout), done: make(chan struct{}),
-		headBudget: options.HeadBudget, name: options.Name, onClose: options.OnClose,
+		stallTimeout: helpers.OrDefault(options.StallTimeout, defaultStallTimeout), headBudget: options.HeadBudget, name: options.Name, onClose: options.OnClose,
 	}
 	if s.headBudget == nil {
 		s.headBudget = &HeadBudget{}
