--- a/daemon/router/clientlimits_test.go
+++ b/daemon/router/clientlimits_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/wheelcleat/wheelcleat/daemon/settings"
@@ -65,3 +66,12 @@
 		return statusOf(t, cfg, "GET /safe/x HTTP/1.1\r\n") == http.StatusRequestTimeout
 	})
 }
+
+// TestRefusalDoesNotWaitForTheBody guards against callers that learn of a refusal only once they have sent all of a
+// body that nobody reads.
+func TestRefusalDoesNotWaitForTheBody(t *testing.T) {
+	_, _, cfg := startServing(t, "u1", answerOK)
+	const start, body = " HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r\r\nAuthorization: Bearer ", "\r\nContent-Length: 1000\r\n\r\nx"
+	assert.Equal(t, http.StatusNotFound, statusOf(t, cfg, "POST /nothing/x"+start+"key-1"+body))
+	assert.Equal(t, http.StatusUnauthorized, statusOf(t, cfg, "POST /safe/x"+start+"unknown"+body))
+}
