Count and log why connections are closed

What operators saw: nothing. A process that closed the connections of a crowd gave no reason, so a full port looked like a network fault.

--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -156,7 +156,7 @@
 	var limits server.Limits
 	s, err := server.Listen(server.Options{
 		Name: "peers", Address: p.settings.Listen.Peers, Handler: mux, MaxHeaderBytes: http.DefaultMaxHeaderBytes,
-		MaxConns: limits.MaxConns(server.MainShare), HeadBudget: limits.HeadBudget(),
+		MaxConns: limits.MaxConns(server.MainShare), HeadBudget: limits.HeadBudget(), OnClose: p.telemetry.ConnectionClosed,
 	})
 	if err != nil {
 		return fmt.Errorf("agent %s: %w", p.settings.Name, err)
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -161,14 +161,14 @@
 	requests := p.settings.Requests
 	p.callers, err = server.Listen(server.Options{
 		Name: "callers", Address: p.settings.Listen.Callers, Handler: p.callerRoutes(), MaxHeaderBytes: requests.MaxHeaderBytes,
-		MaxConns: limits.MaxConns(server.EntryCallersShare), HeadBudget: heads,
+		MaxConns: limits.MaxConns(server.EntryCallersShare), HeadBudget: heads, OnClose: p.telemetry.ConnectionClosed,
 	})
 	if err != nil {
 		return err
 	}
 	p.operators, err = server.Listen(server.Options{
 		Name: "operators", Address: p.settings.Listen.Operators, Handler: p.operatorRoutes(kv),
-		MaxConns: limits.MaxConns(server.ControlShare), HeadBudget: heads,
+		MaxConns: limits.MaxConns(server.ControlShare), HeadBudget: heads, OnClose: p.telemetry.ConnectionClosed,
 	})
 	if err != nil {
 		return err
@@ -178,7 +178,7 @@
 	mux.Handle(service.PathPrefix(), service)
 	p.peers, err = server.Listen(server.Options{
 		Name: "peers", Address: p.settings.Listen.Peers, Handler: mux,
-		MaxConns: limits.MaxConns(server.EntryPeersShare), HeadBudget: heads,
+		MaxConns: limits.MaxConns(server.EntryPeersShare), HeadBudget: heads, OnClose: p.telemetry.ConnectionClosed,
 	})
 	return err
 }
--- a/daemon/internal/process/telemetry/telemetry.go
+++ b/daemon/internal/process/telemetry/telemetry.go
@@ -44,6 +44,7 @@
 	notReady atomic.Value
 	// stopped is for how long the process had not run when that was logged last, in nanoseconds.
 	stopped atomic.Int64
+	closed  closedConnections
 }
 
 // minLoggedStop is the shortest time without running that is logged.
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -240,7 +240,7 @@
 	var err error
 	p.peers, err = server.Listen(server.Options{
 		Name: "peers", Address: p.current.Load().Listen.Peers, Handler: routes,
-		MaxConns: limits.MaxConns(server.MainShare), HeadBudget: heads,
+		MaxConns: limits.MaxConns(server.MainShare), HeadBudget: heads, OnClose: p.telemetry.ConnectionClosed,
 	})
 	if err != nil {
 		return fmt.Errorf("loader %s: %w", p.current.Load().Name, err)
@@ -249,7 +249,7 @@
 	p.telemetry.RegisterPages(mux)
 	p.metrics, err = server.Listen(server.Options{
 		Name: "metrics", Address: p.current.Load().Listen.Metrics, Handler: mux,
-		MaxConns: limits.MaxConns(server.ControlShare), HeadBudget: heads,
+		MaxConns: limits.MaxConns(server.ControlShare), HeadBudget: heads, OnClose: p.telemetry.ConnectionClosed,
 	})
 	if err != nil {
 		p.peers.Close()
--- a/daemon/router/listeners.go
+++ b/daemon/router/listeners.go
@@ -32,7 +32,7 @@
 		{&p.metrics, server.Options{Name: "metrics", Address: addresses.Metrics, Handler: p.metricsHandler(), MaxConns: limits.MaxConns(server.ControlShare)}},
 	}
 	for _, l := range listeners {
-		l.options.HeadBudget = heads
+		l.options.HeadBudget, l.options.OnClose = heads, p.telemetry.ConnectionClosed
 		s, err := server.Listen(l.options)
 		if err != nil {
 			return err
