Let clients that do not read their responses make room for others

What callers saw: with all connections of a listener held by clients that read no response, each new connection was closed, for up to 30 s.

Cause: such a connection counted as one whose request is served, which a new connection does not replace.

Change: a connection that has not taken a byte of its response for a second is the last choice before the new one. The bound on writes counts from the last progress, so a slow client that still reads is not closed.

Evidence: TestUnreadResponsesMakeRoom failed without this change.

--- a/daemon/internal/process/server/conn.go
+++ b/daemon/internal/process/server/conn.go
@@ -64,9 +64,10 @@
 	last atomic.Bool
 
 	// mu guards the deadlines. readDeadline and writeDeadline are those that net/http and handlers set, and ownDeadline
-	// is one for reads that this connection set.
-	mu                                       sync.Mutex
-	readDeadline, ownDeadline, writeDeadline time.Time
+	// and ownWriteDeadline those that this connection set.
+	mu                              sync.Mutex
+	readDeadline, ownDeadline       time.Time
+	writeDeadline, ownWriteDeadline time.Time
 }
 
 func (s *Server) newConn(accepted net.Conn) net.Conn {
@@ -291,20 +292,46 @@
 	})
 }
 
-// Write bounds the time without progress unless a handler has set a deadline.
+// Write bounds the time without progress if no handler has set a deadline. A client that does not read for a while
+// makes room for others if connections are scarce.
 func (c *conn) Write(p []byte) (int, error) {
+	written, progress, interval, unread := 0, time.Now(), min(requestDelay, c.server.stallTimeout), false
+	for {
+		c.setOwnWriteDeadline(time.Now().Add(interval))
+		n, err := c.Conn.Write(p[written:])
+		written += n
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			if unread {
+				c.server.conns.leave(c, phaseUnread, phaseRequest)
+			}
+			return written, err
+		}
+		if n > 0 {
+			progress = time.Now()
+		}
+		if c.writeEnds(progress) {
+			return written, err
+		}
+		if !unread {
+			unread = true
+			c.server.conns.setPhase(c, phaseUnread)
+		}
+	}
+}
+
+// writeEnds reports whether a write without progress since a time must end: at the deadline of the handler, or else
+// after the time for a stall.
+func (c *conn) writeEnds(progress time.Time) bool {
 	c.mu.Lock()
-	bounded := c.writeDeadline.IsZero()
-	c.mu.Unlock()
-	if !bounded {
-		return c.Conn.Write(p)
+	defer c.mu.Unlock()
+	if !c.writeDeadline.IsZero() {
+		return !time.Now().Before(c.writeDeadline)
 	}
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(c.server.stallTimeout))
-	n, err := c.Conn.Write(p)
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		c.server.closed(ResponseNotRead)
+	if time.Since(progress) < c.server.stallTimeout {
+		return false
 	}
-	return n, err
+	c.server.closed(ResponseNotRead)
+	return true
 }
 
 // SetWriteDeadline implements net.Conn.
@@ -312,7 +339,23 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.writeDeadline = deadline
-	return c.Conn.SetWriteDeadline(deadline)
+	return c.Conn.SetWriteDeadline(earlier(c.writeDeadline, c.ownWriteDeadline))
+}
+
+// setOwnWriteDeadline sets a deadline for the current write.
+func (c *conn) setOwnWriteDeadline(deadline time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ownWriteDeadline = deadline
+	_ = c.Conn.SetWriteDeadline(earlier(c.writeDeadline, c.ownWriteDeadline))
+}
+
+// earlier returns the earlier one of two deadlines, of which the zero time is none.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
 }
 
 // SetReadDeadline implements net.Conn.
@@ -337,11 +380,7 @@
 
 // applyReadDeadline sets the earlier deadline. The caller holds mu.
 func (c *conn) applyReadDeadline() error {
-	deadline := c.readDeadline
-	if deadline.IsZero() || !c.ownDeadline.IsZero() && c.ownDeadline.Before(deadline) {
-		deadline = c.ownDeadline
-	}
-	return c.Conn.SetReadDeadline(deadline)
+	return c.Conn.SetReadDeadline(earlier(c.readDeadline, c.ownDeadline))
 }
 
 // ownDeadlinePassed reports whether err means that ownDeadline has passed, and not one that net/http set.
--- a/daemon/internal/process/server/conn_test.go
+++ b/daemon/internal/process/server/conn_test.go
@@ -325,3 +325,20 @@
 	send(t, dial(t, s), requestStart+"\r\n")
 	require.Eventually(t, func() bool { return closed.count(server.ResponseNotRead) == 1 }, 10*time.Second, time.Millisecond)
 }
+
+// TestUnreadResponsesMakeRoom guards against clients that take all connections and do not read their responses.
+func TestUnreadResponsesMakeRoom(t *testing.T) {
+	const size = 64 << 20
+	s := listen(t, server.Options{MaxConns: 1, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/long" {
+			_, _ = w.Write(make([]byte, size))
+		}
+		serveOK(w, r)
+	})})
+	send(t, dial(t, s), "GET /long HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.Eventually(t, func() bool {
+		conn := dial(t, s)
+		_, err := io.WriteString(conn, requestStart+"\r\n")
+		return err == nil && status(t, bufio.NewReader(conn)) == http.StatusOK
+	}, 10*time.Second, 10*time.Millisecond)
+}
--- a/daemon/internal/process/server/connections.go
+++ b/daemon/internal/process/server/connections.go
@@ -26,6 +26,8 @@
 	phaseBody
 	// phaseRequest is the phase in which a request that has arrived is served.
 	phaseRequest
+	// phaseUnread is the phase in which the client has not read its response for a while.
+	phaseUnread
 	phases
 )
 
@@ -91,6 +93,15 @@
 	}
 }
 
+// leave moves a connection from one phase to another, if it is in the first.
+func (c *connections) leave(conn net.Conn, from, to phase) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t := c.tracked[conn]; t != nil && t.phase == from {
+		c.enter(conn, to)
+	}
+}
+
 // enter moves a connection to a phase; the caller holds mu.
 func (c *connections) enter(conn net.Conn, p phase) {
 	if c.closed[conn] {
@@ -114,14 +125,14 @@
 const requestDelay = time.Second
 
 // evict closes a connection, so that a new one finds room. Those on which a request is late go first, then idle ones,
-// then those that began before the new one. If a request is being served on each of the others, the new one is
-// closed. The caller holds mu.
+// then those that began before the new one, then those whose client does not read its response. If a request is being
+// served on each of the others, the new one is closed. The caller holds mu.
 func (c *connections) evict(added net.Conn) {
 	late := time.Now().Add(-requestDelay)
 	for _, victims := range []struct {
 		phase  phase
 		before time.Time
-	}{{phaseHead, late}, {phaseBody, late}, {phaseIdle, time.Time{}}, {phaseHead, time.Time{}}, {phaseBody, time.Time{}}} {
+	}{{phaseHead, late}, {phaseBody, late}, {phaseIdle, time.Time{}}, {phaseHead, time.Time{}}, {phaseBody, time.Time{}}, {phaseUnread, time.Time{}}} {
 		if t := c.oldest(victims.phase, victims.before); t != nil && t.conn != added {
 			added = t.conn
 			break
@@ -235,7 +246,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn, tracked := range c.tracked {
-		if tracked.phase == phaseBody || tracked.phase == phaseRequest {
+		if tracked.phase != phaseHead && tracked.phase != phaseIdle {
 			continue
 		}
 		tracked.checks++
