Have the tests of scarce connections wait until the first one is served

Cause: a connection that has not sent its request yet makes room too, so TestUnreadResponsesMakeRoom passed without the change that it guards.

Evidence: both tests wait for the handler now.

--- a/daemon/internal/process/server/conn_test.go
+++ b/daemon/internal/process/server/conn_test.go
@@ -287,13 +287,18 @@
 
 // TestLateBodiesMakeRoom guards against clients that take all connections with requests whose body never arrives.
 func TestLateBodiesMakeRoom(t *testing.T) {
+	started := make(chan struct{})
 	s := listen(t, server.Options{MaxConns: 1, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			close(started)
+		}
 		if _, err := io.Copy(io.Discard, r.Body); err == nil {
 			serveOK(w, r)
 		}
 	})})
 	late := dial(t, s)
 	send(t, late, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nx")
+	<-started
 	require.Eventually(t, func() bool {
 		conn := dial(t, s)
 		_, err := io.WriteString(conn, requestStart+"\r\n")
@@ -329,13 +334,16 @@
 // TestUnreadResponsesMakeRoom guards against clients that take all connections and do not read their responses.
 func TestUnreadResponsesMakeRoom(t *testing.T) {
 	const size = 64 << 20
+	started := make(chan struct{})
 	s := listen(t, server.Options{MaxConns: 1, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/long" {
+			close(started)
 			_, _ = w.Write(make([]byte, size))
 		}
 		serveOK(w, r)
 	})})
 	send(t, dial(t, s), "GET /long HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-started
 	require.Eventually(t, func() bool {
 		conn := dial(t, s)
 		_, err := io.WriteString(conn, requestStart+"\r\n")
