Have two tests of connections wait until the server is where they assume it

Cause: a server learns that a connection is idle, and releases the memory of its head, shortly after the client has read the response.

Change: the first is a test of the package now, asks which connections are idle, and expects as before that exactly the two that were idle for the longest time are closed. The second waits until the memory is free.

--- a/daemon/internal/process/server/conn_test.go
+++ b/daemon/internal/process/server/conn_test.go
@@ -252,9 +252,11 @@
 	close(release)
 	assert.Equal(t, http.StatusOK, status(t, bufio.NewReader(first)))
 	assert.Equal(t, http.StatusOK, status(t, bufio.NewReader(small)), "a small head needs none of the budget")
-	third := dial(t, s)
-	send(t, third, requestStart+lines.String()+"\r\n")
-	assert.Equal(t, http.StatusOK, status(t, bufio.NewReader(third)), "the memory is free again")
+	require.Eventually(t, func() bool { // the first request ends shortly after its response was read
+		third := dial(t, s)
+		send(t, third, requestStart+lines.String()+"\r\n")
+		return status(t, bufio.NewReader(third)) == http.StatusOK
+	}, 10*time.Second, time.Millisecond, "the memory is free again")
 }
 
 // TestSilentConnectionsMakeRoom guards against clients that take all connections without sending a request.
--- a/daemon/internal/process/server/connections_test.go
+++ b/daemon/internal/process/server/connections_test.go
@@ -154,3 +154,45 @@
 		assert.True(t, resp.Close)
 	}
 }
+
+// TestIdleCallersDoNotKeepOthersOut guards against callers that leave connections open until the server has no
+// descriptor for others, while its readiness check succeeds on an open connection.
+func TestIdleCallersDoNotKeepOthersOut(t *testing.T) {
+	const maxConns = 3
+	s, err := Listen(Options{
+		Name: "callers", Address: netip.MustParseAddrPort("127.0.0.1:0"), MaxConns: maxConns,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }),
+	})
+	require.NoError(t, err)
+	defer s.Close()
+	get := func(conn net.Conn) {
+		_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		require.NoError(t, err)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+	}
+	var conns []net.Conn
+	for i := range maxConns + 2 {
+		conn, err := net.Dial("tcp", s.Address.String())
+		require.NoError(t, err)
+		defer func() { _ = conn.Close() }()
+		get(conn)
+		conns = append(conns, conn)
+		require.Eventually(t, func() bool { // the server learns that a connection is idle after the response was read
+			s.conns.mu.Lock()
+			defer s.conns.mu.Unlock()
+			return s.conns.inPhase[phaseIdle].Len() == min(i+1, maxConns)
+		}, 10*time.Second, time.Millisecond)
+	}
+	for _, conn := range conns[:2] {
+		require.NoError(t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
+		_, err := conn.Read(make([]byte, 1))
+		require.ErrorIs(t, err, io.EOF, "idle for the longest time")
+	}
+	for _, conn := range conns[2:] {
+		get(conn)
+	}
+}
--- a/daemon/internal/process/server/server_test.go
+++ b/daemon/internal/process/server/server_test.go
@@ -141,27 +141,6 @@
 	require.NoError(t, <-done)
 }
 
-// TestIdleCallersDoNotKeepOthersOut guards against callers that leave connections open until the server has no
-// descriptor for others, while its readiness check succeeds on an open connection.
-func TestIdleCallersDoNotKeepOthersOut(t *testing.T) {
-	const maxConns = 3
-	s := listen(t, server.Options{MaxConns: maxConns, Handler: http.HandlerFunc(serveOK)})
-	var conns []net.Conn
-	for range maxConns + 2 {
-		conn := dial(t, s)
-		get(t, conn)
-		conns = append(conns, conn)
-	}
-	for _, conn := range conns[:2] {
-		require.NoError(t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
-		_, err := conn.Read(make([]byte, 1))
-		require.ErrorIs(t, err, io.EOF, "idle for the longest time")
-	}
-	for _, conn := range conns[2:] {
-		get(t, conn)
-	}
-}
-
 // TestKeepAliveOfConfigurationApplies guards against idle connections that stay open for longer than the
 // configuration in force allows.
 func TestKeepAliveOfConfigurationApplies(t *testing.T) {
