Say in one place which connection makes room for a new one

Cause: the choice and the closing stood in one loop with a zero time as a special case. Change: leastUseful names the choice; nothing else changes.

--- a/daemon/internal/process/server/conn.go
+++ b/daemon/internal/process/server/conn.go
@@ -141,7 +141,8 @@
 	return n, err
 }
 
-// splitBody returns how many bytes belong to the body. It keeps the others for the next request.
+// splitBody returns how many of the bytes that were received belong to the body. It keeps the others for the next
+// request.
 func (c *conn) splitBody(data []byte) int {
 	n := c.body.Scan(data)
 	if n < len(data) {
--- a/daemon/internal/process/server/connections.go
+++ b/daemon/internal/process/server/connections.go
@@ -121,42 +121,49 @@
 	t.element = c.inPhase[p].PushBack(t)
 }
 
-// requestDelay is how long a client takes to send a request at most, unless it is slow or sends none.
-const requestDelay = time.Second
+// clientDelay is how long a client takes at most to send a request or to read a part of a response, unless it is slow
+// or does not mean to.
+const clientDelay = time.Second
 
-// evict closes a connection, so that a new one finds room. Those on which a request is late go first, then idle ones,
-// then those that began before the new one, then those whose client does not read its response. If a request is being
-// served on each of the others, the new one is closed. The caller holds mu.
+// evict closes a connection, so that a new one finds room. The caller holds mu.
 func (c *connections) evict(added net.Conn) {
-	late := time.Now().Add(-requestDelay)
-	for _, victims := range []struct {
-		phase  phase
-		before time.Time
-	}{{phaseHead, late}, {phaseBody, late}, {phaseIdle, time.Time{}}, {phaseHead, time.Time{}}, {phaseBody, time.Time{}}, {phaseUnread, time.Time{}}} {
-		if t := c.oldest(victims.phase, victims.before); t != nil && t.conn != added {
-			added = t.conn
-			break
-		}
-	}
-	c.closeConn(added)
+	c.closeConn(c.leastUseful(added))
 	if c.onEvict != nil {
 		c.onEvict()
 	}
 }
 
+// leastUseful returns the connection to close if there are too many: one whose request is late, or else an idle one, one
+// whose request is not late yet, or one whose client does not read its response; of each kind the one that has
+// waited for the longest time. If a request is being served on each of the others, it is the added one. The caller
+// holds mu.
+func (c *connections) leastUseful(added net.Conn) net.Conn {
+	now := time.Now()
+	late := now.Add(-clientDelay)
+	for _, kind := range []struct {
+		phase phase
+		since time.Time
+	}{{phaseHead, late}, {phaseBody, late}, {phaseIdle, now}, {phaseHead, now}, {phaseBody, now}, {phaseUnread, now}} {
+		if t := c.oldest(kind.phase, kind.since); t != nil && t.conn != added {
+			return t.conn
+		}
+	}
+	return added
+}
+
 // maxUnreadSkipped bounds the search for an idle connection without unread data.
 const maxUnreadSkipped = 16
 
-// oldest returns the connection that has been in a phase for the longest time, nil if there is none, or none since
-// before a time, unless that is zero. Idle connections with unread data are left out. The caller holds mu.
-func (c *connections) oldest(p phase, before time.Time) *connection {
+// oldest returns the connection that has been in a phase for the longest time, nil if there is none since a time or
+// longer. Idle connections with unread data are left out. The caller holds mu.
+func (c *connections) oldest(p phase, since time.Time) *connection {
 	element := c.inPhase[p].Front()
 	for range maxUnreadSkipped {
 		if element == nil {
 			return nil
 		}
 		t, ok := element.Value.(*connection)
-		if !ok || !before.IsZero() && t.since.After(before) {
+		if !ok || t.since.After(since) {
 			return nil
 		}
 		if p != phaseIdle || !hasUnreadData(t.conn) {
--- a/daemon/internal/process/server/deadlines.go
+++ b/daemon/internal/process/server/deadlines.go
@@ -12,7 +12,7 @@
 // Write bounds the time without progress if no handler has set a deadline. A client that does not read for a while
 // makes room for others if connections are scarce.
 func (c *conn) Write(p []byte) (int, error) {
-	written, progress, interval, unread := 0, time.Now(), min(requestDelay, c.server.stallTimeout), false
+	written, progress, interval, unread := 0, time.Now(), min(clientDelay, c.server.stallTimeout), false
 	for {
 		c.setOwnWriteDeadline(time.Now().Add(interval))
 		n, err := c.Conn.Write(p[written:])
