Log the last connections of a crowd that were closed too

Cause: the line was written when a connection was closed, so what was closed within the second after it waited for the next one. A crowd of 600 that left had one line, which counted 1. And a client that was refused after its connection had made room was counted twice.

Change: a timer logs what was counted since the last line, at most once a second. A connection that is closed already is not counted again.

Evidence: TestClosedConnectionsAreReportedOnceASecond, and the lines of a router among a crowd of 600.

--- a/daemon/internal/process/server/conn.go
+++ b/daemon/internal/process/server/conn.go
@@ -258,8 +258,8 @@
 func (c *conn) refuse(reason Reason) (int, error) {
 	c.partial, c.early = nil, nil
 	c.server.headBudget.release(&c.memory)
-	if c.evicted.Load() {
-		return 0, io.EOF
+	if c.evicted.Load() || c.server.conns.isClosed(c) {
+		return 0, io.EOF // another goroutine closed and counted it
 	}
 	c.server.closed(reason)
 	_ = c.Conn.SetDeadline(time.Now().Add(lingerTimeout))
--- a/daemon/internal/process/telemetry/closed.go
+++ b/daemon/internal/process/telemetry/closed.go
@@ -14,24 +14,34 @@
 type closedConnections struct {
 	mu     sync.Mutex
 	counts map[closedKey]int
-	last   time.Time
+	// last is when the last line was logged. scheduled is set while a timer is to log the next one.
+	last      time.Time
+	scheduled bool
 }
 
 type closedKey struct{ listener, reason string }
 
-// take counts a connection. It returns the counts for a line, nil if the last line is too recent.
-func (c *closedConnections) take(key closedKey, now time.Time) map[closedKey]int {
+// add counts a connection. It returns after which time a line must be logged, and false if one is scheduled already.
+func (c *closedConnections) add(key closedKey) (after time.Duration, schedule bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.counts == nil {
 		c.counts = map[closedKey]int{}
 	}
 	c.counts[key]++
-	if now.Sub(c.last) < closedLineInterval {
-		return nil
+	if c.scheduled {
+		return 0, false
 	}
+	c.scheduled = true
+	return max(0, time.Until(c.last.Add(closedLineInterval))), true
+}
+
+// take returns the counts for a line.
+func (c *closedConnections) take() map[closedKey]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	counts := c.counts
-	c.counts, c.last = nil, now
+	c.counts, c.last, c.scheduled = nil, time.Now(), false
 	return counts
 }
 
@@ -39,12 +49,14 @@
 // room for another one. At most one line a second reports the connections that were closed since the last line.
 func (t *Telemetry) ConnectionClosed(listener, reason string) {
 	t.Scope.Tagged(map[string]string{"listener": listener, "reason": reason}).Counter("connections_closed").Inc(1)
-	counts := t.closed.take(closedKey{listener, reason}, time.Now())
-	if counts == nil {
-		return
+	if after, schedule := t.closed.add(closedKey{listener, reason}); schedule {
+		time.AfterFunc(after, t.logClosedConnections)
 	}
+}
+
+func (t *Telemetry) logClosedConnections() {
 	fields := log.Fields{"decision": "close"}
-	for key, count := range counts {
+	for key, count := range t.closed.take() {
 		fields[key.listener+" "+key.reason] = count
 	}
 	t.Log.WithFields(fields).Warn("connections closed")
