Give the listeners of a process their limits in one place

Cause: seven places repeated the share of the descriptors, the budget and the reporting of closed connections, and a new listener that left one out would have had no bound.

Change: Limits.Listen adds the three. The shares stay as they are.

--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -153,10 +153,9 @@
 // listen opens the port. Start adds the routes to the mux later; no request
 // arrives before that, because no process has the address yet.
 func (p *Process) listen(mux *http.ServeMux) error {
-	var limits server.Limits
-	s, err := server.Listen(server.Options{
+	limits := server.Limits{OnClose: p.telemetry.ConnectionClosed}
+	s, err := limits.Listen(server.MainShare, server.Options{
 		Name: "peers", Address: p.settings.Listen.Peers, Handler: mux, MaxHeaderBytes: http.DefaultMaxHeaderBytes,
-		MaxConns: limits.MaxConns(server.MainShare), HeadBudget: limits.HeadBudget(), OnClose: p.telemetry.ConnectionClosed,
 	})
 	if err != nil {
 		return fmt.Errorf("agent %s: %w", p.settings.Name, err)
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -155,20 +155,17 @@
 }
 
 func (p *Process) listen(kv *platform.KV) error {
-	var limits server.Limits
-	heads := limits.HeadBudget()
+	limits := server.Limits{OnClose: p.telemetry.ConnectionClosed}
 	var err error
 	requests := p.settings.Requests
-	p.callers, err = server.Listen(server.Options{
+	p.callers, err = limits.Listen(server.EntryCallersShare, server.Options{
 		Name: "callers", Address: p.settings.Listen.Callers, Handler: p.callerRoutes(), MaxHeaderBytes: requests.MaxHeaderBytes,
-		MaxConns: limits.MaxConns(server.EntryCallersShare), HeadBudget: heads, OnClose: p.telemetry.ConnectionClosed,
 	})
 	if err != nil {
 		return err
 	}
-	p.operators, err = server.Listen(server.Options{
+	p.operators, err = limits.Listen(server.ControlShare, server.Options{
 		Name: "operators", Address: p.settings.Listen.Operators, Handler: p.operatorRoutes(kv),
-		MaxConns: limits.MaxConns(server.ControlShare), HeadBudget: heads, OnClose: p.telemetry.ConnectionClosed,
 	})
 	if err != nil {
 		return err
@@ -176,10 +173,7 @@
 	service := wire.NewControlServer(&control.Server{Table: p.table, Members: p.members, Stopping: p.stopping})
 	mux := http.NewServeMux()
 	mux.Handle(service.PathPrefix(), service)
-	p.peers, err = server.Listen(server.Options{
-		Name: "peers", Address: p.settings.Listen.Peers, Handler: mux,
-		MaxConns: limits.MaxConns(server.EntryPeersShare), HeadBudget: heads, OnClose: p.telemetry.ConnectionClosed,
-	})
+	p.peers, err = limits.Listen(server.EntryPeersShare, server.Options{Name: "peers", Address: p.settings.Listen.Peers, Handler: mux})
 	return err
 }
 
--- a/daemon/internal/connection/framing/body.go
+++ b/daemon/internal/connection/framing/body.go
@@ -13,10 +13,11 @@
 const (
 	// ended is the state after the body. The next byte begins another request.
 	ended state = iota
-	// inLength is the state within a body, or a chunk with its line end, of known length.
+	// inLength is the state within a body of known length.
 	inLength
 	inChunkSize
 	inChunkExtension
+	// inChunk is the state within the data of a chunk and the line end after it.
 	inChunk
 	inTrailer
 	// unbounded is the state after a head that leaves the length of the body open.
--- a/daemon/internal/process/server/limits.go
+++ b/daemon/internal/process/server/limits.go
@@ -13,6 +13,23 @@
 	Descriptors int
 	// MemoryMB is the memory limit of the process in MiB; 0 means unknown.
 	MemoryMB float64
+	// OnClose is the option OnClose of each listener.
+	OnClose func(name, reason string)
+
+	// heads is the budget of all listeners, nil before the first.
+	heads *HeadBudget
+}
+
+// Listen starts a listener of the process, as the function Listen does, with a share of the descriptors and the common
+// budget for heads, which is an eighth of the memory.
+func (l *Limits) Listen(share float64, options Options) (*Server, error) {
+	if l.heads == nil {
+		const divisor, mebibyte = 8, 1 << 20
+		l.heads = &HeadBudget{MaxBytes: int64(l.MemoryMB * mebibyte / divisor)}
+	}
+	options.MaxConns = int(float64(l.descriptors()) * share)
+	options.HeadBudget, options.OnClose = l.heads, l.OnClose
+	return Listen(options)
 }
 
 // Shares of the descriptors that a listener's connections may take. Those of a process together leave some for
@@ -30,17 +47,8 @@
 	EntryPeersShare = 1.0 / 4
 )
 
-// MaxConns returns how many connections a listener may have, given its share.
-func (l Limits) MaxConns(share float64) int { return int(float64(l.descriptors()) * share) }
-
-// HeadBudget returns a budget for heads: an eighth of the memory.
-func (l Limits) HeadBudget() *HeadBudget {
-	const share, mebibyte = 8, 1 << 20
-	return &HeadBudget{MaxBytes: int64(l.MemoryMB * mebibyte / share)}
-}
-
 // descriptors returns the number of descriptors, or 0 if there is no limit.
-func (l Limits) descriptors() int {
+func (l *Limits) descriptors() int {
 	var limit unix.Rlimit
 	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > math.MaxInt32 {
 		return l.Descriptors
--- a/daemon/internal/request/dispatch/response.go
+++ b/daemon/internal/request/dispatch/response.go
@@ -242,11 +242,10 @@
 		q.trace.Cause = "no other upstream responded after the error response: " + cause
 		return
 	}
+	header := q.writer.Header()
 	if q.body == nil && q.ContentLength != 0 {
-		// Otherwise net/http reads the rest of the body before it sends the response.
-		q.writer.Header().Set("Connection", "close")
+		header.Set("Connection", "close") // otherwise net/http reads the rest of the body before it sends the response
 	}
-	header := q.writer.Header()
 	if q.trace.ID != "" {
 		header.Set(q.Headers.RequestID, q.trace.ID)
 	}
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -235,22 +235,15 @@
 	(&swarm.Server{Copies: p.copies, Uplink: swarm.Uplink{BytesPerSecond: p.linkRate}}).Register(routes)
 	routes.Compat().GET(loadfeed.Path, p.feed.ServeHTTP)
 	routes.Compat().GET(places.Path, places.Handler(p.ledger, p.countResponse))
-	limits := server.Limits{MemoryMB: p.current.Load().Bounds.MemoryMB}
-	heads := limits.HeadBudget()
+	limits := server.Limits{MemoryMB: p.current.Load().Bounds.MemoryMB, OnClose: p.telemetry.ConnectionClosed}
 	var err error
-	p.peers, err = server.Listen(server.Options{
-		Name: "peers", Address: p.current.Load().Listen.Peers, Handler: routes,
-		MaxConns: limits.MaxConns(server.MainShare), HeadBudget: heads, OnClose: p.telemetry.ConnectionClosed,
-	})
+	p.peers, err = limits.Listen(server.MainShare, server.Options{Name: "peers", Address: p.current.Load().Listen.Peers, Handler: routes})
 	if err != nil {
 		return fmt.Errorf("loader %s: %w", p.current.Load().Name, err)
 	}
 	mux := http.NewServeMux()
 	p.telemetry.RegisterPages(mux)
-	p.metrics, err = server.Listen(server.Options{
-		Name: "metrics", Address: p.current.Load().Listen.Metrics, Handler: mux,
-		MaxConns: limits.MaxConns(server.ControlShare), HeadBudget: heads, OnClose: p.telemetry.ConnectionClosed,
-	})
+	p.metrics, err = limits.Listen(server.ControlShare, server.Options{Name: "metrics", Address: p.current.Load().Listen.Metrics, Handler: mux})
 	if err != nil {
 		p.peers.Close()
 		return fmt.Errorf("loader %s: %w", p.current.Load().Name, err)
--- a/daemon/router/listeners.go
+++ b/daemon/router/listeners.go
@@ -20,20 +20,19 @@
 // listen opens the listeners for callers, the load balancer, other daemons and operators.
 func (p *Process) listen() error {
 	addresses, bounds := p.current.Load().Listen, p.current.Load().Bounds
-	limits := server.Limits{Descriptors: bounds.MaxDescriptors, MemoryMB: bounds.MemoryMB}
-	heads := limits.HeadBudget()
+	limits := server.Limits{Descriptors: bounds.MaxDescriptors, MemoryMB: bounds.MemoryMB, OnClose: p.telemetry.ConnectionClosed}
 	listeners := []struct {
 		server  **server.Server
+		share   float64
 		options server.Options
 	}{
-		{&p.callers, server.Options{Name: "callers", Address: addresses.Callers, Handler: p.dispatcher(), MaxConns: limits.MaxConns(server.MainShare)}},
-		{&p.ready, server.Options{Name: "readiness", Address: addresses.Ready, Handler: p.readinessHandler(), MaxConns: limits.MaxConns(server.ControlShare)}},
-		{&p.peers, server.Options{Name: "peers", Address: addresses.Peers, Handler: p.peerHandler(), MaxConns: limits.MaxConns(server.PeerShare)}},
-		{&p.metrics, server.Options{Name: "metrics", Address: addresses.Metrics, Handler: p.metricsHandler(), MaxConns: limits.MaxConns(server.ControlShare)}},
+		{&p.callers, server.MainShare, server.Options{Name: "callers", Address: addresses.Callers, Handler: p.dispatcher()}},
+		{&p.ready, server.ControlShare, server.Options{Name: "readiness", Address: addresses.Ready, Handler: p.readinessHandler()}},
+		{&p.peers, server.PeerShare, server.Options{Name: "peers", Address: addresses.Peers, Handler: p.peerHandler()}},
+		{&p.metrics, server.ControlShare, server.Options{Name: "metrics", Address: addresses.Metrics, Handler: p.metricsHandler()}},
 	}
 	for _, l := range listeners {
-		l.options.HeadBudget, l.options.OnClose = heads, p.telemetry.ConnectionClosed
-		s, err := server.Listen(l.options)
+		s, err := limits.Listen(l.share, l.options)
 		if err != nil {
 			return err
 		}
