--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,8 @@
 
 FUZZTIME := 20s
 # Package and target of each fuzz test.
-FUZZ := ./api:FuzzResource ./api/manifest:FuzzDecode ./daemon/settings:FuzzParse ./platform:FuzzDecode ./platform:FuzzPromptParts
+FUZZ := ./api:FuzzResource ./api/manifest:FuzzDecode ./daemon/settings:FuzzParse ./platform:FuzzDecode ./platform:FuzzPromptParts \
+	./daemon/internal/connection/framing:FuzzRequests
 
 # These tests measure whole processes, so they run one at a time and apart from the others.
 HOSTILE := ./cli/internal/hostile
--- a/cli/internal/hostile/crowd_test.go
+++ b/cli/internal/hostile/crowd_test.go
@@ -24,7 +24,7 @@
 
 // client is what one client of a crowd sends. The connection stays open afterwards, unless the process closes it.
 type client struct {
-	// first is sent once, then reader is sent up to its end or up to maxSent bytes.
+	// first is sent once, and then what the reader returns, up to its end or to maxSent bytes.
 	first string
 	then  io.Reader
 	// ignoresResponses is set if the client does not receive responses, so that the process soon cannot send any more.
--- a/cli/internal/hostile/process_test.go
+++ b/cli/internal/hostile/process_test.go
@@ -19,6 +19,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/wheelcleat/wheelcleat/cli/internal/fleet"
 	"github.com/wheelcleat/wheelcleat/cli/internal/soak"
 	"github.com/wheelcleat/wheelcleat/platform/standin"
 )
@@ -51,9 +52,7 @@
 	command *exec.Cmd
 	exited  chan struct{}
 	logPath string
-
-	// mu guards most, the highest number of open descriptors that was seen.
-	mu   sync.Mutex
+	// most is the highest number of open descriptors that was seen.
 	most int
 }
 
@@ -100,27 +99,14 @@
 		_ = d.command.Process.Kill()
 		<-d.exited
 	})
+	ctx, cancel := context.WithTimeout(t.Context(), hangTimeout)
+	defer cancel()
 	for _, target := range targets {
-		require.True(t, poll(func() bool { return target.request() == nil }), "%s does not answer ordinary requests: %v", target.name, target.request())
+		require.NoError(t, fleet.Await(ctx, "ordinary requests at "+target.name, func() bool { return target.request() == nil }), "%s", d.log())
 	}
 	return d
 }
 
-// pollInterval is the interval between two checks of a condition.
-const pollInterval = 50 * time.Millisecond
-
-// poll waits until a condition holds and reports false if it does not within hangTimeout.
-func poll(condition func() bool) bool {
-	ticker := time.NewTicker(pollInterval)
-	defer ticker.Stop()
-	for deadline := time.Now().Add(hangTimeout); time.Now().Before(deadline); <-ticker.C {
-		if condition() {
-			return true
-		}
-	}
-	return false
-}
-
 // request sends an ordinary request on a new connection.
 func (t target) request() error {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: hangTimeout}
@@ -144,16 +130,17 @@
 
 // settle waits until the process has read what its clients sent, or what it is going to read of that.
 func (d *daemon) settle() {
-	const unchangedPolls = 20
+	const unchangedPolls, pollInterval = 20, 50 * time.Millisecond
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
 	unchanged, last := 0, ""
-	poll(func() bool {
+	for deadline := time.Now().Add(hangTimeout); time.Now().Before(deadline) && unchanged <= unchangedPolls && d.lives(); <-ticker.C {
 		state := fmt.Sprint(d.openDescriptors(), d.unread())
 		if state != last {
 			unchanged, last = 0, state
 		}
 		unchanged++
-		return unchanged > unchangedPolls || !d.lives()
-	})
+	}
 }
 
 // lives reports whether the process has not ended.
@@ -172,8 +159,6 @@
 	if err != nil {
 		return 0
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	d.most = max(d.most, len(entries))
 	return len(entries)
 }
