Have the test of the head timeout try again with the limit in force

Cause: a connection that the test opened before the router had applied the configuration waited 10 s, as it must, and the test waited no longer.

Change: each connection waits a second for the refusal, and the next one finds the new limit. Without the limit no connection gets it within the test's 10 s: the test fails if the router does not apply the configuration's limits.

--- a/daemon/router/clientlimits_test.go
+++ b/daemon/router/clientlimits_test.go
@@ -63,7 +63,18 @@
 	configuration.Limits.HeaderTimeout = 100 * time.Millisecond
 	s.configure(configuration)
 	await(t, "a head that does not arrive in time", func() bool {
-		return statusOf(t, cfg, "GET /safe/x HTTP/1.1\r\n") == http.StatusRequestTimeout
+		// A router that does not have the configuration yet waits for longer. The next connection finds the new limit.
+		conn, err := net.Dial("tcp", cfg.Listen.Callers.String())
+		require.NoError(t, err)
+		defer func() { _ = conn.Close() }()
+		require.NoError(t, conn.SetDeadline(time.Now().Add(time.Second)))
+		_, err = io.WriteString(conn, "GET /safe/x HTTP/1.1\r\n")
+		require.NoError(t, err)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			return false
+		}
+		return assert.NoError(t, resp.Body.Close()) && resp.StatusCode == http.StatusRequestTimeout
 	})
 }
 
