Serve what sound requests share with a part that crashes upstreams

What callers saw: one part of prompts crashes each upstream that begins an answer on it, all requests with it come at one router, and all requests of the route have their first part in common.

Cause: the shared part and the deadly one are in the same requests, so they have the same crashes and are quarantined together. A bystander is released only if another suspect has more crashes. What tells the two apart is a request with one of them alone, which the quarantine refuses; the trial after it belongs to one router, which may get only requests with both, and then convicts both for four times as long.

Change: a request with some suspects, whose crashes are all those of a suspect outside the request too, is sent during the quarantine, to one upstream, as a trial. So is one whose suspects had repeated complete responses at this router within the last minute, since two deadly parts give a shared part more crashes than either has. Routers take turns and tell each other of trials. If the trial completes, its suspects are cleared; if it crashes, the others are explained. A request with the deadly part distinguishes nothing and is never such a trial. Requests log `trials`; the metric `content_trials` counts them.

--- a/cli/internal/explain/line.go
+++ b/cli/internal/explain/line.go
@@ -81,7 +81,9 @@
 	// the time since the request was sent to Upstream, and Crashed whether the upstream crashed.
 	Content string `json:"content"`
 	// Parts are the digests of the parts of its prompt that other requests may share.
-	Parts    []string `json:"parts"`
+	Parts []string `json:"parts"`
+	// Trials are those of the content and the parts that were sent although quarantined.
+	Trials   []string `json:"trials"`
 	Upstream string   `json:"upstream"`
 	Elapsed  string   `json:"after"`
 	Crashed  bool     `json:"ended"`
--- a/cli/internal/explain/print.go
+++ b/cli/internal/explain/print.go
@@ -89,6 +89,9 @@
 	for i, attempt := range f.Attempts {
 		printAttempt(p, i+1, attempt)
 	}
+	if len(f.Trials) > 0 {
+		p.linef(1, "sent as a trial, although quarantined: %s", strings.Join(f.Trials, ", "))
+	}
 	t.printCrashes(p, "same content", f.Content)
 	for _, part := range f.Parts {
 		t.printCrashes(p, "prompt part", part)
--- a/daemon/internal/rendezvous/rendezvous.go
+++ b/daemon/internal/rendezvous/rendezvous.go
@@ -57,3 +57,16 @@
 	}
 	return best
 }
+
+// Position returns how many of the other names rank before name for the key. The others may include the
+// name itself.
+func Position(key, name string, others []string) int {
+	score, position := Score(key, name), 0
+	for _, other := range others {
+		s := Score(key, other)
+		if s > score || s == score && other < name {
+			position++
+		}
+	}
+	return position
+}
--- a/daemon/internal/request/dispatch/admit.go
+++ b/daemon/internal/request/dispatch/admit.go
@@ -15,7 +15,6 @@
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/admission"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/buffer"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/content"
-	"github.com/wheelcleat/wheelcleat/daemon/internal/request/quarantine"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
@@ -49,7 +48,7 @@
 	}
 	q.trace.Content, q.trace.Parts = q.contentDigest(), q.sharedParts()
 	q.digests = append([]content.Digest{q.trace.Content}, q.trace.Parts...)
-	if q.AdmitContent != nil && q.AdmitContent(q.digests) == quarantine.Quarantined {
+	if !q.admitContent() {
 		q.refuseQuarantined()
 		return false
 	}
--- a/daemon/internal/request/dispatch/dispatch.go
+++ b/daemon/internal/request/dispatch/dispatch.go
@@ -78,8 +78,9 @@
 	// content and of the parts of its prompt, and CheckContent the one on an admitted request.
 	// OnServed is called with the digests of each request that got a complete response. All may be
 	// nil.
-	AdmitContent, CheckContent func([]content.Digest) quarantine.Verdict
-	OnServed                   func([]content.Digest)
+	AdmitContent func([]content.Digest) quarantine.Admission
+	CheckContent func([]content.Digest) quarantine.Verdict
+	OnServed     func([]content.Digest)
 	// Stopped returns for how long this process has not run; nil means clock.Stopped.
 	Stopped func() time.Duration
 	// Drain decides what still begins while the process is stopping. Nil means that it never stops.
--- a/daemon/internal/request/dispatch/quarantine.go
+++ b/daemon/internal/request/dispatch/quarantine.go
@@ -9,12 +9,27 @@
 // This file withholds quarantined content, and requests with a quarantined part in their prompts, from
 // upstreams, which they are likely to crash.
 
+// admitContent reports whether the request may be sent by the quarantine verdict on it.
+func (q *request) admitContent() bool {
+	if q.AdmitContent == nil {
+		return true
+	}
+	admission := q.AdmitContent(q.digests)
+	q.trace.Trials = admission.Trials
+	return admission.Verdict != quarantine.Quarantined
+}
+
 // verdict returns the current quarantine verdict on the request's content and the parts of its prompt.
+// A trial is not quarantined by what it tries.
 func (q *request) verdict() quarantine.Verdict {
 	if q.CheckContent == nil {
 		return quarantine.Unrestricted
 	}
-	return q.CheckContent(q.digests)
+	verdict := q.CheckContent(q.digests)
+	if len(q.trace.Trials) > 0 {
+		return min(verdict, quarantine.SingleAttempt)
+	}
+	return verdict
 }
 
 // refuseQuarantined answers a request that is quarantined. The request did not run.
--- a/daemon/internal/request/dispatch/quarantine_test.go
+++ b/daemon/internal/request/dispatch/quarantine_test.go
@@ -46,6 +46,24 @@
 	}
 }
 
+// TestTrialIsSentDuringQuarantine guards against canceling a trial because of the quarantine that it tries, and against
+// sending it to several upstreams.
+func TestTrialIsSentDuringQuarantine(t *testing.T) {
+	verdict := quarantine.Quarantined
+	q := requestWithVerdict(&verdict)
+	tried := []content.Digest{content.Part("a")}
+	q.AdmitContent = func([]content.Digest) quarantine.Admission {
+		return quarantine.Admission{Verdict: quarantine.SingleAttempt, Trials: tried}
+	}
+	assert.True(t, q.admitContent())
+	assert.Equal(t, tried, q.trace.Trials)
+	ctx, cancel := context.WithCancelCause(context.Background())
+	q.cancelQuarantined(&pendingSend{cancel: cancel})
+	assert.NoError(t, ctx.Err())
+	assert.False(t, q.mayRetry(exchange.Unknown))
+	assert.False(t, q.mayHedge())
+}
+
 // TestQuarantineCancelsPendingSends: only sends without a response head are canceled.
 func TestQuarantineCancelsPendingSends(t *testing.T) {
 	verdict := quarantine.SingleAttempt
--- a/daemon/internal/request/dispatch/trace.go
+++ b/daemon/internal/request/dispatch/trace.go
@@ -19,7 +19,9 @@
 	// Content identifies what was requested; a retry by the caller has the same content.
 	Content content.Digest
 	// Parts identify the parts of the prompt that other requests may share.
-	Parts   []content.Digest
+	Parts []content.Digest
+	// Trials are those of the content and the parts that the request tried although quarantined.
+	Trials  []content.Digest
 	Started time.Time
 	// FirstByte is when the head of an upstream's response was forwarded, zero if none was.
 	FirstByte time.Time
--- a/daemon/internal/request/quarantine/prompt_simulation_test.go
+++ b/daemon/internal/request/quarantine/prompt_simulation_test.go
@@ -74,8 +74,7 @@
 }
 
 func (f *promptFleet) admit(p *prompt) {
-	runsTrials := func(key content.Digest) bool { return int(key[7])%routers == p.router }
-	f.send(p, f.tables[p.router].Admit(p.keys, runsTrials, f.time()))
+	f.send(p, f.tryOrAdmit(p.router, p.keys))
 }
 
 func (f *promptFleet) send(p *prompt, verdict quarantine.Verdict) {
--- a/daemon/internal/request/quarantine/quarantine.go
+++ b/daemon/internal/request/quarantine/quarantine.go
@@ -20,6 +20,11 @@
 // upstreams that crashing requests bring down in turn. Rare bystanders are released once the crashes
 // of the cause explain theirs.
 //
+// Suspects that were in the same requests have the same crashes, and are quarantined together: the
+// cause, and what other requests need. Crashes alone do not tell them apart, and the quarantine keeps
+// sound requests from doing so. A request with only some of these suspects is therefore sent during
+// the quarantine, as a trial (see trial.go).
+//
 // Invariant: a cleared content stays cleared. Crashes known at the clearing, and those deeper than
 // any that can have occurred since, are ignored for longer than a message takes to arrive.
 //
@@ -32,7 +37,6 @@
 package quarantine
 
 import (
-	"bytes"
 	"cmp"
 	"maps"
 	"slices"
@@ -55,8 +59,6 @@
 	maxQuarantine = 3 * time.Hour
 	// suspectTTL is how long crashes count against a content that was never quarantined.
 	suspectTTL = 10 * time.Minute
-	// trialTimeout is how long the result of a trial is awaited before the next one.
-	trialTimeout = 10 * time.Second
 	// simultaneousWindow is how long after one crash another counts as equally deep. It covers
 	// the delays with which simultaneous crashes are reported: a few milliseconds, and tens of them
 	// over a narrow link.
@@ -68,6 +70,9 @@
 	// with five parts.
 	successTTL   = 2 * time.Second
 	maxSuccesses = 4096
+	// establishedTTL is how long repeated complete responses of a content or part count in favor of a
+	// trial, longer than the pauses between the requests of most callers.
+	establishedTTL = time.Minute
 	// maxContents bounds the table to about 1 MB. Contents and parts with the shallowest crashes are
 	// evicted first, so that a caller cannot lift a quarantine by sending many others.
 	maxContents = 4096
@@ -96,42 +101,9 @@
 type Table struct {
 	// contents holds the records by the digests of contents and of parts.
 	contents map[content.Digest]*record
-	// succeeded holds the digests with complete responses since rotatedAt, succeededBefore
-	// those of the preceding generation.
-	succeeded, succeededBefore map[content.Digest]time.Time
-	rotatedAt                  time.Time
-}
-
-// Admit returns the verdict on a request that has just arrived, by its content and the parts of its
-// prompt. After a quarantine has expired, one request at a time is admitted as a trial, at the router
-// for which runsTrials returns true. If several quarantines of a request have expired, the one with the
-// most crashes determines the router: no router may run the trials of all.
-func (t *Table) Admit(digests []content.Digest, runsTrials func(content.Digest) bool, now time.Time) Verdict {
-	verdict := t.Verdict(digests, now)
-	if verdict != SingleAttempt {
-		return verdict
-	}
-	expired := slices.DeleteFunc(slices.Clone(digests), func(digest content.Digest) bool {
-		r := t.contents[digest]
-		return r == nil || !r.expired || r.explained
-	})
-	if len(expired) == 0 {
-		return verdict
-	}
-	inTrial := func(digest content.Digest) bool { return now.Sub(t.contents[digest].trialAt) < trialTimeout }
-	if !runsTrials(slices.MaxFunc(expired, t.compareCrashes)) || slices.ContainsFunc(expired, inTrial) {
-		return Quarantined
-	}
-	for _, digest := range expired {
-		t.contents[digest].trialAt = now
-	}
-	return verdict
-}
-
-// compareCrashes orders recorded contents and parts by their crashes, and those with as many in the same
-// way at each router.
-func (t *Table) compareCrashes(a, b content.Digest) int {
-	return cmp.Or(cmp.Compare(len(t.contents[a].crashes), len(t.contents[b].crashes)), bytes.Compare(a[:], b[:]))
+	// succeeded holds the digests with complete responses within successTTL, and established those
+	// within establishedTTL that had another one before.
+	succeeded, established recentDigests
 }
 
 // Verdict returns the present verdict on a request that was admitted before: the strictest one on its
@@ -175,7 +147,7 @@
 // before the attempt is a different one.
 func (t *Table) Attribute(attempt Attempt, now time.Time) (Crash, bool) {
 	crash := Crash{Upstream: attempt.Upstream, Started: attempt.Started, Depth: 1}
-	if t.succeededRecently(attempt.Content, now) {
+	if t.succeeded.holds(attempt.Content, successTTL, now) {
 		return crash, false
 	}
 	r := t.contents[attempt.Content]
@@ -202,19 +174,10 @@
 
 // RecordSuccess records that a content had a complete response.
 func (t *Table) RecordSuccess(digest content.Digest, now time.Time) {
-	if t.succeeded == nil || len(t.succeeded) >= maxSuccesses || now.Sub(t.rotatedAt) >= successTTL {
-		t.succeeded, t.succeededBefore, t.rotatedAt = map[content.Digest]time.Time{}, t.succeeded, now
-	}
-	t.succeeded[digest] = now
-}
-
-// succeededRecently reports whether a content had a complete response within successTTL.
-func (t *Table) succeededRecently(digest content.Digest, now time.Time) bool {
-	at, ok := t.succeeded[digest]
-	if !ok {
-		at, ok = t.succeededBefore[digest]
+	if t.succeeded.holds(digest, establishedTTL, now) || t.established.holds(digest, establishedTTL, now) {
+		t.established.add(digest, establishedTTL, maxSuccesses, now)
 	}
-	return ok && now.Sub(at) < successTTL
+	t.succeeded.add(digest, successTTL, maxSuccesses, now)
 }
 
 // Merge merges a report of this or another router and reports whether the table changed.
@@ -222,6 +185,10 @@
 	if report.Cleared {
 		return t.clear(report.Content, now)
 	}
+	if report.Trial {
+		t.mergeTrial(report.Content, now)
+		return false
+	}
 	if len(report.Crashes) == 0 {
 		return false
 	}
--- a/daemon/internal/request/quarantine/quarantine_test.go
+++ b/daemon/internal/request/quarantine/quarantine_test.go
@@ -24,9 +24,16 @@
 // digests returns the digests of a request without parts.
 func digests(number int) []content.Digest { return []content.Digest{digest(number)} }
 
-// always returns whether a router runs the trials of all contents.
-func always(runsTrials bool) func(content.Digest) bool {
-	return func(content.Digest) bool { return runsTrials }
+// always returns the position of a router that is the first, or not the first, to run the trials of all contents.
+func always(first bool) func(content.Digest) int {
+	return func(content.Digest) int { return positionOf(first) }
+}
+
+func positionOf(first bool) int {
+	if first {
+		return 0
+	}
+	return 1
 }
 
 func crash(upstream string, started int64, depth int) quarantine.Crash {
@@ -132,11 +139,11 @@
 	table.Merge(report(1, crash("a", 1, 1), crash("b", 1, 2), crash("c", 1, 3)), now)
 	for round, duration := range []time.Duration{15 * time.Second, time.Minute, 4 * time.Minute} {
 		now = now.Add(duration - time.Second)
-		assert.Equal(t, quarantine.Quarantined, table.Admit(digests(1), always(true), now))
+		assert.Equal(t, quarantine.Quarantined, table.Admit(digests(1), always(true), now).Verdict)
 		now = now.Add(time.Second)
-		assert.Equal(t, quarantine.Quarantined, table.Admit(digests(1), always(false), now), "the trial belongs to another router")
-		assert.Equal(t, quarantine.SingleAttempt, table.Admit(digests(1), always(true), now))
-		assert.Equal(t, quarantine.Quarantined, table.Admit(digests(1), always(true), now), "one at a time")
+		assert.Equal(t, quarantine.Quarantined, table.Admit(digests(1), always(false), now).Verdict, "the trial belongs to another router")
+		assert.Equal(t, quarantine.SingleAttempt, table.Admit(digests(1), always(true), now).Verdict)
+		assert.Equal(t, quarantine.Quarantined, table.Admit(digests(1), always(true), now).Verdict, "one at a time")
 		assert.Equal(t, quarantine.SingleAttempt, table.Verdict(digests(1), now), "the admitted trial continues")
 		observed := attribute(table, quarantine.Attempt{Content: digest(1), Upstream: fmt.Sprint("d", round), SentAt: now}, now.Add(time.Second))
 		assert.Equal(t, 3, observed.Depth)
@@ -144,14 +151,14 @@
 		assert.Equal(t, quarantine.Quarantined, table.Verdict(digests(1), now))
 	}
 	now = now.Add(16 * time.Minute)
-	assert.Equal(t, quarantine.SingleAttempt, table.Admit(digests(1), always(true), now))
+	assert.Equal(t, quarantine.SingleAttempt, table.Admit(digests(1), always(true), now).Verdict)
 	now = now.Add(10 * time.Second)
-	assert.Equal(t, quarantine.SingleAttempt, table.Admit(digests(1), always(true), now), "the previous trial had no result")
+	assert.Equal(t, quarantine.SingleAttempt, table.Admit(digests(1), always(true), now).Verdict, "the previous trial had no result")
 	table.Merge(quarantine.Report{Content: digest(1), Cleared: true}, now)
-	assert.Equal(t, quarantine.Unrestricted, table.Admit(digests(1), always(false), now))
+	assert.Equal(t, quarantine.Unrestricted, table.Admit(digests(1), always(false), now).Verdict)
 
 	table.Merge(report(2, crash("a", 1, 1), crash("b", 1, 2)), now)
-	assert.Equal(t, quarantine.SingleAttempt, table.Admit(digests(2), always(false), now), "not quarantined")
+	assert.Equal(t, quarantine.SingleAttempt, table.Admit(digests(2), always(false), now).Verdict, "not quarantined")
 	assert.Equal(t, quarantine.Unrestricted, table.Verdict(digests(2), now.Add(10*time.Minute)), "a suspicion expires")
 }
 
@@ -176,9 +183,9 @@
 		}
 		tried := 0
 		for router := range tables {
-			runsTrials := func(key content.Digest) bool { return owners[key] == router }
+			position := func(key content.Digest) int { return positionOf(owners[key] == router) }
 			request := rapid.Permutation(keys).Draw(t, "request")
-			if tables[router].Admit(request, runsTrials, start.Add(time.Minute)) == quarantine.SingleAttempt {
+			if tables[router].Admit(request, position, start.Add(time.Minute)).Verdict == quarantine.SingleAttempt {
 				tried++
 			}
 		}
@@ -186,6 +193,92 @@
 	})
 }
 
+// TestTrialDuringQuarantineDistinguishesSuspects guards against a part that stays quarantined because it
+// was in each request with the part that crashes upstreams, and against a trial with the latter.
+func TestTrialDuringQuarantineDistinguishesSuspects(t *testing.T) {
+	const shared, cause = 1, 2
+	crashes := []quarantine.Crash{crash("a", 1, 1), crash("b", 1, 2), crash("c", 1, 3)}
+	quarantined := func() *quarantine.Table {
+		table := &quarantine.Table{}
+		table.Merge(report(shared, crashes...), start)
+		table.Merge(report(cause, crashes...), start)
+		return table
+	}
+	request := func(numbers ...int) []content.Digest {
+		keys := []content.Digest{digest(100)} // the content
+		for _, number := range numbers {
+			keys = append(keys, digest(number))
+		}
+		return keys
+	}
+	at := start.Add(time.Second)
+
+	table := quarantined()
+	assert.Equal(t, quarantine.Quarantined, table.Admit(request(shared, cause), always(true), at).Verdict, "distinguishes nothing")
+	trial := table.Admit(request(shared), always(false), at)
+	assert.Equal(t, quarantine.Admission{Verdict: quarantine.SingleAttempt, Trials: request(shared)[1:]}, trial)
+	assert.Equal(t, quarantine.Quarantined, table.Admit(request(shared), always(true), at).Verdict, "one trial at a time")
+	other := quarantined()
+	assert.False(t, other.Merge(quarantine.Report{Content: digest(shared), Trial: true}, at))
+	assert.Equal(t, quarantine.Quarantined, other.Admit(request(shared), always(true), at).Verdict, "another router runs a trial")
+
+	table.Merge(quarantine.Report{Content: digest(shared), Cleared: true}, at)
+	assert.Equal(t, quarantine.Unrestricted, table.Admit(request(shared), always(false), at).Verdict)
+	assert.Equal(t, quarantine.Quarantined, table.Admit(request(shared, cause), always(true), at).Verdict)
+
+	table = quarantined()
+	table.Admit(request(cause), always(true), at) // the other one is the cause
+	table.Merge(report(cause, crash("d", 1, 4)), at.Add(time.Second))
+	assert.Equal(t, quarantine.SingleAttempt, table.Verdict(request(shared), at.Add(time.Second)), "explained")
+	assert.Equal(t, quarantine.Quarantined, table.Admit(request(cause), always(true), at.Add(2*time.Second)).Verdict, "convicted")
+}
+
+// TestTrialsDuringQuarantineAreBounded guards against crashing upstream after upstream by trials whose
+// results do not distinguish the suspects.
+func TestTrialsDuringQuarantineAreBounded(t *testing.T) {
+	table, now := &quarantine.Table{}, start
+	for depth := 1; depth <= 3; depth++ {
+		table.Merge(report(1, crash("a", int64(depth), depth)), now)
+		table.Merge(report(2, crash("a", int64(depth), depth)), now)
+	}
+	trials := 0
+	for i := range 100 {
+		now = now.Add(time.Second)
+		if table.Verdict(digests(1), now) != quarantine.Quarantined {
+			break
+		}
+		if table.Admit(digests(1), always(true), now).Verdict == quarantine.SingleAttempt {
+			trials++
+			table.Merge(report(1, crash("b", int64(i), 3)), now.Add(time.Millisecond))
+			table.Merge(report(2, crash("b", int64(i), 3)), now.Add(time.Millisecond))
+		}
+	}
+	assert.Equal(t, 2, trials)
+}
+
+// TestRoutersTakeTurnsInTrials guards against trials at many routers at once, before they know of each
+// other's.
+func TestRoutersTakeTurnsInTrials(t *testing.T) {
+	const fleet = 400
+	crashes := []quarantine.Crash{crash("a", 1, 1), crash("b", 1, 2), crash("c", 1, 3)}
+	admitted := func(after time.Duration) int {
+		count := 0
+		for router := range fleet {
+			table := &quarantine.Table{}
+			table.Merge(report(1, crashes...), start)
+			table.Merge(report(2, crashes...), start)
+			if table.Admit(digests(1), func(content.Digest) int { return router }, start.Add(after)).Verdict == quarantine.SingleAttempt {
+				count++
+			}
+		}
+		return count
+	}
+	assert.Equal(t, 1, admitted(0))
+	assert.LessOrEqual(t, admitted(500*time.Millisecond), 2)
+	assert.LessOrEqual(t, admitted(time.Second), 4)
+	assert.Equal(t, fleet, admitted(5*time.Second), "each router has its turn")
+}
+
 // TestEvictionKeepsQuarantinedContents guards against a caller that lifts a quarantine by sending
 // thousands of other contents, and against unbounded growth of the table.
 func TestEvictionKeepsQuarantinedContents(t *testing.T) {
@@ -371,7 +464,7 @@
 	table.Merge(report(1, crashes...), start)
 	table.Merge(report(2, append(crashes, crash("d", 1, 4))...), start)
 	for _, since := range []time.Duration{time.Second, time.Minute} {
-		assert.Equal(t, quarantine.SingleAttempt, table.Admit(digests(1), always(false), start.Add(since)), "%s after the crash", since)
+		assert.Equal(t, quarantine.SingleAttempt, table.Admit(digests(1), always(false), start.Add(since)).Verdict, "%s after the crash", since)
 	}
 }
 
--- a/daemon/internal/request/quarantine/record.go
+++ b/daemon/internal/request/quarantine/record.go
@@ -20,11 +20,13 @@
 	// lastAt is when the newest crash was received first by any router, as far as reports tell.
 	lastAt time.Time
 	// duration is the length of the quarantine after lastAt, 0 before the first one. expired
-	// is set when it is over; one more crash then renews it. trialAt is the time of the last
-	// trial, zero before the first.
+	// is set when it is over; one more crash then renews it.
 	duration time.Duration
 	expired  bool
-	trialAt  time.Time
+	// trialAt is the time of the last trial at any router, zero before the first. earlyTrials is the
+	// number of trials during the present quarantine.
+	trialAt     time.Time
+	earlyTrials int
 	// explained is set while each crash is also one of another quarantined record with more crashes.
 	explained bool
 	// cleared holds the crashes dropped by the last clearing, at clearedAt.
@@ -55,6 +57,11 @@
 	return slices.ContainsFunc(r.crashes, func(c observedCrash) bool { return c.equal(crash) })
 }
 
+// hasAll reports whether all crashes of another record are recorded.
+func (r *record) hasAll(other *record) bool {
+	return !slices.ContainsFunc(other.crashes, func(c observedCrash) bool { return !r.has(c.Crash) })
+}
+
 // merge merges one crash and reports whether the record changed. A greater depth of a crash
 // already recorded is a change, since the reporting router had received more crashes. A full record
 // accepts only crashes deeper than all that it holds.
@@ -72,7 +79,9 @@
 	default:
 		r.crashes = append(r.crashes, observedCrash{crash, now})
 	}
-	r.expired = r.expired && crash.Depth < quarantineDepth
+	if r.expired && crash.Depth >= quarantineDepth {
+		r.expired, r.earlyTrials = false, 0
+	}
 	return true
 }
 
--- a/daemon/internal/request/quarantine/report.go
+++ b/daemon/internal/request/quarantine/report.go
@@ -29,7 +29,7 @@
 	return c.Upstream == other.Upstream && c.Started.Equal(other.Started)
 }
 
-// Report reports the crashes or the clearing of a content or part from one router to another.
+// Report reports the crashes, the clearing or a trial of a content or part from one router to another.
 type Report struct {
 	// Content is the digest of a content, or of a part of prompts if Part is set.
 	Content content.Digest `json:"content"`
@@ -38,6 +38,8 @@
 	// Cleared means that the content had a complete response or that an operator lifted its
 	// quarantine.
 	Cleared bool `json:"cleared,omitempty"`
+	// Trial means that the reporting router has just begun a trial of the content.
+	Trial bool `json:"trial,omitempty"`
 	// Duration is the length of the content's quarantine, 0 in a report of a single crash, and Age the time since
 	// the newest crash when the report was made.
 	Duration time.Duration `json:"heldFor,omitempty"`
--- a/daemon/internal/request/quarantine/simulation_test.go
+++ b/daemon/internal/request/quarantine/simulation_test.go
@@ -65,6 +65,20 @@
 	}
 }
 
+// tryOrAdmit returns the verdict of a router on a new request, and reports a trial to the other routers.
+func (n *network) tryOrAdmit(router int, keys []content.Digest) quarantine.Verdict {
+	position := func(key content.Digest) int { return (int(key[7]) + router) % routers }
+	admission := n.tables[router].Admit(keys, position, n.time())
+	for _, key := range admission.Trials {
+		for other := range routers {
+			if other != router {
+				n.inTransit = append(n.inTransit, delivery{n.now + n.reportDelay, other, quarantine.Report{Content: key, Trial: true}})
+			}
+		}
+	}
+	return admission.Verdict
+}
+
 // deliver merges the reports that are due.
 func (n *network) deliver() {
 	var remaining []delivery
@@ -108,8 +122,7 @@
 // admit sends a new request to a random router.
 func (f *fleet) admit(r *request) {
 	r.router, r.attempts = f.random.IntN(routers), maxAttempts
-	const trialRouter = 0 // the router that may run trials
-	f.sendByVerdict(r, f.tables[r.router].Admit([]content.Digest{r.content}, always(r.router == trialRouter), f.time()))
+	f.sendByVerdict(r, f.tryOrAdmit(r.router, []content.Digest{r.content}))
 }
 
 // send sends an admitted request to a free engine if the verdict of its router allows it.
--- a/daemon/router/part_test.go
+++ b/daemon/router/part_test.go
@@ -94,6 +94,65 @@
 	}
 }
 
+// TestPartsThatSoundRequestsShareStayServed guards against quarantining what sound requests share with
+// the part that crashes upstreams. The routers that get sound requests have not served the shared parts
+// shortly before the crashes, and get no request with the crashing part.
+func TestPartsThatSoundRequestsShareStayServed(t *testing.T) {
+	for _, shared := range []string{"system", "system document"} {
+		for _, storeDown := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s store down %t", shared, storeDown), func(t *testing.T) {
+				f := startCrashFleet(t, beginResponse)
+				for _, cfg := range f.routers {
+					if storeDown {
+						f.store.unreachable.Store(cfg.Name, true)
+					}
+				}
+				f.crashUntilQuarantined(t, f.routers[1], shared)
+				crashed := f.crashes()
+				sound := func(cfg settings.Router) bool {
+					f.attempts++
+					id := fmt.Sprint("sound-", f.attempts)
+					return call(t, cfg, id, "POST", "/stream/x", id, "Parts", shared+" own-"+id).status == http.StatusOK
+				}
+				served := func() bool { return sound(f.routers[0]) || sound(f.routers[2]) }
+				require.Eventually(t, served, 2*contact, 50*time.Millisecond, "sound requests are served before the quarantine of the crashing part ends")
+				for _, cfg := range f.routers {
+					await(t, "the shared parts are cleared", func() bool { return crashesOf(cfg, content.Part("system")) == 0 })
+					assert.True(t, sound(cfg), "at %s", cfg.Name)
+					assert.Equal(t, http.StatusServiceUnavailable, f.callWithPart(t, cfg, shared), "the crashing part at %s", cfg.Name)
+				}
+				assert.Equal(t, crashed, f.crashes())
+			})
+		}
+	}
+}
+
+// contact is the time in which routers that run learn what others know.
+const contact = 3 * time.Second
+
+// callWithPart sends a request of its own kind with the crashing part and returns its status.
+func (f *crashFleet) callWithPart(t *testing.T, cfg settings.Router, shared string) int {
+	t.Helper()
+	f.attempts++
+	id := fmt.Sprint("crashing-", f.attempts)
+	return call(t, cfg, id, "POST", "/unsafe/x", id, "Parts", fmt.Sprintf("%s %s own-%s", shared, crashingPart, id)).status
+}
+
+// crashUntilQuarantined sends requests with the crashing part to a router until it refuses them, and waits
+// until all routers know the crashes.
+func (f *crashFleet) crashUntilQuarantined(t *testing.T, cfg settings.Router, shared string) {
+	t.Helper()
+	for f.callWithPart(t, cfg, shared) != http.StatusServiceUnavailable {
+		require.LessOrEqual(t, f.crashes(), int64(maxPartCrashes))
+		for _, u := range f.upstreams {
+			u.restart(t)
+		}
+	}
+	for _, other := range f.routers {
+		await(t, "all crashes are received", func() bool { return crashesOf(other, content.Part(crashingPart)) == f.crashes() })
+	}
+}
+
 // TestNewRoutersReceiveQuarantineOfPart guards against routers that start during a quarantine and
 // send requests with the crashing part.
 func TestNewRoutersReceiveQuarantineOfPart(t *testing.T) {
--- a/daemon/router/recorder.go
+++ b/daemon/router/recorder.go
@@ -38,6 +38,7 @@
 	fieldRequest  = "request"  // the ID of the request
 	fieldUpstream = "upstream" // the ID of the upstream
 	fieldAddress  = "address"
+	fieldContent  = "content" // the digest of a content or of a part of prompts
 )
 
 // decisionBelieve is the value of fieldDecision for a change of what the process holds of the store.
@@ -92,10 +93,13 @@
 		fields["firstByte"] = trace.FirstByte.Sub(trace.Started).Round(time.Microsecond).String()
 	}
 	if len(trace.Attempts) > 1 || trace.Outcome != dispatch.OutcomeServed {
-		fields["content"] = trace.Content
+		fields[fieldContent] = trace.Content
 		if len(trace.Parts) > 0 {
 			fields["parts"] = trace.Parts
 		}
+		if len(trace.Trials) > 0 {
+			fields["trials"] = trace.Trials
+		}
 	}
 	if len(trace.PlaceRequests) > 0 {
 		fields["asked"] = trace.PlaceRequests
@@ -139,7 +143,7 @@
 		return
 	}
 	fields := log.Fields{
-		fieldDecision: "witness", fieldRequest: disconnect.Request, "content": disconnect.Content, fieldUpstream: disconnect.Upstream.ID,
+		fieldDecision: "witness", fieldRequest: disconnect.Request, fieldContent: disconnect.Content, fieldUpstream: disconnect.Upstream.ID,
 		fieldAddress: disconnect.Upstream.Address, "ended": crashed, "after": disconnect.After.Round(time.Millisecond).String(),
 	}
 	if len(disconnect.Parts) > 0 {
@@ -152,7 +156,7 @@
 func (r *recorder) verdict(c verdictChange, from source, peer netip.AddrPort) {
 	r.scope.Tagged(map[string]string{"verdict": c.after.String()}).Counter("content_verdicts").Inc(1)
 	fields := log.Fields{
-		fieldDecision: "quarantine", "content": c.merged.Content, "verdict": c.after.String(), "before": c.before.String(),
+		fieldDecision: "quarantine", fieldContent: c.merged.Content, "verdict": c.after.String(), "before": c.before.String(),
 		"ends": c.merged.Crashes, "from": from,
 	}
 	if c.merged.Part {
@@ -169,10 +173,16 @@
 	entry.Info("verdict on a content changed")
 }
 
+// trialBegan logs that a request is sent although its content or a part of its prompt is quarantined.
+func (r *recorder) trialBegan(digest content.Digest) {
+	r.scope.Counter("content_trials").Inc(1)
+	r.log.WithFields(log.Fields{fieldDecision: "quarantine", fieldContent: digest}).Info("trial of a quarantined content begins")
+}
+
 // verdictNotPersisted logs that a verdict could not be written to the store. Routers that start
 // later receive it only from other routers.
 func (r *recorder) verdictNotPersisted(digest content.Digest, err error) {
-	r.log.WithFields(log.Fields{"content": digest, "reason": err.Error()}).Warn("cannot write verdict on a content to the store")
+	r.log.WithFields(log.Fields{fieldContent: digest, "reason": err.Error()}).Warn("cannot write verdict on a content to the store")
 }
 
 // notificationFailed logs that another router did not receive a report of a crash or a limit. That
--- a/daemon/router/restore.go
+++ b/daemon/router/restore.go
@@ -25,7 +25,7 @@
 // persistVerdictsAgain writes the verdicts that the store should hold. One router writes each.
 func (p *Process) persistVerdictsAgain() {
 	for _, report := range p.suspects.all() {
-		if p.suspects.verdict([]content.Digest{report.Content}) != quarantine.Quarantined || !p.ownsRetry(report.Content) {
+		if p.suspects.verdict([]content.Digest{report.Content}) != quarantine.Quarantined || p.trialPosition(report.Content) > 0 {
 			continue
 		}
 		if !helpers.Pause(rand.N(rewriteSpread), p.done) {
--- a/daemon/router/suspects.go
+++ b/daemon/router/suspects.go
@@ -68,10 +68,10 @@
 }
 
 // admit returns the verdict for a new request.
-func (s *suspects) admit(digests []content.Digest, runsTrials func(content.Digest) bool) quarantine.Verdict {
+func (s *suspects) admit(digests []content.Digest, position func(content.Digest) int) quarantine.Admission {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table.Admit(digests, runsTrials, clock.Now())
+	return s.table.Admit(digests, position, clock.Now())
 }
 
 // verdictChange is the effect of a crash report on the verdict on its content.
@@ -175,22 +175,26 @@
 	return p.probe.Check(context.Background(), upstream.Address)
 }
 
-// admitContent returns the verdict for a new request.
-func (p *Process) admitContent(digests []content.Digest) quarantine.Verdict {
-	return p.suspects.admit(digests, p.ownsRetry)
+// admitContent returns the verdict for a new request, and tells the other routers of a trial.
+func (p *Process) admitContent(digests []content.Digest) quarantine.Admission {
+	admission := p.suspects.admit(digests, p.trialPosition)
+	for _, digest := range admission.Trials {
+		p.recorder.trialBegan(digest)
+		p.notify(quarantine.Report{Content: digest, Trial: true})
+	}
+	return admission
 }
 
-// ownsRetry reports whether this router is the one that may send a quarantined content or part again
-// once its quarantine has expired. Only one router does, so that only one upstream is put at risk.
-func (p *Process) ownsRetry(digest content.Digest) bool {
-	own := p.current.Load().Name
-	names := []string{own}
-	for member := range p.compiler.View().Members {
-		if member != own {
-			names = append(names, member)
-		}
+// trialPosition returns the position of this router in the order in which routers may send a quarantined
+// content or part again. The order keeps them from doing so at once, which would put several upstreams
+// at risk.
+func (p *Process) trialPosition(digest content.Digest) int {
+	members := p.compiler.View().Members
+	names := make([]string, 0, len(members))
+	for member := range members {
+		names = append(names, member)
 	}
-	return rendezvous.First("try "+digest.String(), names) == own
+	return rendezvous.Position("try "+digest.String(), p.current.Load().Name, names)
 }
 
 // contentCompleted clears the content and the parts of a request after a complete answer.
@@ -203,6 +207,11 @@
 // publish applies a report that this router issues and sends it to the other routers.
 func (p *Process) publish(report quarantine.Report, from source) {
 	p.applyReport(report, from, netip.AddrPort{})
+	p.notify(report)
+}
+
+// notify sends a report to the other routers.
+func (p *Process) notify(report quarantine.Report) {
 	if !p.crashNotifier.Send(report) {
 		p.recorder.notificationDropped()
 	}
