Bound the responses of control calls

Cause: a limit belonged to the code that reads, and the clients that twirp generates read whole bodies. The limits of the key-value store and of the host list were 256 MiB, that of copies between routers 32 MiB with values unpacked to as much each, and a conflict of the key-value store had none.

Change: the transport for control calls of entries and agents bounds each body to 4 MiB. The key-value store and the host list have the same limit, copies between routers 8 MiB, and 16 MiB for all unpacked values together.

--- a/cli/internal/hostile/fleet_test.go
+++ b/cli/internal/hostile/fleet_test.go
@@ -32,23 +32,24 @@
 	return address
 }
 
-func serveStandin(t *testing.T, handler http.Handler) netip.AddrPort {
+// serveStandin serves a stand-in on which the process under test depends, under a name for the faults.
+func (f *faults) serveStandin(t *testing.T, name string, handler http.Handler) netip.AddrPort {
 	t.Helper()
-	server, err := serve.Loopback(handler)
+	server, err := serve.Loopback(f.wrap(name, handler))
 	require.NoError(t, err)
 	t.Cleanup(server.Close)
 	return server.Address
 }
 
 // startPlatform starts the store and the origin, with a configuration, and upstreams with addresses in the store.
-func startPlatform(t *testing.T) (store netip.AddrPort, engineAddress netip.AddrPort) {
+func startPlatform(t *testing.T, f *faults) (store netip.AddrPort, engineAddress netip.AddrPort) {
 	t.Helper()
 	done := make(chan struct{})
 	t.Cleanup(func() { close(done) })
 	s := &standin.Store{}
-	store = serveStandin(t, s.Handler(done))
+	store = f.serveStandin(t, "store", s.Handler(done))
 	origin := &standin.Origin{Model: model, Chunks: 4, ChunkBytes: 4 << 10}
-	originAddress := serveStandin(t, origin.Handler())
+	originAddress := f.serveStandin(t, "origin", origin.Handler())
 	const timeout = 10 * time.Second
 	route := func(name, prefix, service string, mode provider.Mode) provider.Route {
 		return provider.Route{
@@ -72,7 +73,7 @@
 		if service == engineService {
 			u.Origin = origin
 		}
-		u.Record.Address = serveStandin(t, u.Handler())
+		u.Record.Address = f.serveStandin(t, name, u.Handler())
 		if service == engineService {
 			engineAddress = u.Record.Address
 		}
@@ -86,15 +87,15 @@
 }
 
 // processes are the kinds of processes under test. Each starts one with all that it depends on.
-var processes = map[string]func(t *testing.T) *daemon{
+var processes = map[string]func(t *testing.T, f *faults) *daemon{
 	"router": startRouter, "loader": startLoader, "entry": startEntry, "agent": startAgent,
 }
 
-func startRouter(t *testing.T) *daemon {
+func startRouter(t *testing.T, f *faults) *daemon {
 	t.Helper()
 	router := settings.ExampleRouter()
-	router.Store, _ = startPlatform(t)
-	router.Seeds, router.LoaderPort = nil, 0
+	router.Store, _ = startPlatform(t, f)
+	router.Seeds, router.LoaderPort = []netip.AddrPort{f.serveStandin(t, "peer", http.NotFoundHandler())}, 0
 	router.Listen = settings.RouterListen{Callers: free(t), Ready: free(t), Peers: free(t), Metrics: free(t)}
 	router.Bounds.MemoryMB, router.Bounds.MaxDescriptors = memoryMB, descriptors
 	return start(t, router, []target{
@@ -105,10 +106,10 @@
 	})
 }
 
-func startLoader(t *testing.T) *daemon {
+func startLoader(t *testing.T, f *faults) *daemon {
 	t.Helper()
 	loader := settings.ExampleLoader()
-	loader.Store, loader.Engine = startPlatform(t)
+	loader.Store, loader.Engine = startPlatform(t, f)
 	loader.Service = engineService
 	loader.Listen = settings.LoaderListen{Peers: free(t), Metrics: free(t)}
 	loader.Bounds.MemoryMB = memoryMB
@@ -118,13 +119,14 @@
 	})
 }
 
-func startEntry(t *testing.T) *daemon {
+func startEntry(t *testing.T, f *faults) *daemon {
 	t.Helper()
 	entry := settings.ExampleEntry()
 	list := &hostlist.Server{}
 	entry.Listen = settings.EntryListen{Callers: free(t), Operators: free(t), Peers: free(t)}
-	entry.Platform = settings.EntryPlatform{KeyValue: serveStandin(t, &kv.Server{}), HostList: serveStandin(t, list)}
+	entry.Platform = settings.EntryPlatform{KeyValue: f.serveStandin(t, "key-value", &kv.Server{}), HostList: f.serveStandin(t, "host list", list)}
 	list.Set(hostlist.Host{Name: entry.Name, Role: hostlist.RoleEntry, Hall: entry.Hall, Address: entry.Listen.Peers})
+	list.Set(hostlist.Host{Name: "entry-2", Role: hostlist.RoleEntry, Hall: entry.Hall, Address: f.serveStandin(t, "peer", http.NotFoundHandler())})
 	return start(t, entry, []target{
 		{"callers", entry.Listen.Callers, "/healthz", http.StatusOK},
 		{"operators", entry.Listen.Operators, "/healthz", http.StatusOK},
@@ -132,14 +134,15 @@
 	})
 }
 
-func startAgent(t *testing.T) *daemon {
+func startAgent(t *testing.T, f *faults) *daemon {
 	t.Helper()
 	agent := settings.ExampleAgent()
 	list := &hostlist.Server{}
 	agent.Listen.Peers = free(t)
-	agent.Platform.HostList = serveStandin(t, list)
-	agent.Weights.Origin = serveStandin(t, &weights.Server{})
-	agent.Upstream.Address = serveStandin(t, &engine.Server{})
+	agent.Platform.HostList = f.serveStandin(t, "host list", list)
+	agent.Weights.Origin = f.serveStandin(t, "origin", &weights.Server{})
+	agent.Upstream.Address = f.serveStandin(t, "engine", &engine.Server{})
 	list.Set(hostlist.Host{Name: agent.Name, Role: hostlist.RoleAgent, Hall: agent.Hall, Address: agent.Listen.Peers})
+	list.Set(hostlist.Host{Name: "entry-1", Role: hostlist.RoleEntry, Hall: agent.Hall, Address: f.serveStandin(t, "entry", http.NotFoundHandler())})
 	return start(t, agent, []target{{"peers", agent.Listen.Peers, "/healthz", http.StatusOK}})
 }
--- a/cli/internal/hostile/hostile_test.go
+++ b/cli/internal/hostile/hostile_test.go
@@ -17,7 +17,7 @@
 	t.Helper()
 	for name, start := range processes {
 		t.Run(name, func(t *testing.T) {
-			d := start(t)
+			d := start(t, &faults{})
 			sendCrowd(t, d.targets, behave)
 			d.check(t)
 		})
--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -14,6 +14,8 @@
 	"sync"
 	"time"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/call"
+
 	"golang.org/x/time/rate"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/dial"
@@ -126,7 +128,7 @@
 	if err := p.listen(mux); err != nil {
 		return err
 	}
-	client := &http.Client{Transport: p.control}
+	client := &http.Client{Transport: call.Bounded{Transport: p.control, MaxBytes: call.MaxControlResponse}}
 	p.hosts = &hosts.Poller{List: platform.NewHostList(p.settings.Platform.HostList, client), Hall: p.settings.Hall, Interval: p.options.HostsInterval}
 	entries := func() []platform.Host { return p.hosts.Select(platform.RoleEntry, "") }
 	p.reporter = &report.Reporter{
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -16,6 +16,8 @@
 	"sync"
 	"time"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/call"
+
 	"github.com/uptrace/bunrouter"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/control"
@@ -122,7 +124,7 @@
 
 // Start opens the ports and starts all parts of the entry.
 func (p *Process) Start() error {
-	client := &http.Client{Transport: p.control}
+	client := &http.Client{Transport: call.Bounded{Transport: p.control, MaxBytes: call.MaxControlResponse}}
 	kv := platform.NewKV(p.settings.Platform.KeyValue, client)
 	p.hosts = &hosts.Poller{List: platform.NewHostList(p.settings.Platform.HostList, client), Interval: p.options.HostsInterval}
 	p.addFollowers(kv, client)
--- a/daemon/internal/connection/peering/packed.go
+++ b/daemon/internal/connection/peering/packed.go
@@ -17,8 +17,8 @@
 const (
 	// minPacked is the size in bytes from which values are packed.
 	minPacked = 2 << 10
-	// maxValue bounds an unpacked value, in bytes. Values in the store are smaller.
-	maxValue = maxResponse
+	// maxUnpacked bounds the unpacked entries of a response, and their values together, in bytes.
+	maxUnpacked = 2 * maxResponse
 )
 
 // packedEntry is the encoded form of an entry. One of Value and Packed is empty.
@@ -66,17 +66,19 @@
 	return result
 }
 
-// unpack reverses pack.
+// unpack reverses pack. The values share one bound, since many small packed values may be large ones.
 func unpack(packed []packedEntry) ([]provider.Entry, error) {
 	entries := make([]provider.Entry, 0, len(packed))
+	remaining := maxUnpacked
 	for _, p := range packed {
 		entry := p.Entry
 		if len(p.Packed) > 0 {
-			value, err := inflate(p.Packed)
+			value, err := inflate(p.Packed, remaining)
 			if err != nil {
 				return nil, fmt.Errorf("unpack %q: %w", entry.Key, err)
 			}
 			entry.Value = value
+			remaining -= len(value)
 		}
 		entries = append(entries, entry)
 	}
@@ -95,7 +97,7 @@
 
 // unpackAll reverses pack and packAll.
 func unpackAll(packed []byte) ([]provider.Entry, error) {
-	data, err := inflate(packed)
+	data, err := inflate(packed, maxUnpacked)
 	if err != nil {
 		return nil, fmt.Errorf("unpack %d bytes: %w", len(packed), err)
 	}
@@ -114,10 +116,10 @@
 	return packed.Bytes()
 }
 
-func inflate(packed []byte) ([]byte, error) {
-	value, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxValue+1))
-	if err == nil && len(value) > maxValue {
-		err = fmt.Errorf("value larger than %d bytes", maxValue)
+func inflate(packed []byte, limit int) ([]byte, error) {
+	value, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), int64(limit)+1))
+	if err == nil && len(value) > limit {
+		err = fmt.Errorf("more than %d bytes", limit)
 	}
 	return value, err
 }
--- a/daemon/internal/connection/peering/packed_test.go
+++ b/daemon/internal/connection/peering/packed_test.go
@@ -119,3 +119,20 @@
 	require.NoError(t, err)
 	assert.Len(t, unpacked, 1, "a changed table is listed again")
 }
+
+// TestUnpackedEntriesShareOneBound guards against a small response that takes more memory than a host has, once it
+// is unpacked.
+func TestUnpackedEntriesShareOneBound(t *testing.T) {
+	value := deflate(make([]byte, maxUnpacked/4))
+	entries := make([]packedEntry, 5)
+	for i := range entries {
+		entries[i] = packedEntry{Entry: provider.Entry{Key: "c"}, Packed: value}
+	}
+	unpacked, err := unpack(entries[:4])
+	require.NoError(t, err)
+	assert.Len(t, unpacked, 4)
+	_, err = unpack(entries)
+	require.ErrorContains(t, err, "more than")
+	_, err = unpackAll(deflate(make([]byte, maxUnpacked+1)))
+	assert.ErrorContains(t, err, "more than")
+}
--- a/daemon/internal/connection/peering/peering.go
+++ b/daemon/internal/connection/peering/peering.go
@@ -47,7 +47,7 @@
 
 const (
 	// maxResponse bounds a response, in bytes.
-	maxResponse = 32 << 20
+	maxResponse = 8 << 20
 	// maxWait bounds the wait of a long poll.
 	maxWait = 5 * time.Second
 	// statusPollInterval is the shortest time between two checks of the replica's status
--- a/daemon/internal/process/platform/hosts.go
+++ b/daemon/internal/process/platform/hosts.go
@@ -4,10 +4,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/netip"
 	"net/url"
+
+	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
 // Roles and states of the host list.
@@ -79,7 +80,11 @@
 	var body struct {
 		Hosts []Host `json:"hosts"`
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(&body); err != nil {
+	data, err := provider.ReadAll(ctx, resp.Body, maxResponseBytes)
+	if err != nil {
+		return HostListing{}, false, err
+	}
+	if err := json.Unmarshal(data, &body); err != nil {
 		return HostListing{}, false, err
 	}
 	listing.Hosts = body.Hosts
--- a/daemon/internal/process/platform/kv.go
+++ b/daemon/internal/process/platform/kv.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
@@ -13,6 +14,8 @@
 	"strconv"
 	"time"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/call"
+
 	"github.com/wheelcleat/wheelcleat/daemon/internal/timeout"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
@@ -86,7 +89,10 @@
 const watchGrace = 3 * time.Second
 
 // maxResponseBytes limits the body of a response.
-const maxResponseBytes = 256 << 20
+const maxResponseBytes = call.MaxControlResponse
+
+// maxConflictBytes limits the body of a conflict, which holds a revision.
+const maxConflictBytes = 1 << 10
 
 // NewKV returns a client of the service at an address.
 func NewKV(address netip.AddrPort, client *http.Client) *KV {
@@ -237,7 +243,7 @@
 		return ErrCompacted
 	case http.StatusConflict:
 		var body revisionResponse
-		if err := json.NewDecoder(resp.Body).Decode(&body); err != nil {
+		if err := json.NewDecoder(io.LimitReader(resp.Body, maxConflictBytes)).Decode(&body); err != nil {
 			return errors.Join(ErrUnknownResult, err)
 		}
 		return &ConflictError{Key: call.path[len("/kv/"):], Revision: body.Revision}
