--- a/cli/internal/hostile/fleet_test.go
+++ b/cli/internal/hostile/fleet_test.go
@@ -59,7 +59,7 @@
 	}
 	s.Declare(provider.Configuration{
 		Version:  1,
-		Routes:   []provider.Route{route("safe", "/safe/", plainService, provider.ModeSafe), route("unsafe", "/unsafe/", plainService, provider.ModeUnsafe)},
+		Routes:   []provider.Route{route("safe", "/safe/", plainService, provider.ModeSafe), route("unsafe", "/unsafe/", plainService, provider.ModeUnsafe), route("stream", "/stream/", plainService, provider.ModeStream)},
 		Services: []provider.Service{{Name: plainService}, {Name: "weights", Origin: originAddress}, {Name: engineService, Engine: engineSpec()}},
 		Accounts: []provider.Account{{Name: "account", Keys: []string{callersKey}}},
 		Limits:   provider.Limits{MaxBodyBytes: maxBodyBytes, MaxHeaderBytes: maxHeaderBytes},
--- a/cli/internal/hostile/servers_test.go
+++ b/cli/internal/hostile/servers_test.go
@@ -23,6 +23,8 @@
 	sent, asked atomic.Int64
 	// began is closed when the server becomes faulty. It ends the responses that wait for a change.
 	began chan struct{}
+	// handlers replace the handlers of stand-ins, by name.
+	handlers map[string]http.Handler
 }
 
 // begin makes the server send a response from now on.
@@ -63,6 +65,9 @@
 
 // wrap returns a handler that answers as the given one until the faults of the named server are active.
 func (f *faults) wrap(name string, handler http.Handler) http.Handler {
+	if replacement, ok := f.handlers[name]; ok {
+		return replacement
+	}
 	if name != f.server {
 		return handler
 	}
