--- a/cli/internal/hostile/fleet_test.go
+++ b/cli/internal/hostile/fleet_test.go
@@ -47,6 +47,7 @@
 	done := make(chan struct{})
 	t.Cleanup(func() { close(done) })
 	s := &standin.Store{}
+	f.store = s
 	store = f.serveStandin(t, "store", s.Handler(done))
 	origin := &standin.Origin{Model: model, Chunks: 4, ChunkBytes: 4 << 10}
 	originAddress := f.serveStandin(t, "origin", origin.Handler())
--- a/cli/internal/hostile/servers_test.go
+++ b/cli/internal/hostile/servers_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+
+	"github.com/wheelcleat/wheelcleat/platform/standin"
 )
 
 // faults makes a server on which a process depends send bytes without end. The zero value has no faults.
@@ -25,6 +27,8 @@
 	began chan struct{}
 	// handlers replace the handlers of stand-ins, by name.
 	handlers map[string]http.Handler
+	// store is the platform's store, if the process uses one.
+	store *standin.Store
 }
 
 // begin makes the server send a response from now on.
