Check parts that sound requests share in the soak

Cause of the gap: the soak's callers send requests with the shared parts to each router all the time, so that a complete response of the last two seconds always kept these parts out of suspicion.

Change: the step part-shared sends requests with a part that crashes upstreams to one router, and sound ones that share their first part with these to the others. It checks that sound requests begin at least half as often as before, from 6 s after the fifth crash or the last; the bounds on requests with the crashing part apply as they do for other steps.

--- a/cli/internal/soak/inject.go
+++ b/cli/internal/soak/inject.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -54,10 +55,8 @@
 	case step.Kind == HallEvacuate:
 		halls := f.halls()
 		f.evacuateHall(halls[step.Target%len(halls)], duration)
-	case step.Kind == RequestsCrash:
-		f.sendCrashing(step.Target, duration)
-	case step.Kind == CallersLeave:
-		f.sendAndLeave(duration)
+	case slices.Contains([]Kind{RequestsCrash, PartShared, CallersLeave}, step.Kind):
+		f.sendRequests(step)
 	case step.Kind == EntriesCorrupt:
 		f.corruptEntry(host, step.Target, duration)
 	case step.Kind == EngineCorrupt:
@@ -69,6 +68,18 @@
 	}
 }
 
+// sendRequests sends the requests of a step that is one of callers.
+func (f *fleet) sendRequests(step Step) {
+	switch step.Kind {
+	case RequestsCrash:
+		f.sendCrashing(step.Target, time.Duration(step.For))
+	case PartShared:
+		f.sendSharedPart(step.Target)
+	default:
+		f.sendAndLeave(time.Duration(step.For))
+	}
+}
+
 // injectUpstream ends or replaces an upstream, changes what its responses state, or makes a share of them
 // fail.
 func (f *fleet) injectUpstream(step Step, host *host) {
--- a/cli/internal/soak/oracle.go
+++ b/cli/internal/soak/oracle.go
@@ -51,6 +51,7 @@
 	CheckProcess            Check = "processes live and end well"
 	CheckUsage              Check = "memory and files"
 	CheckQuarantine         Check = "what ends upstreams is held back"
+	CheckShared             Check = "what is shared with it is served"
 	CheckLimit              Check = "limits are kept"
 	CheckStatedLeaving      Check = "nothing to those that state that they leave"
 	CheckPause              Check = "pauses are kept"
--- a/cli/internal/soak/oracle_test.go
+++ b/cli/internal/soak/oracle_test.go
@@ -107,6 +107,31 @@
 	}
 }
 
+// recordShared records sound requests that share a part with crashing ones. All of them begin in calm, and lateBegan
+// of minSoundRequests afterwards.
+func recordShared(o *Oracle, lateBegan int) {
+	var requests []soundRequest
+	send := func(began bool) {
+		id := fmt.Sprint("sound-", o.sent)
+		o.RecordSent(id, "router")
+		requests = append(requests, soundRequest{id: id, router: "router", sentAt: time.Now()})
+		if began {
+			o.RecordRun(standin.Run{ID: id, Upstream: "u", Path: standin.StreamPath + id, At: time.Now()})
+		}
+	}
+	for range minSoundRequests {
+		send(true)
+	}
+	sleep(calmTime)
+	crashingFrom := time.Now()
+	recordCrashingPart(o, quarantineAfter, standin.CrashPart)
+	sleep(2*quarantineBound + time.Millisecond)
+	for i := range minSoundRequests {
+		send(i < lateBegan)
+	}
+	o.checkShared(standin.CrashPart, crashingFrom, requests)
+}
+
 // recordLeft records that the caller of a request leaves.
 func recordLeft(o *Oracle) {
 	o.RecordSent("id", "router")
@@ -451,6 +476,11 @@
 				recordCrashingPart(o, maxCrashingRuns, standin.CrashPart+"02")
 			},
 		},
+		"sound requests that share a part with crashing ones are held": {
+			CheckShared,
+			func(o *Oracle) { recordShared(o, minSoundRequests/2-1) },
+			func(o *Oracle) { recordShared(o, minSoundRequests/2) },
+		},
 		"a request that crashes upstreams after it should be quarantined": {
 			CheckQuarantine,
 			func(o *Oracle) {
--- a/cli/internal/soak/plan.go
+++ b/cli/internal/soak/plan.go
@@ -83,6 +83,9 @@
 	EngineCorrupt Kind = "engine-rot"
 	// RequestsCrash repeatedly sends a request that crashes each upstream that starts it.
 	RequestsCrash Kind = "requests-crash"
+	// PartShared sends requests with a part that crashes upstreams to one router, and sound ones that share another
+	// part with these to the others.
+	PartShared Kind = "part-shared"
 	// CallersLeave sends requests whose callers close their connections at any time.
 	CallersLeave Kind = "callers-leave"
 	// EntriesCorrupt replaces an upstream's store entry by a value that cannot be decoded.
@@ -112,7 +115,7 @@
 	LinkDelay, LinkReset, LinkOneWay, LinkUnresponsive, LinkNarrow, LinkSilentOpen,
 	UpstreamCrash, UpstreamLeave, UpstreamUnlist, UpstreamShed, UpstreamFail, UpstreamHang, UpstreamReset, UpstreamCut, UpstreamSurplus,
 	UpstreamLimited, UpstreamLeaveUnrecorded, UpstreamPause, UpstreamCold, EngineCorrupt,
-	RequestsCrash, CallersLeave, EntriesCorrupt,
+	RequestsCrash, PartShared, CallersLeave, EntriesCorrupt,
 	OriginDown, OriginCorrupt, OriginSlow,
 	HallEvacuate,
 	Configure, Configure, Version, Version, VersionsOverlap,
