Prefer entries of named services at an address

Cause: of several entries for one address the one that was created last is used, whatever its service.

Change: an entry of a service that the configuration names, or that a route leads to, goes before any other at its address.

Measured: TestForeignEntryDoesNotHideUpstream and the new step of TestOddEntries, with a router process, failed before and pass.

--- a/cli/internal/hostile/entries_test.go
+++ b/cli/internal/hostile/entries_test.go
@@ -35,6 +35,8 @@
 			}
 			f.store.PutRawUpstream("odd\r\nname: value", []byte(`{"service":"`+plainService+`","address":"`+trap.String()+`","zone":"recife","capacity":4,"state":"ready"}`))
 			d.requestOften(t, "an id of two lines")
+			f.store.PutRawUpstream("inventory", []byte(`{"service":"inventory","address":"`+f.plain.String()+`","zone":"recife","capacity":4,"state":"ready"}`))
+			d.requestOften(t, "an entry of a service that is not named, at the address of an upstream")
 			assert.Zero(t, called.Load(), "requests at the address of an odd entry")
 			if name == "router" {
 				f.replacePlain(t, d)
--- a/cli/internal/hostile/fleet_test.go
+++ b/cli/internal/hostile/fleet_test.go
@@ -75,6 +75,9 @@
 			u.Origin = origin
 		}
 		u.Record.Address = f.serveStandin(t, name, u.Handler())
+		if service == plainService {
+			f.plain = u.Record.Address
+		}
 		if service == engineService {
 			engineAddress = u.Record.Address
 		}
--- a/cli/internal/hostile/servers_test.go
+++ b/cli/internal/hostile/servers_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -29,6 +30,8 @@
 	handlers map[string]http.Handler
 	// store is the platform's store, if the process uses one.
 	store *standin.Store
+	// plain is the address of the upstream of ordinary requests.
+	plain netip.AddrPort
 }
 
 // begin makes the server send a response from now on.
--- a/daemon/internal/process/replica/compiler.go
+++ b/daemon/internal/process/replica/compiler.go
@@ -68,6 +68,14 @@
 	created provider.Revision
 }
 
+// replaces reports whether the upstream is used rather than another one at its address.
+func (u registeredUpstream) replaces(other registeredUpstream, named func(service string) bool) bool {
+	if mine, others := named(u.Service), named(other.Service); mine != others {
+		return mine
+	}
+	return u.created > other.created
+}
+
 // registeredTarget is a declared version, the revision of its entry and when that was written first.
 type registeredTarget struct {
 	provider.Target
@@ -106,7 +114,7 @@
 		evacuated[hall] = true
 	}
 	next.Upstreams = map[string][]*provider.Upstream{}
-	for _, upstream := range c.upstreamsByAddress() {
+	for _, upstream := range c.upstreamsByAddress(next.names) {
 		if evacuated[upstream.Hall] {
 			continue
 		}
@@ -129,12 +137,14 @@
 
 // upstreamsByAddress returns the upstream at each address. Of several entries for one
 // address the one created last wins: after a power failure the entry of the previous
-// upstream stays for some heartbeats while its successor is already running.
-func (c *Compiler) upstreamsByAddress() map[netip.AddrPort]registeredUpstream {
+// upstream stays for some heartbeats while its successor is already running. An entry of a
+// service that the configuration does not name gives way to any other: another writer may
+// list the addresses of upstreams for its own purposes.
+func (c *Compiler) upstreamsByAddress(named func(service string) bool) map[netip.AddrPort]registeredUpstream {
 	byAddress := make(map[netip.AddrPort]registeredUpstream, len(c.upstreams))
 	add := func(upstream registeredUpstream) {
 		current, ok := byAddress[upstream.Address]
-		if !ok || upstream.created > current.created {
+		if !ok || upstream.replaces(current, named) {
 			byAddress[upstream.Address] = upstream
 		}
 	}
--- a/daemon/internal/process/replica/expiry_test.go
+++ b/daemon/internal/process/replica/expiry_test.go
@@ -85,6 +85,40 @@
 	})
 }
 
+// TestForeignEntryDoesNotHideUpstream guards against an entry of a service that the configuration does not name, such
+// as an inventory of hosts, which hides the upstream at its address.
+func TestForeignEntryDoesNotHideUpstream(t *testing.T) {
+	table := &replica.Table{}
+	compiler := &replica.Compiler{Decode: func(entry provider.Entry) (provider.Record, error) {
+		if entry.Key == "configuration" {
+			configuration := &provider.Configuration{Version: uint64(entry.Revision), Services: []provider.Service{{Name: "declared"}}}
+			configuration.Routes = []provider.Route{{Shares: []provider.Share{{Service: string(entry.Value), Weight: 1}}}}
+			return provider.Record{Configuration: configuration}, nil
+		}
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, 1}), 80)
+		return provider.Record{Upstream: &provider.Upstream{ID: entry.Key, Service: string(entry.Value), Address: address}}, nil
+	}}
+	table.OnChange = compiler.Apply
+	revision := provider.Revision(0)
+	put := func(key, value string) {
+		revision++
+		table.Apply([]provider.Entry{{Key: key, Value: []byte(value), Revision: revision, CreateRevision: revision}})
+	}
+	used := func(service string) int { return len(compiler.View().Upstreams[service]) }
+	put("upstream", "routed")
+	put("configuration", "routed")
+	put("inventory", "inventory")
+	assert.Equal(t, 1, used("routed"))
+	assert.Zero(t, used("inventory"))
+	put("successor", "declared")
+	assert.Equal(t, 1, used("declared"), "the entry of a named service that was created last wins")
+	assert.Zero(t, used("routed"))
+	put("configuration", "inventory")
+	assert.Equal(t, 1, used("declared"), "named as well, and created later")
+	table.Apply([]provider.Entry{{Key: "successor", Revision: 100, Deleted: true}})
+	assert.Equal(t, 1, used("inventory"), "the configuration names its service now")
+}
+
 // TestOneUpstreamPerAddress checks that of several entries for one address the one created
 // last is used, whichever changed last, and the others only once it is removed.
 func TestOneUpstreamPerAddress(t *testing.T) {
--- a/daemon/internal/process/replica/view.go
+++ b/daemon/internal/process/replica/view.go
@@ -24,6 +24,8 @@
 	routesByHost  map[string][]*provider.Route
 	accountsByKey map[string]*provider.Account
 	services      map[string]*provider.Service // by name
+	// routed holds the names of the services that routes send requests to.
+	routed map[string]bool
 	// rankings holds the order of each service's requests by urgency.
 	rankings map[string]*ranking
 	// limits holds what the routes of each service require of its engines.
@@ -47,6 +49,9 @@
 // HasAccounts reports whether requests need a key.
 func (v *View) HasAccounts() bool { return len(v.Configuration.Accounts) > 0 }
 
+// names reports whether the configuration names a service.
+func (v *View) names(service string) bool { return v.services[service] != nil || v.routed[service] }
+
 // Service returns a declared service, or nil.
 func (v *View) Service(name string) *provider.Service { return v.services[name] }
 
@@ -54,9 +59,13 @@
 func (v *View) setConfiguration(configuration *provider.Configuration) {
 	v.Configuration = configuration
 	v.routesByHost = map[string][]*provider.Route{}
+	v.routed = map[string]bool{}
 	for i := range configuration.Routes {
 		route := &configuration.Routes[i]
 		v.routesByHost[route.Host] = append(v.routesByHost[route.Host], route)
+		for _, share := range route.Shares {
+			v.routed[share.Service] = true
+		}
 	}
 	v.accountsByKey = map[string]*provider.Account{}
 	for i := range configuration.Accounts {
