Have the origin confirm the manifest of a version

Cause: the wrong manifest spread to all loaders. Each dropped it after its chunks failed, looked it up from its peers first, and got it from one that had not dropped it yet. Nothing remembered that it was wrong.

Change: a manifest from the origin is taken once two of its answers agree, and one that was found wrong is taken from no peer.

Measured: TestCorruptedManifestIsNotTaken, 24 hosts and one to three corrupted answers, and TestRejectedManifestIsNotTakenFromPeers failed before. The origin is asked twice instead of once in calm; the bounds of the older tests on its calls hold.

--- a/daemon/internal/version/reconcile/fetch.go
+++ b/daemon/internal/version/reconcile/fetch.go
@@ -44,6 +44,8 @@
 	swarm atomic.Pointer[swarm.Fetch]
 	// preferred is the last decision's. Only the reconciliation loop uses it.
 	preferred bool
+	// rejected is the last manifest that the origin's chunks did not match, nil if there was none.
+	rejected *provider.Manifest
 }
 
 func (f *versionFetch) allowedSources() rollout.Sources {
@@ -99,6 +101,9 @@
 			return
 		}
 		if errors.Is(err, swarm.ErrManifest) {
+			if c := r.Copies.Get(f.version); c != nil {
+				f.rejected = &c.Manifest
+			}
 			r.Copies.Drop(f.version)
 		}
 		helpers.Pause(rand.N(maxRetryDelay), ctx.Done())
@@ -148,7 +153,8 @@
 		QueryPeer: func(ctx context.Context, peer netip.AddrPort) (provider.Manifest, error) {
 			return r.PeerManifest(ctx, peer, goal.Version)
 		},
-		Check: func(manifest provider.Manifest) error { return checkManifest(manifest, plan) },
+		Check:    func(manifest provider.Manifest) error { return checkManifest(manifest, plan) },
+		Rejected: f.rejected,
 		OnOriginFailure: func(err error) {
 			if failures.Allow() {
 				r.OnStep(Step{Name: StepManifest, Version: goal.Version, Err: err, Took: clock.Since(started)})
--- a/daemon/internal/version/reconcile/manifest.go
+++ b/daemon/internal/version/reconcile/manifest.go
@@ -40,7 +40,11 @@
 // version. The first host queries the origin at once and each following one a while later,
 // so that the origin is queried about once and never by all hosts together. Until its delay
 // has passed a host queries its peers: the first hosts of the ranking, and between them
-// random hosts, through which the manifest spreads. The exported fields must be set.
+// random hosts, through which the manifest spreads. The exported fields but Rejected must be set.
+//
+// An answer of the origin may be corrupted, and nothing but the chunks shows that a digest is wrong. The
+// manifest is therefore taken from the origin only once two of its answers agree. Detecting it by the chunks
+// alone was rejected: until then the manifest spreads to all hosts, which pass it to each other again.
 type ManifestLookup struct {
 	// Self is this host, and Ranking returns all hosts that should have the version, best first. They
 	// need not include Self.
@@ -52,6 +56,9 @@
 	QueryOrigin func(ctx context.Context) (provider.Manifest, error)
 	// Check validates a manifest against the declared version.
 	Check func(provider.Manifest) error
+	// Rejected is a manifest that the origin's chunks did not match, nil if there was none. Peers that have not
+	// found it wrong yet still send it.
+	Rejected *provider.Manifest
 	// OnOriginFailure is called when a query to the origin has failed. The lookup goes on.
 	OnOriginFailure func(error)
 
@@ -59,6 +66,8 @@
 	// answered.
 	queries int
 	pending map[netip.AddrPort]bool
+	// answers holds the manifests that the origin has sent.
+	answers []provider.Manifest
 	// ranking is the last result of Ranking, which was called at rankedAt.
 	ranking  []netip.AddrPort
 	rankedAt time.Time
@@ -115,25 +124,37 @@
 			}
 			peerTimer.Reset(peerHedgeDelay)
 		case r := <-results:
-			if r.err == nil {
+			switch {
+			case r.err == nil && (r.peer.IsValid() || l.confirmed(r.manifest)):
 				return LookupResult{Manifest: r.manifest, From: r.source(), PeerQueries: l.queries}, nil
+			case r.peer.IsValid():
+				delete(l.pending, r.peer)
+				peerTimer.Reset(peerRetryDelay)
+			case errors.Is(r.err, provider.ErrSuperseded):
+				return LookupResult{}, r.err
+			default:
+				originTimer.Reset(l.originRetryDelay(r.err))
 			}
-			if !r.peer.IsValid() {
-				if errors.Is(r.err, provider.ErrSuperseded) {
-					return LookupResult{}, r.err
-				}
-				l.OnOriginFailure(r.err)
-				originTimer.Reset(l.originRetryDelay())
-				continue
-			}
-			delete(l.pending, r.peer)
-			peerTimer.Reset(peerRetryDelay)
 		case <-ctx.Done():
 			return LookupResult{}, fmt.Errorf("look up manifest: %w", ctx.Err())
 		}
 	}
 }
 
+// maxAnswers bounds the answers of the origin that are kept.
+const maxAnswers = 8
+
+// confirmed reports whether the origin has sent a manifest before, and keeps it otherwise.
+func (l *ManifestLookup) confirmed(manifest provider.Manifest) bool {
+	if slices.ContainsFunc(l.answers, manifest.Equal) {
+		return true
+	}
+	l.answers = append(l.answers[max(0, len(l.answers)+1-maxAnswers):], manifest)
+	return false
+}
+
+var errRejected = errors.New("manifest: the chunks of the origin did not match it")
+
 // query makes one call, to the origin if the peer is invalid, and sends the result unless
 // the lookup has ended.
 func (l *ManifestLookup) query(ctx context.Context, results chan<- queryResult, peer netip.AddrPort) {
@@ -148,6 +169,9 @@
 	if r.err == nil {
 		r.err = l.Check(r.manifest)
 	}
+	if r.err == nil && peer.IsValid() && l.Rejected != nil && l.Rejected.Equal(r.manifest) {
+		r.err = errRejected
+	}
 	select {
 	case results <- r:
 	case <-ctx.Done():
@@ -161,8 +185,13 @@
 	return time.Duration(leads)*leadStagger + time.Duration(rank-leads)*backupStagger
 }
 
-// originRetryDelay returns how long this host waits before it queries the origin again after a failure.
-func (l *ManifestLookup) originRetryDelay() time.Duration {
+// originRetryDelay returns how long this host waits before it queries the origin again: not at all to have an answer
+// confirmed, and longer after a failure, which it reports.
+func (l *ManifestLookup) originRetryDelay(err error) time.Duration {
+	if err == nil {
+		return 0
+	}
+	l.OnOriginFailure(err)
 	if l.rank() < leadHosts {
 		return minOriginRetry + rand.N(minOriginRetry)
 	}
--- a/daemon/internal/version/reconcile/manifest_test.go
+++ b/daemon/internal/version/reconcile/manifest_test.go
@@ -4,15 +4,18 @@
 	"context"
 	"errors"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/version/reconcile"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/version/swarm"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
 
@@ -31,6 +34,8 @@
 	maxOpen     int64
 	// downUntil is the end of an outage of the origin, which refuses connections until then.
 	downUntil time.Time
+	// corrupted is the number of answers of the origin, from the first one on, in which a digest is wrong.
+	corrupted int64
 	// maxSeen is the highest number of calls in progress.
 	maxSeen atomic.Int64
 }
@@ -62,7 +67,7 @@
 	if time.Now().Before(f.downUntil) {
 		return provider.Manifest{}, errResponseLost
 	}
-	f.calls.Add(1)
+	call := f.calls.Add(1)
 	defer f.open.Add(-1)
 	open := f.open.Add(1)
 	for seen := f.maxSeen.Load(); open > seen && !f.maxSeen.CompareAndSwap(seen, open); seen = f.maxSeen.Load() {
@@ -73,7 +78,12 @@
 	if !helpers.Pause(responseTime, ctx.Done()) {
 		return provider.Manifest{}, ctx.Err()
 	}
-	return manifestOf(version), nil
+	manifest := manifestOf(version)
+	if call <= f.corrupted {
+		manifest.Digests = slices.Clone(manifest.Digests)
+		manifest.Digests[0][0] ^= byte(call)
+	}
+	return manifest, nil
 }
 
 func (f *manifestFleet) queryPeer(ctx context.Context, peer netip.AddrPort, version int) (provider.Manifest, error) {
@@ -120,6 +130,49 @@
 	}
 }
 
+// TestCorruptedManifestIsNotTaken guards against a digest that was corrupted in an answer of the origin: all hosts get
+// the manifest from the first one, none can complete the version, and they pass the manifest to each other again.
+func TestCorruptedManifestIsNotTaken(t *testing.T) {
+	const hosts = 24
+	for _, corrupted := range []int64{1, 2, 3} {
+		synctest.Test(t, func(t *testing.T) {
+			f := &manifestFleet{maxOpen: 8, corrupted: corrupted}
+			f.start(t, hosts)
+			helpers.Pause(1300*time.Millisecond, nil)
+			assert.Equal(t, hosts, f.hostsWithManifest(), "hosts that have the manifest")
+			for _, r := range f.reconcilers {
+				if c := r.Copies.Get(2); c != nil {
+					assert.Equal(t, manifestOf(2), c.Manifest)
+				}
+			}
+			assert.LessOrEqual(t, f.calls.Load(), corrupted+2, "calls to the origin")
+		})
+	}
+}
+
+// TestRejectedManifestIsNotTakenFromPeers guards against a manifest that was found wrong and comes back from a host that
+// has not found it wrong yet. The origin may confirm it.
+func TestRejectedManifestIsNotTakenFromPeers(t *testing.T) {
+	for name, fromOrigin := range map[string]provider.Manifest{"another one": manifestOf(3), "the same": manifestOf(2)} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rejected := manifestOf(2)
+				peer := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, 1}), 80)
+				lookup := &reconcile.ManifestLookup{
+					Ranking:     func() []netip.AddrPort { return []netip.AddrPort{peer} },
+					QueryPeer:   func(context.Context, netip.AddrPort) (provider.Manifest, error) { return manifestOf(2), nil },
+					QueryOrigin: func(context.Context) (provider.Manifest, error) { return fromOrigin, nil },
+					Check:       func(provider.Manifest) error { return nil }, Rejected: &rejected, OnOriginFailure: func(error) {},
+				}
+				found, err := lookup.Find(t.Context())
+				require.NoError(t, err)
+				assert.Equal(t, fromOrigin, found.Manifest)
+				assert.Equal(t, swarm.FromOrigin, found.From)
+			})
+		})
+	}
+}
+
 // TestManifestSpreadsSoonAfterOutage guards against hosts that get the manifest a second after the origin is back, and so
 // request their chunks late, because each failure restarted their lookup with the delays of a new version.
 func TestManifestSpreadsSoonAfterOutage(t *testing.T) {
--- a/daemon/provider/engine.go
+++ b/daemon/provider/engine.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -78,6 +79,11 @@
 	Digests    [][32]byte `json:"digests"`
 }
 
+// Equal reports whether two manifests are the same.
+func (m Manifest) Equal(other Manifest) bool {
+	return m.Model == other.Model && m.Version == other.Version && m.ChunkBytes == other.ChunkBytes && slices.Equal(m.Digests, other.Digests)
+}
+
 // ErrSuperseded reports that a version has been superseded and can no longer be fetched.
 var ErrSuperseded = errors.New("the version has been superseded and can no longer be fetched")
 
