Forget connections that the server has reported as closed

Cause: a connection that is closed to make room is noted until the server reports it as closed. If the server had reported it before, it was noted for good, with the part of its head that had arrived.

TestClosedConnectionsAreForgotten failed before.

--- a/daemon/internal/process/server/connections.go
+++ b/daemon/internal/process/server/connections.go
@@ -227,11 +227,14 @@
 	}
 }
 
-// close closes a connection.
+// close closes a connection. One that the server has already reported as closed is not recorded, since nothing would
+// remove it again.
 func (c *connections) close(conn net.Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.closeConn(conn)
+	if c.tracked[conn] != nil {
+		c.closeConn(conn)
+	}
 }
 
 // closeConn closes a connection; the caller holds mu.
--- a/daemon/internal/process/server/connections_test.go
+++ b/daemon/internal/process/server/connections_test.go
@@ -196,3 +196,19 @@
 		get(conn)
 	}
 }
+
+// TestClosedConnectionsAreForgotten guards against memory that grows with each connection which is closed here after
+// the server has reported it as closed, together with what has arrived on it.
+func TestClosedConnectionsAreForgotten(t *testing.T) {
+	var c connections
+	for range 100 {
+		client, conn := net.Pipe()
+		_ = client.Close()
+		c.setState(conn, http.StateNew)
+		c.setState(conn, http.StateClosed)
+		c.close(conn)
+		assert.False(t, c.isClosed(conn))
+	}
+	assert.Empty(t, c.closed)
+	assert.Empty(t, c.tracked)
+}
