Count the buffers of request bodies

Cause: the budget counted the bytes that were read. A body was read into buffers that grow, two of which exist while one replaces the other, and was copied again for each send.

Change: the budget counts the buffers, both of them while a body grows. A body of known length gets a buffer of that length once a quarter of it has arrived. The sends of a request share its body.

TestBudgetCountsBuffersOfBodies checks the buffers. TestBodyBeyondBudgetIsRejected calls the new ReadAll with the length of its bodies and asserts what it did before.

--- a/cli/internal/hostile/hostile_test.go
+++ b/cli/internal/hostile/hostile_test.go
@@ -7,7 +7,9 @@
 	"fmt"
 	"io"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/wheelcleat/wheelcleat/platform/standin"
 )
@@ -166,3 +168,31 @@
 		}
 	})
 }
+
+// TestUnfinishedHeadsBesideBodies guards against limits for heads, for bodies and for connections that each hold, and
+// together take more memory than the process has.
+func TestUnfinishedHeadsBesideBodies(t *testing.T) {
+	d := startRouter(t, &faults{})
+	callers := d.targets[0]
+	callers.path = "/unsafe/x"
+	const callersInTurn, uploads, uploadTime = 40, 20, 6 * time.Second
+	end := time.Now().Add(uploadTime)
+	var clients sync.WaitGroup
+	for range uploads {
+		clients.Go(func() {
+			for time.Now().Before(end) && d.lives() {
+				callers.upload(maxBodyBytes)
+			}
+		})
+	}
+	head := requestLine("GET", callers) + strings.Repeat("X-Fill: "+strings.Repeat("a", callersInTurn)+"\r\n", maxHeaderBytes/(callersInTurn+20))
+	for range crowdSize {
+		clients.Go(func() {
+			for time.Now().Before(end) && d.lives() {
+				callers.sendUnfinished(head, end)
+			}
+		})
+	}
+	clients.Wait()
+	d.check(t)
+}
--- a/cli/internal/hostile/process_test.go
+++ b/cli/internal/hostile/process_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -235,3 +238,34 @@
 	text, _ := os.ReadFile(d.logPath)
 	return string(text[max(0, len(text)-shown):])
 }
+
+// upload sends a request with a body of the given size. Its result does not matter.
+func (t target) upload(size int) {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: hangTimeout}
+	request, err := http.NewRequest(http.MethodPost, "http://"+t.address.String()+t.path, bytes.NewReader(make([]byte, size)))
+	if err != nil {
+		return
+	}
+	request.Host = callersHost
+	request.Header.Set("Authorization", "Bearer "+callersKey)
+	request.Header.Set(standin.HeaderRequestID, "upload-"+strconv.FormatInt(time.Now().UnixNano(), 16))
+	response, err := client.Do(request)
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+}
+
+// sendUnfinished sends the start of a request and waits until the process closes the connection, or until the end.
+func (t target) sendUnfinished(start string, end time.Time) {
+	conn, err := net.DialTimeout("tcp", t.address.String(), writeTimeout)
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(end)
+	if _, err := io.WriteString(conn, start); err == nil {
+		_, _ = io.Copy(io.Discard, conn)
+	}
+}
--- a/daemon/internal/request/buffer/buffer.go
+++ b/daemon/internal/request/buffer/buffer.go
@@ -44,7 +44,7 @@
 // Reserved returns the number of reserved bytes.
 func (b *Budget) Reserved() int64 { return b.reserved.Load() }
 
-// Body reads a request body. The bytes read count against the budget until Release.
+// Body reads a request body. Its memory counts against the budget until Release.
 type Body struct {
 	Reader io.Reader
 	Budget *Budget
@@ -52,17 +52,54 @@
 	reserved int
 }
 
-// Read implements io.Reader. It fails with ErrFull if the budget is spent.
-func (b *Body) Read(p []byte) (int, error) {
-	n, err := b.Reader.Read(p)
-	if !b.Budget.Reserve(n) {
-		return 0, ErrFull
+const (
+	// minBodyBuffer is the size of the first buffer of a body whose length is not known.
+	minBodyBuffer = 4 << 10
+	// earlyShare is the share of a body of known length that has arrived when its whole buffer is allocated. A
+	// client that declares a length and sends nothing thus takes little.
+	earlyShare = 4
+)
+
+// ReadAll reads the whole body. length is its declared length, negative if unknown. It fails with ErrFull if the budget
+// is spent, which counts what the buffers take, also both of them while one replaces the other.
+func (b *Body) ReadAll(length int64) ([]byte, error) {
+	var data []byte
+	for {
+		if len(data) == cap(data) {
+			grown, err := b.grow(data, length)
+			if err != nil {
+				return data, err
+			}
+			data = grown
+		}
+		n, err := b.Reader.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		if errors.Is(err, io.EOF) {
+			return data, nil
+		}
+		if err != nil {
+			return data, err
+		}
+	}
+}
+
+// grow returns a larger buffer with the same data. One byte more than the declared length lets a read return the end.
+func (b *Body) grow(data []byte, length int64) ([]byte, error) {
+	size := max(minBodyBuffer, 2*cap(data))
+	if whole := int(length) + 1; length >= 0 && whole > len(data) && (size >= whole/earlyShare) {
+		size = whole
+	}
+	if !b.Budget.Reserve(size) {
+		return nil, ErrFull
 	}
-	b.reserved += n
-	return n, err
+	b.reserved += size
+	grown := append(make([]byte, 0, size), data...)
+	b.Budget.Release(cap(data))
+	b.reserved -= cap(data)
+	return grown, nil
 }
 
-// Release returns the bytes read to the budget.
+// Release returns the memory of the body to the budget.
 func (b *Body) Release() {
 	b.Budget.Release(b.reserved)
 	b.reserved = 0
--- a/daemon/internal/request/buffer/buffer_test.go
+++ b/daemon/internal/request/buffer/buffer_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/request/buffer"
 )
@@ -99,16 +100,61 @@
 func TestBodyBeyondBudgetIsRejected(t *testing.T) {
 	budget := &buffer.Budget{MaxBytes: 100}
 	first := &buffer.Body{Reader: strings.NewReader(strings.Repeat("a", 80)), Budget: budget}
-	_, err := io.ReadAll(first)
+	_, err := first.ReadAll(80)
 	require.NoError(t, err)
 	second := &buffer.Body{Reader: strings.NewReader(strings.Repeat("b", 80)), Budget: budget}
-	_, err = io.ReadAll(second)
+	_, err = second.ReadAll(80)
 	require.ErrorIs(t, err, buffer.ErrFull)
 	second.Release()
 	first.Release()
 	assert.Zero(t, budget.Reserved())
 }
 
+// TestBudgetCountsBuffersOfBodies guards against bodies that take more memory than the budget counts, because of the
+// buffers that they grow out of, and against counting several times what a body needs.
+func TestBudgetCountsBuffersOfBodies(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		want := bytes.Repeat([]byte("body"), rapid.IntRange(0, 1<<16).Draw(t, "quarter of the length"))
+		length := rapid.SampledFrom([]int64{-1, int64(len(want))}).Draw(t, "declared length")
+		budget := &buffer.Budget{}
+		peak := int64(0)
+		body := &buffer.Body{Budget: budget, Reader: readerFunc(func(p []byte) (int, error) {
+			peak = max(peak, budget.Reserved())
+			assert.GreaterOrEqual(t, budget.Reserved(), int64(cap(p)), "the buffer is counted")
+			n := copy(p[:min(len(p), 1+rapid.IntRange(0, 1<<14).Draw(t, "read"))], want)
+			want = want[n:]
+			if len(want) == 0 {
+				return n, io.EOF
+			}
+			return n, nil
+		})}
+		expected := bytes.Clone(want)
+		got, err := body.ReadAll(length)
+		assert.NoError(t, err)
+		assert.True(t, bytes.Equal(expected, got))
+		assert.GreaterOrEqual(t, budget.Reserved(), int64(len(got)))
+		if length >= 0 {
+			assert.LessOrEqual(t, peak, max(length+1, 4<<10), "one buffer of the declared length at the end")
+		}
+		body.Release()
+		assert.Zero(t, budget.Reserved())
+	})
+}
+
+// TestDeclaredLengthTakesNoMemory guards against clients that declare long bodies and do not send them.
+func TestDeclaredLengthTakesNoMemory(t *testing.T) {
+	errReset := errors.New("connection reset")
+	budget := &buffer.Budget{}
+	body := &buffer.Body{Budget: budget, Reader: &failingReader{errReset}}
+	_, err := body.ReadAll(1 << 30)
+	require.ErrorIs(t, err, errReset)
+	assert.LessOrEqual(t, budget.Reserved(), int64(4<<10))
+}
+
+type readerFunc func([]byte) (int, error)
+
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
+
 // TestSmallReadsUseMemoryInProportion guards against allocating a full chunk for each small read
 // of an event stream, memory that the budget would not count.
 func TestSmallReadsUseMemoryInProportion(t *testing.T) {
--- a/daemon/internal/request/dispatch/admit.go
+++ b/daemon/internal/request/dispatch/admit.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -144,7 +143,7 @@
 	cancelInterrupt := context.AfterFunc(q.Drain.Expired(), func() {
 		_ = http.NewResponseController(q.writer).SetReadDeadline(time.Now())
 	})
-	body, err := io.ReadAll(q.bodyReader)
+	body, err := q.bodyReader.ReadAll(min(q.ContentLength, limit))
 	if !cancelInterrupt() {
 		q.refuseStopping("the request body has not arrived") // the read deadline stays, so that the server closes the connection
 		return false
--- a/daemon/internal/request/exchange/exchange.go
+++ b/daemon/internal/request/exchange/exchange.go
@@ -9,6 +9,7 @@
 package exchange
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -166,7 +167,7 @@
 		}
 		return out
 	}
-	upstream.DisableRetry(out, strings.NewReader(string(attempt.Body)))
+	upstream.DisableRetry(out, bytes.NewReader(attempt.Body)) // the sends of a request share its body
 	return out
 }
 
