Let another request be the trial if one was not sent

What callers would see: a sound request that was admitted as a trial and then found no place kept all others refused until its result was given up after 10 s, and used up one of the two trials during a quarantine. After the quarantine had expired, a router other than the first could run no trial once both were used.

Cause: a trial was counted when it was admitted, whatever became of it, and the bound on trials during a quarantine also held after it.

--- a/daemon/internal/request/dispatch/dispatch.go
+++ b/daemon/internal/request/dispatch/dispatch.go
@@ -81,6 +81,8 @@
 	AdmitContent func([]content.Digest) quarantine.Admission
 	CheckContent func([]content.Digest) quarantine.Verdict
 	OnServed     func([]content.Digest)
+	// AbandonTrials is called with what a trial would have tried, if it ends without having been sent. It may be nil.
+	AbandonTrials func([]content.Digest)
 	// Stopped returns for how long this process has not run; nil means clock.Stopped.
 	Stopped func() time.Duration
 	// Drain decides what still begins while the process is stopping. Nil means that it never stops.
--- a/daemon/internal/request/dispatch/interrupt.go
+++ b/daemon/internal/request/dispatch/interrupt.go
@@ -109,6 +109,7 @@
 		q.setOutcome(OutcomePanicked, 0, fmt.Sprint(failure))
 	}
 	q.Report(q.trace)
+	q.abandonTrial()
 	if q.bodyReader != nil {
 		q.bodyReader.Release()
 	}
--- a/daemon/internal/request/dispatch/quarantine.go
+++ b/daemon/internal/request/dispatch/quarantine.go
@@ -32,6 +32,13 @@
 	return verdict
 }
 
+// abandonTrial lets another request be the trial if this one was not sent.
+func (q *request) abandonTrial() {
+	if len(q.trace.Trials) > 0 && q.sent == 0 && q.AbandonTrials != nil {
+		q.AbandonTrials(q.trace.Trials)
+	}
+}
+
 // refuseQuarantined answers a request that is quarantined. The request did not run.
 // No backoff is sent, because a retry gets the same response.
 func (q *request) refuseQuarantined() {
--- a/daemon/internal/request/dispatch/quarantine_test.go
+++ b/daemon/internal/request/dispatch/quarantine_test.go
@@ -62,6 +62,14 @@
 	assert.NoError(t, ctx.Err())
 	assert.False(t, q.mayRetry(exchange.Unknown))
 	assert.False(t, q.mayHedge())
+
+	var abandoned []content.Digest
+	q.AbandonTrials = func(trials []content.Digest) { abandoned = trials }
+	q.abandonTrial()
+	assert.Empty(t, abandoned, "it was sent")
+	q.sent = 0
+	q.abandonTrial()
+	assert.Equal(t, tried, abandoned)
 }
 
 // TestQuarantineCancelsPendingSends: only sends without a response head are canceled.
--- a/daemon/internal/request/quarantine/quarantine_test.go
+++ b/daemon/internal/request/quarantine/quarantine_test.go
@@ -233,6 +233,37 @@
 	assert.Equal(t, quarantine.Quarantined, table.Admit(request(cause), always(true), at.Add(2*time.Second)).Verdict, "convicted")
 }
 
+// TestAbandonedTrialIsFollowedByAnother guards against refusing sound requests while the result of a trial is awaited
+// that was not sent, because no upstream had a place.
+func TestAbandonedTrialIsFollowedByAnother(t *testing.T) {
+	table := &quarantine.Table{}
+	crashes := []quarantine.Crash{crash("a", 1, 1), crash("b", 1, 2), crash("c", 1, 3)}
+	table.Merge(report(1, crashes...), start)
+	table.Merge(report(2, crashes...), start)
+	for i := range 5 {
+		now := start.Add(time.Duration(i) * time.Second)
+		trial := table.Admit(digests(1), always(true), now)
+		assert.Equal(t, quarantine.SingleAttempt, trial.Verdict)
+		assert.Equal(t, quarantine.Quarantined, table.Admit(digests(1), always(true), now).Verdict)
+		table.AbandonTrials(trial.Trials)
+	}
+}
+
+// TestExpiredQuarantineIsTriedByAnyRouterThatCanDistinguish guards against a part that stays quarantined because the
+// router that runs the trials of expired quarantines gets no request without the cause.
+func TestExpiredQuarantineIsTriedByAnyRouterThatCanDistinguish(t *testing.T) {
+	table := &quarantine.Table{}
+	crashes := []quarantine.Crash{crash("a", 1, 1), crash("b", 1, 2), crash("c", 1, 3)}
+	table.Merge(report(1, crashes...), start)
+	table.Merge(report(2, crashes...), start)
+	now := start
+	for range 3 { // none of these trials has a result
+		now = now.Add(20 * time.Second)
+		assert.Equal(t, quarantine.SingleAttempt, table.Admit(digests(1), always(false), now).Verdict)
+		assert.Equal(t, quarantine.Quarantined, table.Admit([]content.Digest{digest(1), digest(2)}, always(false), now).Verdict)
+	}
+}
+
 // TestTrialsDuringQuarantineAreBounded guards against crashing upstream after upstream by trials whose
 // results do not distinguish the suspects.
 func TestTrialsDuringQuarantineAreBounded(t *testing.T) {
--- a/daemon/router/listeners.go
+++ b/daemon/router/listeners.go
@@ -64,7 +64,7 @@
 		VersionPolicy: p.versionPolicy, VersionCutoff: p.versionCutoff, Report: p.recorder.request, RequestPlace: p.requestPlace, PromptParts: p.provider.PromptParts, OnDisconnect: p.connectionBroke,
 		ProbeUpstream:  p.probeUpstream,
 		OnAnnouncement: p.announced, AllowSend: p.allowSend,
-		AdmitContent: p.admitContent, CheckContent: p.suspects.verdict, OnServed: p.contentCompleted, Drain: &p.drain,
+		AdmitContent: p.admitContent, CheckContent: p.suspects.verdict, OnServed: p.contentCompleted, AbandonTrials: p.suspects.abandonTrials, Drain: &p.drain,
 	}
 }
 
--- a/daemon/router/suspects.go
+++ b/daemon/router/suspects.go
@@ -74,6 +74,13 @@
 	return s.table.Admit(digests, position, clock.Now())
 }
 
+// abandonTrials records that a trial was not sent.
+func (s *suspects) abandonTrials(trials []content.Digest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.AbandonTrials(trials)
+}
+
 // verdictChange is the effect of a crash report on the verdict on its content.
 type verdictChange struct {
 	// before and after are the verdicts, and merged is the report after the merge.
