Use up the trials of a quarantine in the test of its expiry

TestExpiredQuarantineIsTriedByAnyRouterThatCanDistinguish passed without the change that it guards, since it began after the expiry. It now runs the two trials of the quarantine first, and fails without the change.

--- a/daemon/internal/request/quarantine/quarantine_test.go
+++ b/daemon/internal/request/quarantine/quarantine_test.go
@@ -256,10 +256,10 @@
 	crashes := []quarantine.Crash{crash("a", 1, 1), crash("b", 1, 2), crash("c", 1, 3)}
 	table.Merge(report(1, crashes...), start)
 	table.Merge(report(2, crashes...), start)
-	now := start
-	for range 3 { // none of these trials has a result
-		now = now.Add(20 * time.Second)
-		assert.Equal(t, quarantine.SingleAttempt, table.Admit(digests(1), always(false), now).Verdict)
+	now := start.Add(time.Second)
+	for trial := range 5 { // none of these has a result, and the quarantine expires after the second one
+		assert.Equal(t, quarantine.SingleAttempt, table.Admit(digests(1), always(false), now).Verdict, "trial %d", trial)
+		now = now.Add(11 * time.Second)
 		assert.Equal(t, quarantine.Quarantined, table.Admit([]content.Digest{digest(1), digest(2)}, always(false), now).Verdict)
 	}
 }
