Bound connections by memory

Cause: the limits on heads, on bodies and on connections each held and together exceeded the memory. 2,900 connections held 27 MB of stacks and 20 MB of buffers; the number of connections followed from descriptors alone.

Change: a process has as many connections as a quarter of its memory allows at 24 KiB each, if that is less than its descriptors allow. Heads, bodies and connections may take five eighths of the memory together, less than the part in which the runtime keeps the heap.

TestMemoryLimitsConnections covers the limit.

--- a/daemon/internal/process/server/connections_test.go
+++ b/daemon/internal/process/server/connections_test.go
@@ -212,3 +212,23 @@
 	assert.Empty(t, c.closed)
 	assert.Empty(t, c.tracked)
 }
+
+// TestMemoryLimitsConnections guards against limits on heads, bodies and connections that together exceed the memory
+// of a host with many descriptors.
+func TestMemoryLimitsConnections(t *testing.T) {
+	for _, test := range []struct {
+		descriptors int
+		memoryMB    float64
+		want        int
+	}{{4100, 184, 1962}, {512, 64, 512}, {4100, 1048, 4100}, {4100, 0, 4100}, {0, 184, 1962}, {0, 0, 0}} {
+		limits := &Limits{Descriptors: test.descriptors, MemoryMB: test.memoryMB}
+		want := test.want
+		if system := (&Limits{}).descriptors(); test.descriptors == 0 && system > 0 {
+			want = system
+			if test.memoryMB > 0 {
+				want = min(system, test.want)
+			}
+		}
+		assert.Equal(t, want, limits.connections(), "%+v", test)
+	}
+}
--- a/daemon/internal/process/server/limits.go
+++ b/daemon/internal/process/server/limits.go
@@ -20,14 +20,22 @@
 	heads *HeadBudget
 }
 
-// Listen starts a listener of the process, as the function Listen does, with a share of the descriptors and the common
+const (
+	mebibyte = 1 << 20
+	// headDivisor gives the part of the memory that is the budget for heads.
+	headDivisor = 8
+	// connDivisor gives the part of the memory that connections may take, and connBytes is what one takes besides
+	// its head and body: its buffers, the stack of its goroutine and the first bytes of a head.
+	connDivisor, connBytes = 4, 24 << 10
+)
+
+// Listen starts a listener of the process, as the function Listen does, with a share of the connections and the common
 // budget for heads, which is an eighth of the memory.
 func (l *Limits) Listen(share float64, options Options) (*Server, error) {
 	if l.heads == nil {
-		const divisor, mebibyte = 8, 1 << 20
-		l.heads = &HeadBudget{MaxBytes: int64(l.MemoryMB * mebibyte / divisor)}
+		l.heads = &HeadBudget{MaxBytes: int64(l.MemoryMB * mebibyte / headDivisor)}
 	}
-	options.MaxConns = int(float64(l.descriptors()) * share)
+	options.MaxConns = int(float64(l.connections()) * share)
 	options.HeadBudget, options.OnClose = l.heads, l.OnClose
 	return Listen(options)
 }
@@ -47,6 +55,19 @@
 	EntryPeersShare = 1.0 / 4
 )
 
+// connections returns how many connections the descriptors and the memory allow, or 0 if there is no limit.
+func (l *Limits) connections() int {
+	descriptors := l.descriptors()
+	if l.MemoryMB <= 0 {
+		return descriptors
+	}
+	byMemory := int(l.MemoryMB * mebibyte / connDivisor / connBytes)
+	if descriptors == 0 {
+		return byMemory
+	}
+	return min(descriptors, byMemory)
+}
+
 // descriptors returns the number of descriptors, or 0 if there is no limit.
 func (l *Limits) descriptors() int {
 	var limit unix.Rlimit
