Split the soak's step of shared parts into methods

One function sent both kinds of requests, timed them and recorded their results. Behavior is unchanged, but a fleet of one router now skips the step instead of dividing by zero.

--- a/cli/internal/soak/sharedpart.go
+++ b/cli/internal/soak/sharedpart.go
@@ -35,49 +35,79 @@
 	sentAt     time.Time
 }
 
-// sendSharedPart sends sound requests, and after calmTime crashing ones with the same first part besides.
+// sharedPartStep sends the requests of one step.
+type sharedPartStep struct {
+	fleet  *fleet
+	client *http.Client
+	number int64
+	// shared is the part that all requests have, and crashing the one that crashes upstreams.
+	shared, crashing string
+	// crashingRouter is the index of the router that gets the crashing requests.
+	crashingRouter int
+	requests       sync.WaitGroup
+
+	mu    sync.Mutex
+	sound []soundRequest
+}
+
+// sendSharedPart sends sound requests, and after calmTime crashing ones with the same first part besides. It needs two
+// routers.
 func (f *fleet) sendSharedPart(target int) {
+	if len(f.routers) < 2 {
+		return
+	}
 	number := f.crashingRequests.Add(1)
-	shared, crashing := fmt.Sprintf("dd%04x", number), fmt.Sprintf("%s%04x", standin.CrashPart, number)
-	ctx, cancel := context.WithTimeout(context.Background(), calmTime+crashingTime)
-	defer cancel()
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: callTimeout}
-	send := func(router *router, n int64, parts ...string) Outcome {
-		c := &caller{router: router.process, address: router.callers, oracle: f.oracle, requestCount: &f.requestCount, client: client}
-		path := fmt.Sprintf("%sshared-%d-%d", standin.StreamPath, number, n)
-		return c.send(ctx, request{path: path, key: constantKey, parts: append(parts, ownPart(int(n)))})
+	s := &sharedPartStep{
+		fleet: f, number: number, shared: fmt.Sprintf("dd%04x", number), crashing: fmt.Sprintf("%s%04x", standin.CrashPart, number),
+		client:         &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: callTimeout},
+		crashingRouter: target % len(f.routers),
 	}
-	var requests sync.WaitGroup
-	defer requests.Wait()
-	crashingRouter := target % len(f.routers)
-	began, sound, crashes := time.Now(), 0, 0
-	var recorded []soundRequest
-	var mu sync.Mutex
-	f.injectOnce(PartShared, crashing, func() {
-		for ctx.Err() == nil && !f.isCanceled() {
-			elapsed := time.Since(began)
-			if elapsed >= time.Duration(sound)*soundInterval {
-				sound++
-				for i := range soundGroup {
-					to := f.routers[(crashingRouter+1+(sound+i)%(len(f.routers)-1))%len(f.routers)]
-					requests.Go(func() {
-						at := time.Now()
-						outcome := send(to, f.requestCount.Add(1), shared)
-						mu.Lock()
-						defer mu.Unlock()
-						recorded = append(recorded, soundRequest{outcome.ID, outcome.Router, at})
-					})
-				}
-			}
-			if elapsed >= calmTime+time.Duration(crashes)*sharedCrashInterval {
-				crashes++
-				requests.Go(func() { send(f.routers[crashingRouter], f.requestCount.Add(1), shared, crashing) })
-			}
-			wait(sharedCrashInterval/4, ctx.Done())
-		}
-		requests.Wait()
+	began := time.Now()
+	f.injectOnce(PartShared, s.crashing, func() {
+		s.run(began)
+		s.requests.Wait()
 	})
-	f.oracle.checkShared(crashing, began.Add(calmTime), recorded)
+	f.oracle.checkShared(s.crashing, began.Add(calmTime), s.sound)
+}
+
+// run sends requests until the step ends or the run is canceled.
+func (s *sharedPartStep) run(began time.Time) {
+	groups, crashes := 0, 0
+	for elapsed := time.Duration(0); elapsed < calmTime+crashingTime && !s.fleet.isCanceled(); elapsed = time.Since(began) {
+		if elapsed >= time.Duration(groups)*soundInterval {
+			s.sendSound(groups)
+			groups++
+		}
+		if elapsed >= calmTime+time.Duration(crashes)*sharedCrashInterval {
+			s.requests.Go(func() { s.send(s.fleet.routers[s.crashingRouter], s.shared, s.crashing) })
+			crashes++
+		}
+		s.fleet.wait(sharedCrashInterval / 4)
+	}
+}
+
+// sendSound sends a group of sound requests to the routers that get no crashing ones.
+func (s *sharedPartStep) sendSound(group int) {
+	routers := s.fleet.routers
+	for i := range soundGroup {
+		router := routers[(s.crashingRouter+1+(group+i)%(len(routers)-1))%len(routers)]
+		s.requests.Go(func() {
+			at := time.Now()
+			outcome := s.send(router, s.shared)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.sound = append(s.sound, soundRequest{outcome.ID, outcome.Router, at})
+		})
+	}
+}
+
+// send sends a request with the given parts and one of its own.
+func (s *sharedPartStep) send(router *router, parts ...string) Outcome {
+	f := s.fleet
+	c := &caller{router: router.process, address: router.callers, oracle: f.oracle, requestCount: &f.requestCount, client: s.client}
+	n := f.requestCount.Add(1)
+	path := fmt.Sprintf("%sshared-%d-%d", standin.StreamPath, s.number, n)
+	return c.send(context.Background(), request{path: path, key: constantKey, parts: append(parts, ownPart(int(n)))})
 }
 
 // checkShared checks how many of the sound requests began at an upstream, before crashing ones were sent and once
