Bound the bodies of control calls

What callers see: whoever reaches the peers' port of an entry or an agent sends a body without end in a control call, and the process runs out of memory.

Cause: generated servers read whole bodies, as generated clients do.

Change: the body of a control call has at most 1 MiB.

TestEndlessBodiesOfControlCalls failed before.

--- a/cli/internal/hostile/hostile_test.go
+++ b/cli/internal/hostile/hostile_test.go
@@ -196,3 +196,25 @@
 	clients.Wait()
 	d.check(t)
 }
+
+// TestEndlessBodiesOfControlCalls guards against bodies without end of calls whose generated servers read all of them.
+func TestEndlessBodiesOfControlCalls(t *testing.T) {
+	paths := map[string][]string{
+		"entry": {"Control/Sync", "Control/Follow", "Control/Report", "Control/Snapshot"},
+		"agent": {"Peer/Have"},
+	}
+	for process, calls := range paths {
+		t.Run(process, func(t *testing.T) {
+			d := processes[process](t, &faults{})
+			peers := d.targets[len(d.targets)-1]
+			var clients sync.WaitGroup
+			for _, name := range calls {
+				for _, mediaType := range []string{"application/protobuf", "application/json"} {
+					clients.Go(func() { peers.sendEndless("/twirp/wheelcleat."+name, mediaType) })
+				}
+			}
+			clients.Wait()
+			d.checkMemory(t)
+		})
+	}
+}
--- a/cli/internal/hostile/process_test.go
+++ b/cli/internal/hostile/process_test.go
@@ -269,3 +269,19 @@
 		_, _ = io.Copy(io.Discard, conn)
 	}
 }
+
+// sendEndless sends a request whose body does not end, until the process no longer reads it.
+func (t target) sendEndless(path, mediaType string) {
+	const sentAtMost = 256 << 20
+	body := io.LimitReader(&endless{text: `"x`}, sentAtMost)
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: hangTimeout}
+	request, err := http.NewRequest(http.MethodPost, "http://"+t.address.String()+path, body)
+	if err != nil {
+		return
+	}
+	request.Header.Set("Content-Type", mediaType)
+	response, err := client.Do(request)
+	if err == nil {
+		_ = response.Body.Close()
+	}
+}
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -174,7 +174,7 @@
 	}
 	service := wire.NewControlServer(&control.Server{Table: p.table, Members: p.members, Stopping: p.stopping})
 	mux := http.NewServeMux()
-	mux.Handle(service.PathPrefix(), service)
+	mux.Handle(service.PathPrefix(), call.BoundedHandler(service))
 	p.peers, err = limits.Listen(server.EntryPeersShare, server.Options{Name: "peers", Address: p.settings.Listen.Peers, Handler: mux})
 	return err
 }
--- a/daemon/internal/connection/call/bounded.go
+++ b/daemon/internal/connection/call/bounded.go
@@ -11,6 +11,15 @@
 // the hosts, or the configuration, of the largest fleet.
 const MaxControlResponse = 4 << 20
 
+// maxControlRequest bounds the body of a control call, in bytes. Calls carry the state of one host, or less.
+const maxControlRequest = 1 << 20
+
+// BoundedHandler returns a handler of control calls whose bodies are bounded, since generated servers read whole
+// bodies.
+func BoundedHandler(handler http.Handler) http.Handler {
+	return http.MaxBytesHandler(handler, maxControlRequest)
+}
+
 // Bounded is a transport whose responses have at most MaxBytes of body, so that a server in trouble cannot
 // exhaust the memory of its clients. It serves clients that read whole bodies, as generated ones do.
 // Reading further fails with provider.ErrTooLarge.
--- a/daemon/internal/version/share/share.go
+++ b/daemon/internal/version/share/share.go
@@ -21,6 +21,8 @@
 	"strconv"
 	"time"
 
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/call"
+
 	"github.com/twitchtv/twirp"
 	"golang.org/x/time/rate"
 
@@ -86,7 +88,7 @@
 	mux.HandleFunc("GET /manifests/{digest}", s.serveManifest)
 	mux.HandleFunc("GET /versions/{digest}/weights", s.serveWeights)
 	peer := wire.NewPeerServer(s)
-	mux.Handle(peer.PathPrefix(), peer)
+	mux.Handle(peer.PathPrefix(), call.BoundedHandler(peer))
 }
 
 // parseDigest returns the digest in the path, or responds with status 400.
