--- a/daemon/internal/process/server/connections_test.go
+++ b/daemon/internal/process/server/connections_test.go
@@ -220,7 +220,7 @@
 		descriptors int
 		memoryMB    float64
 		want        int
-	}{{4100, 184, 1962}, {512, 64, 512}, {4100, 1048, 4100}, {4100, 0, 4100}, {0, 184, 1962}, {0, 0, 0}} {
+	}{{4100, 184, 1962}, {4100, 4, 128}, {100, 4, 100}, {512, 64, 512}, {4100, 1048, 4100}, {4100, 0, 4100}, {0, 184, 1962}, {0, 0, 0}} {
 		limits := &Limits{Descriptors: test.descriptors, MemoryMB: test.memoryMB}
 		want := test.want
 		if system := (&Limits{}).descriptors(); test.descriptors == 0 && system > 0 {
--- a/daemon/internal/process/server/limits.go
+++ b/daemon/internal/process/server/limits.go
@@ -27,6 +27,8 @@
 	// connDivisor gives the part of the memory that connections may take, and connBytes is what one takes besides
 	// its head and body: its buffers, the stack of its goroutine and the first bytes of a head.
 	connDivisor, connBytes = 4, 24 << 10
+	// minConns is how many connections a process has whatever its memory is.
+	minConns = 128
 )
 
 // Listen starts a listener of the process, as the function Listen does, with a share of the connections and the common
@@ -61,7 +63,7 @@
 	if l.MemoryMB <= 0 {
 		return descriptors
 	}
-	byMemory := int(l.MemoryMB * mebibyte / connDivisor / connBytes)
+	byMemory := max(int(l.MemoryMB*mebibyte/connDivisor/connBytes), minConns)
 	if descriptors == 0 {
 		return byMemory
 	}
