Decide on a trial by its cheap conditions first

Admit computed the position of a router twice, and compared a suspect with the whole table before it knew whether the router had its turn; that is work on each refused request. The bound on trials is checked in the loop that looks at each suspect anyway. The tests of hostile clients build their ordinary requests in one place, and the soak's step uses the oracle's constant instead of a copy.

--- a/cli/internal/hostile/hostile_test.go
+++ b/cli/internal/hostile/hostile_test.go
@@ -175,7 +175,7 @@
 	d := startRouter(t, &faults{})
 	callers := d.targets[0]
 	callers.path = "/unsafe/x"
-	const callersInTurn, uploads, uploadTime = 40, 20, 6 * time.Second
+	const fillBytes, uploads, uploadTime = 40, 20, 6 * time.Second
 	end := time.Now().Add(uploadTime)
 	var clients sync.WaitGroup
 	for range uploads {
@@ -185,7 +185,7 @@
 			}
 		})
 	}
-	head := requestLine("GET", callers) + strings.Repeat("X-Fill: "+strings.Repeat("a", callersInTurn)+"\r\n", maxHeaderBytes/(callersInTurn+20))
+	head := requestLine("GET", callers) + strings.Repeat("X-Fill: "+strings.Repeat("a", fillBytes)+"\r\n", maxHeaderBytes/(fillBytes+20))
 	for range crowdSize {
 		clients.Go(func() {
 			for time.Now().Before(end) && d.lives() {
--- a/cli/internal/hostile/process_test.go
+++ b/cli/internal/hostile/process_test.go
@@ -110,16 +110,25 @@
 	return d
 }
 
+// newRequest returns a request of a client with a key, with an id of its own.
+func (t target) newRequest(method string, body io.Reader) (*http.Request, error) {
+	request, err := http.NewRequest(method, "http://"+t.address.String()+t.path, body)
+	if err != nil {
+		return nil, err
+	}
+	request.Host = callersHost
+	request.Header.Set("Authorization", "Bearer "+callersKey)
+	request.Header.Set(standin.HeaderRequestID, "ordinary-"+strconv.FormatInt(time.Now().UnixNano(), 16))
+	return request, nil
+}
+
 // request sends an ordinary request on a new connection.
 func (t target) request() error {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: hangTimeout}
-	request, err := http.NewRequest(http.MethodGet, "http://"+t.address.String()+t.path, nil)
+	request, err := t.newRequest(http.MethodGet, nil)
 	if err != nil {
 		return err
 	}
-	request.Host = callersHost
-	request.Header.Set("Authorization", "Bearer "+callersKey)
-	request.Header.Set(standin.HeaderRequestID, "ordinary-"+strconv.FormatInt(time.Now().UnixNano(), 16))
 	response, err := client.Do(request)
 	if err != nil {
 		return err
@@ -242,13 +251,10 @@
 // upload sends a request with a body of the given size. Its result does not matter.
 func (t target) upload(size int) {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: hangTimeout}
-	request, err := http.NewRequest(http.MethodPost, "http://"+t.address.String()+t.path, bytes.NewReader(make([]byte, size)))
+	request, err := t.newRequest(http.MethodPost, bytes.NewReader(make([]byte, size)))
 	if err != nil {
 		return
 	}
-	request.Host = callersHost
-	request.Header.Set("Authorization", "Bearer "+callersKey)
-	request.Header.Set(standin.HeaderRequestID, "upload-"+strconv.FormatInt(time.Now().UnixNano(), 16))
 	response, err := client.Do(request)
 	if err != nil {
 		return
--- a/cli/internal/soak/sharedpart.go
+++ b/cli/internal/soak/sharedpart.go
@@ -21,10 +21,9 @@
 	calmTime, crashingTime = 6500 * time.Millisecond, 15500 * time.Millisecond
 	// sharedCrashInterval is the time between two crashing requests.
 	sharedCrashInterval = 125 * time.Millisecond
-	// maxCountedCrashes is the crash of a part after which its bounds apply, or the last if there are fewer.
-	maxCountedCrashes = partQuarantineAfter
-	// minSoundShare is the share of the sound requests that must begin at their first attempt, twice quarantineBound
-	// after that crash, against their share in calm. It is checked from minSoundRequests on.
+	// minSoundShare is the share of the sound requests that must begin at their first attempt, against their share in
+	// calm, from twice quarantineBound after the crash number partQuarantineAfter, or the last one if there are fewer. It
+	// is checked from minSoundRequests on.
 	minSoundShare    = 0.5
 	minSoundRequests = 8
 )
@@ -119,7 +118,7 @@
 	if len(crashes) == 0 {
 		return
 	}
-	lateFrom := crashes[min(len(crashes), maxCountedCrashes)-1].Add(2 * quarantineBound)
+	lateFrom := crashes[min(len(crashes), partQuarantineAfter)-1].Add(2 * quarantineBound)
 	var calm, calmBegan, late, lateBegan int
 	for _, r := range requests {
 		began := min(o.runs[r.id], 1)
--- a/daemon/internal/request/quarantine/trial.go
+++ b/daemon/internal/request/quarantine/trial.go
@@ -84,21 +84,17 @@
 	expired := true
 	for _, digest := range suspects {
 		r := t.contents[digest]
-		if r.inTrial(now) {
+		if r.inTrial(now) || !r.expired && r.earlyTrials >= maxEarlyTrials {
 			return false
 		}
 		expired = expired && r.expired
 	}
 	decisive := slices.MaxFunc(suspects, t.compareCrashes)
-	if expired && position(decisive) == 0 {
+	own := position(decisive)
+	if expired && own == 0 {
 		return true
 	}
-	for _, digest := range suspects {
-		if r := t.contents[digest]; !r.expired && r.earlyTrials >= maxEarlyTrials {
-			return false
-		}
-	}
-	return t.distinguishes(digests, now) && now.Sub(t.contents[decisive].lastAt) >= turnOf(position(decisive))
+	return now.Sub(t.contents[decisive].lastAt) >= turnOf(own) && t.distinguishes(digests, now)
 }
 
 // distinguishes reports whether a request with these digests may distinguish what is suspected of it
