Free the memory of an evicted head at once

Cause: the budget evicts the oldest unfinished head and gives its room to another one, but the bytes belonged to the goroutine that reads the connection and stayed until it ran again. With few processors hundreds of them wait. A head also allocated its larger buffer before it was reserved.

Fix: the bytes belong to the reservation, under the lock of the budget, so an eviction frees them; memory is reserved before it is allocated. What is held can no longer exceed what is counted.

--- a/cli/internal/hostile/hostile_test.go
+++ b/cli/internal/hostile/hostile_test.go
@@ -76,6 +76,13 @@
 	testCrowd(t, func(target, int) client { return client{first: "GET /", then: &endless{text: "x"}} })
 }
 
+// TestEndlessRequestLinesOnTwoProcessors guards against heads that stay in memory after the process has refused them,
+// for as long as the goroutines of their connections wait for a processor.
+func TestEndlessRequestLinesOnTwoProcessors(t *testing.T) {
+	t.Setenv("GOMAXPROCS", "2") // of the processes that the test starts
+	testCrowd(t, func(target, int) client { return client{first: "GET /", then: &endless{text: "x"}} })
+}
+
 // TestEndlessHeadsOfLaterRequests guards against a server that bounds only the first head of a connection.
 func TestEndlessHeadsOfLaterRequests(t *testing.T) {
 	testCrowd(t, func(target target, _ int) client {
--- a/daemon/internal/process/server/conn.go
+++ b/daemon/internal/process/server/conn.go
@@ -48,11 +48,10 @@
 
 	// The fields below belong to the goroutine that reads.
 
-	// head scans the head of the next request, partial holds its bytes so far, and body is the position in the body of
-	// the current request. If body has not ended, the head is empty.
-	head    framing.Head
-	partial []byte
-	body    framing.Body
+	// head scans the head of the next request, and body is the position in the body of the current request. If body
+	// has not ended, the head is empty.
+	head framing.Head
+	body framing.Body
 	// ready holds bytes of the current request for net/http, and early bytes of the next one that arrived with it.
 	ready, early []byte
 	// graceUsed is set once the deadline of the head was extended.
@@ -61,7 +60,7 @@
 	// last is set if the connection must close after the response, since the end of the request is ambiguous.
 	last bool
 
-	// memory is the share of the head in the budget.
+	// memory is the share of the head in the budget, with its bytes as long as it has not arrived completely.
 	memory reservation
 	// serving is set from the time at which net/http has parsed a head to the end of the response.
 	serving       atomic.Bool
@@ -188,8 +187,7 @@
 		if first {
 			c.beginHead()
 		}
-		c.partial = append(c.partial, data...)
-		if !c.server.headBudget.growPartial(&c.memory, cap(c.partial)) {
+		if !c.server.headBudget.appendPartial(&c.memory, data, c.server.maxHeadBytes()) {
 			return c.refuse(HeadMemory)
 		}
 	}
@@ -204,16 +202,16 @@
 
 // finishHead begins the request whose head ends after the first scanned bytes of data. data may lie in p.
 func (c *conn) finishHead(p, data []byte, scanned int) (int, error) {
-	if !c.server.headBudget.complete(&c.memory, c.head.Size, c.head.Lines) {
+	start, ok := c.server.headBudget.complete(&c.memory, c.head.Size, c.head.Lines)
+	if !ok {
 		return c.refuse(HeadMemory)
 	}
 	head, rest := data[:scanned], data[scanned:]
-	if len(c.partial) == 0 {
+	if len(start) == 0 {
 		c.beginRequest(head)
 		return copy(p, data[:scanned+c.splitBody(rest)]), nil
 	}
-	c.partial = append(c.partial, head...)
-	c.ready, c.partial = c.partial, nil
+	c.ready = slices.Concat(start, head)
 	c.beginRequest(c.ready)
 	c.ready = append(c.ready, rest[:c.splitBody(rest)]...)
 	return c.takeReady(p), nil
@@ -251,7 +249,7 @@
 
 // refuse answers a request that has not been parsed, and ends the connection. No response is in progress.
 func (c *conn) refuse(reason Reason) (int, error) {
-	c.partial, c.early = nil, nil
+	c.early = nil
 	c.server.headBudget.release(&c.memory)
 	if c.server.conns.isClosed(c) {
 		return 0, io.EOF // another goroutine closed and counted it
--- a/daemon/internal/process/server/headbudget.go
+++ b/daemon/internal/process/server/headbudget.go
@@ -35,6 +35,9 @@
 // its fields.
 type reservation struct {
 	bytes int64
+	// head holds the bytes of a head that has not arrived completely. They are kept here so that evicting the head
+	// frees them at once: its connection may not run for a while.
+	head []byte
 	// element is the entry in HeadBudget.partial, nil if there is none.
 	element *list.Element
 	// evicted is set once another head got the room.
@@ -43,8 +46,9 @@
 	evict func()
 }
 
-// growPartial reserves memory for a head of which size bytes have arrived. It reports false if there is no room.
-func (b *HeadBudget) growPartial(r *reservation, size int) bool {
+// appendPartial adds bytes to a head that has not arrived completely and may reach limit bytes. It reports false if
+// there is no room. Memory is reserved before it is allocated.
+func (b *HeadBudget) appendPartial(r *reservation, data []byte, limit int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if r.evicted {
@@ -53,18 +57,32 @@
 	if r.element == nil {
 		r.element = b.partial.PushBack(r)
 	}
-	return b.resize(r, int64(size)*copiesOfHead)
+	if needed := len(r.head) + len(data); needed > cap(r.head) {
+		const growth = 2
+		grown := max(needed, min(growth*cap(r.head), limit))
+		if !b.resize(r, int64(grown)*copiesOfHead) {
+			return false
+		}
+		r.head = append(make([]byte, 0, grown), r.head...)
+	}
+	r.head = append(r.head, data...)
+	return true
 }
 
-// complete reserves the memory of a complete head, until release. It reports false if there is no room.
-func (b *HeadBudget) complete(r *reservation, size, lines int) bool {
+// complete reserves the memory of a complete head, until release, and returns the bytes that appendPartial has kept.
+// It reports false if there is no room.
+func (b *HeadBudget) complete(r *reservation, size, lines int) (head []byte, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if r.evicted {
-		return false
+		return nil, false
 	}
 	b.forget(r)
-	return b.resize(r, int64(size)*copiesOfHead+int64(lines)*bytesPerHeadLine)
+	if !b.resize(r, int64(size)*copiesOfHead+int64(lines)*bytesPerHeadLine) {
+		return nil, false
+	}
+	head, r.head = r.head, nil
+	return head, true
 }
 
 // release returns what a connection holds.
@@ -73,7 +91,7 @@
 	defer b.mu.Unlock()
 	b.forget(r)
 	b.reserved -= r.bytes
-	r.bytes = 0
+	r.bytes, r.head = 0, nil
 }
 
 // resize changes what a connection holds. It evicts partial heads if there is no room. The caller holds mu.
@@ -92,7 +110,7 @@
 		}
 		b.forget(oldest)
 		b.reserved -= oldest.bytes
-		oldest.bytes, oldest.evicted = 0, true
+		oldest.bytes, oldest.head, oldest.evicted = 0, nil, true
 		oldest.evict()
 	}
 	return true
