Report the copy that a host has, also after it was replaced

What callers saw: nothing yet; found by reading. After a loader dropped a copy with a wrong manifest, its neighbours kept the reports of the old copy: they requested chunks that it no longer had and never learned of new ones.

Cause: the stream of reports held the copy with which it began. The next copy of the version is looked up by the same number and is another object.

--- a/daemon/internal/version/swarm/serve.go
+++ b/daemon/internal/version/swarm/serve.go
@@ -88,7 +88,8 @@
 	return c
 }
 
-// have streams the bitmap of the copy's chunks.
+// have streams the bitmap of the copy's chunks. If the copy is replaced, it goes on with the new one; while there is
+// none, it sends nothing, so that the reader asks again.
 func (s *Server) have(w http.ResponseWriter, r *http.Request) {
 	c := s.findCopy(w, r)
 	if c == nil {
@@ -98,7 +99,11 @@
 	if r.URL.Query().Has("far") {
 		interval = otherHallReportInterval
 	}
+	version := c.Manifest.Version
 	linestream.Serve(w, r, func() time.Duration { return interval }, func() ([]byte, <-chan struct{}) {
+		if c = s.Copies.Get(version); c == nil {
+			return nil, nil
+		}
 		_, changed := c.Count()
 		return []byte(NewBitmap(c.Present())), changed
 	})
--- a/daemon/internal/version/swarm/serve_test.go
+++ b/daemon/internal/version/swarm/serve_test.go
@@ -181,3 +181,30 @@
 	// The last third is written only when the link has sent the first two.
 	assert.Greater(t, time.Since(started).Seconds(), chunkBytes*2/3/bytesPerSecond)
 }
+
+// TestReportsFollowReplacedCopy guards against hosts that learn nothing of the chunks of a copy that replaced one with
+// a wrong manifest, because their stream still reports the old copy.
+func TestReportsFollowReplacedCopy(t *testing.T) {
+	data, manifest := sampleVersion(2, 4)
+	replaced, replacing := swarm.NewCopy(wrongDigest(manifest, 3)), swarm.NewCopy(manifest)
+	require.NoError(t, replaced.Put(0, data[0]))
+	require.NoError(t, replacing.Put(3, data[3]))
+	hostCopies := &swarm.Copies{}
+	hostCopies.Add(replaced)
+	peer := serve(t, hostCopies)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	var last swarm.Bitmap
+	err := peer.Follow(ctx, 2, false, func(have swarm.Bitmap) {
+		if last = have; have.Has(0) {
+			hostCopies.Drop(2)
+			hostCopies.Add(replacing)
+		}
+		if have.Has(3) {
+			cancel()
+		}
+	})
+	require.Error(t, err)
+	assert.True(t, last.Has(3), "the chunk of the copy that replaced the other")
+	assert.False(t, last.Has(0), "a chunk that the host no longer has")
+}
