--- a/daemon/internal/version/swarm/correct.go
+++ b/daemon/internal/version/swarm/correct.go
@@ -8,10 +8,9 @@
 )
 
 // This file corrects digests of a manifest that arrived corrupted. A manifest cannot be checked before its chunks
-// arrive, and by then other hosts have it too. So when a chunk of the origin does not match, or a second one
-// of a peer at the same index, its sender is asked for its manifest: if the chunk matches that one, the digest here is
-// wrong. The correction spreads with the chunk, since each host that receives it finds the mismatch and asks the host
-// that sent it.
+// arrive, and by then other hosts have it too. So when a chunk of the origin does not match, or a second one of a peer
+// at the same index, its sender is asked for its manifest: if the chunk matches that one, the digest here is wrong. The
+// correction spreads with the chunk, since each host that receives it finds the mismatch and asks the host that sent it.
 //
 // Rejected: to look up the whole manifest again, which repeats the fetch and may return the same wrong one from a host
 // that has not found the mismatch yet.
--- a/daemon/internal/version/swarm/correct_test.go
+++ b/daemon/internal/version/swarm/correct_test.go
@@ -76,9 +76,9 @@
 	assert.True(t, manifest.Equal(c.CurrentManifest()))
 }
 
-// TestSenderWithoutManifestDamagesChunk guards against a mismatch that is forgotten because the sender's manifest
+// TestSenderWithoutManifestProvesNothing guards against a mismatch that is forgotten because the sender's manifest
 // cannot be had: after some of them the manifest here is looked up again.
-func TestSenderWithoutManifestDamagesChunk(t *testing.T) {
+func TestSenderWithoutManifestProvesNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		data, manifest := sampleVersion(2, 4)
 		o := &origin{data: data, sent: map[int]int{}}
