--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -128,7 +128,7 @@
 	if err := p.listen(mux); err != nil {
 		return err
 	}
-	client := &http.Client{Transport: call.Bounded{Transport: p.control, MaxBytes: call.MaxControlResponse}}
+	client := call.NewControlClient(p.control)
 	p.hosts = &hosts.Poller{List: platform.NewHostList(p.settings.Platform.HostList, client), Hall: p.settings.Hall, Interval: p.options.HostsInterval}
 	entries := func() []platform.Host { return p.hosts.Select(platform.RoleEntry, "") }
 	p.reporter = &report.Reporter{
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -124,7 +124,7 @@
 
 // Start opens the ports and starts all parts of the entry.
 func (p *Process) Start() error {
-	client := &http.Client{Transport: call.Bounded{Transport: p.control, MaxBytes: call.MaxControlResponse}}
+	client := call.NewControlClient(p.control)
 	kv := platform.NewKV(p.settings.Platform.KeyValue, client)
 	p.hosts = &hosts.Poller{List: platform.NewHostList(p.settings.Platform.HostList, client), Interval: p.options.HostsInterval}
 	p.addFollowers(kv, client)
--- a/daemon/internal/connection/call/bounded.go
+++ b/daemon/internal/connection/call/bounded.go
@@ -20,6 +20,11 @@
 	return http.MaxBytesHandler(handler, maxControlRequest)
 }
 
+// NewControlClient returns a client of control calls, whose responses are bounded.
+func NewControlClient(transport http.RoundTripper) *http.Client {
+	return &http.Client{Transport: Bounded{Transport: transport, MaxBytes: MaxControlResponse}}
+}
+
 // Bounded is a transport whose responses have at most MaxBytes of body, so that a server in trouble cannot
 // exhaust the memory of its clients. It serves clients that read whole bodies, as generated ones do.
 // Reading further fails with provider.ErrTooLarge.
--- a/daemon/internal/process/platform/kv.go
+++ b/daemon/internal/process/platform/kv.go
@@ -15,7 +15,6 @@
 	"time"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/call"
-
 	"github.com/wheelcleat/wheelcleat/daemon/internal/timeout"
 	"github.com/wheelcleat/wheelcleat/daemon/provider"
 )
--- a/daemon/internal/rendezvous/rendezvous.go
+++ b/daemon/internal/rendezvous/rendezvous.go
@@ -27,18 +27,18 @@
 	return d.Sum64()
 }
 
+// compareRanks orders names of one key by their rank, the first one first.
+func compareRanks(a, b scored) int {
+	return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.name, b.name))
+}
+
 // Rank returns the names sorted by descending score for the key.
 func Rank(key string, names []string) []string {
 	all := make([]scored, len(names))
 	for i, name := range names {
 		all[i] = scored{name, Score(key, name)}
 	}
-	slices.SortFunc(all, func(a, b scored) int {
-		if byScore := cmp.Compare(b.score, a.score); byScore != 0 {
-			return byScore
-		}
-		return cmp.Compare(a.name, b.name)
-	})
+	slices.SortFunc(all, compareRanks)
 	ranked := make([]string, len(all))
 	for i, s := range all {
 		ranked[i] = s.name
@@ -48,23 +48,21 @@
 
 // First returns the name with the highest score for the key, or "" if there are no names.
 func First(key string, names []string) string {
-	best, bestScore := "", uint64(0)
+	var best scored
 	for _, name := range names {
-		s := Score(key, name)
-		if best == "" || s > bestScore || s == bestScore && name < best {
-			best, bestScore = name, s
+		if other := (scored{name, Score(key, name)}); best.name == "" || compareRanks(other, best) < 0 {
+			best = other
 		}
 	}
-	return best
+	return best.name
 }
 
 // Position returns how many of the other names rank before name for the key. The others may include the
 // name itself.
 func Position(key, name string, others []string) int {
-	score, position := Score(key, name), 0
+	own, position := scored{name, Score(key, name)}, 0
 	for _, other := range others {
-		s := Score(key, other)
-		if s > score || s == score && other < name {
+		if compareRanks(scored{other, Score(key, other)}, own) < 0 {
 			position++
 		}
 	}
--- a/daemon/internal/request/buffer/buffer.go
+++ b/daemon/internal/request/buffer/buffer.go
@@ -86,7 +86,7 @@
 // grow returns a larger buffer with the same data. One byte more than the declared length lets a read return the end.
 func (b *Body) grow(data []byte, length int64) ([]byte, error) {
 	size := max(minBodyBuffer, 2*cap(data))
-	if whole := int(length) + 1; length >= 0 && whole > len(data) && (size >= whole/earlyShare) {
+	if whole := int(length) + 1; length >= 0 && whole > len(data) && size >= whole/earlyShare {
 		size = whole
 	}
 	if !b.Budget.Reserve(size) {
--- a/daemon/internal/version/reconcile/manifest.go
+++ b/daemon/internal/version/reconcile/manifest.go
@@ -15,8 +15,6 @@
 )
 
 const (
-	// manifestTimeout bounds a call for a manifest.
-	manifestTimeout = 700 * time.Millisecond
 	// peerRetryDelay is the delay before the next query after a peer failed or did not have
 	// the manifest, and peerHedgeDelay the time after which a second peer is queried beside
 	// one that has not answered.
@@ -145,7 +143,7 @@
 // query makes one call, to the origin if the peer is invalid, and sends the result unless
 // the lookup has ended.
 func (l *ManifestLookup) query(ctx context.Context, results chan<- queryResult, peer netip.AddrPort) {
-	callCtx, cancel := context.WithTimeout(ctx, manifestTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, swarm.ManifestTimeout)
 	defer cancel()
 	r := queryResult{peer: peer}
 	if peer.IsValid() {
--- a/daemon/internal/version/share/share.go
+++ b/daemon/internal/version/share/share.go
@@ -21,12 +21,11 @@
 	"strconv"
 	"time"
 
-	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/call"
-
 	"github.com/twitchtv/twirp"
 	"golang.org/x/time/rate"
 
 	"github.com/wheelcleat/wheelcleat/api/manifest"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/call"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/wire"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/version/stage"
 )
--- a/daemon/internal/version/swarm/correct.go
+++ b/daemon/internal/version/swarm/correct.go
@@ -15,8 +15,8 @@
 // Rejected: to look up the whole manifest again, which repeats the fetch and may return the same wrong one from a host
 // that has not found the mismatch yet.
 
-// manifestTimeout bounds the call for the manifest of a sender.
-const manifestTimeout = 700 * time.Millisecond
+// ManifestTimeout bounds a call for a manifest.
+const ManifestTimeout = 700 * time.Millisecond
 
 // sender is a host, or the origin, that has sent a chunk.
 type sender struct {
@@ -28,7 +28,7 @@
 // correct adds a chunk that did not match, with that error, if the manifest of its sender shows that the digest is
 // wrong. Otherwise the chunk is damaged, and it returns the error.
 func (f *Fetch) correct(ctx context.Context, index int, chunk []byte, from sender, mismatch error) error {
-	ctx, cancel := context.WithTimeout(ctx, manifestTimeout)
+	ctx, cancel := context.WithTimeout(ctx, ManifestTimeout)
 	defer cancel()
 	manifest, err := from.manifest(ctx)
 	if err != nil || !f.Copy.Correct(index, chunk, manifest) {
