--- a/cli/internal/hostile/entries_test.go
+++ b/cli/internal/hostile/entries_test.go
@@ -27,7 +27,7 @@
 				called.Add(1)
 				w.WriteHeader(http.StatusInternalServerError)
 			}))
-			for what, value := range standin.OddUpstreamRecords(trap.String()) {
+			for what, value := range standin.OddUpstreamRecords(trap) {
 				value = bytes.ReplaceAll(value, []byte(`"service":"s"`), []byte(`"service":"`+plainService+`"`))
 				value = bytes.ReplaceAll(value, []byte(`"zone":"z"`), []byte(`"zone":"recife"`))
 				f.store.PutRawUpstream("odd", value)
--- a/cli/internal/hostile/hostile_test.go
+++ b/cli/internal/hostile/hostile_test.go
@@ -71,16 +71,19 @@
 	})
 }
 
-// TestEndlessRequestLines guards against a request line without end.
-func TestEndlessRequestLines(t *testing.T) {
-	testCrowd(t, func(target, int) client { return client{first: "GET /", then: &endless{text: "x"}} })
+// endlessRequestLine is the behavior of a client that sends a request line without end.
+func endlessRequestLine(target, int) client {
+	return client{first: "GET /", then: &endless{text: "x"}}
 }
 
+// TestEndlessRequestLines guards against a request line without end.
+func TestEndlessRequestLines(t *testing.T) { testCrowd(t, endlessRequestLine) }
+
 // TestEndlessRequestLinesOnTwoProcessors guards against heads that stay in memory after the process has refused them,
 // for as long as the goroutines of their connections wait for a processor.
 func TestEndlessRequestLinesOnTwoProcessors(t *testing.T) {
 	t.Setenv("GOMAXPROCS", "2") // of the processes that the test starts
-	testCrowd(t, func(target, int) client { return client{first: "GET /", then: &endless{text: "x"}} })
+	testCrowd(t, endlessRequestLine)
 }
 
 // TestEndlessHeadsOfLaterRequests guards against a server that bounds only the first head of a connection.
--- a/cli/internal/hostile/process_test.go
+++ b/cli/internal/hostile/process_test.go
@@ -122,14 +122,18 @@
 	return request, nil
 }
 
+// newClient returns a client that sends each request on a new connection.
+func newClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: hangTimeout}
+}
+
 // request sends an ordinary request on a new connection.
 func (t target) request() error {
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: hangTimeout}
 	request, err := t.newRequest(http.MethodGet, nil)
 	if err != nil {
 		return err
 	}
-	response, err := client.Do(request)
+	response, err := newClient().Do(request)
 	if err != nil {
 		return err
 	}
@@ -234,11 +238,20 @@
 	for _, target := range d.targets {
 		assert.NoError(t, target.request(), "an ordinary request after the crowd")
 	}
-	assert.True(t, d.lives(), "the process ended:\n%s", d.log())
+	d.checkMemory(t)
+	t.Logf("at most %d descriptors", d.most)
+	assert.LessOrEqual(t, d.most, maxOpen, "open descriptors")
+}
+
+// checkMemory fails the test unless the process lives and its memory stays within its limit.
+func (d *daemon) checkMemory(t *testing.T) {
+	t.Helper()
+	if !assert.True(t, d.lives(), "the process ended:\n%s", d.log()) {
+		return
+	}
 	peak := d.peakMemory()
-	t.Logf("peak memory %d MiB, at most %d descriptors", peak, d.most)
+	t.Logf("peak memory %d MiB", peak)
 	assert.LessOrEqual(t, peak, memoryMB, "peak memory in MiB")
-	assert.LessOrEqual(t, d.most, maxOpen, "open descriptors")
 }
 
 // log returns the end of the process's output.
@@ -250,12 +263,14 @@
 
 // upload sends a request with a body of the given size. Its result does not matter.
 func (t target) upload(size int) {
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: hangTimeout}
-	request, err := t.newRequest(http.MethodPost, bytes.NewReader(make([]byte, size)))
-	if err != nil {
-		return
+	if request, err := t.newRequest(http.MethodPost, bytes.NewReader(make([]byte, size))); err == nil {
+		discard(request)
 	}
-	response, err := client.Do(request)
+}
+
+// discard sends a request and reads its response.
+func discard(request *http.Request) {
+	response, err := newClient().Do(request)
 	if err != nil {
 		return
 	}
@@ -280,14 +295,10 @@
 func (t target) sendEndless(path, mediaType string) {
 	const sentAtMost = 256 << 20
 	body := io.LimitReader(&endless{text: `"x`}, sentAtMost)
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: hangTimeout}
 	request, err := http.NewRequest(http.MethodPost, "http://"+t.address.String()+path, body)
 	if err != nil {
 		return
 	}
 	request.Header.Set("Content-Type", mediaType)
-	response, err := client.Do(request)
-	if err == nil {
-		_ = response.Body.Close()
-	}
+	discard(request)
 }
--- a/cli/internal/hostile/servers_test.go
+++ b/cli/internal/hostile/servers_test.go
@@ -154,14 +154,3 @@
 	}
 	requests.Wait()
 }
-
-// checkMemory fails the test unless the process lives and its memory stays within its limit.
-func (d *daemon) checkMemory(t *testing.T) {
-	t.Helper()
-	if !assert.True(t, d.lives(), "the process ended:\n%s", d.log()) {
-		return
-	}
-	peak := d.peakMemory()
-	t.Logf("peak memory %d MiB", peak)
-	assert.LessOrEqual(t, peak, memoryMB, "peak memory in MiB")
-}
--- a/cli/internal/soak/crashing.go
+++ b/cli/internal/soak/crashing.go
@@ -54,17 +54,26 @@
 	number := f.crashingRequests.Add(1)
 	ctx, cancel := context.WithTimeout(context.Background(), duration)
 	defer cancel()
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: callTimeout}
+	client := newStepClient()
 	f.injectOnce(RequestsCrash, fmt.Sprint(number), func() {
 		for i := 0; ctx.Err() == nil && !f.isCanceled(); i++ {
-			router := f.routers[i%len(f.routers)]
-			c := &caller{router: router.process, address: router.callers, oracle: f.oracle, requestCount: &f.requestCount, client: client}
+			c := f.stepCaller(f.routers[i%len(f.routers)], client)
 			c.send(ctx, crashingRequest(variant, number, i))
 			wait(crashingRetryInterval, ctx.Done())
 		}
 	})
 }
 
+// newStepClient returns a client for the requests of a step, each on a connection of its own.
+func newStepClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: callTimeout}
+}
+
+// stepCaller returns a caller that sends requests of a step to a router.
+func (f *fleet) stepCaller(router *router, client *http.Client) *caller {
+	return &caller{router: router.process, address: router.callers, oracle: f.oracle, requestCount: &f.requestCount, client: client}
+}
+
 func (f *fleet) isCanceled() bool { return isClosed(f.canceled) }
 
 func isClosed(done <-chan struct{}) bool {
--- a/cli/internal/soak/sharedpart.go
+++ b/cli/internal/soak/sharedpart.go
@@ -58,7 +58,7 @@
 	number := f.crashingRequests.Add(1)
 	s := &sharedPartStep{
 		fleet: f, number: number, shared: fmt.Sprintf("dd%04x", number), crashing: fmt.Sprintf("%s%04x", standin.CrashPart, number),
-		client:         &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: callTimeout},
+		client:         newStepClient(),
 		crashingRouter: target % len(f.routers),
 	}
 	began := time.Now()
@@ -102,9 +102,8 @@
 
 // send sends a request with the given parts and one of its own.
 func (s *sharedPartStep) send(router *router, parts ...string) Outcome {
-	f := s.fleet
-	c := &caller{router: router.process, address: router.callers, oracle: f.oracle, requestCount: &f.requestCount, client: s.client}
-	n := f.requestCount.Add(1)
+	c := s.fleet.stepCaller(router, s.client)
+	n := s.fleet.requestCount.Add(1)
 	path := fmt.Sprintf("%sshared-%d-%d", standin.StreamPath, s.number, n)
 	return c.send(context.Background(), request{path: path, key: constantKey, parts: append(parts, ownPart(int(n)))})
 }
--- a/daemon/internal/request/quarantine/prompt_simulation_test.go
+++ b/daemon/internal/request/quarantine/prompt_simulation_test.go
@@ -127,9 +127,7 @@
 	interrupted := f.running[engine]
 	f.running[engine] = nil
 	for _, p := range interrupted {
-		for _, key := range p.keys {
-			f.report(engine, p, key)
-		}
+		f.reportCrash(p.router, engine, f.started[engine], p.keys, p.sent)
 	}
 	f.deliver()
 	for _, p := range interrupted {
@@ -142,25 +140,6 @@
 	}
 }
 
-func (f *promptFleet) report(engine int, p *prompt, key content.Digest) {
-	observed, counts := f.tables[p.router].Attribute(quarantine.Attempt{
-		Content: key, Upstream: fmt.Sprint("e", engine), Started: time.Unix(f.started[engine], 0), SentAt: time.Unix(1000, 0).Add(p.sent),
-	}, f.time())
-	if counts {
-		f.broadcast(p.router, quarantine.Report{Content: key, Crashes: []quarantine.Crash{observed}})
-	}
-}
-
-func (f *promptFleet) complete(p *prompt) {
-	table := &f.tables[p.router]
-	for _, key := range p.keys {
-		table.RecordSuccess(key, f.time())
-		if table.Suspected(key) {
-			f.broadcast(p.router, quarantine.Report{Content: key, Cleared: true})
-		}
-	}
-}
-
 func (f *promptFleet) canceled(p *prompt) bool {
 	begin := p.until - crashTime
 	return p.crashing && f.now < begin && f.tables[p.router].Verdict(p.keys, f.time()) == quarantine.Quarantined
@@ -181,7 +160,7 @@
 				cause = p.cause
 				remaining = append(remaining, p)
 			default:
-				f.complete(p)
+				f.complete(p.router, p.keys)
 			}
 		}
 		f.running[engine] = remaining
--- a/daemon/internal/request/quarantine/shared_part_simulation_test.go
+++ b/daemon/internal/request/quarantine/shared_part_simulation_test.go
@@ -1,7 +1,6 @@
 package quarantine_test
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -118,16 +117,6 @@
 	return false
 }
 
-func (f *sharedPartFleet) report(from int, report quarantine.Report) {
-	for router := range routers {
-		if router == from {
-			f.inTransit = append(f.inTransit, delivery{f.now, router, report})
-		} else if f.random.Float64() >= f.lostShare {
-			f.inTransit = append(f.inTransit, delivery{f.now + f.network.reportDelay, router, report})
-		}
-	}
-}
-
 func (f *sharedPartFleet) crash(engine int) {
 	f.crashes = append(f.crashes, f.now)
 	f.downUntil[engine] = f.now + restartTime
@@ -135,14 +124,7 @@
 	interrupted := f.running[engine]
 	f.running[engine] = nil
 	for _, r := range interrupted {
-		for _, key := range r.keys {
-			observed, counts := f.tables[r.router].Attribute(quarantine.Attempt{
-				Content: key, Upstream: fmt.Sprint("e", engine), Started: time.Unix(f.started[engine], 0), SentAt: time.Unix(1000, 0).Add(r.sent),
-			}, f.time())
-			if counts {
-				f.report(r.router, quarantine.Report{Content: key, Crashes: []quarantine.Crash{observed}})
-			}
-		}
+		f.reportCrash(r.router, engine, f.started[engine], r.keys, r.sent)
 	}
 	f.deliver()
 	for _, r := range interrupted {
@@ -153,16 +135,6 @@
 	}
 }
 
-func (f *sharedPartFleet) complete(r *sharedPartRequest) {
-	table := &f.tables[r.router]
-	for _, key := range r.keys {
-		table.RecordSuccess(key, f.time())
-		if table.Suspected(key) {
-			f.report(r.router, quarantine.Report{Content: key, Cleared: true})
-		}
-	}
-}
-
 // restart empties the table of a router, which accepts requests once it has the reports of another.
 func (f *sharedPartFleet) restart(router int) {
 	const catchUpTime = 200 * time.Millisecond
@@ -189,7 +161,7 @@
 				crashes = true
 				remaining = append(remaining, r)
 			default:
-				f.complete(r)
+				f.complete(r.router, r.keys)
 			}
 		}
 		f.running[engine] = remaining
@@ -272,6 +244,7 @@
 				f := &sharedPartFleet{sharedPartCase: base, random: rand.New(rand.NewPCG(seed, 0))}
 				vary(&f.sharedPartCase)
 				f.network.reportDelay = f.sharedPartCase.reportDelay
+				f.isLost = func() bool { return f.random.Float64() < f.lostShare }
 				f.simulate()
 				from := f.crashes[min(len(f.crashes), 5)-1] + 2*contact
 				before, after := f.beginShare(0, sharedPartsCalm), f.beginShare(from, f.now)
--- a/daemon/internal/request/quarantine/simulation_test.go
+++ b/daemon/internal/request/quarantine/simulation_test.go
@@ -40,7 +40,9 @@
 // network holds the tables of the routers and delivers their reports.
 type network struct {
 	reportDelay time.Duration
-	tables      [routers]quarantine.Table
+	// isLost reports whether a report to another router is lost; nil means never.
+	isLost func() bool
+	tables [routers]quarantine.Table
 	// inTransit holds reports that have not been delivered.
 	inTransit []delivery
 	now       time.Duration
@@ -61,7 +63,33 @@
 		if router != from {
 			at += n.reportDelay
 		}
-		n.inTransit = append(n.inTransit, delivery{at, router, report})
+		if router == from || n.isLost == nil || !n.isLost() {
+			n.inTransit = append(n.inTransit, delivery{at, router, report})
+		}
+	}
+}
+
+// reportCrash reports the crash of an engine, in its run with a number, to all routers for each of the keys of a request
+// that a router had sent there.
+func (n *network) reportCrash(router, engine int, run int64, keys []content.Digest, sent time.Duration) {
+	for _, key := range keys {
+		observed, counts := n.tables[router].Attribute(quarantine.Attempt{
+			Content: key, Upstream: fmt.Sprint("e", engine), Started: time.Unix(run, 0), SentAt: time.Unix(1000, 0).Add(sent),
+		}, n.time())
+		if counts {
+			n.broadcast(router, quarantine.Report{Content: key, Crashes: []quarantine.Crash{observed}})
+		}
+	}
+}
+
+// complete records a complete response at a router and reports what it clears.
+func (n *network) complete(router int, keys []content.Digest) {
+	table := &n.tables[router]
+	for _, key := range keys {
+		table.RecordSuccess(key, n.time())
+		if table.Suspected(key) {
+			n.broadcast(router, quarantine.Report{Content: key, Cleared: true})
+		}
 	}
 }
 
