Reject responses whose status line is none

What callers saw: a status of 000 cut the caller's connection at an entry or an agent, without a record; at a router it was a lost response already. Statuses 600 and 999, HTTP/2.0 and HTTP/0.9, two spaces before the status and a control byte in the reason were taken for responses everywhere.

Cause: the parser of net/http takes any number of three characters and any version, and what it parsed was believed. The response writer of an entry or an agent panics for a status below 100.

Fix: the connections of all transports check the heads that they read before net/http parses them (responsehead). A malformed one fails the read, so it is handled as any lost response.

--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 FUZZTIME := 20s
 # Package and target of each fuzz test.
 FUZZ := ./api:FuzzResource ./api/manifest:FuzzDecode ./daemon/settings:FuzzParse ./platform:FuzzDecode ./platform:FuzzPromptParts \
-	./daemon/internal/connection/framing:FuzzRequests
+	./daemon/internal/connection/framing:FuzzRequests ./daemon/internal/connection/responsehead:FuzzScan
 
 # These tests measure whole processes, so they run one at a time and apart from the others.
 HOSTILE := ./cli/internal/hostile
--- a/daemon/internal/connection/dial/response.go
+++ b/daemon/internal/connection/dial/response.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -13,6 +14,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/clock"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/responsehead"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 )
 
@@ -54,6 +56,11 @@
 // another reads.
 type responseConn struct {
 	net.Conn
+	// mu guards head and headErr.
+	mu sync.Mutex
+	// head checks the head of the response to the current request, and headErr is what it found.
+	head    responsehead.Scanner
+	headErr error
 	// uploaded is set once the request is written.
 	uploaded atomic.Bool
 	// endsResponse is set once a response is read whose end is not marked. No other follows it.
@@ -62,6 +69,16 @@
 	writeErr atomic.Pointer[error]
 }
 
+// begin prepares for the response to another request. A connection that was used before has no unread bytes.
+func (c *responseConn) begin() {
+	c.uploaded.Store(false)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.head.Ended() {
+		c.head = responsehead.Scanner{}
+	}
+}
+
 // Write writes to the connection and keeps its error for Read.
 func (c *responseConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
@@ -75,12 +92,34 @@
 // closed the connection.
 func (c *responseConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if headErr := c.checkHead(p[:n]); headErr != nil {
+		// Without any byte, net/http takes a connection that was used before for one that was closed while it was idle,
+		// and sends some requests again by itself.
+		return min(n, 1), headErr
+	}
 	if errors.Is(err, io.EOF) && c.endsResponse.Load() {
 		err = c.endError()
 	}
 	return n, err
 }
 
+// checkHead checks bytes that were read, as far as they belong to the head of a response.
+func (c *responseConn) checkHead(data []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.headErr == nil {
+		c.headErr = c.head.Scan(data)
+	}
+	return c.headErr
+}
+
+// headError returns why the head of the response is malformed, nil if it is not.
+func (c *responseConn) headError() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.headErr
+}
+
 // endError returns how the connection has ended: with io.EOF if the peer closed it, else with an error.
 func (c *responseConn) endError() error {
 	deadline := clock.Now().Add(maxUploadDelay)
--- a/daemon/internal/connection/dial/response_test.go
+++ b/daemon/internal/connection/dial/response_test.go
@@ -25,9 +25,10 @@
 	t.Cleanup(func() { _, _ = conn.Close(), accepted.Close() })
 	checked, plain, server = &responseConn{Conn: conn}, conn.(*net.TCPConn), accepted.(*net.TCPConn)
 	checked.endsResponse.Store(true)
-	_, err = io.WriteString(server, "part")
+	const part = "HTTP/1.1 200 OK\r\n\r\npart"
+	_, err = io.WriteString(server, part)
 	require.NoError(t, err)
-	_, err = io.ReadFull(checked, make([]byte, len("part")))
+	_, err = io.ReadFull(checked, make([]byte, len(part)))
 	require.NoError(t, err)
 	return checked, plain, server
 }
--- a/daemon/internal/connection/dial/transport.go
+++ b/daemon/internal/connection/dial/transport.go
@@ -29,8 +29,8 @@
 // heads without end, on as many connections as a host has descriptors.
 const maxResponseHead = 16 << 10
 
-// Transport is an http.Transport for HTTP/1.1 that returns an error for a response whose connection broke, also where
-// net/http takes it for complete. All clients use it.
+// Transport is an http.Transport for HTTP/1.1 that returns an error for a response with a malformed head, and for one
+// whose connection broke, also where net/http accepts them. All clients use it.
 type Transport struct{ base *http.Transport }
 
 // NewTransport returns a transport with the settings of base that opens connections by f.
@@ -54,7 +54,7 @@
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if current, ok := info.Conn.(*responseConn); ok {
-				current.uploaded.Store(false)
+				current.begin()
 				conn.Store(current)
 			}
 		},
@@ -65,7 +65,14 @@
 		},
 	}
 	response, err := t.base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
-	if current := conn.Load(); current != nil && err == nil && !HasMarkedEnd(response) {
+	current := conn.Load()
+	switch {
+	case current == nil:
+	case err != nil:
+		if cause := current.headError(); cause != nil {
+			err = cause // net/http may report the part of the head that it got
+		}
+	case !HasMarkedEnd(response):
 		current.endsResponse.Store(true)
 	}
 	return response, err
--- /dev/null
+++ b/daemon/internal/request/relay/heads_test.go
@@ -0,0 +1,97 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/responsehead/headtest"
+	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/upstream"
+)
+
+// startTextServer starts a server that answers the requests of each connection with the given texts and then ends the
+// connection.
+func startTextServer(t *testing.T, end func(net.Conn), texts ...string) netip.AddrPort {
+	t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				reader := bufio.NewReader(conn)
+				for _, text := range texts {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, request.Body)
+					_, _ = io.WriteString(conn, text)
+				}
+				end(conn)
+			}()
+		}
+	}()
+	return listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func closeConn(conn net.Conn) { _ = conn.Close() }
+
+// whole is a response that keeps the connection open.
+const whole = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"
+
+// sendTwice sends a request that gets a whole response, if behind is set, and returns the error of one that is sent
+// after it over the same connection.
+func sendTwice(t *testing.T, transport http.RoundTripper, peer netip.AddrPort, behind bool) error {
+	t.Helper()
+	send := func() error {
+		response, err := Send(t.Context(), httptest.NewRequest(http.MethodGet, "/", nil), &Hop{Transport: transport, Peer: peer, Path: "/"})
+		if err != nil {
+			return err
+		}
+		recorder := httptest.NewRecorder()
+		WriteHead(recorder, response)
+		return CopyBody(recorder, response)
+	}
+	if behind {
+		require.NoError(t, send())
+	}
+	return send()
+}
+
+// TestMalformedHeadsAreFailures guards against responses that reach callers although their heads cannot be trusted, and
+// against a panic of the response writer for a status that it does not take.
+func TestMalformedHeadsAreFailures(t *testing.T) {
+	var heads []string
+	for _, line := range headtest.StatusLines {
+		heads = append(heads, line+"\r\n")
+	}
+	for _, head := range heads {
+		for _, behind := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%q behind another response: %t", head, behind), func(t *testing.T) {
+				texts := []string{head + "\r\nbody"}
+				if behind {
+					texts = []string{whole, texts[0]}
+				}
+				transport := upstream.NewTransport(nil)
+				var failure *Failure
+				require.ErrorAs(t, sendTwice(t, transport, startTextServer(t, closeConn, texts...), behind), &failure)
+				assert.True(t, failure.MaybeReceived)
+			})
+		}
+	}
+}
