Reject responses with lines that are no header fields

What callers saw: a complete, signed 200 whose body was not that of the upstream. `Content-Length : 5` gave all that came until the connection ended, `Transfer-Encoding : chunked` the chunks with their sizes; `Bad Name: x` was dropped, and a line that begins with a space was appended to the signature.

Cause: the parser of net/http keeps names with spaces as other fields and joins folded lines, and what it parsed was believed.

Evidence: TestMalformedHeadsAreNoResponses fails before for Content-Length and Transfer-Encoding with a space, for other names with one and for folded lines, on all kinds of routes, in final and interim heads; so do second sends, resumed streams, relay and the agent. A control byte in a name, a name beyond ASCII, an empty name and a line without a colon were lost responses already; their tests stay.

Fix: the check beneath the parser covers the lines of fields as RFC 9112 has them. It sees each line as it was sent, before the parser joins or renames any.

--- a/daemon/internal/connection/responsehead/fuzz_test.go
+++ b/daemon/internal/connection/responsehead/fuzz_test.go
@@ -4,11 +4,12 @@
 	"bufio"
 	"bytes"
 	"net/http"
+	"strings"
 	"testing"
 )
 
 // FuzzScan checks that a head is judged alike however it is split, and that net/http, where it parses what the scanner
-// allows, finds a status and a version that are valid.
+// allows, finds the fields and the status that were sent.
 func FuzzScan(f *testing.F) {
 	f.Add([]byte("HTTP/1.1 200 OK\r\nA: x\r\nContent-Length: 2\r\n\r\nok"))
 	f.Add([]byte("HTTP/1.1 103 X\r\nA : x\r\n\r\nHTTP/1.1 000 X\n\n"))
@@ -36,5 +37,10 @@
 		if parsed.StatusCode < 100 || parsed.StatusCode > 599 || parsed.ProtoMajor != 1 {
 			t.Fatalf("%s %d", parsed.Proto, parsed.StatusCode)
 		}
+		for name := range parsed.Header {
+			if strings.ContainsFunc(name, func(r rune) bool { return r <= ' ' || r >= 0x7f || r == ':' }) {
+				t.Fatalf("name %q", name)
+			}
+		}
 	})
 }
--- a/daemon/internal/connection/responsehead/scanner.go
+++ b/daemon/internal/connection/responsehead/scanner.go
@@ -1,11 +1,16 @@
-// Package responsehead checks the status lines of HTTP/1.1 responses beneath the parser of net/http, which is lenient: it
-// takes any three digits for a status and any version.
+// Package responsehead checks the heads of HTTP/1.1 responses beneath the parser of net/http, which is lenient: it
+// accepts names of header fields with spaces, joins folded lines, and takes any three digits for a status. What it
+// accepts is then forwarded, or the body is delimited in another way than its sender did.
 //
 // Heads are checked as bytes because the parsed header no longer shows all of that. Rejected: checking what was parsed,
-// which misses spaces around the status; a parser of our own, which would have to agree with net/http on bodies as well.
+// which misses folded lines and spaces around the status; a parser of our own, which would have to agree with net/http
+// on bodies as well.
 package responsehead
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+)
 
 // state is the position within a head.
 type state int
@@ -14,7 +19,8 @@
 	inStatusLine state = iota
 	inReason
 	atFieldStart
-	inField
+	inFieldName
+	inFieldValue
 	// atLineEnd and atHeadEnd are the states after the CR of a line and of the empty line.
 	atLineEnd
 	atHeadEnd
@@ -25,7 +31,7 @@
 // String names the position in errors.
 func (s state) String() string {
 	return [...]string{
-		"in the status line", "in the reason", "at the start of a field line", "in a field line",
+		"in the status line", "in the reason", "at the start of a field line", "in the name of a field", "in the value of a field",
 		"after the CR of a line", "after the CR of the empty line", "after the head",
 	}[s]
 }
@@ -77,7 +83,7 @@
 	switch s.state {
 	case inStatusLine:
 		return s.statusLine(c)
-	case inReason:
+	case inReason, inFieldValue:
 		return s.text(c)
 	case atFieldStart:
 		switch c {
@@ -86,10 +92,13 @@
 		case '\n':
 			return s.endHead(), true
 		default:
-			return inField, true
+			return inFieldName, isTokenByte(c)
+		}
+	case inFieldName:
+		if c == ':' {
+			return inFieldValue, true
 		}
-	case inField:
-		return s.lineEndOr(c, inField), true
+		return inFieldName, isTokenByte(c)
 	case atLineEnd:
 		return atFieldStart, c == '\n'
 	case atHeadEnd:
@@ -128,7 +137,7 @@
 	}
 }
 
-// text scans a byte of the reason.
+// text scans a byte of the reason or of the value of a field.
 func (s *Scanner) text(c byte) (state, bool) {
 	const firstVisible, del = ' ', 0x7f
 	return s.lineEndOr(c, s.state), c >= firstVisible && c != del || c == '\t' || c == '\r' || c == '\n'
@@ -154,3 +163,8 @@
 	s.column = 0
 	return inStatusLine
 }
+
+// isTokenByte reports whether a byte may be part of the name of a field.
+func isTokenByte(c byte) bool {
+	return 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9' || strings.IndexByte("!#$%&'*+-.^_`|~", c) >= 0
+}
--- a/daemon/internal/request/relay/heads_test.go
+++ b/daemon/internal/request/relay/heads_test.go
@@ -80,6 +80,9 @@
 	for _, line := range headtest.StatusLines {
 		heads = append(heads, line+"\r\n")
 	}
+	for _, line := range headtest.FieldLines {
+		heads = append(heads, "HTTP/1.1 200 OK\r\nName: value\r\n"+line+"\r\n", "HTTP/1.1 103 X\r\nName: value\r\n"+line+"\r\n\r\nHTTP/1.1 200 OK\r\n")
+	}
 	for _, head := range heads {
 		for _, behind := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%q behind another response: %t", head, behind), func(t *testing.T) {
