--- a/daemon/internal/connection/dial/response.go
+++ b/daemon/internal/connection/dial/response.go
@@ -8,18 +8,16 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/wheelcleat/wheelcleat/daemon/internal/clock"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/responsehead"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/helpers"
 )
 
-// This file keeps a broken connection from passing for one that the peer closed, which marks the end of a response
-// with neither a length nor chunks.
+// This file checks responses beneath net/http, as they are read from a connection: their heads, which package
+// responsehead judges, and the end of a connection that ends its response, which has neither a length nor chunks. A
+// broken connection must not pass for one that the peer closed.
 //
 // The kernel returns the error of a connection to one call only. One goroutine writes the request while another reads
 // the response. If the write gets the error, the read that follows sees an ordinary end. So a read that sees the end
@@ -39,8 +37,6 @@
 	maxUploadDelay = 250 * time.Millisecond
 	// uploadCheckInterval is the interval of checks in that time.
 	uploadCheckInterval = time.Millisecond
-	// tcpClose is TCP_CLOSE of the kernel, the state of a socket without a connection.
-	tcpClose = 7
 )
 
 // errBroken marks the end of a connection that broke, although the read that saw the end returned no error.
@@ -69,7 +65,7 @@
 	writeErr atomic.Pointer[error]
 }
 
-// begin prepares for the response to another request. A connection that was used before has no unread bytes.
+// begin prepares for the response to another request. Bytes that came before the first request count as the head.
 func (c *responseConn) begin() {
 	c.uploaded.Store(false)
 	c.mu.Lock()
@@ -138,36 +134,3 @@
 		helpers.Pause(uploadCheckInterval, nil)
 	}
 }
-
-// socketState is the state of a connection in the kernel.
-type socketState struct {
-	// err is set if the connection broke.
-	err error
-	// unacknowledged is set if the peer has not acknowledged all that was sent.
-	unacknowledged bool
-}
-
-// socket returns the state in the kernel, or the zero value for a connection without a socket.
-func (c *responseConn) socket() socketState {
-	socket, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return socketState{}
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return socketState{}
-	}
-	var info *unix.TCPInfo
-	var optErr error
-	err = raw.Control(func(fd uintptr) { info, optErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
-	switch {
-	case err != nil:
-		return socketState{err: err} // this process has closed the connection
-	case optErr != nil:
-		return socketState{} // no TCP socket
-	case info.State == tcpClose:
-		return socketState{err: syscall.ECONNRESET}
-	default:
-		return socketState{unacknowledged: info.Unacked > 0 || info.Notsent_bytes > 0}
-	}
-}
--- a/daemon/internal/connection/dial/transport.go
+++ b/daemon/internal/connection/dial/transport.go
@@ -9,6 +9,7 @@
 	"time"
 )
 
+// Limits of a transport for control messages and chunks.
 const (
 	idlePerHost = 8
 	idleTimeout = 30 * time.Second
@@ -33,8 +34,9 @@
 // whose connection broke, also where net/http accepts them. All clients use it.
 type Transport struct{ base *http.Transport }
 
-// NewTransport returns a transport with the settings of base that opens connections by f.
+// NewTransport returns a transport with the settings of base that opens connections by f, or by Direct where f is nil.
 func NewTransport(f Func, base *http.Transport) *Transport {
+	f = OrDirect(f)
 	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := f(ctx, network, address)
 		if err != nil {
--- a/daemon/internal/connection/upstream/transport.go
+++ b/daemon/internal/connection/upstream/transport.go
@@ -27,7 +27,7 @@
 // NewTransport returns a transport for requests. It speaks HTTP/1.1 only, so
 // that a stalled stream cannot block other streams on the same connection.
 func NewTransport(connect dial.Func) *dial.Transport {
-	return dial.NewTransport(dial.OrDirect(connect), &http.Transport{
+	return dial.NewTransport(connect, &http.Transport{
 		MaxIdleConns:          0,
 		MaxIdleConnsPerHost:   idlePerHost,
 		IdleConnTimeout:       idleTimeout,
