Test heads that end in their middle

Operators of other systems saw a 200 with an empty or a short body, framed as whole, after an upstream had stopped in the middle of a head.

--- a/daemon/internal/request/relay/heads_test.go
+++ b/daemon/internal/request/relay/heads_test.go
@@ -98,3 +98,30 @@
 		}
 	}
 }
+
+// TestHeadCutInItsMiddleIsFailure guards against a response without its end or its beginning, because the peer stopped in
+// the middle of the head.
+func TestHeadCutInItsMiddleIsFailure(t *testing.T) {
+	resetConn := func(conn net.Conn) { _ = conn.(*net.TCPConn).SetLinger(0) }
+	for endName, end := range map[string]func(net.Conn){"close": closeConn, "reset": resetConn} {
+		for _, line := range []string{"Content-Length: 5", "Transfer-Encoding: chunked", "Name: value"} {
+			for _, before := range []string{"", "HTTP/1.1 103 X\r\nName: value\r\n\r\n"} {
+				for _, behind := range []bool{false, true} {
+					t.Run(fmt.Sprint(endName, " ", line, " behind an interim response: ", before != "", " behind another response: ", behind), func(t *testing.T) {
+						head := "HTTP/1.1 200 OK\r\nName: value\r\n" + line + "\r\n\r\n"
+						for cut := range head {
+							texts := []string{before + head[:cut]}
+							if behind {
+								texts = []string{whole, texts[0]}
+							}
+							transport := upstream.NewTransport(nil)
+							var failure *Failure
+							require.ErrorAs(t, sendTwice(t, transport, startTextServer(t, end, texts...), behind), &failure)
+							assert.True(t, failure.MaybeReceived)
+						}
+					})
+				}
+			}
+		}
+	}
+}
