--- a/daemon/internal/request/gate/heads_test.go
+++ b/daemon/internal/request/gate/heads_test.go
@@ -1,8 +1,6 @@
 package gate
 
 import (
-	"bufio"
-	"context"
 	"fmt"
 	"io"
 	"net"
@@ -16,6 +14,7 @@
 	"github.com/wheelcleat/wheelcleat/api"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/upstream"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/process/telemetry"
+	"github.com/wheelcleat/wheelcleat/standin/serve"
 )
 
 // TestMalformedHeadIsUnknownOutcome guards against a connection that is cut without an answer and without a record,
@@ -23,22 +22,16 @@
 func TestMalformedHeadIsUnknownOutcome(t *testing.T) {
 	for _, head := range []string{"HTTP/1.1 000 OK\r\n", "HTTP/1.1 099 OK\r\n", "HTTP/1.1 200 OK\r\nBad Name: x\r\n", "HTTP/1.1 200 OK\r\nContent-Length : 1\r\n"} {
 		t.Run(fmt.Sprintf("%q", head), func(t *testing.T) {
-			listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
-			require.NoError(t, err)
-			t.Cleanup(func() { _ = listener.Close() })
-			go func() {
-				conn, err := listener.Accept()
-				if err != nil {
-					return
-				}
-				_, _ = http.ReadRequest(bufio.NewReader(conn))
+			upstreamServer, err := serve.RawRequests(func(_ *http.Request, conn *net.TCPConn) bool {
 				_, _ = io.WriteString(conn, head+"\r\nbody")
-				_ = conn.Close()
-			}()
+				return false
+			})
+			require.NoError(t, err)
+			t.Cleanup(upstreamServer.Close)
 			tele, err := telemetry.New(telemetry.Options{Level: "info", Output: io.Discard})
 			require.NoError(t, err)
 			t.Cleanup(tele.Close)
-			h := &Handler{Gate: &Gate{}, Upstream: listener.Addr().(*net.TCPAddr).AddrPort(), Transport: upstream.NewTransport(nil), Telemetry: tele}
+			h := &Handler{Gate: &Gate{}, Upstream: upstreamServer.Address, Transport: upstream.NewTransport(nil), Telemetry: tele}
 			h.Gate.Open(Serving{[]string{"s"}, "v1"})
 			mux := http.NewServeMux()
 			h.Register(mux)
--- a/daemon/internal/request/relay/early_test.go
+++ b/daemon/internal/request/relay/early_test.go
@@ -1,8 +1,6 @@
 package relay
 
 import (
-	"bufio"
-	"context"
 	"io"
 	"net"
 	"net/http"
@@ -15,29 +13,19 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/upstream"
+	"github.com/wheelcleat/wheelcleat/standin/serve"
 )
 
 // startEarlyServer starts a server that answers each request before it has read the body.
-func startEarlyServer(t *testing.T, answer func(net.Conn)) netip.AddrPort {
+func startEarlyServer(t *testing.T, answer func(*net.TCPConn)) netip.AddrPort {
 	t.Helper()
-	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	server, err := serve.RawRequests(func(_ *http.Request, conn *net.TCPConn) bool {
+		answer(conn)
+		return false
+	})
 	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					answer(conn)
-				}
-			}()
-		}
-	}()
-	return listener.Addr().(*net.TCPAddr).AddrPort()
+	t.Cleanup(server.Close)
+	return server.Address
 }
 
 // uploadBytes is more than what the connection holds.
@@ -64,10 +52,10 @@
 	const rounds = 100
 	for name, linger := range map[string]int{"reset": 0, "close with unread": -1} {
 		t.Run(name, func(t *testing.T) {
-			peer := startEarlyServer(t, func(conn net.Conn) {
+			peer := startEarlyServer(t, func(conn *net.TCPConn) {
 				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
 				_, _ = conn.Read(make([]byte, 1)) // more of the upload has arrived
-				_ = conn.(*net.TCPConn).SetLinger(linger)
+				_ = conn.SetLinger(linger)
 			})
 			for range rounds {
 				_, err := relayUpload(t, peer)
@@ -80,14 +68,14 @@
 // TestWholeEarlyResponseIsRelayed guards against taking each response that precedes the end of the upload for a
 // truncated one.
 func TestWholeEarlyResponseIsRelayed(t *testing.T) {
-	for name, rest := range map[string]func(net.Conn){
-		"upload read":   func(conn net.Conn) { _, _ = io.Copy(io.Discard, conn) },
-		"upload unread": func(net.Conn) { <-t.Context().Done() },
+	for name, rest := range map[string]func(*net.TCPConn){
+		"upload read":   func(conn *net.TCPConn) { _, _ = io.Copy(io.Discard, conn) },
+		"upload unread": func(*net.TCPConn) { <-t.Context().Done() },
 	} {
 		t.Run(name, func(t *testing.T) {
-			peer := startEarlyServer(t, func(conn net.Conn) {
+			peer := startEarlyServer(t, func(conn *net.TCPConn) {
 				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nwhole")
-				_ = conn.(*net.TCPConn).CloseWrite()
+				_ = conn.CloseWrite()
 				rest(conn)
 			})
 			recorder, err := relayUpload(t, peer)
--- a/daemon/internal/request/relay/heads_test.go
+++ b/daemon/internal/request/relay/heads_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"io"
 	"net"
@@ -16,47 +15,38 @@
 
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/responsehead/headtest"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/upstream"
+	"github.com/wheelcleat/wheelcleat/standin/serve"
 )
 
 // startTextServer starts a server that answers the requests of each connection with the given texts and then ends the
 // connection.
-func startTextServer(t *testing.T, end func(net.Conn), texts ...string) netip.AddrPort {
+func startTextServer(t *testing.T, end func(*net.TCPConn), texts ...string) netip.AddrPort {
 	t.Helper()
-	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
+	server, err := serve.Raw(func(conn *net.TCPConn) {
+		reader := bufio.NewReader(conn)
+		for _, text := range texts {
+			request, err := http.ReadRequest(reader)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				reader := bufio.NewReader(conn)
-				for _, text := range texts {
-					request, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, request.Body)
-					_, _ = io.WriteString(conn, text)
-				}
-				end(conn)
-			}()
+			_, _ = io.Copy(io.Discard, request.Body)
+			_, _ = io.WriteString(conn, text)
 		}
-	}()
-	return listener.Addr().(*net.TCPAddr).AddrPort()
+		end(conn)
+	})
+	require.NoError(t, err)
+	t.Cleanup(server.Close)
+	return server.Address
 }
 
-func closeConn(conn net.Conn) { _ = conn.Close() }
+func closeConn(conn *net.TCPConn) { _ = conn.Close() }
 
 // whole is a response that keeps the connection open.
 const whole = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"
 
-// sendTwice sends a request that gets a whole response, if behind is set, and returns the error of one that is sent
+// relayRequest sends a request that gets a whole response, if behind is set, and returns the error of one that is sent
 // after it over the same connection.
-func sendTwice(t *testing.T, transport http.RoundTripper, peer netip.AddrPort, behind bool) error {
+func relayRequest(t *testing.T, transport http.RoundTripper, peer netip.AddrPort, behind bool) error {
 	t.Helper()
 	send := func() error {
 		response, err := Send(t.Context(), httptest.NewRequest(http.MethodGet, "/", nil), &Hop{Transport: transport, Peer: peer, Path: "/"})
@@ -92,7 +82,7 @@
 				}
 				transport := upstream.NewTransport(nil)
 				var failure *Failure
-				require.ErrorAs(t, sendTwice(t, transport, startTextServer(t, closeConn, texts...), behind), &failure)
+				require.ErrorAs(t, relayRequest(t, transport, startTextServer(t, closeConn, texts...), behind), &failure)
 				assert.True(t, failure.MaybeReceived)
 			})
 		}
@@ -102,8 +92,8 @@
 // TestHeadCutInItsMiddleIsFailure guards against a response without its end or its beginning, because the peer stopped in
 // the middle of the head.
 func TestHeadCutInItsMiddleIsFailure(t *testing.T) {
-	resetConn := func(conn net.Conn) { _ = conn.(*net.TCPConn).SetLinger(0) }
-	for endName, end := range map[string]func(net.Conn){"close": closeConn, "reset": resetConn} {
+	resetConn := func(conn *net.TCPConn) { _ = conn.SetLinger(0) }
+	for endName, end := range map[string]func(*net.TCPConn){"close": closeConn, "reset": resetConn} {
 		for _, line := range []string{"Content-Length: 5", "Transfer-Encoding: chunked", "Name: value"} {
 			for _, before := range []string{"", "HTTP/1.1 103 X\r\nName: value\r\n\r\n"} {
 				for _, behind := range []bool{false, true} {
@@ -116,7 +106,7 @@
 							}
 							transport := upstream.NewTransport(nil)
 							var failure *Failure
-							require.ErrorAs(t, sendTwice(t, transport, startTextServer(t, end, texts...), behind), &failure)
+							require.ErrorAs(t, relayRequest(t, transport, startTextServer(t, end, texts...), behind), &failure)
 							assert.True(t, failure.MaybeReceived)
 						}
 					})
--- a/daemon/router/early_test.go
+++ b/daemon/router/early_test.go
@@ -1,8 +1,6 @@
 package router_test
 
 import (
-	"bufio"
-	"context"
 	"fmt"
 	"io"
 	"net"
@@ -14,31 +12,21 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/wheelcleat/wheelcleat/daemon/settings"
+	"github.com/wheelcleat/wheelcleat/standin/serve"
 )
 
 // startEarlyUpstream starts an upstream that answers before it has read the bodies of its requests.
 func startEarlyUpstream(t *testing.T, id string, answer upstreamFunc) *upstream {
 	t.Helper()
-	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	u := &upstream{id: id}
+	server, err := serve.RawRequests(func(req *http.Request, conn *net.TCPConn) bool {
+		u.received.Add(1)
+		answer(req, conn)
+		return false
+	})
 	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	u := &upstream{id: id, address: listener.Addr().(*net.TCPAddr).AddrPort()}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				req, err := http.ReadRequest(bufio.NewReader(conn))
-				if err == nil {
-					u.received.Add(1)
-					answer(req, conn)
-				}
-			}()
-		}
-	}()
+	t.Cleanup(server.Close)
+	u.address = server.Address
 	return u
 }
 
--- a/standin/doc.go
+++ b/standin/doc.go
@@ -5,5 +5,6 @@
 // Tests, benchmarks and the dev command run the real daemons against them when
 // no platform is available. Each is an http.Handler whose faults are function
 // fields; a nil field injects no fault. A simulation implements only what the
-// daemons use and the ways in which that can fail.
+// daemons use and the ways in which that can fail. Servers that do not keep to
+// HTTP are started by serve.Raw.
 package standin
