Share the handler of the gate's tests

The tests of a crash at the end and of malformed heads set up the same handler and sent it the same request; sendThroughHandler does so for both. All assertions stay. The package passes, and make check does.

--- a/daemon/internal/request/gate/crash_test.go
+++ b/daemon/internal/request/gate/crash_test.go
@@ -41,23 +41,9 @@
 					}()
 				}
 			}()
-			tele, err := telemetry.New(telemetry.Options{Level: "info", Output: io.Discard})
-			require.NoError(t, err)
-			t.Cleanup(tele.Close)
-			h := &Handler{
-				Gate: &Gate{}, Upstream: listener.Addr().(*net.TCPAddr).AddrPort(), Transport: &http.Transport{}, Telemetry: tele,
-				Probe: &livenessprobe.Probe{Dial: dial.Direct},
-			}
-			h.Gate.Open(Serving{[]string{"s"}, "v1"})
-			mux := http.NewServeMux()
-			h.Register(mux)
-			server := httptest.NewServer(mux)
-			t.Cleanup(server.Close)
-			req, err := http.NewRequest(http.MethodGet, server.URL+PathPrefix+"/x", http.NoBody)
-			require.NoError(t, err)
-			req.Header.Set(HeaderService, "s")
-			req.Header.Set(HeaderManifest, "v1")
-			resp, err := http.DefaultClient.Do(req)
+			resp, err := sendThroughHandler(t, &Handler{
+				Upstream: listener.Addr().(*net.TCPAddr).AddrPort(), Transport: &http.Transport{}, Probe: &livenessprobe.Probe{Dial: dial.Direct},
+			})
 			if err != nil {
 				assert.False(t, test.complete)
 				return
@@ -68,3 +54,22 @@
 		})
 	}
 }
+
+// sendThroughHandler sends a request as an entry does to a handler, whose gate is opened here.
+func sendThroughHandler(t *testing.T, h *Handler) (*http.Response, error) {
+	t.Helper()
+	tele, err := telemetry.New(telemetry.Options{Level: "info", Output: io.Discard})
+	require.NoError(t, err)
+	t.Cleanup(tele.Close)
+	h.Gate, h.Telemetry = &Gate{}, tele
+	h.Gate.Open(Serving{[]string{"s"}, "v1"})
+	mux := http.NewServeMux()
+	h.Register(mux)
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	req, err := http.NewRequest(http.MethodGet, server.URL+PathPrefix+"/x", http.NoBody)
+	require.NoError(t, err)
+	req.Header.Set(HeaderService, "s")
+	req.Header.Set(HeaderManifest, "v1")
+	return http.DefaultClient.Do(req)
+}
--- a/daemon/internal/request/gate/heads_test.go
+++ b/daemon/internal/request/gate/heads_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -13,7 +12,6 @@
 
 	"github.com/wheelcleat/wheelcleat/api"
 	"github.com/wheelcleat/wheelcleat/daemon/internal/connection/upstream"
-	"github.com/wheelcleat/wheelcleat/daemon/internal/process/telemetry"
 	"github.com/wheelcleat/wheelcleat/standin/serve"
 )
 
@@ -28,20 +26,7 @@
 			})
 			require.NoError(t, err)
 			t.Cleanup(upstreamServer.Close)
-			tele, err := telemetry.New(telemetry.Options{Level: "info", Output: io.Discard})
-			require.NoError(t, err)
-			t.Cleanup(tele.Close)
-			h := &Handler{Gate: &Gate{}, Upstream: upstreamServer.Address, Transport: upstream.NewTransport(nil), Telemetry: tele}
-			h.Gate.Open(Serving{[]string{"s"}, "v1"})
-			mux := http.NewServeMux()
-			h.Register(mux)
-			server := httptest.NewServer(mux)
-			t.Cleanup(server.Close)
-			req, err := http.NewRequest(http.MethodGet, server.URL+PathPrefix+"/x", http.NoBody)
-			require.NoError(t, err)
-			req.Header.Set(HeaderService, "s")
-			req.Header.Set(HeaderManifest, "v1")
-			resp, err := http.DefaultClient.Do(req)
+			resp, err := sendThroughHandler(t, &Handler{Upstream: upstreamServer.Address, Transport: upstream.NewTransport(nil)})
 			require.NoError(t, err)
 			require.NoError(t, resp.Body.Close())
 			assert.Equal(t, http.StatusBadGateway, resp.StatusCode)
